The thin path: entry and control daemons, client, stand-ins

Callers ask any entry host which addresses to use, and stream chats, drafts and calls through it. Upstreams are owned by one entry process of their data centre; placement grants come from the owner, tokens flow directly. Keys and request ids name their home; configuration is a compare-and-set log in the platform's table, spread by pushes and heartbeats.

--- /dev/null
+++ b/src/control/lease.rs
@@ -0,0 +1,114 @@
+//! A lease in the platform's table, judged by monotonic clocks only.
+//!
+//! The holder renews its row; its lease runs from just before a renewal was
+//! sent. Others take over once they have seen the row unchanged for the whole
+//! time to live, which began after that. The holder gives no order in the
+//! last part of its lease, and none that could take longer than that part.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// The row that stands for a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRow {
+    /// Name of the holder, with its incarnation.
+    pub holder: String,
+    /// Fencing number; rises with each new holder.
+    pub fence: u64,
+    /// Rises with each renewal, so that every renewal changes the row.
+    pub renewal: u64,
+}
+
+/// Times of a lease.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseTiming {
+    /// For how long it holds without renewal.
+    pub ttl: Duration,
+    /// Last part in which no order is given.
+    pub margin: Duration,
+}
+
+/// What to do about the lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Write this row if the table's row still has this version.
+    Write {
+        /// Version that the table's row must have.
+        row_version: u64,
+        /// Row to write.
+        row: LeaseRow,
+    },
+    /// Wait: another process holds it.
+    Wait,
+}
+
+/// The lease as one process sees it.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    own: String,
+    timing: LeaseTiming,
+    seen: Option<(u64, LeaseRow, Instant)>,
+    held: Option<(u64, Instant)>,
+}
+
+impl Lease {
+    /// Creates the view of a process that has not read the row.
+    pub fn new(own: String, timing: LeaseTiming) -> Self {
+        Self { own, timing, seen: None, held: None }
+    }
+
+    /// Notes the row as read; the reading ended at `now`.
+    pub fn observe(&mut self, row_version: u64, row: Option<LeaseRow>, now: Instant) {
+        let Some(row) = row else {
+            self.seen = None;
+            return;
+        };
+        if row.holder != self.own {
+            self.held = None;
+        }
+        match &mut self.seen {
+            Some((version, ..)) if *version == row_version => {}
+            seen => *seen = Some((row_version, row, now)),
+        }
+    }
+
+    /// Returns what to do next.
+    pub fn next_action(&self, now: Instant) -> LeaseAction {
+        let Some((row_version, row, since)) = &self.seen else {
+            let row = LeaseRow { holder: self.own.clone(), fence: 1, renewal: 1 };
+            return LeaseAction::Write { row_version: 0, row };
+        };
+        let mut next = LeaseRow { renewal: row.renewal + 1, ..row.clone() };
+        if row.holder != self.own {
+            if now.duration_since(*since) <= self.timing.ttl {
+                return LeaseAction::Wait;
+            }
+            next.holder.clone_from(&self.own);
+            next.fence += 1;
+        } else if self.held.is_none_or(|(_, sent)| now >= sent + self.timing.ttl) {
+            // The own lease lapsed: another may have acted on a guess of ours.
+            next.fence += 1;
+        }
+        LeaseAction::Write { row_version: *row_version, row: next }
+    }
+
+    /// Notes that the table took the row; the write was sent at `sent`.
+    pub fn written(&mut self, row_version: u64, row: LeaseRow, sent: Instant, now: Instant) {
+        self.held = Some((row.fence, sent));
+        self.seen = Some((row_version, row, now));
+    }
+
+    /// Returns the fencing number with which an order may be sent now, if the
+    /// lease is surely held until the order is done.
+    pub fn may_order(&self, now: Instant) -> Option<u64> {
+        let (fence, sent) = self.held?;
+        let last = sent + self.timing.ttl.saturating_sub(self.timing.margin);
+        (now < last).then_some(fence)
+    }
+
+    /// Returns the holder as last seen.
+    pub fn holder(&self) -> Option<&LeaseRow> {
+        self.seen.as_ref().map(|(_, row, _)| row)
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,10 @@
+//! The control process: orders to engines, given under a lease from the
+//! platform's table. Any host may run one; its death harms no stream.
+
+mod daemon;
+mod lease;
+mod orders;
+
+pub use daemon::{ControlError, run};
+pub use lease::{Lease, LeaseAction, LeaseRow, LeaseTiming};
+pub use orders::{EngineReport, Order, missing_orders};
--- /dev/null
+++ b/src/prefix.rs
@@ -0,0 +1,35 @@
+//! Fingerprints of prompt prefixes, for cache-aware placement.
+
+/// Bytes of prompt text in one block.
+pub const BLOCK_BYTES: usize = 256;
+/// Blocks of a prompt that are fingerprinted at most.
+pub const MAX_BLOCKS: usize = 64;
+
+/// Fingerprint of a prefix that ends on a block boundary.
+pub type Fingerprint = u64;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hashes bytes with 64-bit FNV-1a, starting from `state`.
+pub fn fnv1a(state: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(state, |hash, b| (hash ^ u64::from(*b)).wrapping_mul(FNV_PRIME))
+}
+
+/// Hashes bytes with 64-bit FNV-1a.
+pub fn hash(bytes: &[u8]) -> u64 {
+    fnv1a(FNV_OFFSET, bytes)
+}
+
+/// Returns the chained fingerprints of the whole blocks of `text`, the
+/// shortest prefix first, at most [`MAX_BLOCKS`].
+pub fn fingerprints(text: &str) -> Vec<Fingerprint> {
+    text.as_bytes()
+        .chunks_exact(BLOCK_BYTES)
+        .take(MAX_BLOCKS)
+        .scan(FNV_OFFSET, |state, block| {
+            *state = fnv1a(*state, block);
+            Some(*state)
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,9 @@
+//! Settings of the daemons, in TOML. Every mistake is reported at once.
+
+mod control;
+mod entry;
+mod reader;
+
+pub use control::ControlSettings;
+pub use entry::{EntrySettings, Limits};
+pub use reader::{Mistake, Section, SettingsError, load};
--- /dev/null
+++ b/src/upstream/state.rs
@@ -0,0 +1,148 @@
+//! One upstream as its owner sees it.
+
+use std::time::{Duration, Instant};
+
+use super::{CacheSketch, UpstreamEvent};
+use crate::{
+    ids::Model,
+    platform::{HostEntry, HostState},
+    routing::Candidate,
+};
+
+/// Failures in a row after which an upstream rests.
+const FAILURES_TO_REST: u32 = 3;
+/// For how long it rests.
+const REST: Duration = Duration::from_secs(2);
+
+/// One upstream as its owner sees it.
+#[derive(Clone, Debug)]
+pub struct UpstreamState {
+    /// Its entry in the cloud's list.
+    pub host: HostEntry,
+    /// When its last event came; `None` before the first.
+    pub heard: Option<Instant>,
+    /// When its host goes, once that is known.
+    pub leaves_at: Option<Instant>,
+    /// What its prefix cache likely holds.
+    pub sketch: CacheSketch,
+    running: u32,
+    queued_tokens: u32,
+    prefill_rate: f64,
+    models: Option<Vec<Model>>,
+    boot: Option<u64>,
+    failures: u32,
+    rests_until: Option<Instant>,
+}
+
+impl UpstreamState {
+    /// Creates the state of an upstream that has not been heard of.
+    pub fn new(host: HostEntry, now: Instant) -> Self {
+        let mut state = Self {
+            host,
+            heard: None,
+            leaves_at: None,
+            sketch: CacheSketch::default(),
+            running: 0,
+            queued_tokens: 0,
+            prefill_rate: crate::routing::DEFAULT_PREFILL_RATE,
+            models: None,
+            boot: None,
+            failures: 0,
+            rests_until: None,
+        };
+        state.take_list_state(now);
+        state
+    }
+
+    /// Takes over a newer entry of the cloud's list.
+    pub fn update(&mut self, host: HostEntry, now: Instant) {
+        self.host = host;
+        self.take_list_state(now);
+    }
+
+    fn take_list_state(&mut self, now: Instant) {
+        if self.host.state == HostState::Leaving && self.leaves_at.is_none() {
+            let left = self.host.leaves_at_ms.unwrap_or_default();
+            let left = left.saturating_sub(crate::time::unix_millis());
+            self.leaves_at = Some(now + Duration::from_millis(left));
+        }
+    }
+
+    /// Takes an event in. Returns whether the upstream is newly known to leave.
+    pub fn hear(&mut self, event: &UpstreamEvent, now: Instant) -> bool {
+        self.heard = Some(now);
+        match event {
+            UpstreamEvent::Hello { boot } => self.hear_boot(*boot),
+            UpstreamEvent::Load { running, queued_tokens, prefill_rate, models, .. } => {
+                self.running = *running;
+                self.queued_tokens = *queued_tokens;
+                self.prefill_rate = *prefill_rate;
+                self.models = Some(models.clone());
+            }
+            UpstreamEvent::Cache { seq, stored, evicted } => {
+                self.sketch.hear(*seq, stored, evicted);
+            }
+            UpstreamEvent::Leaving { in_ms } => {
+                let known = self.leaves_at.is_some();
+                self.leaves_at = Some(now + Duration::from_millis(*in_ms));
+                return !known;
+            }
+        }
+        false
+    }
+
+    fn hear_boot(&mut self, boot: u64) {
+        if self.boot.is_some_and(|old| old != boot) {
+            self.sketch.clear();
+            self.leaves_at = None;
+        }
+        self.boot = Some(boot);
+    }
+
+    /// Counts how an attempt ended.
+    pub fn attempt_ended(&mut self, failed: bool, now: Instant) {
+        if !failed {
+            self.failures = 0;
+            return;
+        }
+        self.failures += 1;
+        if self.failures >= FAILURES_TO_REST {
+            self.failures = 0;
+            self.rests_until = Some(now + REST);
+        }
+    }
+
+    /// Returns whether the upstream may get new work: heard of lately, not
+    /// leaving and not resting.
+    pub fn takes_work(&self, now: Instant, silence: Duration) -> bool {
+        let fresh = self.heard.is_some_and(|at| now.duration_since(at) <= silence);
+        let rests = self.rests_until.is_some_and(|until| now < until);
+        fresh && !rests && self.leaves_at.is_none()
+    }
+
+    /// Returns whether the upstream offers a model.
+    pub fn offers(&self, model: &str) -> bool {
+        self.models.as_ref().unwrap_or(&self.host.models).iter().any(|m| m == model)
+    }
+
+    /// Returns the models that it offers.
+    pub fn models(&self) -> &[Model] {
+        self.models.as_ref().unwrap_or(&self.host.models)
+    }
+
+    /// Returns the upstream as a candidate for a request; `granted` counts
+    /// the slots given out. The engine's own count covers requests that a
+    /// former owner placed.
+    pub fn candidate(&self, granted: u32, prefix: &[u64]) -> Candidate {
+        Candidate {
+            id: self.host.id.clone(),
+            in_flight: granted.max(self.running),
+            slots: self.host.slots,
+            queued_tokens: self.queued_tokens,
+            prefill_rate: self.prefill_rate,
+            cached_tokens: self.sketch.cached_tokens(prefix),
+            price: self.host.price,
+            reclaimable: self.host.reclaimable,
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/proc.rs
@@ -0,0 +1,86 @@
+//! One process of a test.
+
+use std::{
+    ffi::OsStr,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::{Child, Command, ExitStatus, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::Value;
+
+/// A process, killed when dropped.
+pub struct Proc {
+    child: Child,
+    addresses: Value,
+}
+
+impl Proc {
+    /// Starts a program and reads the addresses that it prints.
+    pub fn start<S: AsRef<OsStr>>(program: &str, args: impl IntoIterator<Item = S>) -> Self {
+        let mut command = Command::new(program);
+        command.args(args).stdout(Stdio::piped());
+        if std::env::var_os("TACKHOLLOW_TEST_LOGS").is_none() {
+            command.stderr(Stdio::null());
+        }
+        let mut child = command.spawn().expect("the program starts");
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line).expect("the program prints its addresses");
+        let addresses = serde_json::from_str(&line).expect("the addresses are JSON");
+        Self { child, addresses }
+    }
+
+    pub fn http(&self) -> SocketAddr {
+        self.address("http")
+    }
+
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.addresses[name].as_str().expect("an address").parse().expect("an address")
+    }
+
+    pub fn kill(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+    }
+
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self, within: Duration) -> ExitStatus {
+        let until = Instant::now() + within;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the process is ours") {
+                return status;
+            }
+            assert!(Instant::now() < until, "the process did not end by itself");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for Proc {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
