--- a/src/bin/tackhollow-fake-engine/api.rs
+++ b/src/bin/tackhollow-fake-engine/api.rs
@@ -14,6 +14,7 @@
     prefix::{self, hash},
     record::{ChatWork, Message},
     routing::Class,
+    time::unix_millis,
     upstream::UpstreamEvent,
 };
 use tiny_http::{Method, Request, Response};
@@ -100,7 +101,12 @@
     if full || strike(&mut engine.faults().refuse) {
         return respond(request, 429, &json!({ "error": "queue full" }));
     }
-    let run = json!({ "event": "run", "request_id": body.request_id, "from": body.resume.tokens });
+    let run = json!({
+        "event": "run",
+        "request_id": body.request_id,
+        "from": body.resume.tokens,
+        "at_ms": unix_millis(),
+    });
     engine.journal.append(run);
     let (sequence, usage, tokens) = sequence(engine, &body);
     let prompt = sequence.prompt;
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -241,6 +241,17 @@
         });
     }
 
+    /// Returns how many attempts the engines' journals hold.
+    pub fn engine_runs(&self) -> usize {
+        self.engines.iter().map(|e| runs(&journal(&e.journal)).len()).sum()
+    }
+
+    /// Returns the bodies of the calls that the services ran.
+    pub fn service_runs(&self) -> Vec<String> {
+        let entries = self.services.iter().flat_map(|s| journal(&s.journal));
+        entries.map(|e| e["body"].as_str().unwrap_or_default().to_owned()).collect()
+    }
+
     pub fn caller(&self) -> Caller {
         Caller::new(self.addresses(), CUSTOMER_KEY)
     }
@@ -272,5 +283,10 @@
     text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
 }
 
+/// Returns the entries of attempts that ran.
+pub fn runs(journal: &[Value]) -> Vec<&Value> {
+    journal.iter().filter(|e| e["event"] == "run").collect()
+}
+
 /// Bound for a process to leave by itself.
 pub const LEAVE_BOUND: Duration = Duration::from_secs(60);
