--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -40,6 +40,9 @@
     pub engines_each: usize,
     pub services_each: usize,
     pub engine_args: Vec<String>,
+    /// Hosts in the cloud's list beside those of the engine processes; they
+    /// share the engine processes' addresses.
+    pub extra_hosts: usize,
     pub limits: String,
 }
 
@@ -51,6 +54,7 @@
             engines_each: 1,
             services_each: 1,
             engine_args: Vec::new(),
+            extra_hosts: 0,
             limits: "entries_ttl_ms = 500\n".to_owned(),
         }
     }
@@ -82,6 +86,7 @@
                 this.add_service(dc);
             }
         }
+        this.register_extra_hosts();
         for dc in 0..this.plan.data_centres {
             for _ in 0..this.plan.entries_each {
                 this.add_entry(dc);
@@ -112,6 +117,14 @@
         self.engines.push(Upstream { proc, id, data_centre, journal });
     }
 
+    fn register_extra_hosts(&self) {
+        for i in 0..self.plan.extra_hosts {
+            let engine = &self.engines[i % self.engines.len()];
+            let models = json!(["chat-8b", "draft-70b"]);
+            self.register(&format!("extra-{i}"), "engine", 0, engine.proc.http(), models, 50);
+        }
+    }
+
     pub fn add_service(&mut self, dc: usize) {
         let id = format!("service-{}", self.services.len());
         let journal = self.dir.path().join(format!("{id}.journal"));
@@ -213,7 +226,7 @@
 
     /// Waits until every upstream is owned and heard of.
     pub fn wait_upstreams(&self) {
-        let expected = self.engines.len() + self.services.len();
+        let expected = self.engines.len() + self.services.len() + self.plan.extra_hosts;
         wait_until("all upstreams work", || self.working() >= expected);
     }
 
--- a/tests/support/proc.rs
+++ b/tests/support/proc.rs
@@ -45,6 +45,10 @@
         self.addresses[name].as_str().expect("an address").parse().expect("an address")
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn kill(&mut self) {
         drop(self.child.kill());
         drop(self.child.wait());
