Control traffic: summaries by number of data centres, casts, small buffers

Cause: three costs at the data-centre size. Summaries of 18 data centres every 5 s would have been 7 news items a second, each passed on 21 times; a push of configuration carried the old value and was answered; each peer connection held 128 KB of read buffer (memory rose 29 to 45 MB as pushes connected the processes). Ruled out for the memory: the polling threads and malloc arenas (10.1 MB flat over 32 s in a trial, the same with two arenas). Change: the interval of summaries grows with the data centres, each is passed on twice; pushes are casts without the old value; buffers of 4 KB.

--- a/benches/slopes/plan_size.rs
+++ b/benches/slopes/plan_size.rs
@@ -3,6 +3,10 @@
 
 use std::{
     collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -12,6 +16,7 @@
 
 use crate::{
     measure::{buckets, kernel_traffic, largest, mean, watch_during},
+    roles::send_summaries,
     support::{
         cluster::{Cluster, Plan, apply},
         http,
@@ -23,6 +28,8 @@
 const ENTRIES: usize = 79;
 /// Engines of a data centre: 12,000 over 19.
 const ENGINES: usize = 632;
+/// The other data centres, as recorded summaries.
+const OTHER_DATA_CENTRES: usize = 18;
 /// Engine processes that stand for them.
 const ENGINE_PROCESSES: usize = 4;
 /// Time that each call of the slow platform takes, in milliseconds.
@@ -46,11 +53,16 @@
     let began = Instant::now();
     let cluster = Cluster::start(plan);
     let up = began.elapsed();
-    thread::sleep(Duration::from_secs(15));
+    let gossip = cluster.entries.iter().map(|e| e.proc.address("gossip")).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let summaries = send_summaries(gossip, OTHER_DATA_CENTRES, stop.clone());
+    thread::sleep(Duration::from_secs(25));
     cluster.platform_faults(json!({ "slow_ms": SLOW_MS }));
     let procs: Vec<&Proc> = cluster.entries.iter().map(|e| &e.proc).collect();
     println!("\n### A data centre at the size of the plan\n");
-    println!("{ENTRIES} entry processes, {ENGINES} engines, platform {SLOW_MS} ms slow; ");
+    println!(
+        "{ENTRIES} entry processes, {ENGINES} engines, {OTHER_DATA_CENTRES} other data centres as summaries, platform {SLOW_MS} ms slow; "
+    );
     println!(
         "all members, upstreams and the configuration there {:.1} s after the first start.\n",
         up.as_secs_f64()
@@ -66,6 +78,8 @@
     thread::sleep(Duration::from_secs(10));
     print_spread(&cluster);
     print_platform(&calls, &rest_calls);
+    stop.store(true, Ordering::Relaxed);
+    summaries.join().expect("the sender's thread");
 }
 
 /// Prints the mean and the largest figures while `during` runs.
--- a/benches/slopes/roles.rs
+++ b/benches/slopes/roles.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use serde_json::json;
@@ -36,6 +36,10 @@
 /// Time for a system to come to rest.
 const SETTLE: Duration = Duration::from_secs(3);
 
+/// Between summaries that reach a data centre: each other data centre has two
+/// delegates, and each sends one every two seconds for each data centre.
+const SUMMARY_EVERY: Duration = Duration::from_secs(1);
+
 fn one_entry() -> Plan {
     Plan {
         data_centres: 1,
@@ -92,7 +96,7 @@
         let cluster = Cluster::start(Plan { engines_each: 1, ..one_entry() });
         let entry = &cluster.entries[0].proc;
         let stop = Arc::new(AtomicBool::new(false));
-        let sender = send_summaries(entry.address("gossip"), dcs, stop.clone());
+        let sender = send_summaries(vec![entry.address("gossip")], dcs, stop.clone());
         thread::sleep(SETTLE);
         let used = watch(&[entry], WINDOW)[0];
         stop.store(true, Ordering::Relaxed);
@@ -104,19 +108,25 @@
     print("Other data centres", "data centre", &[cpu, memory, gossip]);
 }
 
-/// Sends a summary of each of `count` data centres every five seconds.
-fn send_summaries(to: SocketAddr, count: usize, stop: Arc<AtomicBool>) -> thread::JoinHandle<()> {
+/// Sends a summary of each of `count` data centres, once a second for each at
+/// the rate that real delegates have: each data centre every `count` seconds.
+pub fn send_summaries(
+    to: Vec<SocketAddr>,
+    count: usize,
+    stop: Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let (socket, own) =
         GossipSocket::bind(any, SECRET, Arc::default(), |_, _| {}).expect("a socket");
     thread::spawn(move || {
         while !stop.load(Ordering::Relaxed) {
             for dc in 0..count {
+                let to = to[dc % to.len()];
                 socket.send(to, &summary_datagram(dc, own));
-            }
-            let until = Instant::now() + Duration::from_secs(5);
-            while Instant::now() < until && !stop.load(Ordering::Relaxed) {
-                thread::sleep(Duration::from_millis(50));
+                thread::sleep(SUMMARY_EVERY);
+                if stop.load(Ordering::Relaxed) {
+                    return;
+                }
             }
         }
     })
@@ -134,7 +144,7 @@
         data_centre: format!("dc{dc}"),
         region: format!("region{}", dc % 5),
         stamp: unix_millis(),
-        contacts: (0..4).map(contact).collect(),
+        contacts: (0..2).map(contact).collect(),
         supply: (0..6).map(supply).collect(),
         config: 0,
     };
--- a/src/edge/http_client.rs
+++ b/src/edge/http_client.rs
@@ -27,6 +27,8 @@
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Buffers of a connection, in bytes each.
+const BUFFER_BYTES: usize = 16 << 10;
 /// Largest answer that is read whole, in bytes.
 const MAX_ANSWER: u64 = 64 << 20;
 
@@ -160,6 +162,8 @@
         .max_redirects(0)
         .max_redirects_will_error(false)
         .proxy(None)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .max_idle_connections(if keep { 16 } else { 0 })
         .max_idle_connections_per_host(if keep { 4 } else { 0 })
         .build();
--- a/src/edge/peer_link.rs
+++ b/src/edge/peer_link.rs
@@ -20,11 +20,12 @@
     time::timeout,
 };
 use tokio_tungstenite::{
-    WebSocketStream, accept_hdr_async, client_async,
+    WebSocketStream, accept_hdr_async_with_config, client_async_with_config,
     tungstenite::{
         self, ClientRequestBuilder, Message,
         handshake::server::{ErrorResponse, Request, Response},
         http::StatusCode,
+        protocol::WebSocketConfig,
     },
 };
 
@@ -37,6 +38,10 @@
 const SECRET_HEADER: &str = "x-tackhollow-secret";
 /// Longest wait for a connection and its handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Read buffer of a connection, in bytes.
+const BUFFER_BYTES: usize = 4 << 10;
+/// Largest message, in bytes: the records of a process that leaves.
+const MAX_MESSAGE: usize = 256 << 20;
 /// Silence after which a connection is closed.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -51,17 +56,18 @@
     Timeout,
 }
 
-/// Sends the answer to a peer's request.
+/// Sends the answer to a peer's request, where it expects one.
 #[derive(Clone, Debug)]
 pub struct Responder {
-    id: u64,
-    frames: UnboundedSender<PeerFrame>,
+    reply_to: Option<(u64, UnboundedSender<PeerFrame>)>,
 }
 
 impl Responder {
     /// Sends the answer; it is dropped where the connection is gone.
     pub fn reply(&self, reply: PeerReply) {
-        drop(self.frames.send(PeerFrame::Reply(self.id, reply)));
+        if let Some((id, frames)) = &self.reply_to {
+            drop(frames.send(PeerFrame::Reply(*id, reply)));
+        }
     }
 }
 
@@ -151,15 +157,19 @@
     drop(stream.set_nodelay(true));
     #[expect(clippy::result_large_err, reason = "the type is the library's")]
     let check = |request: &Request, response: Response| check_secret(&link, request, response);
-    let Ok(Ok(socket)) = timeout(CONNECT_TIMEOUT, accept_hdr_async(stream, check)).await else {
+    let Ok(Ok(socket)) =
+        timeout(CONNECT_TIMEOUT, accept_hdr_async_with_config(stream, check, Some(config()))).await
+    else {
         log::debug!("refused a peer connection from {from}");
         return;
     };
     let (tx, rx) = mpsc::unbounded_channel();
-    let on_frame = |frame| {
-        if let PeerFrame::Request(id, request) = frame {
-            (link.handler)(request, Responder { id, frames: tx.clone() });
+    let on_frame = |frame| match frame {
+        PeerFrame::Request(id, request) => {
+            (link.handler)(request, Responder { reply_to: Some((id, tx.clone())) });
         }
+        PeerFrame::Cast(request) => (link.handler)(request, Responder { reply_to: None }),
+        PeerFrame::Reply(..) => {}
     };
     pump(socket, rx, &link.traffic, on_frame).await;
 }
@@ -216,11 +226,15 @@
     let feed = async {
         let mut next = 0;
         while let Some(outgoing) = rx.recv().await {
-            next += 1;
-            if let Some(reply) = outgoing.reply {
-                lock(&pending).insert(next, reply);
-            }
-            if frames.send(PeerFrame::Request(next, outgoing.request)).is_err() {
+            let frame = match outgoing.reply {
+                None => PeerFrame::Cast(outgoing.request),
+                Some(reply) => {
+                    next += 1;
+                    lock(&pending).insert(next, reply);
+                    PeerFrame::Request(next, outgoing.request)
+                }
+            };
+            if frames.send(frame).is_err() {
                 return;
             }
         }
@@ -242,6 +256,16 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Returns the settings of a connection: small buffers, since a process may
+/// have one to each of its peers.
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(0)
+        .max_message_size(Some(MAX_MESSAGE))
+        .max_frame_size(Some(MAX_MESSAGE))
+}
+
 async fn handshake(
     to: SocketAddr,
     secret: &str,
@@ -250,7 +274,7 @@
     stream.set_nodelay(true)?;
     let uri = format!("ws://{to}/peer").parse().map_err(tungstenite::http::Error::from)?;
     let request = ClientRequestBuilder::new(uri).with_header(SECRET_HEADER, secret);
-    let (socket, _) = client_async(request, stream).await?;
+    let (socket, _) = client_async_with_config(request, stream, Some(config())).await?;
     Ok(socket)
 }
 
--- a/src/entry/controllers/configuration.rs
+++ b/src/entry/controllers/configuration.rs
@@ -123,17 +123,19 @@
         self.cx.metrics.config_version.set(board.config.version() as i64);
     }
 
-    /// Pushes changes to a few members, and to a contact in each other data
-    /// centre. Each process does this once for a change, so the changes reach
+    /// Pushes changes to a few members, and, where they were accepted here, to
+    /// the contacts in each other data centre. Each process does this once for a change, so the changes reach
     /// nearly all within a few steps; heartbeats carry versions for the rest.
-    fn push(&mut self, cx: CX![], fresh: Vec<Change>) {
+    fn push(&mut self, cx: CX![], mut fresh: Vec<Change>) {
         let now = cx.now();
+        let accepted_here = fresh.iter().any(|c| c.via == self.cx.settings.id);
+        // Who wants to know the old value reads it from the platform's log.
+        fresh.iter_mut().for_each(|change| change.from = None);
         let view = &mut self.board.rw(cx).view;
         let mut targets: Vec<SocketAddr> =
             view.random_peers(PUSH_FANOUT).iter().map(|c| c.peer).collect();
-        if fresh.iter().any(|c| c.via == self.cx.settings.id) {
-            let firsts = view.summaries(now).filter_map(|s| s.contacts.first());
-            targets.extend(firsts.map(|c| c.peer));
+        if accepted_here {
+            targets.extend(view.summaries(now).flat_map(|s| &s.contacts).map(|c| c.peer));
         }
         for to in targets {
             self.cx.peer.cast(to, PeerRequest::ConfigPush(fresh.clone()));
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -29,11 +29,12 @@
 /// The process that alone may dispatch a request or key: its address for
 /// callers and its incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
 pub struct Home {
     /// Address on which the process serves callers.
+    #[serde(rename = "h")]
     pub http: SocketAddr,
     /// Incarnation of the process.
+    #[serde(rename = "n")]
     pub incarnation: Incarnation,
 }
 
@@ -73,20 +74,6 @@
     }
 }
 
-impl TryFrom<String> for Home {
-    type Error = ParseHomeError;
-
-    fn try_from(s: String) -> Result<Self, Self::Error> {
-        s.parse()
-    }
-}
-
-impl From<Home> for String {
-    fn from(home: Home) -> Self {
-        home.to_string()
-    }
-}
-
 /// Splits `HOME.REST` into its home and the rest; `None` for other texts.
 ///
 /// The address may hold dots, so the split is at the last one.
--- a/src/membership/news.rs
+++ b/src/membership/news.rs
@@ -2,6 +2,9 @@
 
 use crate::wire::Rumour;
 
+/// Times that a process passes a summary on.
+const SUMMARY_COPIES: u32 = 2;
+
 /// News of which each item goes out a bounded number of times, the least
 /// often sent first.
 #[derive(Clone, Debug, Default)]
@@ -17,14 +20,18 @@
     }
 
     /// Takes up to `most` items for one datagram; an item is dropped once it
-    /// has been sent `copies` times.
+    /// has been sent `copies` times, a summary once it has been sent
+    /// [`SUMMARY_COPIES`] times, since the next one follows soon.
     pub fn take(&mut self, most: usize, copies: u32) -> Vec<Rumour> {
         self.items.sort_by_key(|(sent, _)| *sent);
         let taken = self.items.iter().take(most).map(|(_, r)| r.clone()).collect();
         for (sent, _) in self.items.iter_mut().take(most) {
             *sent += 1;
         }
-        self.items.retain(|(sent, _)| *sent < copies);
+        self.items.retain(|(sent, item)| match item {
+            Rumour::Summary(_) => *sent < SUMMARY_COPIES.min(copies),
+            Rumour::Member(_) | Rumour::Adopted(_) => *sent < copies,
+        });
         taken
     }
 
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -22,9 +22,11 @@
 /// Members asked to ping one that did not answer.
 const INDIRECT_PINGS: usize = 2;
 /// Contacts in a summary at most.
-const CONTACTS_PER_SUMMARY: usize = 4;
+const CONTACTS_PER_SUMMARY: usize = 2;
 /// Members that speak for the data centre to the others.
 const DELEGATES: usize = 2;
+/// Interval of summaries from which their validity is reckoned at least.
+const MIN_INTERVAL: Duration = Duration::from_secs(4);
 /// Take-overs remembered at most.
 const MAX_ADOPTED: usize = 4_096;
 
@@ -41,10 +43,13 @@
     pub forget_after: Duration,
     /// Between fetches of a whole view at least.
     pub sync_every: Duration,
-    /// Between summaries to other data centres.
+    /// Between summaries of one delegate to other data centres, for each of
+    /// them: the more there are, the less often each hears.
     pub summary_every: Duration,
-    /// Age at which another data centre's summary is no longer used.
-    pub summary_valid: Duration,
+    /// Shortest time between summaries, after a change of the contacts.
+    pub summary_soon: Duration,
+    /// Age at which a summary is no longer used, in intervals of summaries.
+    pub summary_valid: u32,
 }
 
 impl Default for Timing {
@@ -55,8 +60,9 @@
             suspect_for: Duration::from_secs(3),
             forget_after: Duration::from_secs(600),
             sync_every: Duration::from_secs(2),
-            summary_every: Duration::from_secs(5),
-            summary_valid: Duration::from_secs(30),
+            summary_every: Duration::from_secs(2),
+            summary_soon: Duration::from_secs(1),
+            summary_valid: 8,
         }
     }
 }
@@ -167,7 +173,7 @@
 
     /// Returns the fresh summaries of the other data centres.
     pub fn summaries(&self, now: Instant) -> impl Iterator<Item = &DcSummary> {
-        let valid = self.timing.summary_valid;
+        let valid = self.summary_valid();
         self.others
             .values()
             .filter(move |(_, at)| now.duration_since(*at) < valid)
@@ -212,6 +218,7 @@
         self.own.beat += 1;
         self.news.add(Rumour::Member(self.own.clone()));
         self.next_ping = now;
+        self.hurry_summary(now);
     }
 
     /// Returns a last datagram to every member: this process is gone.
@@ -279,7 +286,7 @@
             effects.extend(self.ping_next(now));
         }
         if now >= self.next_summary {
-            self.next_summary = now + self.timing.summary_every;
+            self.next_summary = now + self.summary_interval();
             effects.extend(self.send_summaries());
             effects.extend(self.find_lost(now));
         }
@@ -395,6 +402,9 @@
             return Vec::new();
         }
         let is = self.members[&state.contact.id].is_working();
+        if was != is || state.liveness == Liveness::Leaving {
+            self.hurry_summary(now);
+        }
         self.news.add(Rumour::Member(state.clone()));
         if was == is { Vec::new() } else { vec![Effect::MembersChanged] }
     }
@@ -452,9 +462,10 @@
         if summary.data_centre == self.data_centre {
             return;
         }
-        let known = self.others.get(&summary.data_centre);
-        if known.is_some_and(|(old, _)| old.stamp >= summary.stamp) {
-            return;
+        match self.others.get(&summary.data_centre) {
+            Some((old, _)) if old.stamp >= summary.stamp => return,
+            Some(_) => {}
+            None => self.hurry_summary(now),
         }
         self.others.insert(summary.data_centre.clone(), (summary.clone(), now));
         self.news.add(Rumour::Summary(summary));
@@ -513,6 +524,7 @@
         });
         self.relayed.clear();
         if changed {
+            self.hurry_summary(now);
             effects.push(Effect::MembersChanged);
         }
         effects
@@ -571,7 +583,7 @@
     /// Asks a seed for summaries while there are none, or while a data centre
     /// has not been heard of for long.
     fn find_lost(&mut self, now: Instant) -> Option<Effect> {
-        let valid = self.timing.summary_valid;
+        let valid = self.summary_valid();
         let lost = self.others.values().any(|(_, at)| now.duration_since(*at) >= valid);
         let wanted = lost || self.others.is_empty();
         if wanted { self.ask_seed(GossipBody::Summaries) } else { None }
@@ -642,6 +654,21 @@
         Some(Effect::Send(to, Box::new(gossip)))
     }
 
+    /// Returns the time between summaries. It grows with the number of data
+    /// centres, so that the news they make in each does not.
+    fn summary_interval(&self) -> Duration {
+        self.timing.summary_every * self.others.len().max(1) as u32
+    }
+
+    fn summary_valid(&self) -> Duration {
+        self.summary_interval().max(MIN_INTERVAL) * self.timing.summary_valid
+    }
+
+    /// Makes the next summary go out soon, since its contacts changed.
+    fn hurry_summary(&mut self, now: Instant) {
+        self.next_summary = self.next_summary.min(now + self.timing.summary_soon);
+    }
+
     /// Returns whether this process speaks for its data centre.
     pub fn is_delegate(&self) -> bool {
         let owners = self.owners();
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -182,6 +182,9 @@
     /// A request, with a number chosen by the connecting side.
     #[serde(rename = "q")]
     Request(u64, PeerRequest),
+    /// A request without an answer.
+    #[serde(rename = "c")]
+    Cast(PeerRequest),
     /// The answer to the request of the same number.
     #[serde(rename = "r")]
     Reply(u64, PeerReply),
