--- a/benches/slopes/plan_size.rs
+++ b/benches/slopes/plan_size.rs
@@ -47,7 +47,7 @@
         engines_each: ENGINE_PROCESSES,
         services_each: 1,
         extra_hosts: ENGINES - ENGINE_PROCESSES,
-        engine_args: vec!["--report-ms".to_owned(), "1000".to_owned()],
+        engine_args: Vec::new(),
         limits: "entries_ttl_ms = 500\n".to_owned(),
     };
     let began = Instant::now();
--- a/benches/slopes/roles.rs
+++ b/benches/slopes/roles.rs
@@ -37,14 +37,14 @@
 const SETTLE: Duration = Duration::from_secs(3);
 
 /// Between summaries that reach a data centre: each other data centre has two
-/// delegates, and each sends one every two seconds for each data centre.
-const SUMMARY_EVERY: Duration = Duration::from_secs(1);
+/// delegates, and each sends one every three seconds for each data centre.
+const SUMMARY_EVERY: Duration = Duration::from_millis(1_500);
 
 fn one_entry() -> Plan {
     Plan {
         data_centres: 1,
         entries_each: 1,
-        engine_args: vec!["--report-ms".to_owned(), "1000".to_owned()],
+        limits: "entries_ttl_ms = 500\n".to_owned(),
         ..Plan::default()
     }
 }
--- a/src/bin/tackhollow-fake-engine/api.rs
+++ b/src/bin/tackhollow-fake-engine/api.rs
@@ -197,6 +197,7 @@
 }
 
 fn events(engine: &Engine, request: Request) -> io::Result<()> {
+    let every = report_every(request.url()).unwrap_or(engine.options.report_every);
     let version = request.http_version().clone();
     let mut writer = SseWriter::begin(request.into_writer(), &version, &[])?;
     let mut send = |event: &UpstreamEvent| {
@@ -217,7 +218,7 @@
             sent_seq = seq;
             send(&event)?;
         }
-        if reported.elapsed() >= engine.options.report_every {
+        if reported.elapsed() >= every {
             reported = Instant::now();
             send(&load(engine))?;
         }
@@ -225,6 +226,12 @@
     }
 }
 
+/// Returns the time between load reports that a follower asks for.
+fn report_every(url: &str) -> Option<Duration> {
+    let (_, ms) = url.split_once("every_ms=")?;
+    ms.parse().ok().map(Duration::from_millis)
+}
+
 fn due_events(engine: &Engine, after: u64) -> Vec<(u64, UpstreamEvent)> {
     let now = Instant::now();
     let batch = engine.batch();
--- a/src/bin/tackhollow-fake-service/main.rs
+++ b/src/bin/tackhollow-fake-service/main.rs
@@ -111,7 +111,7 @@
             return;
         }
         let served = match request.url() {
-            "/events" => self.events(request),
+            url if url.starts_with("/events") => self.events(request),
             "/journal" => respond(request, 200, &json!(*lock(&self.runs))),
             "/fault" => self.set_faults(request, &body),
             "/reclaim" => self.reclaim(request, &body),
--- a/src/entry/api/follow.rs
+++ b/src/entry/api/follow.rs
@@ -17,8 +17,13 @@
 };
 use crate::{
     edge::sse::SseWriter,
-    entry::{context::Context, event::Event},
+    entry::{
+        context::Context,
+        event::Event,
+        jobs::{self, JobResult},
+    },
     ids::split_home,
+    platform::PlatformError,
     record::{Outcome, Record, Tail, Work},
     wire::Contact,
 };
@@ -27,6 +32,8 @@
 const COMMENT_EVERY: Duration = Duration::from_secs(2);
 /// Path of requests that run or ran.
 const REQUESTS: &str = "/v1/requests/";
+/// Path of requests that nobody waits on.
+const JOBS: &str = "/v1/jobs/";
 
 /// Answers from what was started.
 pub fn answer(
@@ -38,11 +45,60 @@
     match started {
         Started::Relayed(Relayed::Done) => Ok(Reply::Sent),
         Started::Relayed(Relayed::Reply(reply)) => Ok(reply),
+        Started::Deferred(record) => Ok(deferred_reply(&record)),
         Started::Here(record) if stream => follow_stream(cx, incoming, &record),
         Started::Here(record) => follow_whole(&record),
     }
 }
 
+/// The request is recorded: the caller asks for it later.
+fn deferred_reply(record: &Record) -> Reply {
+    let path = format!("{JOBS}{}", record.id);
+    let mut reply = Reply::json(202, &json!({ "id": record.id, "url": path }));
+    reply.set_header("Location", &path);
+    reply.set_header("Preference-Applied", "respond-async");
+    reply.set_header("X-Request-Id", &record.id);
+    reply
+}
+
+/// Answers `GET /v1/jobs/ID`, at any entry host.
+pub fn job(cx: &Arc<Context>, incoming: &mut Incoming) -> Result<Reply, Problem> {
+    let id = incoming.path().strip_prefix(JOBS).unwrap_or_default().to_owned();
+    let api_key = incoming.api_key()?;
+    let policy = cx.board.ask(|reply| Event::Policy(api_key, reply))?;
+    let customer = policy.ok_or(Problem::Unauthorized)?.customer;
+    let local = cx.records.get(&id).filter(|r| r.customer == customer);
+    if let Some((record, outcome)) = local.and_then(|r| r.outcome().map(|o| (r, o))) {
+        return whole_answer(&record, &outcome);
+    }
+    let away = |e: PlatformError| Problem::JobUnreachable(e.to_string());
+    match jobs::result(&cx.platform, &id).map_err(away)? {
+        Some(result) if result.customer == customer => job_answer(&id, &result),
+        Some(_) => Err(Problem::UnknownRequest),
+        None if jobs::pending(&cx.platform, &id, &customer).map_err(away)? => {
+            Ok(Reply::json(202, &json!({ "id": id, "outcome": "pending" })))
+        }
+        None => Err(Problem::UnknownRequest),
+    }
+}
+
+fn job_answer(id: &str, result: &JobResult) -> Result<Reply, Problem> {
+    let Outcome::ChatCompleted { finish_reason } = &result.outcome else {
+        return Err(problem_of(&result.outcome));
+    };
+    let message = json!({ "role": "assistant", "content": result.text });
+    let body = json!({
+        "id": id,
+        "object": "chat.completion",
+        "choices": [{ "index": 0, "message": message, "finish_reason": finish_reason }],
+        "outcome": "completed",
+    });
+    let mut reply = Reply::json(200, &body);
+    reply.set_header("X-Request-Id", id);
+    reply.set_header("X-Outcome", "completed");
+    Ok(reply)
+}
+
 /// Answers `GET /v1/requests/ID`: the answer after `Last-Event-ID`.
 pub fn resume(cx: &Arc<Context>, incoming: &mut Incoming) -> Result<Reply, Problem> {
     let id = incoming.path().strip_prefix(REQUESTS).unwrap_or_default().to_owned();
--- a/src/entry/api/mod.rs
+++ b/src/entry/api/mod.rs
@@ -42,6 +42,7 @@
         (Method::Get, "/readyz") => entries::ready(cx),
         (Method::Get, "/metrics") => Ok(Reply::metrics(cx.metrics.text())),
         (_, path) if path.starts_with("/v1/services/") => call::create(cx, incoming),
+        (Method::Get, path) if path.starts_with("/v1/jobs/") => follow::job(cx, incoming),
         (Method::Get, path) if path.starts_with("/v1/requests/") => follow::resume(cx, incoming),
         (_, path) if path.starts_with("/v1/admin/") => admin::route(cx, incoming),
         _ => Err(Problem::NotFound(path)),
--- a/src/entry/api/problem.rs
+++ b/src/entry/api/problem.rs
@@ -84,6 +84,9 @@
     /// An operator's change cannot be accepted.
     #[error("{0}")]
     Refused(String),
+    /// The platform is away, so that it cannot be told what became of a job.
+    #[error("the platform does not answer: {0}; the job is kept, ask again")]
+    JobUnreachable(String),
     /// The platform is away, so that nothing can be accepted.
     #[error("the platform does not answer: {0}")]
     PlatformAway(String),
@@ -103,7 +106,10 @@
             Self::KeyReused | Self::Refused(_) => 422,
             Self::NotRun { status, .. } => *status,
             Self::Unknown { .. } => 502,
-            Self::HomeUnreachable | Self::PlatformAway(_) | Self::KeyClosed => 503,
+            Self::HomeUnreachable
+            | Self::PlatformAway(_)
+            | Self::JobUnreachable(_)
+            | Self::KeyClosed => 503,
             Self::Misdirected => 421,
             Self::Conflict { .. } => 409,
         }
@@ -129,6 +135,7 @@
             Self::Conflict { .. } => "conflict",
             Self::Refused(_) => "refused",
             Self::PlatformAway(_) => "platform-away",
+            Self::JobUnreachable(_) => "job-unreachable",
         }
     }
 
@@ -138,7 +145,7 @@
         match self {
             Self::NotRun { .. } | Self::PlatformAway(_) | Self::KeyClosed => Some("not_run"),
             Self::Unknown { .. } => Some("unknown"),
-            Self::HomeUnreachable => Some("pending"),
+            Self::HomeUnreachable | Self::JobUnreachable(_) => Some("pending"),
             _ => None,
         }
     }
@@ -146,7 +153,9 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NotRun { retry_after, .. } => Some(*retry_after),
-            Self::HomeUnreachable | Self::PlatformAway(_) => Some(NOT_READY_RETRY),
+            Self::HomeUnreachable | Self::PlatformAway(_) | Self::JobUnreachable(_) => {
+                Some(NOT_READY_RETRY)
+            }
             Self::KeyClosed => Some(KEY_CLOSED_RETRY),
             _ => None,
         }
--- a/src/entry/api/relay.rs
+++ b/src/entry/api/relay.rs
@@ -33,8 +33,15 @@
     "prefer",
 ];
 /// Headers of an answer that are passed on.
-const ANSWER_HEADERS: [&str; 5] =
-    ["content-type", "retry-after", "x-request-id", "x-outcome", "cache-control"];
+const ANSWER_HEADERS: [&str; 7] = [
+    "content-type",
+    "retry-after",
+    "x-request-id",
+    "x-outcome",
+    "cache-control",
+    "location",
+    "preference-applied",
+];
 /// Status with which a process says that it does not hold the request.
 const MISDIRECTED: u16 = 421;
 
--- a/src/entry/api/start.rs
+++ b/src/entry/api/start.rs
@@ -18,10 +18,11 @@
     entry::{
         context::{Context, Permit},
         event::{AdmitQuery, Event, Located},
+        jobs::CommitError,
         work,
     },
     ids::Home,
-    record::{Begin, Record, RecordsError, Work},
+    record::{Begin, Outcome, Record, RecordsError, Work},
     routing::Class,
     time::unix_millis,
 };
@@ -33,6 +34,8 @@
 pub enum Started {
     /// The record to answer from.
     Here(Arc<Record>),
+    /// The record of a request that the platform keeps, and nobody waits on.
+    Deferred(Arc<Record>),
     /// Another process answered.
     Relayed(Relayed),
 }
@@ -47,6 +50,7 @@
     class: Class,
     work: impl FnOnce(&CustomerPolicy) -> Result<Work, Problem>,
 ) -> Result<Started, Problem> {
+    let deferred = is_deferred(incoming);
     let api_key = incoming.api_key()?;
     let key = incoming.header("idempotency-key").map(str::to_owned);
     if key.as_deref().is_some_and(|k| !keys::is_valid(k)) {
@@ -56,7 +60,40 @@
     if let Some(relayed) = elsewhere(cx, incoming, body, &api_key, key.as_deref())? {
         return Ok(relayed);
     }
-    begin(cx, incoming, api_key, key, (model, class), work).map(Started::Here)
+    let (record, new) = begin(cx, incoming, api_key, key, (model, class), work)?;
+    if deferred {
+        return defer(cx, record, new);
+    }
+    if new {
+        run(cx, &record);
+    }
+    Ok(Started::Here(record))
+}
+
+/// Returns whether the caller does not wait for the answer.
+fn is_deferred(incoming: &Incoming) -> bool {
+    incoming.header("prefer").is_some_and(|p| p.contains("respond-async"))
+}
+
+/// Records a request at the platform; from then on any process can finish it.
+fn defer(cx: &Arc<Context>, record: Arc<Record>, new: bool) -> Result<Started, Problem> {
+    if !new {
+        return Ok(Started::Deferred(record));
+    }
+    let permit = Permit::new(cx.board.clone(), record.clone());
+    let committed = cx.jobs.submit(record.clone());
+    drop(permit);
+    match committed {
+        Ok(()) => Ok(Started::Deferred(record)),
+        Err(CommitError::NotAccepted(why)) => {
+            let (retry_after, reason) = (Duration::from_secs(5), why.clone());
+            cx.finish(&record, Outcome::NotRun { retry_after, reason });
+            Err(Problem::PlatformAway(why))
+        }
+        Err(e @ CommitError::Unknown) => {
+            Err(Problem::Unknown { reason: format!("{e}: {}", record.id) })
+        }
+    }
 }
 
 /// Answers from elsewhere where this process may not run the key's request.
@@ -155,7 +192,7 @@
     key: Option<String>,
     (model, class): (String, Class),
     work: impl FnOnce(&CustomerPolicy) -> Result<Work, Problem>,
-) -> Result<Arc<Record>, Problem> {
+) -> Result<(Arc<Record>, bool), Problem> {
     let query = AdmitQuery { api_key, class, model };
     let admitted = cx.board.ask(|reply| Event::Admit(query, reply))?;
     let policy = match admitted {
@@ -172,13 +209,10 @@
         begun.map_err(Problem::from)
     });
     match begun {
-        Ok(Begin::New(record)) => {
-            run(cx, &record);
-            Ok(record)
-        }
+        Ok(Begin::New(record)) => Ok((record, true)),
         Ok(Begin::Existing(record)) => {
             ended(cx, policy.customer);
-            Ok(record)
+            Ok((record, false))
         }
         Err(problem) => {
             ended(cx, policy.customer);
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -15,6 +15,7 @@
 use super::{
     event::{BoardHandle, Event},
     held::HeldSlots,
+    jobs::Desk,
 };
 
 /// What the threads of an entry process share.
@@ -34,6 +35,8 @@
     pub records: Records,
     /// Slots held.
     pub held: Arc<HeldSlots>,
+    /// Jobs.
+    pub jobs: Desk,
     /// Metrics.
     pub metrics: Metrics,
 }
--- a/src/entry/controllers/configuration.rs
+++ b/src/entry/controllers/configuration.rs
@@ -21,7 +21,7 @@
 };
 
 /// Peers to which a change that is new here is pushed on.
-const PUSH_FANOUT: usize = 3;
+const PUSH_FANOUT: usize = 2;
 /// Between reads of the platform's log by a process that hears no peer.
 const ALONE_POLL: Duration = Duration::from_secs(1);
 /// Longest wait for a peer's changes.
--- a/src/entry/controllers/directory.rs
+++ b/src/entry/controllers/directory.rs
@@ -24,6 +24,9 @@
     wire::{DirectoryPage, PeerReply, PeerRequest},
 };
 
+/// Load reports that an upstream is asked for in the time of silence after
+/// which it gets no new work.
+const REPORTS_PER_SILENCE: u32 = 2;
 /// Pause before an upstream is connected to again.
 const RECONNECT: Duration = Duration::from_millis(200);
 /// Longest wait for a peer's copy of the list.
@@ -153,7 +156,8 @@
 /// Reads an upstream's events until told to stop.
 fn follow_upstream(cx: &Context, id: &str, addr: SocketAddr, stop: &AtomicBool) {
     let client = HttpClient::fresh(cx.settings.limits.upstream_silence);
-    let url = format!("http://{addr}/events");
+    let every = cx.settings.limits.upstream_silence / REPORTS_PER_SILENCE;
+    let url = format!("http://{addr}/events?every_ms={}", every.as_millis());
     while !stop.load(Ordering::Relaxed) {
         match client.stream("GET", &url, &[], b"") {
             Ok(stream) => read_events(cx, id, SseReader::new(stream.reader), stop),
--- a/src/entry/controllers/membership.rs
+++ b/src/entry/controllers/membership.rs
@@ -14,6 +14,7 @@
         board::Board,
         context::Context,
         event::{Event, Located, Reply, answer},
+        jobs::HolderState,
     },
     ids::Home,
     membership::Effect,
@@ -101,6 +102,34 @@
         answer(&reply, contacts);
     }
 
+    /// Tells whether this process speaks for its data centre.
+    pub fn is_delegate(&mut self, cx: CX![], reply: Reply<bool>) {
+        answer(&reply, self.board.ro(cx).view.is_delegate());
+    }
+
+    /// Tells what is known of holders of jobs.
+    pub fn holders(
+        &mut self,
+        cx: CX![],
+        holders: Vec<(String, String)>,
+        reply: Reply<Vec<HolderState>>,
+    ) {
+        let now = cx.now();
+        let view = &self.board.ro(cx).view;
+        let state = |(dc, holder): &(String, String)| {
+            let Ok(home) = holder.parse::<Home>() else {
+                return HolderState::Gone;
+            };
+            if dc != view.data_centre() {
+                let heard = view.summaries(now).any(|s| s.data_centre == *dc);
+                return if heard { HolderState::Alive } else { HolderState::FarGone };
+            }
+            let own = home == *self.cx.home();
+            if own || view.is_known_alive(&home) { HolderState::Alive } else { HolderState::Gone }
+        };
+        answer(&reply, holders.iter().map(state).collect());
+    }
+
     fn carry_out(&self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
--- a/src/entry/controllers/peers.rs
+++ b/src/entry/controllers/peers.rs
@@ -11,7 +11,7 @@
         board::{Board, Phase},
         context::Context,
         event::Event,
-        work,
+        jobs, work,
     },
     wire::{Adopted, HandedOver, PeerReply, PeerRequest, PlaceScope},
 };
@@ -91,6 +91,7 @@
             responder.reply(PeerReply::Refused);
             return;
         };
+        jobs::adopt(&self.cx, homes.iter().map(ToString::to_string).collect());
         for home in homes {
             let successor = self.cx.contact.clone();
             self.cx.board.send(Event::Adopted(Adopted { home, successor }));
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -27,6 +27,7 @@
     },
     event::{BoardHandle, Event},
     held::HeldSlots,
+    jobs::{self, Desk},
 };
 use crate::{
     config::ConfigStore,
@@ -95,7 +96,11 @@
         peer: peer.local_addr().map_err(socket("listen.peer"))?,
         gossip: gossip_addr,
     };
-    let context = context(settings, addresses, board_handle, peer, metrics)?;
+    let (desk, inbox) = Desk::open();
+    let context = context(settings, addresses, board_handle, peer, metrics, desk)?;
+    let (committing, claiming) = (context.clone(), context.clone());
+    spawn("jobs", move || jobs::commit_loop(&committing, &inbox));
+    spawn("claims", move || jobs::claim_loop(&claiming));
     let served = context.clone();
     let handler = Arc::new(move |request| api::handle(&served, request));
     http_server::serve(http, read_timeout, handler).map_err(socket("listen.http"))?;
@@ -115,6 +120,7 @@
     board: BoardHandle,
     peer_listener: TcpListener,
     metrics: Metrics,
+    jobs: Desk,
 ) -> Result<Arc<Context>, StartError> {
     let incarnation = fastrand::u64(1..);
     let contact = Contact {
@@ -134,7 +140,7 @@
     let platform = PlatformClient::new(settings.platform, settings.platform_timeout);
     let held = Arc::new(HeldSlots::new(addresses.peer, board.clone(), peer.clone()));
     let records = Records::default();
-    Ok(Arc::new(Context { settings, contact, board, peer, platform, records, held, metrics }))
+    Ok(Arc::new(Context { settings, contact, board, peer, platform, records, held, jobs, metrics }))
 }
 
 fn watch_signals(board: &BoardHandle) -> io::Result<()> {
@@ -205,6 +211,8 @@
             Event::Datagram(from, gossip) => call!([self.membership], receive(from, gossip)),
             Event::Locate(home, reply) => call!([self.membership], locate(home, reply)),
             Event::Contacts(reply) => call!([self.membership], contacts(reply)),
+            Event::IsDelegate(reply) => call!([self.membership], is_delegate(reply)),
+            Event::Holders(holders, reply) => call!([self.membership], holders(holders, reply)),
             Event::Adopted(adopted) => call!([self.membership], adopted(adopted)),
             Event::Peer(request, responder) => call!([self.peers], handle(request, responder)),
             Event::Admit(query, reply) => call!([self.admission], admit(query, reply)),
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -21,6 +21,8 @@
     },
 };
 
+use super::jobs::HolderState;
+
 /// Sends the answer to a question.
 pub type Reply<T> = SyncSender<T>;
 
@@ -189,6 +191,10 @@
     Contacts(Reply<Vec<Contact>>),
     /// Records that a process holds another's records.
     Adopted(Adopted),
+    /// Asks whether this process speaks for its data centre.
+    IsDelegate(Reply<bool>),
+    /// Asks what is known of holders of jobs, each with its data centre.
+    Holders(Vec<(String, String)>, Reply<Vec<HolderState>>),
     /// Asks for the state of the process.
     Status(Reply<StatusView>),
     /// Asks for the configuration in force.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,8 @@
 mod daemon;
 mod event;
 mod held;
+mod jobs;
 mod work;
 
 pub use daemon::{Addresses, StartError, run};
+pub use jobs::{HolderState, Orphans};
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -60,9 +60,9 @@
             suspect_for: Duration::from_secs(3),
             forget_after: Duration::from_secs(600),
             sync_every: Duration::from_secs(2),
-            summary_every: Duration::from_secs(2),
+            summary_every: Duration::from_secs(3),
             summary_soon: Duration::from_secs(1),
-            summary_valid: 8,
+            summary_valid: 5,
         }
     }
 }
--- a/src/record/records.rs
+++ b/src/record/records.rs
@@ -127,6 +127,17 @@
         Ok(unfinished)
     }
 
+    /// Returns the record with the id of `snapshot`, made from it if there is none.
+    pub fn get_or_insert(&self, snapshot: &RecordSnapshot, now: Instant) -> Arc<Record> {
+        let mut inner = self.lock();
+        if let Some(known) = inner.by_id.get(&snapshot.id) {
+            return known.clone();
+        }
+        let record = Arc::new(Record::from_snapshot(snapshot.clone(), now));
+        inner.insert(record.clone());
+        record
+    }
+
     /// Stops the beginning of requests and returns every record.
     pub fn close(&self) -> Vec<Arc<Record>> {
         let mut inner = self.lock();
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -148,7 +148,7 @@
             key_validity: s.millis("key_validity_ms", secs(1_800)),
             config_poll: s.millis("config_poll_ms", secs(5)),
             directory_poll: s.millis("directory_poll_ms", secs(2)),
-            upstream_silence: s.millis("upstream_silence_ms", secs(3)),
+            upstream_silence: s.millis("upstream_silence_ms", secs(4)),
             hand_over_margin: s.millis("hand_over_margin_ms", secs(3)),
         }
     }
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -55,7 +55,7 @@
             services_each: 1,
             engine_args: Vec::new(),
             extra_hosts: 0,
-            limits: "entries_ttl_ms = 500\n".to_owned(),
+            limits: "entries_ttl_ms = 500\nupstream_silence_ms = 2000\n".to_owned(),
         }
     }
 }
@@ -106,8 +106,6 @@
             "chat-8b,draft-70b".to_owned(),
             "--journal".to_owned(),
             journal.display().to_string(),
-            "--report-ms".to_owned(),
-            "200".to_owned(),
         ];
         args.extend(self.plan.engine_args.clone());
         let proc = Proc::start(env!("CARGO_BIN_EXE_tackhollow-fake-engine"), args);
