--- a/src/entry/jobs/committer.rs
+++ b/src/entry/jobs/committer.rs
@@ -65,9 +65,9 @@
     /// Waits until the request is recorded at the platform, or is known not to be.
     pub fn submit(&self, record: Arc<Record>) -> Result<(), CommitError> {
         let (reply, committed) = sync_channel(1);
-        let gone = || CommitError::NotAccepted("the process is stopping".to_owned());
-        self.tx.send(Waiting { record, reply }).or_else(|_| Err(gone()))?;
-        committed.recv().unwrap_or_else(|_| Err(gone()))
+        let gone = CommitError::NotAccepted("the process is stopping".to_owned());
+        self.tx.send(Waiting { record, reply }).or(Err(gone.clone()))?;
+        committed.recv().unwrap_or(Err(gone))
     }
 }
 
