--- a/src/bin/tackhollow-fake-engine/api.rs
+++ b/src/bin/tackhollow-fake-engine/api.rs
@@ -101,14 +101,15 @@
     if full || strike(&mut engine.faults().refuse) {
         return respond(request, 429, &json!({ "error": "queue full" }));
     }
+    let (sequence, usage, tokens) = sequence(engine, &body);
     let run = json!({
         "event": "run",
         "request_id": body.request_id,
         "from": body.resume.tokens,
         "at_ms": unix_millis(),
+        "usage": usage,
     });
     engine.journal.append(run);
-    let (sequence, usage, tokens) = sequence(engine, &body);
     let prompt = sequence.prompt;
     engine.batch().waiting.push(sequence);
     let version = request.http_version().clone();
--- a/src/bin/tackhollow-load/check.rs
+++ b/src/bin/tackhollow-load/check.rs
@@ -28,10 +28,12 @@
 impl Faults {
     /// Returns whether there are none.
     pub fn is_clean(&self) -> bool {
-        self.lost.is_empty()
-            && self.crossed.is_empty()
-            && self.doubled.is_empty()
-            && self.false_reports.is_empty()
+        self.count() == 0
+    }
+
+    /// Returns how many there are.
+    pub fn count(&self) -> usize {
+        self.lost.len() + self.crossed.len() + self.doubled.len() + self.false_reports.len()
     }
 }
 
@@ -114,6 +116,23 @@
     Ok(runs)
 }
 
+/// Returns how many prompt tokens the engines computed, by their journals.
+pub fn computed_tokens(dir: &Path) -> Result<u64> {
+    let mut sum = 0;
+    for file in fs::read_dir(dir).with_context(|| dir.display().to_string())? {
+        let path = file?.path();
+        let text = fs::read_to_string(&path).unwrap_or_default();
+        sum += text.lines().filter_map(computed_by).sum::<u64>();
+    }
+    Ok(sum)
+}
+
+fn computed_by(line: &str) -> Option<u64> {
+    let entry: Value = serde_json::from_str(line).ok()?;
+    let number = |key: &str| entry["usage"][key].as_u64();
+    Some(number("prefill_tokens")?.saturating_sub(number("cached_tokens")?))
+}
+
 /// Returns what names the request of a journal's line, if it tells of a run:
 /// the body of a call, or the id of a request to a model.
 fn run_name(line: &str) -> Option<String> {
--- a/src/bin/tackhollow-load/main.rs
+++ b/src/bin/tackhollow-load/main.rs
@@ -35,5 +35,7 @@
     let results = run::run(&options, &arrivals);
     let faults = check::check(&results, options.journals.as_deref())?;
     report::print(&options, &results, &faults);
+    let computed = options.journals.as_deref().map(check::computed_tokens).transpose()?;
+    report::print_summary(&results, &faults, computed);
     Ok(faults.is_clean())
 }
--- a/src/bin/tackhollow-load/report.rs
+++ b/src/bin/tackhollow-load/report.rs
@@ -2,10 +2,13 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use serde_json::{Value, json};
 use tackhollow::caller::Verdict;
 
 use super::{check::Faults, cli::LoadOptions, run::Outcome};
 
+/// Target for the first token.
+const FIRST_TOKEN_TARGET: Duration = Duration::from_millis(600);
 /// Wrong answers that are named at most.
 const MOST_NAMED: usize = 10;
 
@@ -54,6 +57,40 @@
     print_faults(faults);
 }
 
+/// Prints the figures as one line of JSON, for scripts.
+pub fn print_summary(outcomes: &[Outcome], faults: &Faults, computed: Option<u64>) {
+    let mut kinds: BTreeMap<&str, Figures> = BTreeMap::new();
+    for outcome in outcomes {
+        take(kinds.entry(outcome.arrival.kind).or_default(), outcome);
+    }
+    let kinds: BTreeMap<&str, Value> = kinds.into_iter().map(|(k, f)| (k, f.summary())).collect();
+    let wrong = faults.count();
+    println!("summary {}", json!({ "kinds": kinds, "wrong": wrong, "computed_tokens": computed }));
+}
+
+impl Figures {
+    fn summary(mut self) -> Value {
+        let late = |t: &&Duration| **t > FIRST_TOKEN_TARGET;
+        let in_time = self.first_tokens.len() - self.first_tokens.iter().filter(late).count();
+        json!({
+            "sent": self.sent,
+            "completed": self.completed,
+            "not_run": self.not_run,
+            "unknown": self.unknown,
+            "in_time": in_time,
+            "first_token_ms": percentile(&mut self.first_tokens, 0.95),
+            "between_tokens_ms": percentile(&mut self.gaps, 0.95),
+            "whole_ms": percentile(&mut self.took, 0.95),
+        })
+    }
+}
+
+fn percentile(times: &mut [Duration], share: f64) -> f64 {
+    times.sort_unstable();
+    let index = ((times.len() as f64 * share).ceil() as usize).max(1) - 1;
+    times.get(index).map_or(f64::NAN, |t| t.as_secs_f64() * 1000.0)
+}
+
 fn take(figures: &mut Figures, outcome: &Outcome) {
     figures.sent += 1;
     let Ok(answer) = &outcome.answer else {
@@ -75,11 +112,7 @@
     if times.is_empty() {
         return "-".to_owned();
     }
-    times.sort_unstable();
-    let at = |share: f64| {
-        let index = ((times.len() as f64 * share).ceil() as usize).clamp(1, times.len()) - 1;
-        times[index].as_secs_f64() * 1000.0
-    };
+    let mut at = |share| percentile(times, share);
     format!("{:.1}/{:.1}/{:.1}", at(0.5), at(0.95), at(0.99))
 }
 
--- a/src/caller/answer.rs
+++ b/src/caller/answer.rs
@@ -50,6 +50,8 @@
     pub retry_after: Option<Duration>,
     /// Connections that the answer took.
     pub connections: u32,
+    /// Times that the request was lost, and begun anew.
+    pub restarts: u32,
 }
 
 impl Answer {
@@ -64,6 +66,7 @@
             gaps: Vec::new(),
             retry_after: None,
             connections: 0,
+            restarts: 0,
         }
     }
 }
--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -106,6 +106,7 @@
 impl Following<'_> {
     /// Forgets what came so far.
     fn reset(&mut self) {
+        self.answer.restarts += 1;
         self.answer.request_id.clear();
         self.answer.text.clear();
         self.answer.tokens = 0;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -108,9 +108,24 @@
         this.register_requests();
         this.register_state();
         this.register_traffic();
+        this.start_at_zero();
         this
     }
 
+    /// Makes the series of known causes, so that they are there before the
+    /// first event.
+    fn start_at_zero(&self) {
+        let known: [(&Family<Labels, Counter>, &[&str]); 4] = [
+            (&self.refused, &["unknown_key", "not_ready", "unknown_model", "full", "leaving"]),
+            (&self.retries, &["failure", "reclaim"]),
+            (&self.recomputed_tokens, &["failure", "reclaim", "entry_reclaim"]),
+            (&self.mismatched, &["request_id", "duplicate", "gap"]),
+        ];
+        for (family, causes) in known {
+            causes.iter().for_each(|cause| count_by(family, cause, 0));
+        }
+    }
+
     fn register_requests(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests that ended", self.requests.clone());
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,135 @@
+//! Settings: every mistake is named with its place, and docs/SETTINGS.md lists
+//! just the keys that there are.
+
+use std::{collections::BTreeSet, fs, path::Path};
+
+use tackhollow::settings::{ControlSettings, EntrySettings, SettingsError};
+use tempfile::TempDir;
+
+/// A settings file and the mistakes it must be told of.
+struct Case {
+    name: &'static str,
+    text: &'static str,
+    mistakes: &'static [&'static str],
+}
+
+const GOOD: &str = "id = \"a\"\ndata_centre = \"b\"\nregion = \"c\"\n\
+    [listen]\nhttp = \"127.0.0.1:1\"\npeer = \"127.0.0.1:2\"\ngossip = \"127.0.0.1:3\"\n\
+    [peers]\nsecret = \"s\"\n[platform]\naddress = \"127.0.0.1:4\"\n";
+
+const CASES: [Case; 6] = [
+    Case { name: "good", text: GOOD, mistakes: &[] },
+    Case {
+        name: "empty",
+        text: "",
+        mistakes: &[
+            "id: expected a text that is not empty, found nothing",
+            "data_centre: expected a text that is not empty, found nothing",
+            "region: expected a text that is not empty, found nothing",
+            "listen.http: expected an IP number and a port, found nothing",
+            "listen.peer: expected an IP number and a port, found nothing",
+            "listen.gossip: expected an IP number and a port, found nothing",
+            "peers.secret: expected a text that is not empty, found nothing",
+            "platform.address: expected an IP number and a port, found nothing",
+        ],
+    },
+    Case {
+        name: "unknown keys",
+        text: "colour = 1\n[limits]\nin_progres = 5\n",
+        mistakes: &[
+            "colour: expected one of the keys",
+            "limits.in_progres: expected one of the keys",
+        ],
+    },
+    Case {
+        name: "wrong types",
+        text: "id = 7\nlog_level = \"loud\"\n[listen]\nhttp = \"localhost:80\"\n[limits]\nin_progress = 0\nread_timeout_ms = \"1s\"\n",
+        mistakes: &[
+            "id: expected a text that is not empty, found integer 7",
+            "log_level: expected one of error, warn, info, debug, found string \"loud\"",
+            "listen.http: expected an IP number and a port, found string \"localhost:80\"",
+            "limits.in_progress: expected a whole number above zero, found integer 0",
+            "limits.read_timeout_ms: expected milliseconds above zero, found string \"1s\"",
+        ],
+    },
+    Case {
+        name: "operators",
+        text: "[operators]\nkeys = [\"noi\", \"mali:12\"]\n",
+        mistakes: &[
+            "operators.keys: expected NAME:SHA256-IN-HEXADECIMAL, found a text of another shape",
+        ],
+    },
+    Case { name: "not TOML", text: "id = ", mistakes: &["TOML parse error"] },
+];
+
+fn load(dir: &TempDir, text: &str) -> Result<EntrySettings, SettingsError> {
+    let path = dir.path().join("entry.toml");
+    fs::write(&path, text).expect("the file is written");
+    EntrySettings::load(&path)
+}
+
+#[test]
+fn every_mistake_is_named() {
+    let dir = TempDir::new().expect("a folder");
+    for case in CASES {
+        let message = load(&dir, case.text).map_or_else(|e| e.to_string(), |_| String::new());
+        assert_eq!(message.is_empty(), case.mistakes.is_empty(), "{}: {message}", case.name);
+        for mistake in case.mistakes {
+            assert!(
+                message.contains(mistake),
+                "{}: {mistake:?} is missing in {message}",
+                case.name
+            );
+        }
+    }
+}
+
+#[test]
+fn a_lease_without_room_for_its_margin_is_refused() {
+    let dir = TempDir::new().expect("a folder");
+    let path = dir.path().join("control.toml");
+    let text = "id = \"a\"\ndata_centre = \"b\"\nlisten.http = \"127.0.0.1:1\"\n\
+        platform.address = \"127.0.0.1:2\"\nlease.ttl_ms = 3000\nlease.margin_ms = 2500\n";
+    fs::write(&path, text).expect("the file is written");
+    let message = ControlSettings::load(&path).expect_err("a mistake").to_string();
+    assert!(message.contains("lease.margin_ms: expected less than"), "{message}");
+}
+
+/// Returns the keys that a program knows: those it names for unknown ones.
+fn known_keys(sections: &[&str], load: impl Fn(&Path) -> String) -> BTreeSet<String> {
+    let dir = TempDir::new().expect("a folder");
+    let path = dir.path().join("settings.toml");
+    let mut text = "zz = 1\n".to_owned();
+    for section in sections {
+        text.push_str(&format!("[{section}]\nzz = 1\n"));
+    }
+    fs::write(&path, text).expect("the file is written");
+    let mut keys = BTreeSet::new();
+    for line in load(&path).lines().filter(|l| l.contains("an unknown key")) {
+        let place = line.split(": ").nth(1).expect("a key").trim_end_matches("zz");
+        let (_, list) = line.split_once("one of the keys ").expect("a list");
+        let list = list.trim_end_matches(", found an unknown key");
+        keys.extend(list.split(", ").map(|key| format!("{place}{key}")));
+    }
+    keys.retain(|key| !sections.contains(&key.as_str()));
+    keys
+}
+
+/// Returns the keys in a table of the page, below a heading.
+fn documented_keys(heading: &str) -> BTreeSet<String> {
+    let page = fs::read_to_string("docs/SETTINGS.md").expect("the page");
+    let (_, after) = page.split_once(heading).expect("the heading");
+    let part = after.split("\n## ").next().unwrap_or_default();
+    let rows = part.lines().filter_map(|l| l.strip_prefix("| `"));
+    rows.filter_map(|row| row.split('`').next()).map(str::to_owned).collect()
+}
+
+#[test]
+fn the_page_lists_every_key() {
+    let sections = ["listen", "peers", "platform", "operators", "routing", "limits"];
+    let entry = |path: &Path| EntrySettings::load(path).expect_err("mistakes").to_string();
+    assert_eq!(known_keys(&sections, entry), documented_keys("## tackhollow-entry"));
+    let sections = ["listen", "platform", "lease"];
+    let control = |path: &Path| ControlSettings::load(path).expect_err("mistakes").to_string();
+    assert_eq!(known_keys(&sections, control), documented_keys("## tackhollow-control"));
+}
