Reclaim tests take the host away at the end of its notice

Cause: with the hand-over switched off (trial on a scratch copy) the case "entry host" still passed, since the drafts ended within the notice and nobody took the host away. Drafts now outlast the notice, and the process is killed at its end.

--- a/tests/reclaim.rs
+++ b/tests/reclaim.rs
@@ -16,8 +16,10 @@
 
 /// Drafts of one case.
 const DRAFTS: usize = 8;
-/// Tokens of a draft: several seconds of work.
-const TOKENS: u32 = 250;
+/// Tokens of a draft: more work than a notice of a host has time for.
+const TOKENS: u32 = 600;
+/// Notice that `SIGUSR1` gives.
+const NOTICE: Duration = Duration::from_secs(5);
 
 /// What happens while the drafts run.
 struct Case {
@@ -39,17 +41,12 @@
         happens: |c| reclaim(c, "engine-0", 700),
         may_restart: false,
     },
-    Case {
-        name: "entry host",
-        happens: |c| c.entries[0].proc.signal(Signal::SIGUSR1),
-        may_restart: false,
-    },
+    Case { name: "entry host", happens: |c| reclaim_hosts(c, &[0]), may_restart: false },
     Case {
         name: "data centre with its entry hosts and engine",
         happens: |c| {
-            c.entries[0].proc.signal(Signal::SIGUSR1);
-            c.entries[1].proc.signal(Signal::SIGUSR1);
             reclaim(c, "bkk-bangna", 1_500);
+            reclaim_hosts(c, &[0, 1]);
         },
         may_restart: false,
     },
@@ -58,7 +55,8 @@
         happens: |c| {
             c.entries[0].proc.signal(Signal::SIGUSR1);
             thread::sleep(Duration::from_millis(700));
-            c.entries[2].proc.signal(Signal::SIGUSR1);
+            reclaim_hosts(c, &[2]);
+            c.entries[0].proc.kill();
         },
         may_restart: false,
     },
@@ -75,9 +73,9 @@
         name: "engine and entry host, with the platform away",
         happens: |c| {
             c.platform_faults(json!({ "down": "hang", "cloud_down": true }));
-            c.entries[0].proc.signal(Signal::SIGUSR1);
             let addr = c.engines[0].proc.http();
             support::http::call("POST", addr, "/reclaim", &json!({ "in_ms": 800 }));
+            reclaim_hosts(c, &[0]);
         },
         may_restart: false,
     },
@@ -90,6 +88,13 @@
     );
 }
 
+/// Gives entry hosts notice, and takes them away at its end.
+fn reclaim_hosts(cluster: &mut Cluster, entries: &[usize]) {
+    entries.iter().for_each(|i| cluster.entries[*i].proc.signal(Signal::SIGUSR1));
+    thread::sleep(NOTICE);
+    entries.iter().for_each(|i| cluster.entries[*i].proc.kill());
+}
+
 fn run(case: &Case) {
     // Hands over 300 ms after the signal, which gives notice of 5 s.
     let limits = "entries_ttl_ms = 500\nhand_over_margin_ms = 4700\n".to_owned();
