Drafts of the reclaim tests are spread over every entry host

Keys are drawn from each entry host in turn, and a caller goes to its key's home first, which saves the relay, too.

--- a/src/caller/chat.rs
+++ b/src/caller/chat.rs
@@ -114,7 +114,7 @@
 
     /// Sends the request to the entry hosts in turn, under the same key.
     fn post(&mut self, key: &str) -> Result<Step, CallerError> {
-        for entry in self.caller.entries() {
+        for entry in self.caller.entries_for(key) {
             self.answer.connections += 1;
             let url = format!("{}/v1/chat/completions", entry.url);
             if let Ok(stream) = self.caller.post(&url, key, &self.ask.body()) {
--- a/src/caller/client.rs
+++ b/src/caller/client.rs
@@ -75,6 +75,14 @@
         kept.1.clone()
     }
 
+    /// Returns the entry hosts with the key's home first, where it is listed:
+    /// elsewhere the request would be relayed there.
+    pub(super) fn entries_for(&self, key: &str) -> Vec<EntryAddress> {
+        let mut entries = self.entries();
+        entries.sort_by_key(|e| !is_home_of(e, key));
+        entries
+    }
+
     /// Forgets the kept answer, so that the next use asks again.
     pub fn forget_entries(&self) {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner).0 = None;
@@ -109,7 +117,7 @@
         let until = Instant::now() + self.patience;
         let mut connections = 0;
         loop {
-            for entry in self.entries() {
+            for entry in self.entries_for(key) {
                 let url = format!("{}/v1/services/{service}{path}", entry.url);
                 connections += 1;
                 let Ok(stream) = self.post(&url, key, body) else {
@@ -144,6 +152,12 @@
     }
 }
 
+/// Returns whether a key was made from the entry host's prefix, of now or earlier.
+fn is_home_of(entry: &EntryAddress, key: &str) -> bool {
+    let home = entry.key_prefix.trim_end_matches('.').rsplit_once('.');
+    home.is_some_and(|(home, _)| key.starts_with(home))
+}
+
 /// Reads a call's answer; `None` where there is no verdict yet.
 fn verdict_of_call(mut stream: HttpStream) -> Result<Option<Answer>, CallerError> {
     let mut body = Vec::new();
--- a/tests/support/drafts.rs
+++ b/tests/support/drafts.rs
@@ -33,15 +33,15 @@
     handle: JoinHandle<Result<Answer, CallerError>>,
 }
 
-/// Asks for drafts, each on a thread of its own.
+/// Asks for drafts, each on a thread of its own, at each entry host in turn.
 pub fn start_drafts(caller: &Arc<Caller>, name: &str, count: usize, tokens: u32) -> Vec<Running> {
-    let start = |i| {
+    let entries = caller.entries();
+    assert!(!entries.is_empty(), "no entry host");
+    let start = |i: usize| {
+        let key = format!("{}{:016x}", entries[i % entries.len()].key_prefix, fastrand::u64(..));
         let ask = draft(&format!("{name} {i} {}", "plan ".repeat(60)), tokens);
         let (caller, asked) = (caller.clone(), ask.clone());
-        let handle = thread::spawn(move || {
-            let key = caller.new_key().expect("an entry host");
-            caller.chat(&asked, &key)
-        });
+        let handle = thread::spawn(move || caller.chat(&asked, &key));
         Running { ask, handle }
     };
     (0..count).map(start).collect()
