--- a/benches/compare.rs
+++ b/benches/compare.rs
@@ -59,7 +59,7 @@
                         return;
                     };
                     let summary = run(cell, policy, *seed);
-                    eprintln!("{} {policy} seed {seed}", cell.name);
+                    eprintln!("{} {policy} seed {seed}: {summary}", cell.name);
                     let mut results = results.lock().expect("the results");
                     results.entry((cell.name, *policy)).or_default().push(summary);
                 }
--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -7,6 +7,8 @@
 
 #[path = "slopes/fit.rs"]
 mod fit;
+#[path = "slopes/gaps.rs"]
+mod gaps;
 #[path = "slopes/measure.rs"]
 mod measure;
 #[path = "slopes/plan_size.rs"]
@@ -20,7 +22,7 @@
 
 fn main() {
     let wanted: Vec<String> = env::args().skip(1).filter(|a| !a.starts_with('-')).collect();
-    let all: [(&str, fn()); 8] = [
+    let all: [(&str, fn()); 9] = [
         ("engines", roles::per_engine),
         ("peers", roles::per_peer),
         ("data-centres", roles::per_data_centre),
@@ -28,6 +30,7 @@
         ("changes", roles::per_change),
         ("keys", roles::per_key),
         ("deployments", roles::per_deployment),
+        ("gaps", gaps::gaps),
         ("plan", plan_size::data_centre),
     ];
     for (name, measure) in all {
--- a/benches/slopes/roles.rs
+++ b/benches/slopes/roles.rs
@@ -197,7 +197,7 @@
 }
 
 /// Lets the example's first customer have many requests in progress.
-fn raise_limits(cluster: &Cluster) {
+pub fn raise_limits(cluster: &Cluster) {
     let key_hash = tackhollow::config::key_hash(CUSTOMER_KEY);
     let deployment = json!({
         "customer": "temple-fairs", "template": "rostering", "key_hashes": [key_hash],
