Predicted time to first token counts what was just sent; long prefixes keep to one data centre of the region

Ruled out: refusals (none), slots (half in use). Change: an owner reckons each upstream's backlog from what it sent and takes the report where that is longer; a request first asks for a slot that begins within half its target, then for any; prompts of four blocks or more go to one data centre of the region by their prefix; baselines keep no prefixes together but the one that is about it.

--- a/src/entry/controllers/placement.rs
+++ b/src/entry/controllers/placement.rs
@@ -9,13 +9,14 @@
     entry::{
         board::Board,
         context::Context,
-        event::{Reply, Target, answer},
+        event::{Reply, Target, TargetQuery, answer},
     },
-    ids::{GrantId, Model, UpstreamId},
+    ids::{GrantId, UpstreamId},
+    ownership,
     prefix::Fingerprint,
     routing::{OwnerView, rank_owners},
     upstream::{NoticeFor, UpstreamEvent},
-    wire::{Contact, PeerReply, PeerRequest, PlaceReply, PlaceRequest, Release, Supply},
+    wire::{Contact, DcSummary, PeerReply, PeerRequest, PlaceReply, PlaceRequest, Release, Supply},
 };
 
 /// Between renewals of the slots held; a third of their time to live.
@@ -96,17 +97,16 @@
         self.cx.peer.cast(notice.holder, request);
     }
 
-    /// Tells which owners to ask for a slot, best first.
-    pub fn targets(
-        &mut self,
-        cx: CX![],
-        model: Model,
-        prefix: Option<Fingerprint>,
-        data_centres: Vec<String>,
-        reply: Reply<Vec<Target>>,
-    ) {
+    /// Tells which owners to ask for a slot, best first: for a long prompt the
+    /// data centre of the region where its prefix is kept together, then the
+    /// owners here, then the other data centres.
+    pub fn targets(&mut self, cx: CX![], query: TargetQuery, reply: Reply<Vec<Target>>) {
+        let TargetQuery { model, prefix, long, data_centres } = query;
         let allowed = |dc: &String| data_centres.is_empty() || data_centres.contains(dc);
         let mut targets = Vec::new();
+        if let Some(prefix) = prefix.filter(|_| long) {
+            targets.extend(self.prefix_data_centre(cx, &model, prefix, allowed));
+        }
         if allowed(&self.cx.settings.data_centre) {
             targets.extend(self.owners(cx, &model, prefix));
         }
@@ -114,6 +114,27 @@
         answer(&reply, targets);
     }
 
+    /// Returns the data centre of the region where a prefix is kept together,
+    /// unless it is this one.
+    fn prefix_data_centre(
+        &self,
+        cx: CX![],
+        model: &str,
+        prefix: Fingerprint,
+        allowed: impl Fn(&String) -> bool,
+    ) -> Option<Target> {
+        let now = cx.now();
+        let view = &self.board.ro(cx).view;
+        let own = &self.cx.settings.data_centre;
+        let near = view.summaries(now).filter(|s| s.region == self.cx.settings.region);
+        let near: Vec<&DcSummary> =
+            near.filter(|s| allowed(&s.data_centre) && slots(&s.supply, model).0 > 0).collect();
+        let names = near.iter().map(|s| &s.data_centre).chain(allowed(own).then_some(own));
+        let home = ownership::owner(names, &format!("{prefix:x}"))?;
+        let summary = near.iter().find(|s| s.data_centre == *home)?;
+        fastrand::choice(&summary.contacts).map(|c| Target::DataCentre(c.peer))
+    }
+
     fn owners(&self, cx: CX![], model: &str, prefix: Option<Fingerprint>) -> Vec<Target> {
         let now = cx.now();
         let board = self.board.ro(cx);
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -226,9 +226,7 @@
             Event::Retry(input, reply) => call!([self.admission], retry(input, reply)),
             Event::Entries(reply) => call!([self.admission], entries(reply)),
             Event::Status(reply) => call!([self.admission], status(reply)),
-            Event::Targets(model, prefix, dcs, reply) => {
-                call!([self.placement], targets(model, prefix, dcs, reply));
-            }
+            Event::Targets(query, reply) => call!([self.placement], targets(query, reply)),
             Event::Place(req, reply) => call!([self.placement], place_own(req, reply)),
             Event::Release(release) => call!([self.placement], release(release)),
             Event::Upstream(id, event) => call!([self.placement], upstream_event(id, event)),
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -60,6 +60,20 @@
     pub model: Model,
 }
 
+/// Asks for owners to ask for a slot.
+#[derive(Clone, Debug)]
+pub struct TargetQuery {
+    /// Model, or `service:NAME`.
+    pub model: Model,
+    /// First block of the prompt, where requests that share it are kept together.
+    pub prefix: Option<Fingerprint>,
+    /// Whether the prompt is long enough to keep it in one data centre of the
+    /// region.
+    pub long: bool,
+    /// Data centres in which the request may run; empty for all.
+    pub data_centres: Vec<String>,
+}
+
 /// An owner to ask for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -176,7 +190,7 @@
         completed: bool,
     },
     /// Asks for owners to ask for a slot, best first.
-    Targets(Model, Option<Fingerprint>, Vec<String>, Reply<Vec<Target>>),
+    Targets(TargetQuery, Reply<Vec<Target>>),
     /// Asks this process as an owner for a slot.
     Place(PlaceRequest, Reply<PlaceReply>),
     /// Gives back a slot of this process.
--- a/src/entry/work/call.rs
+++ b/src/entry/work/call.rs
@@ -66,6 +66,7 @@
         customer: record.customer.clone(),
         prompt_tokens: 0,
         prefix: Vec::new(),
+        patience_ms: None,
         exclude,
         data_centres: Vec::new(),
         holder: cx.contact.peer,
--- a/src/entry/work/chat.rs
+++ b/src/entry/work/chat.rs
@@ -9,12 +9,13 @@
 
 use super::placer::{PlaceError, Slot, place_until};
 use crate::{
+    config::CustomerPolicy,
     edge::{http_client::HttpClient, sse::SseReader},
     entry::{context::Context, event::Event},
     record::{ChatWork, Outcome, Record},
     routing::{
-        AttemptEnd, DEFAULT_PREFILL_RATE, NoticeAction, NoticeInput, RetryDecision, RetryInput,
-        on_notice,
+        AttemptEnd, Class, DEFAULT_PREFILL_RATE, NoticeAction, NoticeInput, Policy, RetryDecision,
+        RetryInput, on_notice,
     },
     telemetry::{count, count_by},
     wire::{PlaceRequest, PlaceScope, ReleaseOutcome},
@@ -113,6 +114,7 @@
             customer: self.record.customer.clone(),
             prompt_tokens: self.chat.prompt_tokens() + self.record.len() as u32,
             prefix: self.chat.fingerprints(),
+            patience_ms: self.patience(policy.as_ref()),
             exclude: self.failed_upstreams.clone(),
             data_centres: policy.map(|p| p.data_centres).unwrap_or_default(),
             holder: self.cx.contact.peer,
@@ -120,6 +122,16 @@
         place_until(self.cx, self.record, &req, until)
     }
 
+    /// Returns the longest backlog that keeping prefixes together is worth:
+    /// half the target for first tokens, and twice the target for a draft.
+    fn patience(&self, policy: Option<&CustomerPolicy>) -> Option<u64> {
+        if self.cx.settings.policy != Policy::Cost {
+            return None;
+        }
+        let target = policy.map(|p| p.targets).unwrap_or_default().first_token_ms;
+        Some(if self.chat.class == Class::Draft { target * 2 } else { target / 2 })
+    }
+
     fn not_placed(&self, error: PlaceError) -> bool {
         match error {
             PlaceError::Busy(wait) => self.give_up("every engine is busy", wait),
--- a/src/entry/work/placer.rs
+++ b/src/entry/work/placer.rs
@@ -10,7 +10,7 @@
 use crate::{
     entry::{
         context::Context,
-        event::{Event, Target},
+        event::{Event, Target, TargetQuery},
         held::SlotGuard,
     },
     record::Record,
@@ -18,6 +18,9 @@
     wire::{PeerReply, PeerRequest, PlaceReply, PlaceRequest, PlaceScope, UpstreamAddr},
 };
 
+/// Blocks from which a prompt is long: about 256 tokens, whose prefill takes
+/// longer than the way to another data centre of the region and back.
+const LONG_BLOCKS: usize = 4;
 /// Longest wait for an owner in this data centre.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest wait for another data centre.
@@ -56,6 +59,7 @@
             Err(e) => e,
         };
         tries += 1;
+        req.patience_ms = None;
         // Upstreams that failed this request are better than none.
         req.exclude.clear();
         let pause = pause_after(tries);
@@ -66,8 +70,17 @@
     }
 }
 
-/// Asks owners for a slot, best first, once round.
+/// Asks owners for a slot that begins soon, then for any.
 fn place(cx: &Arc<Context>, req: &PlaceRequest) -> Result<Slot, PlaceError> {
+    let any = PlaceRequest { patience_ms: None, ..req.clone() };
+    match req.patience_ms {
+        Some(_) => place_once(cx, req).or_else(|_| place_once(cx, &any)),
+        None => place_once(cx, &any),
+    }
+}
+
+/// Asks owners for a slot, best first, once round.
+fn place_once(cx: &Arc<Context>, req: &PlaceRequest) -> Result<Slot, PlaceError> {
     let mut failed = PlaceError::NoUpstream;
     for target in targets(cx, req) {
         match ask(cx, &target, req.clone()) {
@@ -85,9 +98,14 @@
 }
 
 fn targets(cx: &Context, req: &PlaceRequest) -> Vec<Target> {
-    let (model, prefix, dcs) =
-        (req.model.clone(), req.prefix.first().copied(), req.data_centres.clone());
-    cx.board.ask(|reply| Event::Targets(model, prefix, dcs, reply)).unwrap_or_default()
+    let together = cx.settings.policy.keeps_prefixes_together();
+    let query = TargetQuery {
+        model: req.model.clone(),
+        prefix: req.prefix.first().copied().filter(|_| together),
+        long: req.prefix.len() >= LONG_BLOCKS,
+        data_centres: req.data_centres.clone(),
+    };
+    cx.board.ask(|reply| Event::Targets(query, reply)).unwrap_or_default()
 }
 
 fn ask(cx: &Context, target: &Target, req: PlaceRequest) -> Option<PlaceReply> {
--- a/src/routing/engine_choice.rs
+++ b/src/routing/engine_choice.rs
@@ -30,6 +30,13 @@
     PrefixBounded,
 }
 
+impl Policy {
+    /// Returns whether requests with the same prefix are kept together.
+    pub fn keeps_prefixes_together(self) -> bool {
+        matches!(self, Self::Cost | Self::PrefixBounded)
+    }
+}
+
 /// An upstream that could take the request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -39,8 +46,8 @@
     pub in_flight: u32,
     /// Slots in all.
     pub slots: u32,
-    /// Prompt tokens waiting for prefill there.
-    pub queued_tokens: u32,
+    /// Time until the prompts sent there are prefilled.
+    pub backlog: Duration,
     /// Prefill speed, in tokens a second.
     pub prefill_rate: f64,
     /// Prompt tokens of this request that it likely has in its cache.
@@ -75,10 +82,23 @@
     }
 }
 
+/// Returns the predicted time to the first token, where `missing` tokens have
+/// to be prefilled.
+fn first_token(c: &Candidate, missing: u32) -> Duration {
+    c.backlog + Duration::from_secs_f64(f64::from(missing) / c.prefill_rate.max(1.0))
+}
+
+/// Returns whether a candidate's backlog lets a request of `prompt_tokens`
+/// begin within `patience`. What the request itself must prefill does not
+/// count, since it would have to be prefilled elsewhere, too.
+pub fn begins_within(c: &Candidate, patience: Duration) -> bool {
+    c.backlog <= patience
+}
+
 /// Returns the cost of sending the request to a candidate, in seconds of delay.
 pub fn cost(c: &Candidate, prompt_tokens: u32) -> f64 {
     let missing = prompt_tokens.saturating_sub(c.cached_tokens);
-    let prefill = f64::from(c.queued_tokens + missing) / c.prefill_rate.max(1.0);
+    let prefill = first_token(c, missing).as_secs_f64();
     let load = f64::from(c.in_flight) / f64::from(c.slots.max(1));
     let price = c.price * DELAY_PER_PRICE.as_secs_f64();
     let recompute = f64::from(prompt_tokens) / c.prefill_rate.max(1.0);
--- a/src/upstream/owned.rs
+++ b/src/upstream/owned.rs
@@ -10,7 +10,7 @@
 use crate::{
     ids::{GrantId, UpstreamId},
     platform::HostEntry,
-    routing::{Policy, choose_upstream},
+    routing::{Candidate, Policy, begins_within, choose_upstream},
     wire::{PlaceReply, PlaceRequest, Release, ReleaseOutcome, Supply, UpstreamAddr},
 };
 
@@ -117,13 +117,15 @@
         }
         let candidates: Vec<_> = usable
             .iter()
-            .map(|u| u.candidate(self.grants.in_use(&u.host.id), &req.prefix))
+            .map(|u| u.candidate(self.grants.in_use(&u.host.id), &req.prefix, now))
             .collect();
         self.turn += 1;
         let prefix = req.prefix.first().copied().unwrap_or_default();
         let policy = self.settings.policy;
         let chosen = choose_upstream(policy, &candidates, req.prompt_tokens, self.turn, prefix);
-        let Some(chosen) = chosen else {
+        let patience = req.patience_ms.map(Duration::from_millis);
+        let in_time = |c: &&Candidate| patience.is_none_or(|p| begins_within(c, p));
+        let Some(chosen) = chosen.filter(in_time) else {
             return PlaceReply::Busy { retry_after_ms: BUSY_RETRY.as_millis() as u64 };
         };
         let (id, cached_tokens) = (chosen.id.clone(), chosen.cached_tokens);
@@ -140,6 +142,7 @@
         let Some(state) = self.upstreams.get_mut(id) else {
             return PlaceReply::NoUpstream;
         };
+        state.sent(req.prompt_tokens.saturating_sub(cached_tokens), now);
         state.sketch.store(&req.prefix);
         let upstream = UpstreamAddr {
             id: id.to_owned(),
@@ -197,7 +200,7 @@
         let mut by_model: BTreeMap<&str, Supply> = BTreeMap::new();
         let silence = self.settings.silence;
         for upstream in self.upstreams.values().filter(|u| u.takes_work(now, silence)) {
-            let candidate = upstream.candidate(self.grants.in_use(&upstream.host.id), &[]);
+            let candidate = upstream.candidate(self.grants.in_use(&upstream.host.id), &[], now);
             for model in upstream.models() {
                 let supply = by_model.entry(model).or_insert_with(|| Supply {
                     model: model.clone(),
--- a/src/upstream/state.rs
+++ b/src/upstream/state.rs
@@ -26,7 +26,7 @@
     /// What its prefix cache likely holds.
     pub sketch: CacheSketch,
     running: u32,
-    queued_tokens: u32,
+    backlog_until: Option<Instant>,
     prefill_rate: f64,
     models: Option<Vec<Model>>,
     boot: Option<u64>,
@@ -43,7 +43,7 @@
             leaves_at: None,
             sketch: CacheSketch::default(),
             running: 0,
-            queued_tokens: 0,
+            backlog_until: None,
             prefill_rate: crate::routing::DEFAULT_PREFILL_RATE,
             models: None,
             boot: None,
@@ -75,8 +75,8 @@
             UpstreamEvent::Hello { boot } => self.hear_boot(*boot),
             UpstreamEvent::Load { running, queued_tokens, prefill_rate, models, .. } => {
                 self.running = *running;
-                self.queued_tokens = *queued_tokens;
                 self.prefill_rate = *prefill_rate;
+                self.report_backlog(*queued_tokens, now);
                 self.models = Some(models.clone());
             }
             UpstreamEvent::Cache { seq, stored, evicted } => {
@@ -91,6 +91,24 @@
         false
     }
 
+    /// Takes a reported queue over where it is longer than the own reckoning,
+    /// which knows of what was sent since the report, but not of others' work.
+    fn report_backlog(&mut self, queued_tokens: u32, now: Instant) {
+        let until = now + self.prefill_time(queued_tokens);
+        self.backlog_until = self.backlog_until.max(Some(until));
+    }
+
+    /// Notes that a request was sent whose prompt misses this many tokens in
+    /// the cache.
+    pub fn sent(&mut self, missing_tokens: u32, now: Instant) {
+        let from = self.backlog_until.unwrap_or(now).max(now);
+        self.backlog_until = Some(from + self.prefill_time(missing_tokens));
+    }
+
+    fn prefill_time(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate.max(1.0))
+    }
+
     fn hear_boot(&mut self, boot: u64) {
         if self.boot.is_some_and(|old| old != boot) {
             self.sketch.clear();
@@ -133,12 +151,13 @@
     /// Returns the upstream as a candidate for a request; `granted` counts
     /// the slots given out. The engine's own count covers requests that a
     /// former owner placed.
-    pub fn candidate(&self, granted: u32, prefix: &[u64]) -> Candidate {
+    pub fn candidate(&self, granted: u32, prefix: &[u64], now: Instant) -> Candidate {
+        let backlog = self.backlog_until.map(|until| until.saturating_duration_since(now));
         Candidate {
             id: self.host.id.clone(),
             in_flight: granted.max(self.running),
             slots: self.host.slots,
-            queued_tokens: self.queued_tokens,
+            backlog: backlog.unwrap_or_default(),
             prefill_rate: self.prefill_rate,
             cached_tokens: self.sketch.cached_tokens(prefix),
             price: self.host.price,
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -38,6 +38,9 @@
     pub prompt_tokens: u32,
     /// Fingerprints of the prompt's prefixes.
     pub prefix: Vec<Fingerprint>,
+    /// Longest backlog of an upstream with which to take the slot, in
+    /// milliseconds; `None` to take any.
+    pub patience_ms: Option<u64>,
     /// Upstreams that failed this request already.
     pub exclude: Vec<UpstreamId>,
     /// Data centres in which the request may run; empty for all.
