--- a/benches/slopes/measure.rs
+++ b/benches/slopes/measure.rs
@@ -50,20 +50,17 @@
 /// Returns the mean of figures.
 pub fn mean(uses: &[Use]) -> Use {
     let n = uses.len().max(1) as f64;
-    let of = |f: fn(&Use) -> f64| uses.iter().map(f).sum::<f64>() / n;
-    Use {
-        cpu_percent: of(|u| u.cpu_percent),
-        memory_mb: of(|u| u.memory_mb),
-        gossip: of(|u| u.gossip),
-        peer: of(|u| u.peer),
-        events: of(|u| u.events),
-        messages: of(|u| u.messages),
-    }
+    combine(uses, |values| values.sum::<f64>() / n)
 }
 
 /// Returns the largest of each figure.
 pub fn largest(uses: &[Use]) -> Use {
-    let of = |f: fn(&Use) -> f64| uses.iter().map(f).fold(0.0, f64::max);
+    combine(uses, |values| values.fold(0.0, f64::max))
+}
+
+/// Combines each figure over processes.
+fn combine(uses: &[Use], f: impl Fn(&mut dyn Iterator<Item = f64>) -> f64) -> Use {
+    let of = |figure: fn(&Use) -> f64| f(&mut uses.iter().map(figure));
     Use {
         cpu_percent: of(|u| u.cpu_percent),
         memory_mb: of(|u| u.memory_mb),
--- a/src/bin/tackhollow-entry/main.rs
+++ b/src/bin/tackhollow-entry/main.rs
@@ -3,41 +3,21 @@
 use std::{env, process::ExitCode};
 
 use anyhow::Result;
-use tackhollow::{
-    cli::{DaemonCommand, daemon_help, parse_daemon},
-    entry,
-    settings::EntrySettings,
-    telemetry,
-};
+use tackhollow::{cli::DaemonProgram, entry, settings::EntrySettings, telemetry};
 
-const NAME: &str = "tackhollow-entry";
-const ABOUT: &str = "Serves callers: admission, routing to upstreams, streams and hand-over.";
+const PROGRAM: DaemonProgram<EntrySettings, anyhow::Error> = DaemonProgram {
+    name: "tackhollow-entry",
+    about: "Serves callers: admission, routing to upstreams, streams and hand-over.",
+    load: EntrySettings::load,
+    run,
+};
 
 fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("{NAME}: {e:#}");
-            ExitCode::FAILURE
-        }
-    }
+    PROGRAM.main(env::args_os())
 }
 
-fn run() -> Result<()> {
-    match parse_daemon(env::args_os())? {
-        DaemonCommand::Help => print!("{}", daemon_help(NAME, ABOUT)),
-        DaemonCommand::Version => println!("{NAME} {}", env!("CARGO_PKG_VERSION")),
-        DaemonCommand::Check(path) => {
-            EntrySettings::load(&path)?;
-            println!("{}: no mistakes", path.display());
-        }
-        DaemonCommand::Run(path) => {
-            let settings = EntrySettings::load(&path)?;
-            telemetry::init_logs(settings.log_level);
-            entry::run(settings, |addresses| {
-                println!("{}", serde_json::json!(addresses));
-            })?;
-        }
-    }
+fn run(settings: EntrySettings) -> Result<()> {
+    telemetry::init_logs(settings.log_level);
+    entry::run(settings, |addresses| println!("{}", serde_json::json!(addresses)))?;
     Ok(())
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,10 +1,17 @@
 //! Command lines of the daemons and stand-ins.
 
-use std::{ffi::OsString, path::PathBuf};
+use std::{
+    ffi::OsString,
+    fmt::Display,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use lexopt::{Arg, Parser, ValueExt};
 use thiserror::Error;
 
+use crate::settings::SettingsError;
+
 /// Why a command line cannot be used.
 #[derive(Debug, Error)]
 pub enum CliError {
@@ -48,8 +55,49 @@
     Ok(if check { DaemonCommand::Check(settings) } else { DaemonCommand::Run(settings) })
 }
 
+/// A daemon's program.
+pub struct DaemonProgram<S, E> {
+    /// Name of the program.
+    pub name: &'static str,
+    /// What it does, in one sentence.
+    pub about: &'static str,
+    /// Reads and checks its settings.
+    pub load: fn(&Path) -> Result<S, SettingsError>,
+    /// Runs it until it is told to stop.
+    pub run: fn(S) -> Result<(), E>,
+}
+
+impl<S, E: Display> DaemonProgram<S, E> {
+    /// Does what the command line asks for, and says why where that fails.
+    pub fn main(&self, args: impl IntoIterator<Item = OsString>) -> ExitCode {
+        match self.do_command(args) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(message) => {
+                eprintln!("{}: {message}", self.name);
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    fn do_command(&self, args: impl IntoIterator<Item = OsString>) -> Result<(), String> {
+        match parse_daemon(args).map_err(|e| e.to_string())? {
+            DaemonCommand::Help => print!("{}", daemon_help(self.name, self.about)),
+            DaemonCommand::Version => println!("{} {}", self.name, env!("CARGO_PKG_VERSION")),
+            DaemonCommand::Check(path) => {
+                (self.load)(&path).map_err(|e| e.to_string())?;
+                println!("{}: no mistakes", path.display());
+            }
+            DaemonCommand::Run(path) => {
+                let settings = (self.load)(&path).map_err(|e| e.to_string())?;
+                (self.run)(settings).map_err(|e| format!("{e:#}"))?;
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Returns the help of a daemon.
-pub fn daemon_help(name: &str, about: &str) -> String {
+fn daemon_help(name: &str, about: &str) -> String {
     format!(
         "{about}\n\nUsage: {name} --settings FILE [--check]\n\nOptions:\n  \
          -s, --settings FILE  settings in TOML (docs/SETTINGS.md)\n      \
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -15,26 +15,21 @@
     metrics::{counter::Counter, gauge::Gauge},
     registry::Registry,
 };
-use serde_json::json;
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
-use stakker::{ActorOwn, CX, Share, Stakker, StopCause, actor, after, call, ret_nop};
+use stakker::{ActorOwn, Share, Stakker, StopCause, actor, call, ret_nop};
 use thiserror::Error;
 use tiny_http::{Request, Response};
 
 use super::{
-    Lease, LeaseAction, LeaseRow, LeaseTiming,
-    orders::{EngineReport, Order, missing_orders},
+    Lease, LeaseRow, LeaseTiming, giver::Orders, keeper::LeaseKeeper, orders::EngineReport,
 };
 use crate::{
     config::ConfigStore,
-    edge::{
-        http_client::HttpClient,
-        http_server::{self, spawn},
-    },
-    platform::{Check, HostEntry, HostRole, PlatformClient, PlatformError, Put, Txn, TxnOutcome},
+    edge::http_server::{self, spawn},
+    platform::{HostEntry, PlatformClient, PlatformError, TxnOutcome},
     settings::ControlSettings,
 };
 
@@ -52,11 +47,18 @@
 }
 
 /// A message to the blackboard's thread.
-enum Event {
+pub(super) enum Event {
     /// The lease's row was read, or could not be.
     LeaseRead(Result<(u64, Option<LeaseRow>), PlatformError>),
     /// The lease's row was written, or could not be.
-    LeaseWritten { row: LeaseRow, sent: Instant, outcome: Result<TxnOutcome, PlatformError> },
+    LeaseWritten {
+        /// The row.
+        row: LeaseRow,
+        /// When the write was sent.
+        sent: Instant,
+        /// What became of it.
+        outcome: Result<TxnOutcome, PlatformError>,
+    },
     /// The configuration and the list of hosts were read.
     State(Box<ConfigStore>, Vec<HostEntry>),
     /// An engine's report was read: give the missing orders.
@@ -66,28 +68,40 @@
 }
 
 /// The blackboard.
-struct Board {
-    lease: Lease,
-    config: ConfigStore,
-    hosts: Vec<HostEntry>,
+pub(super) struct Board {
+    /// The lease as this process sees it.
+    pub lease: Lease,
+    /// Configuration as last read.
+    pub config: ConfigStore,
+    /// Engines of the data centre, as last read.
+    pub hosts: Vec<HostEntry>,
 }
 
 /// Metrics of the control process.
 #[derive(Default)]
-struct ControlMetrics {
-    registry: Registry,
-    fence: Gauge,
-    holds_lease: Gauge,
-    orders: Counter,
-    refused_orders: Counter,
+pub(super) struct ControlMetrics {
+    /// All of them.
+    pub registry: Registry,
+    /// Fencing number as last seen.
+    pub fence: Gauge,
+    /// Whether this process may give orders.
+    pub holds_lease: Gauge,
+    /// Orders given.
+    pub orders: Counter,
+    /// Orders that engines refused.
+    pub refused_orders: Counter,
 }
 
 /// What the threads share.
-struct Context {
-    settings: ControlSettings,
-    platform: PlatformClient,
-    tx: Sender<Event>,
-    metrics: ControlMetrics,
+pub(super) struct Context {
+    /// Settings.
+    pub settings: ControlSettings,
+    /// The platform.
+    pub platform: PlatformClient,
+    /// Sends messages to the blackboard's thread.
+    pub tx: Sender<Event>,
+    /// Metrics.
+    pub metrics: ControlMetrics,
 }
 
 /// Runs the process until it is told to stop. Calls `ready` once its address is open.
@@ -179,204 +193,3 @@
         }
     }
 }
-
-/// Takes and renews the lease.
-struct LeaseKeeper {
-    board: Share<Board>,
-    cx: Arc<Context>,
-}
-
-impl LeaseKeeper {
-    fn init(cx: CX![], board: Share<Board>, context: Arc<Context>) -> Option<Self> {
-        let this = Self { board, cx: context };
-        this.read();
-        let _ = cx;
-        Some(this)
-    }
-
-    fn key(context: &Context) -> String {
-        format!("lease/orders/{}", context.settings.data_centre)
-    }
-
-    fn read(&self) {
-        let context = self.cx.clone();
-        spawn("lease-read", move || {
-            let row = context.platform.get(&Self::key(&context)).map(|row| match row {
-                Some(row) => (row.version, serde_json::from_value(row.value).ok()),
-                None => (0, None),
-            });
-            drop(context.tx.send(Event::LeaseRead(row)));
-        });
-    }
-
-    fn look_again(&mut self, cx: CX![]) {
-        self.read();
-        let _ = cx;
-    }
-
-    fn read_done(&mut self, cx: CX![], read: Result<(u64, Option<LeaseRow>), PlatformError>) {
-        let now = cx.now();
-        let lease = &mut self.board.rw(cx).lease;
-        let action = match read {
-            Ok((version, row)) => {
-                lease.observe(version, row, now);
-                lease.next_action(now)
-            }
-            Err(e) => {
-                log::warn!("the lease cannot be read: {e}");
-                LeaseAction::Wait
-            }
-        };
-        match action {
-            LeaseAction::Write { row_version, row } => self.write(row_version, row),
-            LeaseAction::Wait => {
-                after!(self.cx.settings.period, [cx], look_again());
-            }
-        }
-        self.note(cx);
-    }
-
-    fn write(&self, row_version: u64, row: LeaseRow) {
-        let context = self.cx.clone();
-        spawn("lease-write", move || {
-            let key = Self::key(&context);
-            let txn = Txn {
-                checks: vec![Check { key: key.clone(), version: row_version }],
-                puts: vec![Put { key, value: json!(row) }],
-            };
-            let sent = Instant::now();
-            let outcome = context.platform.txn(&txn);
-            drop(context.tx.send(Event::LeaseWritten { row, sent, outcome }));
-        });
-    }
-
-    fn write_done(
-        &mut self,
-        cx: CX![],
-        row: LeaseRow,
-        sent: Instant,
-        outcome: Result<TxnOutcome, PlatformError>,
-    ) {
-        let now = cx.now();
-        match outcome {
-            Ok(TxnOutcome::Accepted(accepted)) => {
-                let fresh = self.board.ro(cx).lease.may_order(now).is_none();
-                if fresh {
-                    log::info!("lease held by {} with fencing number {}", row.holder, row.fence);
-                }
-                self.board.rw(cx).lease.written(accepted.version, row, sent, now);
-            }
-            Ok(TxnOutcome::Refused(_)) => log::info!("another process has the lease"),
-            // The write may have taken effect; the next read tells.
-            Err(e) => log::warn!("the lease cannot be written: {e}"),
-        }
-        self.note(cx);
-        after!(self.cx.settings.period, [cx], look_again());
-    }
-
-    fn note(&self, cx: CX![]) {
-        let now = cx.now();
-        let lease = &self.board.ro(cx).lease;
-        let fence = lease.holder().map_or(0, |row| row.fence);
-        self.cx.metrics.fence.set(fence as i64);
-        self.cx.metrics.holds_lease.set(lease.may_order(now).is_some().into());
-    }
-}
-
-/// Brings the engines to their wished state.
-struct Orders {
-    board: Share<Board>,
-    cx: Arc<Context>,
-}
-
-impl Orders {
-    fn init(cx: CX![], board: Share<Board>, context: Arc<Context>) -> Option<Self> {
-        let mut this = Self { board, cx: context };
-        this.round(cx);
-        Some(this)
-    }
-
-    /// Reads the configuration and the hosts, if this process holds the lease.
-    fn round(&mut self, cx: CX![]) {
-        let now = cx.now();
-        if self.board.ro(cx).lease.may_order(now).is_some() {
-            let context = self.cx.clone();
-            spawn("state", move || match read_state(&context) {
-                Ok((config, hosts)) => {
-                    drop(context.tx.send(Event::State(Box::new(config), hosts)));
-                }
-                Err(e) => log::warn!("the state cannot be read: {e}"),
-            });
-        }
-        after!(self.cx.settings.period, [cx], round());
-    }
-
-    fn take_state(&mut self, cx: CX![], config: ConfigStore, hosts: Vec<HostEntry>) {
-        let board = self.board.rw(cx);
-        board.config = config;
-        board.hosts = hosts.into_iter().filter(|h| h.role == HostRole::Engine).collect();
-        for host in &board.hosts {
-            let (context, host) = (self.cx.clone(), host.clone());
-            spawn("report", move || {
-                let url = format!("http://{}/orders", host.addr);
-                let client = HttpClient::fresh(order_timeout(&context.settings));
-                let answer = client.call("GET", &url, &[], b"").ok();
-                let report = answer.and_then(|a| serde_json::from_slice(&a.body).ok());
-                if let Some(report) = report {
-                    drop(context.tx.send(Event::Report(host, report)));
-                }
-            });
-        }
-    }
-
-    fn take_report(&mut self, cx: CX![], host: HostEntry, report: EngineReport) {
-        let now = cx.now();
-        let board = self.board.ro(cx);
-        let Some(fence) = board.lease.may_order(now) else {
-            return;
-        };
-        let templates: Vec<_> = board.config.templates().collect();
-        let orders = missing_orders(&host.models, &templates, &report, fence);
-        let lease = board.lease.clone();
-        for order in orders {
-            let (context, lease, addr) = (self.cx.clone(), lease.clone(), host.addr);
-            spawn("order", move || give(&context, &lease, addr, &order));
-        }
-    }
-}
-
-/// Gives an order, unless the lease may lapse before it is done: the clock is
-/// read just before sending.
-fn give(cx: &Context, lease: &Lease, addr: SocketAddr, order: &Order) {
-    let body = serde_json::to_vec(order).unwrap_or_default();
-    let client = HttpClient::fresh(order_timeout(&cx.settings));
-    if lease.may_order(Instant::now()) != Some(order.fence) {
-        log::info!("no order to {addr}: the lease may lapse");
-        return;
-    }
-    match client.call("POST", &format!("http://{addr}/orders"), &[], &body) {
-        Ok(answer) if answer.status == 200 => {
-            cx.metrics.orders.inc();
-            log::info!("order to {addr}: {} {} fence={}", order.action, order.name, order.fence);
-        }
-        Ok(answer) => {
-            cx.metrics.refused_orders.inc();
-            log::warn!("{addr} refused an order with status {}", answer.status);
-        }
-        Err(e) => log::warn!("no order to {addr}: {e}"),
-    }
-}
-
-/// Longest time that an order may take: half the part of the lease in which
-/// none is given.
-fn order_timeout(settings: &ControlSettings) -> Duration {
-    settings.lease_margin / 2
-}
-
-fn read_state(cx: &Context) -> Result<(ConfigStore, Vec<HostEntry>), PlatformError> {
-    let (version, items) = crate::config::log::read_items(&cx.platform)?;
-    let mut config = ConfigStore::default();
-    config.take_snapshot(version, items);
-    let hosts = cx.platform.hosts(&cx.settings.data_centre, 0)?.hosts;
-    Ok((config, hosts))
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,8 @@
 //! platform's table. Any host may run one; its death harms no stream.
 
 mod daemon;
+mod giver;
+mod keeper;
 mod lease;
 mod orders;
 
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -2,10 +2,17 @@
 //! pairs and news carried along (the SWIM protocol), and summaries between
 //! data centres. Pure state: time and randomness come in as arguments.
 
+mod effect;
+mod hearing;
+mod heartbeats;
 mod member;
 mod news;
+mod summaries;
+mod timing;
 mod view;
 
+pub use effect::Effect;
 pub use member::Member;
 pub use news::News;
-pub use view::{Effect, Timing, View};
+pub use timing::Timing;
+pub use view::View;
