Jobs are looked up by their batch; an entry host hears of its reclaim by the cloud's list

Causes: asking for a pending job listed and read every batch at the platform; each delegate scanned the rows of all data centres every three seconds; and a host whose notice comes by the cloud's list alone was not told. Change: the job's address names its batch, whose name begins with its data centre; a delegate scans its own, and all once a minute; the list's entry for the own address begins the leave.

--- a/src/entry/api/follow.rs
+++ b/src/entry/api/follow.rs
@@ -53,7 +53,8 @@
 
 /// The request is recorded: the caller asks for it later.
 fn deferred_reply(record: &Record) -> Reply {
-    let path = format!("{JOBS}{}", record.id);
+    let batch = record.batch().unwrap_or_default();
+    let path = format!("{JOBS}{}?batch={batch}", record.id);
     let mut reply = Reply::json(202, &json!({ "id": record.id, "url": path }));
     reply.set_header("Location", &path);
     reply.set_header("Preference-Applied", "respond-async");
@@ -67,21 +68,26 @@
     let api_key = incoming.api_key()?;
     let policy = cx.board.ask(|reply| Event::Policy(api_key, reply))?;
     let customer = policy.ok_or(Problem::Unauthorized)?.customer;
-    let local = cx.records.get(&id).filter(|r| r.customer == customer);
-    if let Some((record, outcome)) = local.and_then(|r| r.outcome().map(|o| (r, o))) {
-        return whole_answer(&record, &outcome);
+    if let Some(record) = cx.records.get(&id).filter(|r| r.customer == customer) {
+        let pending = || Ok(pending_reply(&id));
+        return record.outcome().map_or_else(pending, |o| whole_answer(&record, &o));
     }
+    let batch = incoming.query("batch").unwrap_or_default();
     let away = |e: PlatformError| Problem::JobUnreachable(e.to_string());
     match jobs::result(&cx.platform, &id).map_err(away)? {
         Some(result) if result.customer == customer => job_answer(&id, &result),
         Some(_) => Err(Problem::UnknownRequest),
-        None if jobs::pending(&cx.platform, &id, &customer).map_err(away)? => {
-            Ok(Reply::json(202, &json!({ "id": id, "outcome": "pending" })))
+        None if jobs::pending(&cx.platform, batch, &id, &customer).map_err(away)? => {
+            Ok(pending_reply(&id))
         }
         None => Err(Problem::UnknownRequest),
     }
 }
 
+fn pending_reply(id: &str) -> Reply {
+    Reply::json(202, &json!({ "id": id, "outcome": "pending" }))
+}
+
 fn job_answer(id: &str, result: &JobResult) -> Result<Reply, Problem> {
     let Outcome::ChatCompleted { finish_reason } = &result.outcome else {
         return Err(problem_of(&result.outcome));
--- a/src/entry/controllers/directory.rs
+++ b/src/entry/controllers/directory.rs
@@ -19,8 +19,9 @@
     entry::{board::Board, context::Context, event::Event},
     ids::UpstreamId,
     ownership,
-    platform::{HostEntry, HostList, HostRole},
+    platform::{HostEntry, HostList, HostRole, HostState},
     telemetry::count,
+    time::unix_millis,
     wire::{DirectoryPage, PeerReply, PeerRequest},
 };
 
@@ -99,6 +100,9 @@
     fn take(&mut self, cx: CX![], revision: u64, hosts: Vec<HostEntry>) {
         let directory = &mut self.board.rw(cx).directory;
         directory.revision = revision;
+        if let Some(notice) = own_notice(&hosts, self.cx.contact.home.http) {
+            self.cx.board.send(Event::Leave(Some(notice)));
+        }
         directory.hosts = hosts.into_iter().filter(|h| h.role != HostRole::Entry).collect();
         self.share_out(cx);
     }
@@ -153,6 +157,14 @@
     }
 }
 
+/// Returns the time until this process's own host goes, if the list says so.
+fn own_notice(hosts: &[HostEntry], own: SocketAddr) -> Option<Duration> {
+    let leaving = |h: &&HostEntry| h.addr == own && h.state == HostState::Leaving;
+    let host = hosts.iter().find(leaving)?;
+    let left = host.leaves_at_ms.unwrap_or_default().saturating_sub(unix_millis());
+    Some(Duration::from_millis(left))
+}
+
 /// Reads an upstream's events until told to stop.
 fn follow_upstream(cx: &Context, id: &str, addr: SocketAddr, stop: &AtomicBool) {
     let client = HttpClient::fresh(cx.settings.limits.upstream_silence);
--- a/src/entry/jobs/claimer.rs
+++ b/src/entry/jobs/claimer.rs
@@ -21,6 +21,8 @@
 
 /// Between looks for batches whose holder is gone.
 const LOOK_EVERY: Duration = Duration::from_secs(3);
+/// One look in this many is at the batches of every data centre.
+const LOOKS_FOR_ALL: u32 = 20;
 /// Pause before a write that failed is tried again.
 const WRITE_AGAIN: Duration = Duration::from_secs(1);
 
@@ -111,13 +113,16 @@
 pub fn claim_loop(cx: &Arc<Context>) {
     let mut orphans = Orphans::default();
     let mut running = BTreeSet::new();
-    loop {
+    let own = format!("{}{}/", store::ROWS, cx.settings.data_centre);
+    for look in 1.. {
         thread::sleep(LOOK_EVERY);
         if cx.board.ask(Event::IsDelegate) != Ok(true) {
             continue;
         }
         count(&cx.metrics.platform_calls, "job_scan");
-        let Ok(rows) = cx.platform.scan_all(store::ROWS) else {
+        // Batches of other data centres wait much longer before they are claimed.
+        let prefix = if look % LOOKS_FOR_ALL == 0 { store::ROWS } else { &own };
+        let Ok(rows) = cx.platform.scan_all(prefix) else {
             continue;
         };
         let batches: Vec<(Row, BatchRow)> = rows.into_iter().filter_map(parse).collect();
@@ -126,7 +131,7 @@
             continue;
         };
         let seen: Vec<_> = batches.iter().map(|(row, _)| row.key.clone()).zip(states).collect();
-        for key in orphans.observe(&seen, Instant::now()) {
+        for key in orphans.observe(prefix, &seen, Instant::now()) {
             let row = batches.iter().find(|(row, _)| row.key == key);
             if let Some((row, _)) = row.filter(|_| running.insert(key.clone())) {
                 claim(cx, row);
--- a/src/entry/jobs/committer.rs
+++ b/src/entry/jobs/committer.rs
@@ -77,7 +77,8 @@
     while let Ok(first) = inbox.rx.recv() {
         let waiting = collect(inbox, first);
         number += 1;
-        let name = format!("{:x}-{number}", cx.home().incarnation);
+        let dc = &cx.settings.data_centre;
+        let name = format!("{dc}/{:x}-{number}", cx.home().incarnation);
         let cx = cx.clone();
         spawn("job-commit", move || commit(&cx, &name, waiting));
     }
@@ -102,6 +103,7 @@
     let batch = JobBatch { jobs };
     let committed = record_batch(cx, name, &batch);
     for w in &waiting {
+        w.record.set_batch(name);
         drop(w.reply.try_send(committed.clone()));
     }
     if committed.is_ok() {
--- a/src/entry/jobs/orphans.rs
+++ b/src/entry/jobs/orphans.rs
@@ -28,15 +28,21 @@
 }
 
 impl Orphans {
-    /// Notes what is seen of each batch. Returns those to claim now: their
-    /// holders have been gone the whole time that is asked for.
-    pub fn observe(&mut self, seen: &[(String, HolderState)], now: Instant) -> Vec<String> {
+    /// Notes what is seen of each batch whose key begins with `prefix`. Returns
+    /// those to claim now: their holders have been gone at each look over the
+    /// whole time that is asked for.
+    pub fn observe(
+        &mut self,
+        prefix: &str,
+        seen: &[(String, HolderState)],
+        now: Instant,
+    ) -> Vec<String> {
         let gone: HashMap<&String, HolderState> = seen
             .iter()
             .filter(|(_, state)| *state != HolderState::Alive)
             .map(|(batch, state)| (batch, *state))
             .collect();
-        self.since.retain(|batch, _| gone.contains_key(batch));
+        self.since.retain(|batch, _| !batch.starts_with(prefix) || gone.contains_key(batch));
         let mut due = Vec::new();
         for (batch, state) in gone {
             let since = *self.since.entry(batch.clone()).or_insert(now);
--- a/src/entry/jobs/store.rs
+++ b/src/entry/jobs/store.rs
@@ -5,7 +5,8 @@
 use super::{JobBatch, JobResult};
 use crate::platform::{PlatformClient, PlatformError};
 
-/// Prefix of the rows that say who runs a batch.
+/// Prefix of the rows that say who runs a batch. A batch's name begins with
+/// the data centre that accepted it.
 pub const ROWS: &str = "jobs/";
 
 /// Returns the key of a batch's row.
@@ -57,16 +58,15 @@
     get(platform, &result_name(id))
 }
 
-/// Returns whether a job without a result is recorded for a customer.
-pub fn pending(platform: &PlatformClient, id: &str, customer: &str) -> Result<bool, PlatformError> {
-    for name in platform.list_objects("jobs/")? {
-        let batch: Option<JobBatch> = get(platform, &name)?;
-        let jobs = batch.map(|b| b.jobs).unwrap_or_default();
-        if jobs.iter().any(|job| job.id == id && job.customer == customer) {
-            return Ok(true);
-        }
-    }
-    Ok(false)
+/// Returns whether a batch holds a customer's job.
+pub fn pending(
+    platform: &PlatformClient,
+    batch: &str,
+    id: &str,
+    customer: &str,
+) -> Result<bool, PlatformError> {
+    let jobs = get_batch(platform, batch)?.map(|b| b.jobs).unwrap_or_default();
+    Ok(jobs.iter().any(|job| job.id == id && job.customer == customer))
 }
 
 fn put<T: Serialize>(
--- a/src/record/request_record.rs
+++ b/src/record/request_record.rs
@@ -39,6 +39,7 @@
     moved_to: Option<Contact>,
     frozen: bool,
     trail: Vec<String>,
+    batch: Option<String>,
 }
 
 /// What follows an offset of a record's answer.
@@ -89,6 +90,7 @@
             moved_to: None,
             frozen: false,
             trail: Vec::new(),
+            batch: None,
         };
         let state = Mutex::new(state);
         Self { id, customer, key, work, deadline, state, changed: Condvar::new() }
@@ -103,6 +105,7 @@
             moved_to: None,
             frozen: false,
             trail: snapshot.trail,
+            batch: None,
         };
         Self {
             id: snapshot.id,
@@ -176,6 +179,16 @@
         self.changed.notify_all();
     }
 
+    /// Notes the batch in which the request is recorded at the platform.
+    pub fn set_batch(&self, batch: &str) {
+        self.lock().batch = Some(batch.to_owned());
+    }
+
+    /// Returns the batch in which the request is recorded at the platform.
+    pub fn batch(&self) -> Option<String> {
+        self.lock().batch.clone()
+    }
+
     /// Notes a step, for `explain`.
     pub fn note(&self, step: String) {
         self.lock().trail.push(step);
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -20,7 +20,7 @@
     entry::{HolderState, Orphans},
 };
 
-/// Hands a draft in. Returns the status and the job's id.
+/// Hands a draft in. Returns the status and where to ask for the job.
 fn hand_in(addr: std::net::SocketAddr, prompt: &str, tokens: u32) -> (u16, String) {
     let authorization = format!("Bearer {CUSTOMER_KEY}");
     let headers = [
@@ -37,11 +37,11 @@
         .call("POST", &url, &headers, body.to_string().as_bytes())
         .expect("an answer");
     let body: Value = serde_json::from_slice(&answer.body).expect("JSON");
-    (answer.status, body["id"].as_str().unwrap_or_default().to_owned())
+    (answer.status, body["url"].as_str().unwrap_or_default().to_owned())
 }
 
-fn job(key: &str, addr: std::net::SocketAddr, id: &str) -> (u16, Value) {
-    let answer = http::call_as(key, "GET", addr, &format!("/v1/jobs/{id}"), &Value::Null);
+fn job(key: &str, addr: std::net::SocketAddr, url: &str) -> (u16, Value) {
+    let answer = http::call_as(key, "GET", addr, url, &Value::Null);
     (answer.status, serde_json::from_slice(&answer.body).unwrap_or_default())
 }
 
@@ -70,6 +70,8 @@
     for (id, prompt) in &jobs {
         wait_result(cluster.entries[2].proc.http(), id, prompt, 400);
     }
+    let unknown = job(CUSTOMER_KEY, cluster.entries[1].proc.http(), "/v1/jobs/none");
+    assert_eq!(unknown.0, 404);
     let stranger = job(OTHER_KEY, cluster.entries[1].proc.http(), &jobs[0].0);
     assert_eq!(stranger.0, 404);
 }
@@ -117,7 +119,7 @@
         for (pause, gone) in looks {
             now += Duration::from_millis(pause);
             let state = if gone { HolderState::Gone } else { HolderState::Alive };
-            let due = orphans.observe(&[("batch".to_owned(), state)], now);
+            let due = orphans.observe("jobs/", &[("jobs/batch".to_owned(), state)], now);
             gone_since = if gone { gone_since.or(Some(now)) } else { None };
             let long = gone_since.is_some_and(|at| now.duration_since(at) >= Duration::from_secs(10));
             prop_assert_eq!(!due.is_empty(), long);
--- a/tests/reclaim.rs
+++ b/tests/reclaim.rs
@@ -30,7 +30,7 @@
     may_restart: bool,
 }
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 8] = [
     Case {
         name: "engine, long notice",
         happens: |c| reclaim(c, "engine-0", 20_000),
@@ -79,6 +79,11 @@
         },
         may_restart: false,
     },
+    Case {
+        name: "entry host, told by the cloud's list",
+        happens: reclaim_by_list,
+        may_restart: false,
+    },
 ];
 
 fn reclaim(cluster: &Cluster, target: &str, in_ms: u64) {
@@ -88,6 +93,19 @@
     );
 }
 
+/// Lists an entry host with the cloud, and gives it notice there only.
+fn reclaim_by_list(cluster: &mut Cluster) {
+    let host = json!({
+        "id": "entry-0", "role": "entry", "data_centre": "bkk-bangna", "class": "small",
+        "addr": cluster.entries[0].proc.http(), "models": [], "slots": 1, "price": 0.1,
+        "reclaimable": true, "state": "live",
+    });
+    cluster.control("/control/register", &json!([host]));
+    reclaim(cluster, "entry-0", 7_000);
+    thread::sleep(Duration::from_secs(7));
+    cluster.entries[0].proc.kill();
+}
+
 /// Gives entry hosts notice, and takes them away at its end.
 fn reclaim_hosts(cluster: &mut Cluster, entries: &[usize]) {
     entries.iter().for_each(|i| cluster.entries[*i].proc.signal(Signal::SIGUSR1));
@@ -143,6 +161,11 @@
     run(&CASES[6]);
 }
 
+#[test]
+fn entry_host_told_by_the_list() {
+    run(&CASES[7]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
