Records keep tokens as one text with their ends

Change: one text and the end of each token, four bytes beside the text; spare room is given back when the request ends.

--- a/src/entry/jobs/claimer.rs
+++ b/src/entry/jobs/claimer.rs
@@ -14,7 +14,7 @@
     edge::http_server::spawn,
     entry::{context::Context, event::Event, work},
     platform::{Check, PlatformError, Put, Row, Txn, TxnOutcome},
-    record::{Outcome, Record, RecordSnapshot, Work},
+    record::{Outcome, Record, RecordSnapshot, TokenText, Work},
     telemetry::count,
     time::unix_millis,
 };
@@ -72,7 +72,7 @@
         customer: job.customer.clone(),
         key: None,
         work: Work::Chat(job.work.clone()),
-        tokens: Vec::new(),
+        tokens: TokenText::default(),
         outcome: None,
         time_left: left,
         trail: vec!["claimed from a batch".to_owned()],
--- a/src/record/request_record.rs
+++ b/src/record/request_record.rs
@@ -2,13 +2,13 @@
 //! that write it to callers.
 
 use std::{
-    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    sync::{Condvar, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
 use serde::{Deserialize, Serialize};
 
-use super::{Outcome, Work};
+use super::{Outcome, TokenText, Work};
 use crate::{
     ids::{Customer, RequestId},
     wire::Contact,
@@ -33,7 +33,7 @@
 
 #[derive(Debug)]
 struct State {
-    tokens: Vec<Arc<str>>,
+    tokens: TokenText,
     outcome: Option<Outcome>,
     finished_at: Option<Instant>,
     moved_to: Option<Contact>,
@@ -46,7 +46,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tail {
     /// Tokens from the offset on.
-    pub tokens: Vec<Arc<str>>,
+    pub tokens: Vec<String>,
     /// The outcome, where the request ended.
     pub outcome: Option<Outcome>,
     /// The process that goes on with the request, where it was handed over.
@@ -65,7 +65,7 @@
     /// What was asked.
     pub work: Work,
     /// Tokens so far.
-    pub tokens: Vec<Arc<str>>,
+    pub tokens: TokenText,
     /// The outcome, where it ended.
     pub outcome: Option<Outcome>,
     /// Time left until its deadline.
@@ -84,7 +84,7 @@
         deadline: Instant,
     ) -> Self {
         let state = State {
-            tokens: Vec::new(),
+            tokens: TokenText::default(),
             outcome: None,
             finished_at: None,
             moved_to: None,
@@ -141,7 +141,7 @@
         if state.is_closed() || state.tokens.len() != offset {
             return false;
         }
-        state.tokens.push(token.into());
+        state.tokens.push(token);
         self.changed.notify_all();
         true
     }
@@ -153,6 +153,7 @@
             return false;
         }
         state.outcome = Some(outcome);
+        state.tokens.shrink();
         state.finished_at = Some(Instant::now());
         self.changed.notify_all();
         true
@@ -211,7 +212,7 @@
 
     /// Returns the answer so far as one text.
     pub fn text(&self) -> String {
-        self.lock().tokens.concat()
+        self.lock().tokens.text().to_owned()
     }
 
     /// Returns the outcome, where the request ended.
@@ -238,7 +239,7 @@
             .wait_timeout_while(state, timeout, idle)
             .unwrap_or_else(PoisonError::into_inner);
         Tail {
-            tokens: state.tokens.get(offset..).unwrap_or_default().to_vec(),
+            tokens: state.tokens.from(offset),
             outcome: state.outcome.clone(),
             moved_to: state.moved_to.clone(),
         }
