--- a/benches/slopes/plan_size.rs
+++ b/benches/slopes/plan_size.rs
@@ -68,9 +68,9 @@
         up.as_secs_f64()
     );
     println!(
-        "| | processor (% of a core) | memory (MB) | membership (B/s) | between processes (B/s) | upstream events (B/s) |"
+        "| | processor (% of a core) | memory (MB) | membership (B/s) | membership (messages/s) | between processes (B/s) | upstream events (B/s) |"
     );
-    println!("| --- | ---: | ---: | ---: | ---: | ---: |");
+    println!("| --- | ---: | ---: | ---: | ---: | ---: | ---: |");
     let calls = platform_calls(&cluster);
     row("at rest", &procs, || thread::sleep(Duration::from_secs(30)));
     let rest_calls = platform_calls(&cluster);
@@ -91,13 +91,13 @@
     let after = kernel_traffic();
     for (which, used) in [("mean", mean(&uses)), ("largest", largest(&uses))] {
         println!(
-            "| {name}, {which} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} |",
-            used.cpu_percent, used.memory_mb, used.gossip, used.peer, used.events
+            "| {name}, {which} | {:.2} | {:.1} | {:.0} | {:.2} | {:.0} | {:.0} |",
+            used.cpu_percent, used.memory_mb, used.gossip, used.messages, used.peer, used.events
         );
     }
     let per = |total: f64| total / window.as_secs_f64() / ENTRIES as f64;
     println!(
-        "| {name}, kernel: {:.2} datagrams/s and {:.0} B/s over loopback, a process | | | | | |",
+        "| {name}, kernel: {:.2} datagrams/s and {:.0} B/s over loopback, a process | | | | | | |",
         per(after.0 - datagrams),
         per(after.1 - bytes)
     );
