A new owner is asked before it has told of its upstreams; a starting process knows no keys

Changes: members that own a host of the model by the list are asked, last; the key's look-up says not ready.

--- a/src/entry/api/follow.rs
+++ b/src/entry/api/follow.rs
@@ -67,7 +67,7 @@
     let id = incoming.path().strip_prefix(JOBS).unwrap_or_default().to_owned();
     let api_key = incoming.api_key()?;
     let policy = cx.board.ask(|reply| Event::Policy(api_key, reply))?;
-    let customer = policy.ok_or(Problem::Unauthorized)?.customer;
+    let customer = policy?.customer;
     if let Some(record) = cx.records.get(&id).filter(|r| r.customer == customer) {
         let pending = || Ok(pending_reply(&id));
         return record.outcome().map_or_else(pending, |o| whole_answer(&record, &o));
@@ -110,7 +110,7 @@
     let id = incoming.path().strip_prefix(REQUESTS).unwrap_or_default().to_owned();
     let api_key = incoming.api_key()?;
     let policy = cx.board.ask(|reply| Event::Policy(api_key, reply))?;
-    let customer = policy.ok_or(Problem::Unauthorized)?.customer;
+    let customer = policy?.customer;
     if let Some(record) = cx.records.get(&id) {
         if record.customer != customer {
             return Err(Problem::UnknownRequest);
--- a/src/entry/api/start.rs
+++ b/src/entry/api/start.rs
@@ -149,7 +149,7 @@
 
 fn customer_of(cx: &Context, api_key: &str) -> Result<String, Problem> {
     let policy = cx.board.ask(|reply| Event::Policy(api_key.to_owned(), reply))?;
-    policy.map(|p| p.customer).ok_or(Problem::Unauthorized)
+    Ok(policy?.customer)
 }
 
 /// Relays to the home, or to the process that took its records over.
--- a/src/entry/board.rs
+++ b/src/entry/board.rs
@@ -1,14 +1,15 @@
 //! The blackboard: plain state that the controllers read and write.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
 use crate::{
     config::{ConfigStore, ItemKind},
-    ids::Customer,
+    ids::{Customer, EntryId, Model},
     membership::View,
+    ownership,
     platform::HostEntry,
     routing::RetryBudget,
     upstream::Owned,
@@ -49,6 +50,33 @@
     pub revision: u64,
     /// The hosts.
     pub hosts: Vec<HostEntry>,
+    /// Owners of the hosts that offer a model, by the list.
+    pub owners_of: BTreeMap<Model, BTreeSet<EntryId>>,
+}
+
+impl Directory {
+    /// Works out anew who owns the hosts. Returns those of `own`.
+    pub fn share_out(&mut self, owners: &[EntryId], own: &str) -> Vec<HostEntry> {
+        self.owners_of.clear();
+        let mut mine = Vec::new();
+        for host in &self.hosts {
+            let Some(owner) = ownership::owner(owners, &host.id) else {
+                continue;
+            };
+            for model in &host.models {
+                self.owners_of.entry(model.clone()).or_default().insert(owner.clone());
+            }
+            if owner == own {
+                mine.push(host.clone());
+            }
+        }
+        mine
+    }
+
+    /// Returns whether a member owns a host that offers a model, by the list.
+    pub fn owns(&self, member: &str, model: &str) -> bool {
+        self.owners_of.get(model).is_some_and(|owners| owners.contains(member))
+    }
 }
 
 /// Requests in progress, and how fast they finish.
--- a/src/entry/controllers/admission.rs
+++ b/src/entry/controllers/admission.rs
@@ -68,9 +68,23 @@
         answer(&reply, decided);
     }
 
-    /// Answers with the policy of a caller's key.
-    pub fn policy(&mut self, cx: CX![], key: String, reply: Reply<Option<CustomerPolicy>>) {
-        answer(&reply, self.board.ro(cx).config.customer_of_key(&key));
+    /// Answers with the policy of a caller's key; a process without a
+    /// configuration cannot tell whose it is.
+    pub fn policy(
+        &mut self,
+        cx: CX![],
+        key: String,
+        reply: Reply<Result<CustomerPolicy, Rejection>>,
+    ) {
+        let board = self.board.ro(cx);
+        let known = board.config.customer_of_key(&key);
+        let policy = match board.phase {
+            Phase::Starting => Err(Rejection::NotReady),
+            Phase::Serving | Phase::Leaving | Phase::HandedOver => {
+                known.ok_or(Rejection::UnknownKey)
+            }
+        };
+        answer(&reply, policy);
     }
 
     /// Answers with the policy of a customer.
--- a/src/entry/controllers/directory.rs
+++ b/src/entry/controllers/directory.rs
@@ -18,7 +18,6 @@
     edge::{http_client::HttpClient, http_server::spawn, peer_link::Responder, sse::SseReader},
     entry::{board::Board, context::Context, event::Event},
     ids::UpstreamId,
-    ownership,
     platform::{HostEntry, HostList, HostRole, HostState},
     telemetry::count,
     time::unix_millis,
@@ -126,9 +125,7 @@
         let now = cx.now();
         let board = self.board.rw(cx);
         let owners = board.view.owners();
-        let own = &board.view.own_contact().id;
-        let mine = |h: &&HostEntry| ownership::owner(&owners, &h.id) == Some(own);
-        let hosts: Vec<HostEntry> = board.directory.hosts.iter().filter(mine).cloned().collect();
+        let hosts = board.directory.share_out(&owners, &board.view.own_contact().id);
         board.owned.set_hosts(hosts.clone(), now);
         self.cx.metrics.upstreams.set(hosts.len() as i64);
         self.follow(&hosts);
--- a/src/entry/controllers/placement.rs
+++ b/src/entry/controllers/placement.rs
@@ -145,8 +145,11 @@
             .filter(|m| m.is_working())
             .map(|m| {
                 let (free, total) = slots(&m.supply, model);
-                let age = m.supply_at.map(|at| now.duration_since(at));
-                OwnerView { id: m.state.contact.id.clone(), free, total, age }
+                let id = m.state.contact.id.clone();
+                // What a member told may be older than its owning an upstream.
+                let untold = total == 0 && board.directory.owns(&id, model);
+                let age = m.supply_at.filter(|_| !untold).map(|at| now.duration_since(at));
+                OwnerView { id, free, total, age }
             })
             .collect();
         let own = board.view.own_contact().id.clone();
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -192,7 +192,7 @@
     /// Asks whether a request may begin.
     Admit(AdmitQuery, Reply<Result<CustomerPolicy, Rejection>>),
     /// Asks for the policy of a caller's key, without beginning a request.
-    Policy(String, Reply<Option<CustomerPolicy>>),
+    Policy(String, Reply<Result<CustomerPolicy, Rejection>>),
     /// Asks for the policy of a customer.
     PolicyOf(Customer, Reply<Option<CustomerPolicy>>),
     /// An admitted request ended.
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -180,3 +180,20 @@
     let stolen = http::call_as(OTHER_KEY, "GET", addr, &path, &Value::Null);
     assert_eq!(stolen.status, 404);
 }
+
+#[test]
+fn a_new_owner_is_asked_before_it_has_told_of_its_upstreams() {
+    let mut cluster = Cluster::start(Plan { data_centres: 1, ..Plan::default() });
+    let caller = cluster.caller().with_patience(Duration::from_secs(30));
+    for round in 0..6 {
+        // Each new entry process takes over some upstreams; calls go on beside it.
+        cluster.add_entry(0);
+        for i in 0..10 {
+            let key = caller.new_key().expect("a key");
+            let body = format!("{round} {i}");
+            let confirm = caller.call("confirm", "/shift", &body, &key).expect("a verdict");
+            assert_eq!(confirm.verdict, Verdict::Completed, "{body}: {}", confirm.text);
+            std::thread::sleep(Duration::from_millis(60));
+        }
+    }
+}
