Homes that are gone are remembered; hosts without a configuration are not listed

Views remember homes that are gone, and asked peers say so. (2) A process that had just started was listed to callers before it had a configuration, and answered not_run.

--- a/src/entry/api/relay.rs
+++ b/src/entry/api/relay.rs
@@ -147,14 +147,27 @@
     }
 }
 
-/// Asks a process of each data centre who took a home's records over.
-pub fn find_adopter(cx: &Context, home: &Home) -> Option<Contact> {
-    let contacts = cx.board.ask(Event::Contacts).ok()?;
-    contacts.into_iter().find_map(|contact| {
+/// What others know of a home that cannot be reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// This process has its records.
+    Adopted(Contact),
+    /// It is gone, and nobody is known to have its records.
+    Gone,
+    /// Nobody knows.
+    Unknown,
+}
+
+/// Asks a process of each data centre what became of a home.
+pub fn fate_of(cx: &Context, home: &Home) -> Fate {
+    let mut fate = Fate::Unknown;
+    for contact in cx.board.ask(Event::Contacts).unwrap_or_default() {
         let request = PeerRequest::WhoAdopted(home.clone());
         match cx.peer.call(contact.peer, request, ASK_TIMEOUT) {
-            Ok(PeerReply::Adopted(Some(adopted))) => Some(adopted.successor),
-            Ok(_) | Err(_) => None,
+            Ok(PeerReply::Adopted(Some(adopted))) => return Fate::Adopted(adopted.successor),
+            Ok(PeerReply::Gone) => fate = Fate::Gone,
+            Ok(_) | Err(_) => {}
         }
-    })
+    }
+    fate
 }
--- a/src/entry/api/start.rs
+++ b/src/entry/api/start.rs
@@ -9,7 +9,7 @@
     keys::{self, Key},
     plain_keys,
     problem::Problem,
-    relay::{self, Relayed},
+    relay::{self, Fate, Relayed},
     request::Incoming,
 };
 use crate::{
@@ -170,10 +170,11 @@
     match direct {
         Err(Problem::Misdirected | Problem::HomeUnreachable) => {
             let gone = matches!(direct, Err(Problem::Misdirected));
-            match relay::find_adopter(cx, home) {
-                Some(successor) => relay::relay(cx, incoming, body, successor.home.http),
-                None if gone => Err(gone_for_good()),
-                None => Err(Problem::HomeUnreachable),
+            match relay::fate_of(cx, home) {
+                Fate::Adopted(successor) => relay::relay(cx, incoming, body, successor.home.http),
+                Fate::Gone => Err(gone_for_good()),
+                Fate::Unknown if gone => Err(gone_for_good()),
+                Fate::Unknown => Err(Problem::HomeUnreachable),
             }
         }
         other => other,
--- a/src/entry/controllers/admission.rs
+++ b/src/entry/controllers/admission.rs
@@ -19,7 +19,7 @@
     membership::Member,
     routing::{self, AdmissionInput, Class, RetryDecision, RetryInput, admit},
     upstream::UpstreamState,
-    wire::{Contact, DcSummary, Liveness},
+    wire::{Contact, DcSummary},
 };
 
 /// Between looks at the rate of finished requests, and sweeps of old records.
@@ -118,9 +118,8 @@
         let now = cx.now();
         let board = self.board.ro(cx);
         let own_dc = board.view.data_centre();
-        let members = board.view.members().values();
-        let alive = members.filter(|m| m.state.liveness == Liveness::Alive);
-        let mut near: Vec<EntryChoice> = alive.map(|m| choice(&m.state.contact, own_dc)).collect();
+        let mut near: Vec<EntryChoice> =
+            board.view.serving().map(|contact| choice(contact, own_dc)).collect();
         if board.phase == Phase::Serving {
             near.push(choice(board.view.own_contact(), own_dc));
         }
--- a/src/entry/controllers/peers.rs
+++ b/src/entry/controllers/peers.rs
@@ -73,8 +73,11 @@
             }
             PeerRequest::HandOver(handed) => self.take_over(cx, handed, &responder),
             PeerRequest::WhoAdopted(home) => {
-                let known = self.board.ro(cx).view.adopter(&home);
-                responder.reply(PeerReply::Adopted(known));
+                let view = &self.board.ro(cx).view;
+                let known = view.adopter(&home);
+                let gone = known.is_none() && view.is_known_dead(&home);
+                let reply = if gone { PeerReply::Gone } else { PeerReply::Adopted(known) };
+                responder.reply(reply);
             }
         }
     }
--- a/src/membership/hearing.rs
+++ b/src/membership/hearing.rs
@@ -4,6 +4,7 @@
 
 use super::{Effect, Member, View, member::supersedes};
 use crate::{
+    ids::Home,
     ownership,
     wire::{DcSummary, Gossip, GossipBody, Liveness, MemberState, Rumour},
 };
@@ -107,6 +108,7 @@
             self.object(state);
             return Vec::new();
         }
+        let before = self.members.get(&state.contact.id).map(|m| m.state.contact.home.clone());
         let known = self.members.get_mut(&state.contact.id);
         let (was, news) = match known {
             Some(member) => (member.is_working(), member.merge(state, now)),
@@ -120,6 +122,7 @@
         if !news {
             return Vec::new();
         }
+        self.note_home(before, state);
         let is = self.members[&state.contact.id].is_working();
         if was != is || state.liveness == Liveness::Leaving {
             self.hurry_summary(now);
@@ -128,6 +131,20 @@
         if was == is { Vec::new() } else { vec![Effect::MembersChanged] }
     }
 
+    /// Notes which homes are gone after news of a member: the one that it had
+    /// before, and its own if it is dead, until it objects.
+    fn note_home(&mut self, before: Option<Home>, state: &MemberState) {
+        let home = &state.contact.home;
+        if let Some(before) = before.filter(|before| before != home) {
+            self.note_gone(before);
+        }
+        if state.liveness == Liveness::Dead {
+            self.note_gone(home.clone());
+        } else {
+            self.gone.remove(home);
+        }
+    }
+
     /// Asks a sender that knows other members for its whole view. Steady
     /// views never differ, so this costs nothing but in a change.
     pub(super) fn compare_views(&mut self, gossip: &Gossip, now: Instant) -> Option<Effect> {
--- a/src/membership/heartbeats.rs
+++ b/src/membership/heartbeats.rs
@@ -113,7 +113,11 @@
         };
         member.state.liveness = to;
         member.since = now;
-        self.news.add(Rumour::Member(member.state.clone()));
+        let state = member.state.clone();
+        if to == Liveness::Dead {
+            self.note_gone(state.contact.home.clone());
+        }
+        self.news.add(Rumour::Member(state));
         true
     }
 
--- a/src/membership/summaries.rs
+++ b/src/membership/summaries.rs
@@ -87,8 +87,7 @@
             sum.free += s.free;
             sum.total += s.total;
         }
-        let alive = self.members.values().filter(|m| m.state.liveness == Liveness::Alive);
-        let mut contacts: Vec<Contact> = alive.map(|m| m.state.contact.clone()).collect();
+        let mut contacts: Vec<Contact> = self.serving().cloned().collect();
         if self.own.liveness == Liveness::Alive {
             contacts.push(self.own.contact.clone());
         }
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -1,7 +1,7 @@
 //! What one process knows of its data centre and of the others.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     time::Instant,
 };
@@ -18,6 +18,8 @@
 
 /// News items in one datagram at most; keeps it within one network packet.
 const NEWS_PER_DATAGRAM: usize = 3;
+/// Homes that are gone remembered at most.
+const MAX_GONE: usize = 4_096;
 /// Take-overs remembered at most.
 const MAX_ADOPTED: usize = 4_096;
 
@@ -55,6 +57,8 @@
     pub(super) others: BTreeMap<DataCentre, (DcSummary, Instant)>,
     /// Who holds the records of homes that are gone.
     pub(super) adopted: HashMap<Home, Contact>,
+    /// Homes of this data centre that are known to be gone.
+    pub(super) gone: HashSet<Home>,
     /// Addresses to ask while nobody is known.
     pub(super) seeds: Vec<SocketAddr>,
     /// News to pass on.
@@ -98,6 +102,7 @@
             members: BTreeMap::new(),
             others: BTreeMap::new(),
             adopted: HashMap::new(),
+            gone: HashSet::new(),
             seeds,
             news: News::default(),
             order: Vec::new(),
@@ -160,6 +165,14 @@
         !working && self.summaries(now).next().is_none()
     }
 
+    /// Returns the other members that callers may be sent to: neither leaving
+    /// nor without the configuration that this process has.
+    pub fn serving(&self) -> impl Iterator<Item = &Contact> {
+        let alive = self.members.values().filter(|m| m.state.liveness == Liveness::Alive);
+        let ready = alive.filter(|m| m.config > 0 || self.own_config == 0);
+        ready.map(|m| &m.state.contact)
+    }
+
     /// Returns the contact of a member by name.
     pub fn contact(&self, id: &str) -> Option<&Contact> {
         if id == self.own.contact.id {
@@ -221,14 +234,18 @@
         self.members.values().any(|m| m.state.contact.home == *home && alive(m))
     }
 
-    /// Returns whether a member with this home is known to be dead.
+    /// Returns whether this home is known to be gone: it died, or another
+    /// incarnation took its place.
     pub fn is_known_dead(&self, home: &Home) -> bool {
-        self.members.values().any(|m| {
-            let contact = &m.state.contact;
-            let replaced = contact.home.http == home.http && contact.home != *home;
-            let dead = contact.home == *home && m.state.liveness == Liveness::Dead;
-            replaced || dead
-        })
+        self.gone.contains(home)
+    }
+
+    /// Notes a home that is gone.
+    pub(super) fn note_gone(&mut self, home: Home) {
+        if self.gone.len() >= MAX_GONE {
+            self.gone.clear();
+        }
+        self.gone.insert(home);
     }
 
     /// Returns when [`View::tick`] wants to be called next.
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -175,6 +175,8 @@
     Accepted(Contact),
     /// The process that holds the records, where known.
     Adopted(Option<Adopted>),
+    /// The home is known to be gone, and nobody is known to have its records.
+    Gone,
     /// The process leaves and takes nothing more.
     Refused,
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -126,6 +126,17 @@
     net.views.remove(&addr(5));
     net.run(Duration::from_secs(60));
     assert!(net.agrees(), "the dead one is still held for alive");
+    // Another incarnation in its place does not make the first one forgotten.
+    let seeds = vec![addr(0)];
+    let (dc, region) = ("bkk-bangna".to_owned(), "bangkok".to_owned());
+    let again = View::new(dc, region, contact(5, 1_000), seeds, net.now);
+    net.views.insert(addr(5), again);
+    net.run(Duration::from_secs(30));
+    let first = contact(5, 13).home;
+    let known = net.views.iter().filter(|(a, _)| **a != addr(5));
+    assert!(known.into_iter().all(|(_, v)| v.is_known_dead(&first)), "a home is forgotten");
+    net.views.remove(&addr(5));
+    net.run(Duration::from_secs(60));
     net.cut = (0..4).map(addr).collect();
     net.run(Duration::from_secs(60));
     assert!(net.views.values().all(|v| v.owners().len() < 19), "the cut is not noticed");
