--- a/src/bin/tackhollow-fake-platform/api.rs
+++ b/src/bin/tackhollow-fake-platform/api.rs
@@ -14,8 +14,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::{Value, json};
 use tackhollow::{
+    cloud::{HostEntry, HostRole, Rows},
     edge::http_client::HttpClient,
-    platform::{HostEntry, HostRole, Rows},
 };
 use tiny_http::{Method, Request, Response};
 
--- a/src/bin/tackhollow-fake-platform/cloud.rs
+++ b/src/bin/tackhollow-fake-platform/cloud.rs
@@ -6,7 +6,7 @@
 };
 
 use tackhollow::{
-    platform::{HostEntry, HostList, HostStart, HostState},
+    cloud::{HostEntry, HostList, HostStart, HostState},
     time::unix_millis,
 };
 
--- a/src/bin/tackhollow-fake-platform/table.rs
+++ b/src/bin/tackhollow-fake-platform/table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde_json::Value;
-use tackhollow::platform::{Conflict, Row, Txn, TxnAccepted, TxnRefused};
+use tackhollow::cloud::{Conflict, Row, Txn, TxnAccepted, TxnRefused};
 
 /// The table.
 #[derive(Debug, Default)]
--- /dev/null
+++ b/src/bin/tackhollow-gateway/main.rs
@@ -0,0 +1,26 @@
+//! The gateway daemon.
+
+use std::{env, process::ExitCode};
+
+use tackhollow::{
+    cli::DaemonProgram,
+    gateway::{self, StartError},
+    settings::GatewaySettings,
+    telemetry,
+};
+
+const PROGRAM: DaemonProgram<GatewaySettings, StartError> = DaemonProgram {
+    name: "tackhollow-gateway",
+    about: "Serves callers on the users' platform: admission, routing, streams, duties.",
+    load: GatewaySettings::load,
+    run,
+};
+
+fn main() -> ExitCode {
+    PROGRAM.main(env::args_os())
+}
+
+fn run(settings: GatewaySettings) -> Result<(), StartError> {
+    telemetry::init_logs(settings.log_level);
+    gateway::run(settings)
+}
--- a/src/config/log.rs
+++ b/src/config/log.rs
@@ -8,9 +8,9 @@
 use serde_json::json;
 
 use crate::{
+    cloud::{Check, PlatformClient, PlatformError, Put, Row, Txn},
     config::{Change, ItemKey, Stored},
     ids::ConfigVersion,
-    platform::{Check, PlatformClient, PlatformError, Put, Row, Txn},
 };
 
 /// Key of the head.
--- a/src/control/board.rs
+++ b/src/control/board.rs
@@ -9,8 +9,8 @@
 
 use super::{Lease, LeaseRow, orders::EngineReport};
 use crate::{
+    cloud::{HostEntry, PlatformClient, PlatformError, TxnOutcome},
     config::ConfigStore,
-    platform::{HostEntry, PlatformClient, PlatformError, TxnOutcome},
     settings::ControlSettings,
 };
 
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -26,9 +26,9 @@
     keeper::LeaseKeeper,
 };
 use crate::{
+    cloud::PlatformClient,
     config::ConfigStore,
     edge::http_server::{self, spawn},
-    platform::PlatformClient,
     settings::ControlSettings,
 };
 
--- a/src/control/giver.rs
+++ b/src/control/giver.rs
@@ -14,9 +14,9 @@
     orders::{EngineReport, Order, missing_orders},
 };
 use crate::{
+    cloud::{HostEntry, HostRole, PlatformError},
     config::{ConfigStore, log as config_log},
     edge::{http_client::HttpClient, http_server::spawn},
-    platform::{HostEntry, HostRole, PlatformError},
     settings::ControlSettings,
 };
 
--- a/src/control/keeper.rs
+++ b/src/control/keeper.rs
@@ -13,8 +13,8 @@
     board::{Board, Context, Event},
 };
 use crate::{
+    cloud::{Check, PlatformError, Put, Txn, TxnOutcome},
     edge::http_server::spawn,
-    platform::{Check, PlatformError, Put, Txn, TxnOutcome},
 };
 
 /// Takes and renews the lease.
--- a/src/entry/api/admin.rs
+++ b/src/entry/api/admin.rs
@@ -9,13 +9,13 @@
 
 use super::{problem::Problem, reply::Reply, request::Incoming};
 use crate::{
+    cloud::{PlatformError, Put, Txn, TxnOutcome},
     config::{Change, Item, ItemKey, check_change, check_item, key_hash, log as config_log},
     entry::{
         context::Context,
         event::{Event, Located},
     },
     ids::{ConfigVersion, split_home},
-    platform::{PlatformError, Put, Txn, TxnOutcome},
     time::unix_millis,
 };
 
--- a/src/entry/api/follow.rs
+++ b/src/entry/api/follow.rs
@@ -16,6 +16,7 @@
     start::{Started, relay_to_home},
 };
 use crate::{
+    cloud::PlatformError,
     edge::sse::SseWriter,
     entry::{
         context::Context,
@@ -23,7 +24,6 @@
         jobs::{self, JobResult},
     },
     ids::split_home,
-    platform::PlatformError,
     record::{Outcome, Record, Tail, Work},
     wire::Contact,
 };
--- a/src/entry/api/plain_keys.rs
+++ b/src/entry/api/plain_keys.rs
@@ -6,9 +6,9 @@
 
 use super::problem::Problem;
 use crate::{
+    cloud::{Check, PlatformError, Put, Txn, TxnOutcome},
     entry::context::Context,
     ids::Home,
-    platform::{Check, PlatformError, Put, Txn, TxnOutcome},
     telemetry::count,
 };
 
--- a/src/entry/board.rs
+++ b/src/entry/board.rs
@@ -6,11 +6,11 @@
 };
 
 use crate::{
+    cloud::HostEntry,
     config::{ConfigStore, ItemKind},
     ids::{Customer, EntryId, Model},
     membership::View,
     ownership,
-    platform::HostEntry,
     routing::RetryBudget,
     upstream::Owned,
 };
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Instant};
 
 use crate::{
+    cloud::PlatformClient,
     edge::peer_link::PeerClient,
     ids::Home,
-    platform::PlatformClient,
     record::{Outcome, Record, Records},
     settings::EntrySettings,
     telemetry::{Metrics, OutcomeLabels},
--- a/src/entry/controllers/configuration.rs
+++ b/src/entry/controllers/configuration.rs
@@ -6,6 +6,7 @@
 use stakker::{CX, Share, after};
 
 use crate::{
+    cloud::{PlatformClient, PlatformError},
     config::{Change, ItemKey, Stored, log as config_log},
     edge::{http_server::spawn, peer_link::Responder},
     entry::{
@@ -14,7 +15,6 @@
         event::{Event, Reply, answer},
     },
     ids::ConfigVersion,
-    platform::{PlatformClient, PlatformError},
     telemetry::count,
     time::unix_millis,
     wire::{PeerReply, PeerRequest},
--- a/src/entry/controllers/directory.rs
+++ b/src/entry/controllers/directory.rs
@@ -15,10 +15,10 @@
 use stakker::{CX, Share, after};
 
 use crate::{
+    cloud::{HostEntry, HostList, HostRole, HostState},
     edge::{http_client::HttpClient, http_server::spawn, peer_link::Responder, sse::SseReader},
     entry::{board::Board, context::Context, event::Event},
     ids::UpstreamId,
-    platform::{HostEntry, HostList, HostRole, HostState},
     telemetry::count,
     time::unix_millis,
     wire::{DirectoryPage, PeerReply, PeerRequest},
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -30,6 +30,7 @@
     jobs::{self, Desk},
 };
 use crate::{
+    cloud::PlatformClient,
     config::ConfigStore,
     edge::{
         gossip_socket::GossipSocket,
@@ -38,7 +39,6 @@
     },
     ids::Home,
     membership::View,
-    platform::PlatformClient,
     record::Records,
     routing::RetryBudget,
     settings::EntrySettings,
--- a/src/entry/event.rs
+++ b/src/entry/event.rs
@@ -9,10 +9,10 @@
 use thiserror::Error;
 
 use crate::{
+    cloud::HostList,
     config::{Change, CustomerPolicy, ItemKey, Stored},
     edge::peer_link::Responder,
     ids::{ConfigVersion, Customer, Home, Model, UpstreamId},
-    platform::HostList,
     prefix::Fingerprint,
     routing::{Class, RetryDecision, RetryInput},
     upstream::UpstreamEvent,
--- a/src/entry/jobs/claimer.rs
+++ b/src/entry/jobs/claimer.rs
@@ -11,9 +11,9 @@
 
 use super::{BatchRow, Job, JobBatch, JobResult, Orphans, store};
 use crate::{
+    cloud::{Check, PlatformError, Put, Row, Txn, TxnOutcome},
     edge::http_server::spawn,
     entry::{context::Context, event::Event, work},
-    platform::{Check, PlatformError, Put, Row, Txn, TxnOutcome},
     record::{Outcome, Record, RecordSnapshot, TokenText, Work},
     telemetry::count,
     time::unix_millis,
--- a/src/entry/jobs/committer.rs
+++ b/src/entry/jobs/committer.rs
@@ -14,9 +14,9 @@
 
 use super::{BatchRow, Job, JobBatch, claimer::run_batch, store};
 use crate::{
+    cloud::{Check, PlatformError, Put, Txn, TxnOutcome},
     edge::http_server::spawn,
     entry::context::Context,
-    platform::{Check, PlatformError, Put, Txn, TxnOutcome},
     record::{Record, Work},
     telemetry::count,
     time::unix_millis,
--- a/src/entry/jobs/store.rs
+++ b/src/entry/jobs/store.rs
@@ -3,7 +3,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{JobBatch, JobResult};
-use crate::platform::{PlatformClient, PlatformError};
+use crate::cloud::{PlatformClient, PlatformError};
 
 /// Prefix of the rows that say who runs a batch. A batch's name begins with
 /// the data centre that accepted it.
--- /dev/null
+++ b/src/gateway/board.rs
@@ -0,0 +1,283 @@
+//! The blackboard: what this process believes. Controllers write it, request
+//! tasks read it, all on one thread.
+
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+
+use super::{
+    decide::{
+        Breaker, CacheBelief, Candidate, QuotaBook, QuotaShare, RetryBook, TrueClock, UsageBook,
+    },
+    model::{Configuration, Revision, ServiceName, Upstream, UpstreamPhase},
+    net::Phase,
+    peering::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId},
+};
+use crate::ids::{DataCentre, UpstreamId};
+
+/// Silence after which a gateway is no longer named to callers: five
+/// heartbeats, so that a few lost datagrams change nothing.
+pub const PEER_SILENCE: Duration = Duration::from_millis(800);
+/// Silence after which a gateway is taken not to serve any more. Until then it
+/// counts as one that may be cut off and use its part of quotas.
+pub const PEER_FORGOTTEN: Duration = Duration::from_secs(12);
+
+/// Load on one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests running or waiting.
+    pub running: u32,
+    /// Prompt tokens that are not read yet.
+    pub pending_tokens: u32,
+}
+
+/// An upstream as this process knows it.
+#[derive(Clone, Debug)]
+pub struct UpstreamView {
+    /// Its own description.
+    pub upstream: Upstream,
+    /// Load that this process puts on it.
+    pub own: Load,
+    /// Load that the other processes put on it, as last heard.
+    pub others: Load,
+    /// Its health as requests saw it.
+    pub breaker: Breaker,
+    /// Since when its row is missing, if it is.
+    pub missing_since: Option<Instant>,
+    /// Since when it is known.
+    pub known_since: Instant,
+}
+
+impl UpstreamView {
+    /// Creates the view of an upstream that was just heard of.
+    pub fn new(upstream: Upstream, now: Instant) -> Self {
+        Self {
+            upstream,
+            own: Load::default(),
+            others: Load::default(),
+            breaker: Breaker::new(now),
+            missing_since: None,
+            known_since: now,
+        }
+    }
+
+    /// Returns whether it takes new work.
+    pub fn takes_work(&self) -> bool {
+        self.upstream.phase == UpstreamPhase::Ready
+    }
+}
+
+/// Another gateway as last heard.
+#[derive(Clone, Debug)]
+pub struct PeerView {
+    /// What it last told.
+    pub last: Heartbeat,
+    /// When.
+    pub heard: Instant,
+}
+
+/// The lease on the duties as this process sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeaseView {
+    /// Fencing number and the time until which it may act.
+    pub held: Option<(u64, Instant)>,
+}
+
+impl LeaseView {
+    /// Returns the fencing number with which this process may act at `now`.
+    pub fn may_act(&self, now: Instant) -> Option<u64> {
+        self.held.filter(|(_, until)| now < *until).map(|(fence, _)| fence)
+    }
+}
+
+/// Prompt tokens that callers bring, smoothed.
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    per_second: f64,
+    at: Instant,
+}
+
+/// Time over which the rate of prompt tokens is smoothed.
+const RATE_SPAN: f64 = 3.0;
+
+impl Rate {
+    fn decayed(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        self.per_second * (-age / RATE_SPAN).exp()
+    }
+
+    fn add(&mut self, tokens: f64, now: Instant) {
+        self.per_second = self.decayed(now) + tokens / RATE_SPAN;
+        self.at = now;
+    }
+}
+
+/// What this process believes.
+#[derive(Debug)]
+pub struct Board {
+    /// The configuration in force.
+    pub configuration: Option<Rc<Configuration>>,
+    /// The document that it was read from, for other gateways.
+    pub document: Bytes,
+    /// Upstreams by id.
+    pub upstreams: BTreeMap<UpstreamId, UpstreamView>,
+    /// Revision of the store up to which all changes of upstreams are known.
+    pub upstreams_position: Revision,
+    /// Revision of the newest change of an upstream that is known. Another
+    /// gateway that knows a change beyond our position is ahead of us.
+    pub upstreams_last_change: Revision,
+    /// Whether the upstreams were read at least once.
+    pub upstreams_known: bool,
+    /// Other gateways.
+    pub peers: BTreeMap<ProcessId, PeerView>,
+    /// Which engines hold which prompt prefixes.
+    pub cache: CacheBelief,
+    /// Prefixes sent since the last heartbeat.
+    pub sent_prefixes: Vec<PrefixReport>,
+    /// Quotas of customers.
+    pub quotas: QuotaBook,
+    /// Budget of second attempts.
+    pub retries: RetryBook,
+    /// Usage by window.
+    pub usage: UsageBook,
+    /// True time.
+    pub clock: TrueClock,
+    /// Lease on the duties.
+    pub lease: LeaseView,
+    /// When a call to the store last failed.
+    pub store_failed: Option<Instant>,
+    /// Requests in progress.
+    pub in_progress: usize,
+    demand: BTreeMap<ServiceName, Rate>,
+}
+
+impl Board {
+    /// Creates a board that knows nothing.
+    pub fn new(clock: TrueClock) -> Self {
+        Self {
+            configuration: None,
+            document: Bytes::new(),
+            upstreams: BTreeMap::new(),
+            upstreams_position: 0,
+            upstreams_last_change: 0,
+            upstreams_known: false,
+            peers: BTreeMap::new(),
+            cache: CacheBelief::default(),
+            sent_prefixes: Vec::new(),
+            quotas: QuotaBook::default(),
+            retries: RetryBook::default(),
+            usage: UsageBook::default(),
+            clock,
+            lease: LeaseView::default(),
+            store_failed: None,
+            in_progress: 0,
+            demand: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the version of the configuration in force; 0 for none.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |c| c.version)
+    }
+
+    /// Returns the gateways that were heard within `silence`.
+    pub fn heard(&self, now: Instant, silence: Duration) -> impl Iterator<Item = &PeerView> {
+        let recent = move |p: &&PeerView| now.saturating_duration_since(p.heard) < silence;
+        self.peers.values().filter(recent)
+    }
+
+    /// Returns which part of quotas this process may count on.
+    pub fn quota_share(&self, now: Instant) -> QuotaShare {
+        let heard = 1 + self.heard(now, PEER_SILENCE).count();
+        QuotaShare { heard, members: 1 + self.peers.len() }
+    }
+
+    /// Returns whether another gateway has a newer configuration.
+    pub fn configuration_is_behind(&self, now: Instant) -> bool {
+        let own = self.configuration_version();
+        self.heard(now, PEER_SILENCE).any(|p| p.last.configuration > own)
+    }
+
+    /// Returns the upstreams of a service that take new work.
+    pub fn serving<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a UpstreamView> + use<'a> {
+        let of_service = move |v: &&UpstreamView| v.upstream.service == service && v.takes_work();
+        self.upstreams.values().filter(of_service)
+    }
+
+    /// Describes an upstream as a candidate for a request that would have to
+    /// read `missing_tokens` there.
+    pub fn candidate(
+        view: &UpstreamView,
+        missing_tokens: u32,
+        own_data_centre: &DataCentre,
+        now: Instant,
+        chance: f64,
+    ) -> Candidate {
+        Candidate {
+            running: f64::from(view.own.running + view.others.running),
+            pending_tokens: f64::from(view.own.pending_tokens + view.others.pending_tokens),
+            slots: view.upstream.slots,
+            missing_tokens: f64::from(missing_tokens),
+            slowness: view.breaker.slowness(),
+            failures: view.breaker.recent_failures(now),
+            remote: view.upstream.data_centre != *own_data_centre,
+            chance,
+        }
+    }
+
+    /// Counts prompt tokens that the engines of a service have to read.
+    pub fn add_demand(&mut self, service: &ServiceName, tokens: u32, now: Instant) {
+        let rate = self.demand.entry(service.clone()).or_insert(Rate { per_second: 0.0, at: now });
+        rate.add(f64::from(tokens), now);
+    }
+
+    /// Returns the demand of this process's callers.
+    pub fn own_demand(&self, now: Instant) -> Vec<Demand> {
+        let demand = self.demand.iter();
+        demand
+            .map(|(s, r)| Demand { service: s.clone(), prompt_rate: r.decayed(now) as f32 })
+            .collect()
+    }
+
+    /// Returns the prompt tokens a second that all callers bring to a service.
+    pub fn total_demand(&self, service: &str, now: Instant) -> f64 {
+        let own = self.demand.get(service).map_or(0.0, |r| r.decayed(now));
+        let others = self.heard(now, PEER_SILENCE).flat_map(|p| &p.last.demand);
+        let others = others.filter(|d| d.service == service).map(|d| f64::from(d.prompt_rate));
+        own + others.sum::<f64>()
+    }
+
+    /// Returns the load that this process puts on upstreams.
+    pub fn own_loads(&self) -> Vec<LoadReport> {
+        let loaded = self.upstreams.iter().filter(|(_, v)| v.own != Load::default());
+        loaded.map(|(id, v)| LoadReport(id.clone(), v.own.running, v.own.pending_tokens)).collect()
+    }
+
+    /// Sums up the load that the other processes put on upstreams.
+    pub fn sum_loads(&mut self, now: Instant) {
+        let mut sums: BTreeMap<UpstreamId, Load> = BTreeMap::new();
+        for LoadReport(id, running, pending) in
+            self.heard(now, PEER_SILENCE).flat_map(|p| &p.last.loads)
+        {
+            let sum = sums.entry(id.clone()).or_default();
+            sum.running += running;
+            sum.pending_tokens += pending;
+        }
+        for (id, view) in &mut self.upstreams {
+            view.others = sums.get(id).copied().unwrap_or_default();
+        }
+    }
+
+    /// Returns the gateways that callers may use, as heard of late.
+    pub fn serving_peers(&self, now: Instant) -> impl Iterator<Item = &PeerView> {
+        let serves = |p: &&PeerView| p.last.phase == Phase::Serving && p.last.configuration > 0;
+        self.heard(now, PEER_SILENCE).filter(serves)
+    }
+}
--- /dev/null
+++ b/src/gateway/context.rs
@@ -0,0 +1,137 @@
+//! What every part of the gateway holds on to.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Instant,
+};
+
+use tokio::sync::Notify;
+
+use super::{
+    board::Board,
+    controllers::Controllers,
+    net::{Phase, Pool, Shutdown},
+    peering::ProcessId,
+    reactor::Wake,
+    telemetry::{Event, GatewayMetrics, Journal},
+};
+use crate::{
+    ids::Incarnation,
+    platform::{DutyClient, PlatformError, StoreClient, Table},
+    settings::GatewaySettings,
+};
+
+/// What every part of the gateway holds on to.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings.
+    pub settings: RefCell<GatewaySettings>,
+    /// Name of this process.
+    pub process: ProcessId,
+    /// Number drawn at the start of this process.
+    pub incarnation: Incarnation,
+    /// What this process believes.
+    pub board: RefCell<Board>,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// Client of the platform's store.
+    pub store: StoreClient,
+    /// Client of the platform's API.
+    pub duties: DutyClient,
+    /// How far this process has got with leaving.
+    pub shutdown: Shutdown,
+    /// The log.
+    pub journal: Journal,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// Wakes the controllers after a message to one of them.
+    pub wake: Wake,
+    controllers: RefCell<Option<Rc<Controllers>>>,
+    store_lost: Cell<Option<Instant>>,
+    configuration_resync: Notify,
+    upstreams_resync: Notify,
+}
+
+impl Gateway {
+    /// Creates the context of a process that starts now.
+    pub fn new(
+        settings: GatewaySettings,
+        incarnation: Incarnation,
+        board: Board,
+        journal: Journal,
+    ) -> Self {
+        let process = format!("{}.{incarnation:x}", settings.id);
+        let store = StoreClient::new(settings.store);
+        let duties = DutyClient::new(settings.api, settings.id.clone());
+        Self {
+            settings: RefCell::new(settings),
+            process,
+            incarnation,
+            board: RefCell::new(board),
+            pool: Pool::default(),
+            store,
+            duties,
+            shutdown: Shutdown::default(),
+            journal,
+            metrics: GatewayMetrics::new(),
+            wake: Wake::default(),
+            controllers: RefCell::new(None),
+            store_lost: Cell::new(None),
+            configuration_resync: Notify::new(),
+            upstreams_resync: Notify::new(),
+        }
+    }
+
+    /// Writes an event to the log.
+    pub fn log(&self, event: &Event<'_>) {
+        self.journal.write(event);
+    }
+
+    /// Makes the controllers known, once they have started.
+    pub fn set_controllers(&self, controllers: Rc<Controllers>) {
+        *self.controllers.borrow_mut() = Some(controllers);
+    }
+
+    /// Hands a message to the controllers and wakes them.
+    pub fn tell(&self, message: impl FnOnce(&Controllers)) {
+        if let Some(controllers) = self.controllers.borrow().as_ref() {
+            message(controllers);
+        }
+        self.wake.wake();
+    }
+
+    /// Returns whether callers should use this process.
+    pub fn is_ready(&self) -> bool {
+        let board = self.board.borrow();
+        self.shutdown.phase() == Phase::Serving
+            && board.configuration.is_some()
+            && board.upstreams_known
+    }
+
+    /// Returns what tells the watcher of a table to read it anew.
+    pub fn resync(&self, table: Table) -> &Notify {
+        match table {
+            Table::Upstreams => &self.upstreams_resync,
+            Table::Operator | Table::Members | Table::Duties => &self.configuration_resync,
+        }
+    }
+
+    /// Notes whether the store answered, and logs when that changes.
+    pub fn note_store(&self, error: Option<&PlatformError>) {
+        let now = Instant::now();
+        let Some(error) = error else {
+            if let Some(lost) = self.store_lost.take() {
+                let after_ms = now.duration_since(lost).as_millis() as u64;
+                self.log(&Event::DependencyRegained { dependency: "store", after_ms });
+            }
+            return;
+        };
+        self.board.borrow_mut().store_failed = Some(now);
+        if self.store_lost.get().is_none() {
+            self.store_lost.set(Some(now));
+            let error = error.to_string();
+            self.log(&Event::DependencyLost { dependency: "store", error: &error });
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/controllers/capacity.rs
@@ -0,0 +1,243 @@
+//! Orders of engines, given by the holder of the lease.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use stakker::{CX, call, timer_max};
+use tokio::task::spawn_local;
+
+use crate::{
+    gateway::{
+        board::Board,
+        context::Gateway,
+        decide::{CapacityInput, CapacityPolicy, Fleet, Wish, plan_engines},
+        model::{Configuration, Scaling, ServiceName},
+        request::PREFILL_TOKENS_PER_SECOND,
+        telemetry::Event,
+    },
+    ids::{DataCentre, UpstreamId},
+    platform::{EngineOrder, OrderOutcome, PlatformError},
+    telemetry::count,
+};
+
+/// Between looks at the load.
+const PERIOD: Duration = Duration::from_millis(500);
+/// How long a smaller number must suffice before engines are given up: load
+/// comes in waves, and a start takes seconds.
+const HOLD_BEFORE_FEWER: Duration = Duration::from_secs(4);
+/// Pause after an order that was refused.
+const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(1_800);
+/// Time beyond `boot` after which engines that do not serve are ordered anew.
+const BOOT_SLACK: Duration = Duration::from_secs(3);
+/// Share of an engine's prefill speed that is planned with: at more, requests
+/// wait for each other longer than the latency objective allows.
+const PREFILL_SHARE: f64 = 0.55;
+/// Share of an engine's slots that is planned with: more running requests make
+/// each token slower.
+const SLOT_SHARE: f64 = 0.5;
+
+/// What is kept beyond the load; chosen by the runs in docs/MEASURED.md.
+const POLICY: CapacityPolicy = CapacityPolicy {
+    reclaimable_factor: 2.0,
+    survive_share: 0.8,
+    on_demand_floor: 0,
+    needed_floor: 4.0,
+};
+
+type Key = (ServiceName, DataCentre, bool);
+
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    count: u32,
+    at: Instant,
+    refused: bool,
+    busy: bool,
+    fewer_since: Option<Instant>,
+}
+
+/// Controller of the number of engines.
+#[derive(Debug)]
+pub struct Capacity {
+    gateway: Rc<Gateway>,
+    timer: stakker::MaxTimerKey,
+    ordered: HashMap<Key, Ordered>,
+}
+
+/// Returns how many tokens the cache of an upstream holds.
+pub(super) fn cache_tokens(board: &Board, cfg: &Configuration, id: &UpstreamId) -> u64 {
+    let service = board.upstreams.get(id).and_then(|v| cfg.services.get(&v.upstream.service));
+    service.and_then(|s| s.engine).map_or(0, |e| e.cache_tokens)
+}
+
+impl Capacity {
+    /// Starts the controller.
+    pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
+        call!([cx], tick());
+        let timer = stakker::MaxTimerKey::default();
+        Some(Self { gateway, timer, ordered: HashMap::new() })
+    }
+
+    /// Looks at the engines at once: some may have announced that they go.
+    pub fn fleet_changed(&mut self, cx: CX![]) {
+        self.plan(cx.now());
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now();
+        timer_max!(&mut self.timer, now + PERIOD, [cx], tick());
+        self.plan(now);
+    }
+
+    fn plan(&mut self, now: Instant) {
+        let board = self.gateway.board.borrow();
+        if board.lease.may_act(now).is_none() || !board.upstreams_known {
+            drop(board);
+            self.ordered.clear();
+            return;
+        }
+        let Some(configuration) = board.configuration.clone() else {
+            return;
+        };
+        let mut orders = Vec::new();
+        for service in configuration.services.values() {
+            if let Some(scaling) = &service.scaling {
+                let needed = engines_needed(&board, &service.name, now);
+                let fleets = fleets(&board, &service.name, scaling);
+                let input = CapacityInput { needed, scaling, fleets: &fleets };
+                let wishes = plan_engines(&input, &POLICY);
+                for (data_centre, wish) in wishes {
+                    let fleet = fleets[&data_centre];
+                    let at = (service.name.clone(), data_centre);
+                    orders.push((at, wish, fleet, scaling.boot, needed));
+                }
+            }
+        }
+        drop(board);
+        for ((service, data_centre), wish, fleet, boot, needed) in orders {
+            for (reclaimable, wished, serving) in kinds(wish, fleet) {
+                let key = (service.clone(), data_centre.clone(), reclaimable);
+                if self.should_order(&key, wished, serving, boot, now) {
+                    self.order(key, wished, needed, now);
+                }
+            }
+        }
+    }
+
+    /// Returns whether an order should be sent now.
+    fn should_order(
+        &mut self,
+        key: &Key,
+        wished: u32,
+        serving: u32,
+        boot: Duration,
+        now: Instant,
+    ) -> bool {
+        let ordered = self.ordered.entry(key.clone()).or_insert(Ordered {
+            count: serving,
+            at: now,
+            refused: false,
+            busy: false,
+            fewer_since: None,
+        });
+        let age = now.saturating_duration_since(ordered.at);
+        if ordered.busy || (ordered.refused && age < PAUSE_AFTER_REFUSAL) {
+            return false;
+        }
+        if wished > ordered.count || ordered.refused {
+            ordered.fewer_since = None;
+            return wished > serving;
+        }
+        if wished < ordered.count {
+            let since = *ordered.fewer_since.get_or_insert(now);
+            return now.saturating_duration_since(since) >= HOLD_BEFORE_FEWER;
+        }
+        ordered.fewer_since = None;
+        // The platform took engines back, or they do not start.
+        serving < wished && age >= boot + BOOT_SLACK
+    }
+
+    fn order(&mut self, key: Key, count: u32, needed: f64, now: Instant) {
+        if let Some(ordered) = self.ordered.get_mut(&key) {
+            ordered.busy = true;
+            ordered.at = now;
+        }
+        let (service, data_centre, reclaimable) = key;
+        let order = EngineOrder { service, data_centre, reclaimable, count };
+        spawn_local(send(self.gateway.clone(), order, needed));
+    }
+
+    /// Takes over what became of an order.
+    pub fn ordered(
+        &mut self,
+        _: CX![],
+        order: EngineOrder,
+        outcome: Result<OrderOutcome, PlatformError>,
+    ) {
+        let key = (order.service, order.data_centre, order.reclaimable);
+        if let Some(ordered) = self.ordered.get_mut(&key) {
+            ordered.busy = false;
+            ordered.refused = !matches!(outcome, Ok(OrderOutcome::Accepted));
+            if !ordered.refused {
+                ordered.count = order.count;
+                ordered.fewer_since = None;
+            }
+        }
+    }
+}
+
+/// Returns each kind of engine: whether it is reclaimable, how many are wished
+/// for and how many serve.
+fn kinds(wish: Wish, fleet: Fleet) -> [(bool, u32, u32); 2] {
+    [(true, wish.reclaimable, fleet.reclaimable), (false, wish.on_demand, fleet.on_demand)]
+}
+
+async fn send(gateway: Rc<Gateway>, order: EngineOrder, needed: f64) {
+    let fence = || gateway.board.borrow().lease.may_act(Instant::now());
+    let outcome = gateway.duties.order_engines(fence, &order).await;
+    let error = outcome.as_ref().err().map(ToString::to_string).unwrap_or_default();
+    gateway.log(&Event::Engines {
+        service: &order.service,
+        data_centre: &order.data_centre,
+        reclaimable: order.reclaimable,
+        count: order.count,
+        needed,
+        fence: fence().unwrap_or_default(),
+        outcome: outcome.as_ref().ok().copied(),
+        error: &error,
+    });
+    let label = match &outcome {
+        Ok(OrderOutcome::Accepted) => "accepted",
+        Ok(OrderOutcome::NoneAvailable) => "none_available",
+        Err(_) => "failed",
+    };
+    count(&gateway.metrics.orders, label);
+    gateway.tell(|c| call!([c.capacity], ordered(order, outcome)));
+}
+
+/// Returns how many engines the load needs now.
+fn engines_needed(board: &Board, service: &str, now: Instant) -> f64 {
+    let reading = board.total_demand(service, now) / (PREFILL_TOKENS_PER_SECOND * PREFILL_SHARE);
+    let of_service = board.upstreams.values().filter(|v| v.upstream.service == service);
+    let (mut running, mut slots) = (0.0, 1.0_f64);
+    for view in of_service {
+        running += f64::from(view.own.running + view.others.running);
+        slots = slots.max(f64::from(view.upstream.slots));
+    }
+    reading + running / (slots * SLOT_SHARE)
+}
+
+fn fleets(board: &Board, service: &str, scaling: &Scaling) -> BTreeMap<DataCentre, Fleet> {
+    let names = scaling.prices.keys().cloned();
+    let mut fleets: BTreeMap<DataCentre, Fleet> = names.map(|n| (n, Fleet::default())).collect();
+    for view in board.serving(service) {
+        let fleet = fleets.entry(view.upstream.data_centre.clone()).or_default();
+        match view.upstream.reclaimable {
+            true => fleet.reclaimable += 1,
+            false => fleet.on_demand += 1,
+        }
+    }
+    fleets
+}
--- /dev/null
+++ b/src/gateway/controllers/directory.rs
@@ -0,0 +1,194 @@
+//! Keeps the list of upstreams.
+//!
+//! A row that disappears means that the upstream is gone, unless the store was
+//! away shortly before: then leases of upstreams that live may have lapsed, and
+//! the upstream has some time to appear again.
+
+use std::{
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use stakker::{CX, call, timer_max};
+
+use crate::{
+    gateway::{
+        board::UpstreamView,
+        context::Gateway,
+        model::{Revision, Upstream, UpstreamPhase},
+        peering::UpstreamSnapshot,
+        telemetry::Event,
+    },
+    ids::UpstreamId,
+    platform::{Change, Snapshot, StoreRow, decode_upstream},
+};
+
+/// Time after the store's return in which rows that lapsed while it was away
+/// are back, if their upstreams live; the platform's figure.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+/// For how long after its last failure the store counts as having been away:
+/// a lapsed row shows with the first answer.
+const STORE_UNSTABLE: Duration = Duration::from_millis(4_000);
+/// Between looks at missing rows and idle connections.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Controller of the list of upstreams.
+#[derive(Debug)]
+pub struct Directory {
+    gateway: Rc<Gateway>,
+    timer: stakker::MaxTimerKey,
+}
+
+impl Directory {
+    /// Starts the controller.
+    pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
+        call!([cx], tick());
+        Some(Self { gateway, timer: stakker::MaxTimerKey::default() })
+    }
+
+    /// Takes over all rows as read from the store.
+    pub fn snapshot(&mut self, cx: CX![], snapshot: Snapshot) {
+        let upstreams = snapshot.rows.iter().filter_map(|r| self.decode(r)).collect();
+        let last_change = snapshot.rows.iter().map(|r| r.revision).max().unwrap_or_default();
+        let position = snapshot.revision;
+        self.copy(cx, UpstreamSnapshot { position, last_change, upstreams });
+    }
+
+    /// Takes over all upstreams, as read from the store or another gateway.
+    pub fn copy(&mut self, cx: CX![], snapshot: UpstreamSnapshot) {
+        let now = cx.now();
+        let UpstreamSnapshot { position, last_change, upstreams } = snapshot;
+        if position < self.gateway.board.borrow().upstreams_position {
+            return;
+        }
+        let listed: BTreeSet<UpstreamId> = upstreams.iter().map(|u| u.id.clone()).collect();
+        for upstream in upstreams {
+            self.update(upstream, position, now);
+        }
+        let known: Vec<UpstreamId> =
+            self.gateway.board.borrow().upstreams.keys().cloned().collect();
+        for id in known.iter().filter(|id| !listed.contains(*id)) {
+            self.missing(id, position, now);
+        }
+        self.advance(position, last_change);
+    }
+
+    /// Takes over changes from the store's feed, which has come to `position`.
+    /// Those that another gateway told earlier are passed over.
+    pub fn changes(&mut self, cx: CX![], changes: Vec<Change>, position: Revision) {
+        let now = cx.now();
+        let known = self.gateway.board.borrow().upstreams_position;
+        let mut last_change = 0;
+        for change in changes {
+            match change {
+                Change::Written(row) if row.revision > known => {
+                    last_change = last_change.max(row.revision);
+                    if let Some(upstream) = self.decode(&row) {
+                        self.update(upstream, row.revision, now);
+                    }
+                }
+                Change::Removed(id, revision) if revision > known => {
+                    last_change = last_change.max(revision);
+                    self.missing(&id, revision, now);
+                }
+                Change::Written(_) | Change::Removed(..) => {}
+            }
+        }
+        self.advance(position, last_change);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now();
+        timer_max!(&mut self.timer, now + PERIOD, [cx], tick());
+        self.drop_missing(now);
+        let mut board = self.gateway.board.borrow_mut();
+        let known: BTreeSet<UpstreamId> = board.upstreams.keys().cloned().collect();
+        board.cache.retain(|id| known.contains(id));
+        let serving = board.upstreams.values().filter(|v| v.takes_work()).count();
+        drop(board);
+        self.gateway.pool.sweep(now, |id| known.contains(id));
+        self.gateway.metrics.upstreams.set(serving as i64);
+        self.gateway.metrics.connections.set(self.gateway.pool.open() as i64);
+    }
+
+    fn decode(&self, row: &StoreRow) -> Option<Upstream> {
+        match decode_upstream(row.key.clone(), &row.value) {
+            Ok(upstream) => Some(upstream),
+            Err(e) => {
+                log::error!("the row of upstream {} is unusable: {e}", row.key);
+                None
+            }
+        }
+    }
+
+    fn update(&self, upstream: Upstream, revision: Revision, now: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
+        let id = upstream.id.clone();
+        let state = match upstream.phase {
+            UpstreamPhase::Ready => "ready",
+            UpstreamPhase::Draining => "draining",
+        };
+        let known = board.upstreams.get_mut(&id);
+        let changed = known.as_ref().is_none_or(|view| view.upstream.phase != upstream.phase);
+        match known {
+            Some(view) => {
+                view.upstream = upstream;
+                view.missing_since = None;
+            }
+            None => drop(board.upstreams.insert(id.clone(), UpstreamView::new(upstream, now))),
+        }
+        drop(board);
+        if changed {
+            self.gateway.log(&Event::Upstream { upstream: &id, state, revision });
+        }
+    }
+
+    fn missing(&self, id: &UpstreamId, revision: Revision, now: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
+        let recent = |t: Instant| now.saturating_duration_since(t) < STORE_UNSTABLE;
+        let may_have_lapsed = board.store_failed.is_some_and(recent);
+        let Some(view) = board.upstreams.get_mut(id) else {
+            return;
+        };
+        let leaving = view.upstream.phase == UpstreamPhase::Draining;
+        let state = if may_have_lapsed && !leaving {
+            view.missing_since.get_or_insert(now);
+            "missing"
+        } else {
+            board.upstreams.remove(id);
+            "gone"
+        };
+        drop(board);
+        self.gateway.log(&Event::Upstream { upstream: id, state, revision });
+    }
+
+    /// Drops upstreams whose rows stayed away after the store's return.
+    fn drop_missing(&self, now: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
+        let lapsed = |v: &UpstreamView| {
+            v.missing_since.is_some_and(|t| now.saturating_duration_since(t) >= LAPSE_GRACE)
+        };
+        let gone: Vec<UpstreamId> =
+            board.upstreams.iter().filter(|(_, v)| lapsed(v)).map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            board.upstreams.remove(id);
+        }
+        let revision = board.upstreams_position;
+        drop(board);
+        for id in &gone {
+            self.gateway.log(&Event::Upstream { upstream: id, state: "gone", revision });
+        }
+    }
+
+    fn advance(&self, position: Revision, last_change: Revision) {
+        let mut board = self.gateway.board.borrow_mut();
+        board.upstreams_position = board.upstreams_position.max(position);
+        board.upstreams_last_change = board.upstreams_last_change.max(last_change);
+        board.upstreams_known = true;
+        let now = Instant::now();
+        board.sum_loads(now);
+        drop(board);
+        self.gateway.tell(|c| call!([c.capacity], fleet_changed()));
+    }
+}
--- /dev/null
+++ b/src/gateway/controllers/duties.rs
@@ -0,0 +1,308 @@
+//! The lease on the duties, and the usage reports that its holder sends.
+//!
+//! One lease covers all duties. The holder renews its row; the others hear of
+//! it by heartbeat and read the row only when the holder falls silent.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use stakker::{CX, call, timer_max};
+use tokio::task::spawn_local;
+
+use crate::{
+    control::{Lease, LeaseAction, LeaseRow, LeaseTiming},
+    gateway::{
+        board::PEER_SILENCE,
+        context::Gateway,
+        decide::{Counts, Window},
+        net::Phase,
+        telemetry::Event,
+    },
+    platform::{PlatformError, RowWrite, StoreRow, Table, WriteOutcome},
+    telemetry::count,
+};
+
+/// Key of the lease's row.
+const LEASE_KEY: &str = "lease";
+/// How much longer the lease holds than the time in which two holders may not
+/// act in turns.
+const TTL_BEYOND_BOUND: Duration = Duration::from_millis(200);
+/// Last part of the lease in which nothing is sent, so that what is sent
+/// arrives while it holds.
+const LEASE_MARGIN: Duration = Duration::from_millis(700);
+/// Between renewals: two may fail before the lease is of no use.
+const RENEW_EVERY: Duration = Duration::from_millis(800);
+/// Between looks at the lease and the reports.
+const PERIOD: Duration = Duration::from_millis(200);
+/// Silence of a holder before the row is read, and what is added for each
+/// process that comes first in order.
+const SUSPECT_AFTER: Duration = Duration::from_millis(700);
+/// See [`SUSPECT_AFTER`].
+const SUSPECT_STEP: Duration = Duration::from_millis(150);
+/// Time after the end of a window at which its counts are final: processes
+/// tell theirs several times a second, and some are cut off for a while.
+const SETTLE: Duration = Duration::from_millis(3_500);
+/// Pause before a report that failed is sent again.
+const AGAIN: Duration = Duration::from_millis(700);
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Report {
+    Sending,
+    Failed(Instant),
+    Done,
+}
+
+/// Controller of the lease and the usage reports.
+#[derive(Debug)]
+pub struct Duties {
+    gateway: Rc<Gateway>,
+    timer: stakker::MaxTimerKey,
+    lease: Lease,
+    timing: LeaseTiming,
+    busy: bool,
+    renewed: Option<Instant>,
+    holder_heard: Instant,
+    reports: BTreeMap<Window, Report>,
+}
+
+impl Duties {
+    /// Starts the controller.
+    pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
+        call!([cx], tick());
+        let bound = gateway.settings.borrow().bounds.lease;
+        let timing = LeaseTiming { ttl: bound + TTL_BEYOND_BOUND, margin: LEASE_MARGIN };
+        let lease = Lease::new(gateway.process.clone(), timing);
+        Some(Self {
+            gateway,
+            timer: stakker::MaxTimerKey::default(),
+            lease,
+            timing,
+            busy: false,
+            renewed: None,
+            holder_heard: cx.now(),
+            reports: BTreeMap::new(),
+        })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now();
+        timer_max!(&mut self.timer, now + PERIOD, [cx], tick());
+        let window = self.window(now);
+        self.gateway.board.borrow_mut().usage.open(&self.gateway.process, window);
+        self.keep_lease(now);
+        if self.gateway.board.borrow().lease.may_act(now).is_some() {
+            self.send_reports(now);
+        }
+    }
+
+    fn window(&self, now: Instant) -> Window {
+        let length = self.gateway.settings.borrow().bounds.usage_window;
+        self.gateway.board.borrow().clock.unix_millis(now) / length.as_millis().max(1) as u64
+    }
+
+    fn keep_lease(&mut self, now: Instant) {
+        if self.busy {
+            return;
+        }
+        let held = self.gateway.board.borrow().lease.may_act(now).is_some();
+        if held {
+            if self.renewed.is_none_or(|t| now.saturating_duration_since(t) >= RENEW_EVERY) {
+                self.write_lease(now);
+            }
+            return;
+        }
+        if self.holder_is_heard(now) || self.gateway.shutdown.phase() > Phase::Serving {
+            return;
+        }
+        match self.lease.holder() {
+            None => self.read_lease(),
+            Some(_) => self.write_lease(now),
+        }
+    }
+
+    /// Returns whether another process holds the lease, as heard of late. The
+    /// processes suspect one after another, so that one alone reads the row.
+    fn holder_is_heard(&mut self, now: Instant) -> bool {
+        let board = self.gateway.board.borrow();
+        let mut heard = board.heard(now, PEER_SILENCE);
+        if heard.any(|p| p.last.lease.is_some()) {
+            self.holder_heard = now;
+            // What was seen of the row is of no use for the next holder.
+            self.lease.observe(0, None, now);
+            return true;
+        }
+        let before =
+            board.heard(now, PEER_SILENCE).filter(|p| p.last.process() < self.gateway.process);
+        let wait = SUSPECT_AFTER + SUSPECT_STEP * before.count() as u32;
+        now.saturating_duration_since(self.holder_heard) < wait
+    }
+
+    fn read_lease(&mut self) {
+        self.busy = true;
+        let gateway = self.gateway.clone();
+        spawn_local(async move {
+            let read = gateway.store.snapshot(Table::Duties).await;
+            gateway.note_store(read.as_ref().err());
+            count(
+                &gateway.metrics.platform_calls,
+                if read.is_ok() { "lease_read" } else { "lease_read_failed" },
+            );
+            let row = read.map(|s| s.rows.into_iter().find(|r| r.key == LEASE_KEY));
+            gateway.tell(|c| call!([c.duties], lease_read(row)));
+        });
+    }
+
+    /// Takes over the lease's row as read.
+    pub fn lease_read(&mut self, cx: CX![], read: Result<Option<StoreRow>, PlatformError>) {
+        self.busy = false;
+        let Ok(row) = read else {
+            return;
+        };
+        match row {
+            Some(row) => self.observe(&row, cx.now()),
+            None => self.write_lease(cx.now()),
+        }
+    }
+
+    fn observe(&mut self, row: &StoreRow, now: Instant) {
+        match serde_json::from_slice::<LeaseRow>(&row.value) {
+            Ok(lease) => self.lease.observe(row.revision, Some(lease), now),
+            Err(e) => log::error!("the row of the lease is unreadable: {e}"),
+        }
+    }
+
+    fn write_lease(&mut self, now: Instant) {
+        let LeaseAction::Write { row_version, row } = self.lease.next_action(now) else {
+            return;
+        };
+        self.busy = true;
+        let gateway = self.gateway.clone();
+        let sent = now;
+        spawn_local(async move {
+            let value = serde_json::to_vec(&row).unwrap_or_default();
+            let write = RowWrite {
+                table: Table::Duties,
+                key: LEASE_KEY.to_owned(),
+                value,
+                expected: Some(row_version),
+            };
+            let outcome = gateway.store.write(&[write]).await;
+            gateway.note_store(outcome.as_ref().err());
+            count(
+                &gateway.metrics.platform_calls,
+                if outcome.is_ok() { "lease_write" } else { "lease_write_failed" },
+            );
+            gateway.tell(|c| call!([c.duties], lease_written(row, sent, outcome)));
+        });
+    }
+
+    /// Takes over what became of a write of the lease's row.
+    pub fn lease_written(
+        &mut self,
+        cx: CX![],
+        row: LeaseRow,
+        sent: Instant,
+        outcome: Result<WriteOutcome, PlatformError>,
+    ) {
+        self.busy = false;
+        match outcome {
+            Ok(WriteOutcome::Done(revision)) => self.held(revision, row, sent, cx.now()),
+            Ok(WriteOutcome::Conflict(rows)) => match rows.iter().find(|r| r.key == LEASE_KEY) {
+                Some(row) => self.observe(row, cx.now()),
+                None => self.read_lease(),
+            },
+            // It may have been done: only the row itself can tell.
+            Err(PlatformError::Http(_) | PlatformError::Timeout) => self.read_lease(),
+            Err(e) => log::debug!("the lease was not written: {e}"),
+        }
+    }
+
+    fn held(&mut self, revision: u64, row: LeaseRow, sent: Instant, now: Instant) {
+        let fence = row.fence;
+        self.renewed = Some(sent);
+        self.lease.written(revision, row, sent, now);
+        let until = sent + self.timing.ttl.saturating_sub(self.timing.margin);
+        let before = self.gateway.board.borrow().lease.held;
+        self.gateway.board.borrow_mut().lease.held = Some((fence, until));
+        if before.map(|(fence, _)| fence) != Some(fence) {
+            self.gateway.log(&Event::Lease { fence, state: "acquired" });
+            self.gateway.metrics.lease.set(fence as i64);
+        }
+    }
+
+    /// Sends the reports of windows that have settled.
+    fn send_reports(&mut self, now: Instant) {
+        let length = self.gateway.settings.borrow().bounds.usage_window;
+        let time = self.gateway.board.borrow().clock.unix_millis(now);
+        let settled =
+            time.saturating_sub(SETTLE.as_millis() as u64) / length.as_millis().max(1) as u64;
+        let windows = self.gateway.board.borrow().usage.counted_before(settled);
+        let known: BTreeSet<Window> = windows.iter().copied().collect();
+        self.reports.retain(|w, _| known.contains(w));
+        for window in windows {
+            let due = match self.reports.get(&window) {
+                None => true,
+                Some(Report::Failed(at)) => now.saturating_duration_since(*at) >= AGAIN,
+                Some(Report::Sending | Report::Done) => false,
+            };
+            if due {
+                self.reports.insert(window, Report::Sending);
+                let counts = self.gateway.board.borrow().usage.total(window);
+                spawn_local(report(self.gateway.clone(), window, counts));
+            }
+        }
+    }
+
+    /// Takes over what became of a report.
+    pub fn reported(&mut self, cx: CX![], window: Window, done: bool) {
+        let state = if done { Report::Done } else { Report::Failed(cx.now()) };
+        self.reports.insert(window, state);
+    }
+}
+
+/// Keeps the counts in the store, so that whoever sends them again sends the
+/// same, and sends them.
+async fn report(gateway: Rc<Gateway>, window: Window, counts: Counts) {
+    let sent = match kept_counts(&gateway, window, counts).await {
+        Ok(counts) => {
+            let fence = || gateway.board.borrow().lease.may_act(Instant::now());
+            let total = counts.values().sum();
+            let sent = gateway.duties.report_usage(fence, window, &counts).await;
+            let outcome = sent.as_ref().err().map_or("ok".to_owned(), ToString::to_string);
+            let fence = fence().unwrap_or_default();
+            gateway.log(&Event::Usage { window, total, fence, outcome: &outcome });
+            sent
+        }
+        Err(e) => Err(e),
+    };
+    count(&gateway.metrics.platform_calls, if sent.is_ok() { "usage" } else { "usage_failed" });
+    gateway.tell(|c| call!([c.duties], reported(window, sent.is_ok())));
+}
+
+/// Returns the counts that the store keeps for a window: these, or those that
+/// a holder wrote before.
+async fn kept_counts(
+    gateway: &Gateway,
+    window: Window,
+    counts: Counts,
+) -> Result<Counts, PlatformError> {
+    let key = format!("usage-{window}");
+    let value = serde_json::to_vec(&counts).unwrap_or_default();
+    let write = RowWrite { table: Table::Duties, key: key.clone(), value, expected: Some(0) };
+    let outcome = gateway.store.write(&[write]).await;
+    gateway.note_store(outcome.as_ref().err());
+    match outcome? {
+        WriteOutcome::Done(_) => Ok(counts),
+        WriteOutcome::Conflict(rows) => {
+            let Some(row) = rows.into_iter().find(|r| r.key == key) else {
+                return Err(PlatformError::HistoryLost);
+            };
+            serde_json::from_slice(&row.value)
+                .map_err(|source| PlatformError::Malformed { what: "kept usage", source })
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/controllers/mod.rs
@@ -0,0 +1,61 @@
+//! Controllers: `stakker` actors that keep the board.
+
+mod capacity;
+mod configuration;
+mod directory;
+mod duties;
+mod leaving;
+mod peers;
+mod watch;
+
+use std::rc::Rc;
+
+use stakker::{ActorOwn, Stakker, actor, ret_nop};
+use tokio::net::UdpSocket;
+
+use super::context::Gateway;
+
+pub use capacity::Capacity;
+pub use configuration::{ConfigurationController, Source};
+pub use directory::Directory;
+pub use duties::Duties;
+pub use leaving::Leaving;
+pub use peers::Peers;
+pub use watch::{announce, watch_configuration, watch_upstreams};
+
+/// The controllers, to which messages are handed.
+pub struct Controllers {
+    /// Configuration in force.
+    pub configuration: ActorOwn<ConfigurationController>,
+    /// Upstreams.
+    pub directory: ActorOwn<Directory>,
+    /// Other gateways.
+    pub peers: ActorOwn<Peers>,
+    /// Lease and usage reports.
+    pub duties: ActorOwn<Duties>,
+    /// Orders of engines.
+    pub capacity: ActorOwn<Capacity>,
+    /// Leaving.
+    pub leaving: ActorOwn<Leaving>,
+}
+
+impl std::fmt::Debug for Controllers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Controllers").finish_non_exhaustive()
+    }
+}
+
+impl Controllers {
+    /// Starts the controllers.
+    pub fn start(s: &mut Stakker, gateway: &Rc<Gateway>, heartbeats: Rc<UdpSocket>) -> Self {
+        let cx = || gateway.clone();
+        Self {
+            configuration: actor!(s, ConfigurationController::init(cx()), ret_nop!()),
+            directory: actor!(s, Directory::init(cx()), ret_nop!()),
+            peers: actor!(s, Peers::init(cx(), heartbeats), ret_nop!()),
+            duties: actor!(s, Duties::init(cx()), ret_nop!()),
+            capacity: actor!(s, Capacity::init(cx()), ret_nop!()),
+            leaving: actor!(s, Leaving::init(cx()), ret_nop!()),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/controllers/peers.rs
@@ -0,0 +1,306 @@
+//! Heartbeats: what this process tells the others, and what it hears.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use stakker::{CX, call, timer_max};
+use tokio::{net::UdpSocket, task::spawn_local, time::timeout};
+
+use super::Source;
+use crate::{
+    gateway::{
+        board::{PEER_FORGOTTEN, PEER_SILENCE, PeerView},
+        context::Gateway,
+        net::{connect, json_request},
+        peering::{Heartbeat, ProcessId, UpstreamSnapshot},
+        telemetry::Event,
+    },
+    platform::Table,
+};
+
+/// Between heartbeats: load that is older misleads the choice of engines.
+const PERIOD: Duration = Duration::from_millis(150);
+/// Gateways that get each heartbeat. With more, each gets every few; the cost
+/// of a process does not grow with their number.
+const FAN_OUT: usize = 12;
+/// Every how many heartbeats addresses that are silent are tried.
+const SILENT_EVERY: u32 = 10;
+/// Windows of usage that are told: reports are due two windows after the end.
+const USAGE_WINDOWS: usize = 4;
+/// How long another gateway may be ahead before this one asks it and reads
+/// the store anew: feeds need some tens of milliseconds.
+const BEHIND_LIMIT: Duration = Duration::from_millis(400);
+/// Longest wait for another gateway's answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Controller of the other gateways.
+#[derive(Debug)]
+pub struct Peers {
+    gateway: Rc<Gateway>,
+    socket: Rc<UdpSocket>,
+    timer: stakker::MaxTimerKey,
+    addresses: BTreeSet<SocketAddr>,
+    beats: u32,
+    configuration_behind: Option<Instant>,
+    upstreams_behind: Option<Instant>,
+    asked: Option<Instant>,
+}
+
+impl Peers {
+    /// Starts the controller.
+    pub fn init(cx: CX![], gateway: Rc<Gateway>, socket: Rc<UdpSocket>) -> Option<Self> {
+        call!([cx], tick());
+        let settings = gateway.settings.borrow();
+        let port = settings.listen.heartbeats.port();
+        let seeds = settings.seeds.iter().map(|ip| SocketAddr::new(*ip, port));
+        let addresses = seeds.filter(|a| *a != settings.listen.heartbeats).collect();
+        drop(settings);
+        Some(Self {
+            gateway,
+            socket,
+            timer: stakker::MaxTimerKey::default(),
+            addresses,
+            beats: 0,
+            configuration_behind: None,
+            upstreams_behind: None,
+            asked: None,
+        })
+    }
+
+    /// Takes over addresses that were found in the store.
+    pub fn found(&mut self, _: CX![], addresses: Vec<SocketAddr>) {
+        let own = self.gateway.settings.borrow().listen.heartbeats;
+        self.addresses.extend(addresses.into_iter().filter(|a| *a != own));
+    }
+
+    /// Takes over a heartbeat.
+    pub fn hear(&mut self, cx: CX![], heartbeat: Heartbeat) {
+        let now = cx.now();
+        if heartbeat.process() == self.gateway.process {
+            return;
+        }
+        self.addresses.insert(heartbeat.heartbeats);
+        self.follow(&heartbeat, now);
+        self.take_accounts(&heartbeat, now);
+        let process = heartbeat.process();
+        let mut board = self.gateway.board.borrow_mut();
+        let host = heartbeat.host.clone();
+        // An earlier process of the same host is over.
+        board.peers.retain(|id, peer| *id == process || peer.last.host != host);
+        let known = board.peers.insert(process.clone(), PeerView { last: heartbeat, heard: now });
+        board.sum_loads(now);
+        drop(board);
+        if known.is_none_or(|k| now.saturating_duration_since(k.heard) >= PEER_SILENCE) {
+            self.gateway.log(&Event::Peer { process: &process, state: "heard" });
+        }
+    }
+
+    /// Tells the others at once, for example that this process leaves.
+    pub fn tell_now(&mut self, cx: CX![]) {
+        self.send(cx.now());
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now();
+        timer_max!(&mut self.timer, now + PERIOD, [cx], tick());
+        self.forget(now);
+        self.send(now);
+        self.catch_up(now);
+    }
+
+    fn take_accounts(&self, heartbeat: &Heartbeat, now: Instant) {
+        let process: ProcessId = heartbeat.process();
+        let mut guard = self.gateway.board.borrow_mut();
+        let board = &mut *guard;
+        if let Some(configuration) = board.configuration.clone() {
+            for (customer, total) in &heartbeat.admitted {
+                let known = configuration.customers.iter().find(|c| c.name == *customer);
+                if let Some(quota) = known.and_then(|c| c.quota) {
+                    board.quotas.hear(&process, customer, *total, quota, now);
+                }
+            }
+            for prefix in &heartbeat.prefixes {
+                let capacity = super::capacity::cache_tokens(board, &configuration, &prefix.2);
+                board.cache.note(&prefix.2, prefix.0, prefix.1, capacity, now);
+            }
+        }
+        for (window, counts) in &heartbeat.usage {
+            board.usage.hear(&process, *window, counts);
+        }
+        let corrected = board.clock.hear(&heartbeat.host, heartbeat.time, now);
+        drop(guard);
+        if let Some(correction_ms) = corrected {
+            self.gateway.log(&Event::Clock { correction_ms });
+        }
+    }
+
+    /// Notes since when another gateway is ahead.
+    fn follow(&mut self, heartbeat: &Heartbeat, now: Instant) {
+        let board = self.gateway.board.borrow();
+        if heartbeat.configuration > board.configuration_version() {
+            self.configuration_behind.get_or_insert(now);
+        }
+        if heartbeat.upstreams > board.upstreams_position {
+            self.upstreams_behind.get_or_insert(now);
+        }
+    }
+
+    /// Asks another gateway, and reads the store anew, if it stays ahead.
+    fn catch_up(&mut self, now: Instant) {
+        let board = self.gateway.board.borrow();
+        let newest_configuration =
+            board.heard(now, PEER_SILENCE).max_by_key(|p| p.last.configuration);
+        let newest_upstreams = board.heard(now, PEER_SILENCE).max_by_key(|p| p.last.upstreams);
+        let configuration_from = newest_configuration
+            .filter(|p| p.last.configuration > board.configuration_version())
+            .map(|p| p.last.peers);
+        let upstreams_from = newest_upstreams
+            .filter(|p| p.last.upstreams > board.upstreams_position)
+            .map(|p| p.last.peers);
+        drop(board);
+        if configuration_from.is_none() {
+            self.configuration_behind = None;
+        }
+        if upstreams_from.is_none() {
+            self.upstreams_behind = None;
+        }
+        let late = |since: Option<Instant>| {
+            since.is_some_and(|t| now.saturating_duration_since(t) >= BEHIND_LIMIT)
+        };
+        if self.asked.is_some_and(|t| now.saturating_duration_since(t) < BEHIND_LIMIT) {
+            return;
+        }
+        if let Some(from) = configuration_from {
+            // No wait here: a version that others apply must hold here, too.
+            self.asked = Some(now);
+            spawn_local(fetch_configuration(self.gateway.clone(), from));
+            self.gateway.resync(Table::Operator).notify_waiters();
+        }
+        if let Some(from) = upstreams_from.filter(|_| late(self.upstreams_behind)) {
+            self.asked = Some(now);
+            spawn_local(fetch_upstreams(self.gateway.clone(), from));
+            self.gateway.resync(Table::Upstreams).notify_waiters();
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
+        let old = |p: &PeerView| now.saturating_duration_since(p.heard) >= PEER_FORGOTTEN;
+        let gone: Vec<ProcessId> =
+            board.peers.iter().filter(|(_, p)| old(p)).map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            board.peers.remove(id);
+        }
+        let heard = board.heard(now, PEER_SILENCE).count();
+        drop(board);
+        for process in &gone {
+            self.gateway.log(&Event::Peer { process, state: "forgotten" });
+        }
+        self.gateway.metrics.peers.set(heard as i64);
+    }
+
+    fn send(&mut self, now: Instant) {
+        let heartbeat = self.compose(now);
+        let datagram = match heartbeat.encode() {
+            Ok(datagram) => datagram,
+            Err(e) => {
+                log::error!("the heartbeat cannot be encoded: {e}");
+                return;
+            }
+        };
+        self.beats = self.beats.wrapping_add(1);
+        for address in self.receivers(now) {
+            if let Err(e) = self.socket.try_send_to(&datagram, address) {
+                // The next one follows soon.
+                log::debug!("heartbeat to {address}: {e}");
+            }
+        }
+    }
+
+    /// Returns who gets this heartbeat: gateways that are heard, up to the fan
+    /// out, and at times those that are silent. The holder of the lease always
+    /// gets it, since it sums up usage and demand.
+    fn receivers(&self, now: Instant) -> Vec<SocketAddr> {
+        let board = self.gateway.board.borrow();
+        let heard: Vec<SocketAddr> =
+            board.heard(now, PEER_SILENCE).map(|p| p.last.heartbeats).collect();
+        let holder = board.heard(now, PEER_SILENCE).find(|p| p.last.lease.is_some());
+        let holder = holder.map(|p| p.last.heartbeats);
+        let mut chosen = sample(&heard, FAN_OUT);
+        if let Some(holder) = holder.filter(|h| !chosen.contains(h)) {
+            chosen.push(holder);
+        }
+        if heard.is_empty() || self.beats.is_multiple_of(SILENT_EVERY) {
+            let silent: Vec<SocketAddr> =
+                self.addresses.iter().filter(|a| !heard.contains(a)).copied().collect();
+            chosen.extend(sample(&silent, FAN_OUT));
+        }
+        chosen
+    }
+
+    fn compose(&self, now: Instant) -> Heartbeat {
+        let settings = self.gateway.settings.borrow();
+        let mut board = self.gateway.board.borrow_mut();
+        let mut usage = board.usage.of_process(&self.gateway.process);
+        usage.truncate(USAGE_WINDOWS);
+        Heartbeat {
+            host: settings.id.clone(),
+            incarnation: self.gateway.incarnation,
+            data_centre: settings.data_centre.clone(),
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
+            heartbeats: settings.listen.heartbeats,
+            phase: self.gateway.shutdown.phase(),
+            configuration: board.configuration_version(),
+            upstreams: board.upstreams_last_change,
+            time: board.clock.unix_millis(now),
+            lease: board.lease.may_act(now),
+            loads: board.own_loads(),
+            prefixes: std::mem::take(&mut board.sent_prefixes),
+            admitted: board.quotas.own_totals().map(|(c, n)| (c.clone(), n)).collect(),
+            usage,
+            demand: board.own_demand(now),
+        }
+    }
+}
+
+/// Returns at most `most` of the addresses, drawn at random.
+fn sample(addresses: &[SocketAddr], most: usize) -> Vec<SocketAddr> {
+    fastrand::choose_multiple(addresses.iter().copied(), most)
+}
+
+async fn fetch_configuration(gateway: Rc<Gateway>, from: SocketAddr) {
+    if let Some(document) = ask(from, "/peer/configuration").await {
+        gateway.tell(|c| call!([c.configuration], take(document, Source::Peer)));
+    }
+}
+
+async fn fetch_upstreams(gateway: Rc<Gateway>, from: SocketAddr) {
+    let Some(bytes) = ask(from, "/peer/upstreams").await else {
+        return;
+    };
+    match UpstreamSnapshot::decode(&bytes) {
+        Ok(snapshot) => gateway.tell(|c| call!([c.directory], copy(snapshot))),
+        Err(e) => log::error!("{from} told its upstreams unreadably: {e}"),
+    }
+}
+
+async fn ask(from: SocketAddr, path: &str) -> Option<Bytes> {
+    let asking = async {
+        let mut connection = connect(from, ASK_TIMEOUT).await.ok()?;
+        let request = json_request(Method::GET, path, &from.to_string(), Bytes::new());
+        let answer = connection.call(request).await.ok()?;
+        (answer.status == StatusCode::OK).then_some(answer.body)
+    };
+    let answer = timeout(ASK_TIMEOUT, asking).await.ok().flatten();
+    if answer.is_none() {
+        log::debug!("{from} did not answer {path}");
+    }
+    answer
+}
--- /dev/null
+++ b/src/gateway/controllers/watch.rs
@@ -0,0 +1,144 @@
+//! Tasks that read the platform's store and follow its changes.
+
+use std::{rc::Rc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use stakker::call;
+use tokio::time::{sleep, timeout};
+
+use super::{Controllers, Source};
+use crate::{
+    gateway::{context::Gateway, model::Revision},
+    platform::{Change, Feed, PlatformError, RowWrite, Snapshot, StoreRow, Table},
+    telemetry::count,
+};
+
+/// How long one call waits for changes. Each call is paid for; a shorter wait
+/// only finds a dead connection earlier, and the kernel's probes do that.
+const FEED_WAIT: Duration = Duration::from_secs(20);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Pause after changes of upstreams: they come in groups, and each call is
+/// paid for.
+const GROUP_PAUSE: Duration = Duration::from_millis(60);
+/// Key of the configuration's row.
+const CONFIGURATION_KEY: &str = "config";
+
+/// Follows the configuration.
+pub async fn watch_configuration(gateway: Rc<Gateway>) {
+    let take = |gateway: &Gateway, row: StoreRow| {
+        if row.key == CONFIGURATION_KEY {
+            let document = row.value.into();
+            gateway.tell(|c| call!([c.configuration], take(document, Source::Store)));
+        }
+    };
+    let on_snapshot = |gateway: &Gateway, snapshot: Snapshot| {
+        snapshot.rows.into_iter().for_each(|r| take(gateway, r))
+    };
+    let on_feed = |gateway: &Gateway, feed: Feed| {
+        for change in feed.changes {
+            if let Change::Written(row) = change {
+                take(gateway, row);
+            }
+        }
+    };
+    watch(&gateway, Table::Operator, Duration::ZERO, on_snapshot, on_feed).await;
+}
+
+/// Follows the upstreams.
+pub async fn watch_upstreams(gateway: Rc<Gateway>) {
+    let on_snapshot = |gateway: &Gateway, snapshot: Snapshot| {
+        gateway.tell(|c| call!([c.directory], snapshot(snapshot)))
+    };
+    let on_feed = |gateway: &Gateway, feed: Feed| {
+        let Feed { changes, revision } = feed;
+        gateway.tell(|c: &Controllers| call!([c.directory], changes(changes, revision)));
+    };
+    watch(&gateway, Table::Upstreams, GROUP_PAUSE, on_snapshot, on_feed).await;
+}
+
+async fn watch(
+    gateway: &Gateway,
+    table: Table,
+    group_pause: Duration,
+    on_snapshot: impl Fn(&Gateway, Snapshot),
+    on_feed: impl Fn(&Gateway, Feed),
+) {
+    let mut known: Revision = 0;
+    loop {
+        let Some(snapshot) = read(gateway, table, known).await else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        known = snapshot.revision;
+        on_snapshot(gateway, snapshot);
+        loop {
+            let behind = gateway.resync(table).notified();
+            let fed = tokio::select! {
+                fed = gateway.store.feed(table, known, FEED_WAIT) => fed,
+                () = behind => break,
+            };
+            note(gateway, "feed", fed.as_ref().err());
+            match fed {
+                Ok(feed) => {
+                    known = feed.revision;
+                    let changed = !feed.changes.is_empty();
+                    on_feed(gateway, feed);
+                    if changed {
+                        sleep(group_pause).await;
+                    }
+                }
+                Err(PlatformError::HistoryLost) => break,
+                Err(_) => sleep(PAUSE).await,
+            }
+        }
+    }
+}
+
+/// Reads a table. A store that has lost its history may answer from an older
+/// state than what is known; such an answer is of no use.
+async fn read(gateway: &Gateway, table: Table, known: Revision) -> Option<Snapshot> {
+    let read = gateway.store.snapshot(table).await;
+    note(gateway, "snapshot", read.as_ref().err());
+    read.ok().filter(|snapshot| snapshot.revision >= known)
+}
+
+fn note(gateway: &Gateway, call: &str, error: Option<&PlatformError>) {
+    let outcome = if error.is_some() { "failed" } else { "ok" };
+    count(&gateway.metrics.platform_calls, &format!("{call}_{outcome}"));
+    gateway.note_store(error);
+}
+
+/// Row by which gateways find each other.
+#[derive(Debug, Serialize, Deserialize)]
+struct MemberRow {
+    heartbeats: std::net::SocketAddr,
+}
+
+/// Writes this process's address to the store and reads those of the others,
+/// until both have succeeded once.
+pub async fn announce(gateway: Rc<Gateway>) {
+    let (host, heartbeats) = {
+        let settings = gateway.settings.borrow();
+        (settings.id.clone(), settings.listen.heartbeats)
+    };
+    let value = serde_json::to_vec(&MemberRow { heartbeats }).unwrap_or_default();
+    let row = RowWrite { table: Table::Members, key: host, value, expected: None };
+    while let Err(e) = gateway.store.write(std::slice::from_ref(&row)).await {
+        note(&gateway, "announce", Some(&e));
+        sleep(PAUSE).await;
+    }
+    loop {
+        let read = timeout(FEED_WAIT, gateway.store.snapshot(Table::Members)).await;
+        if let Ok(Ok(snapshot)) = read {
+            let rows = snapshot.rows.iter();
+            let addresses = rows
+                .filter_map(|row| serde_json::from_slice::<MemberRow>(&row.value).ok())
+                .map(|row| row.heartbeats)
+                .collect();
+            gateway.tell(|c| call!([c.peers], found(addresses)));
+            return;
+        }
+        sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/gateway/daemon.rs
@@ -0,0 +1,157 @@
+//! Start of the gateway.
+
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use stakker::{Stakker, call};
+use thiserror::Error;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    task::{LocalSet, spawn_local},
+};
+
+use super::{
+    board::Board,
+    context::Gateway,
+    controllers::{Controllers, announce, watch_configuration, watch_upstreams},
+    decide::TrueClock,
+    net::{Phase, serve},
+    peering::Heartbeat,
+    reactor,
+    request::{Door, DoorKind},
+    telemetry::{Event, Journal},
+};
+use crate::{settings::GatewaySettings, time::unix_millis};
+
+/// Largest heartbeat, in bytes.
+const DATAGRAM: usize = 64 << 10;
+/// Time for the last log lines before the process ends.
+const FLUSH: Duration = Duration::from_millis(20);
+
+/// Why the process could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The runtime or a signal handler could not start.
+    #[error("runtime: {0}")]
+    Runtime(io::Error),
+    /// A socket could not be opened.
+    #[error("{address}: {source}")]
+    Socket {
+        /// Address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Runs the process until it has left.
+///
+/// # Errors
+///
+/// Fails if a socket cannot be opened.
+pub fn run(settings: GatewaySettings) -> Result<(), StartError> {
+    let runtime =
+        Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
+    LocalSet::new().block_on(&runtime, start(settings))
+}
+
+async fn start(settings: GatewaySettings) -> Result<(), StartError> {
+    let listen = settings.listen;
+    let socket = bind_udp(listen.heartbeats).await?;
+    let incarnation = fastrand::u64(1..);
+    let clock = TrueClock::new(Instant::now(), unix_millis());
+    let process = format!("{}.{incarnation:x}", settings.id);
+    let journal = Journal::new(process, io::stdout());
+    let gateway = Rc::new(Gateway::new(settings, incarnation, Board::new(clock), journal));
+    for (address, kind) in [
+        (listen.callers, DoorKind::Callers),
+        (listen.directory, DoorKind::Directory),
+        (listen.readiness, DoorKind::Readiness),
+        (listen.peers, DoorKind::Peers),
+    ] {
+        let listener = bind_tcp(address).await?;
+        let door = Rc::new(Door { kind, gateway: gateway.clone() });
+        spawn_local(serve(listener, door, gateway.shutdown.clone()));
+    }
+    let mut stakker = Stakker::new(Instant::now());
+    let controllers = Rc::new(Controllers::start(&mut stakker, &gateway, socket.clone()));
+    gateway.set_controllers(controllers);
+    spawn_local(receive(gateway.clone(), socket));
+    spawn_local(watch_configuration(gateway.clone()));
+    spawn_local(watch_upstreams(gateway.clone()));
+    spawn_local(announce(gateway.clone()));
+    spawn_signals(&gateway)?;
+    gateway.log(&Event::Started { process: &gateway.process, version: env!("CARGO_PKG_VERSION") });
+    reactor::drive(stakker, gateway.wake.clone()).await;
+    gateway.log(&Event::Leaving {
+        phase: Phase::Closing,
+        in_progress: gateway.board.borrow().in_progress,
+    });
+    tokio::time::sleep(FLUSH).await;
+    Ok(())
+}
+
+async fn bind_tcp(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|source| StartError::Socket { address, source })
+}
+
+async fn bind_udp(address: SocketAddr) -> Result<Rc<UdpSocket>, StartError> {
+    let bound = UdpSocket::bind(address).await;
+    bound.map(Rc::new).map_err(|source| StartError::Socket { address, source })
+}
+
+/// Hands heartbeats to the controllers.
+async fn receive(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; DATAGRAM];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                // An earlier datagram met nobody; the next one may come.
+                log::debug!("heartbeats: {e}");
+                continue;
+            }
+        };
+        match Heartbeat::decode(&buf[..len]) {
+            Ok(heartbeat) => gateway.tell(|c| call!([c.peers], hear(heartbeat))),
+            Err(e) => log::warn!("unreadable heartbeat from {from}: {e}"),
+        }
+    }
+}
+
+fn spawn_signals(gateway: &Rc<Gateway>) -> Result<(), StartError> {
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let mut stop = signal(kind).map_err(StartError::Runtime)?;
+        let gateway = gateway.clone();
+        spawn_local(async move {
+            while stop.recv().await.is_some() {
+                gateway.tell(|c| call!([c.leaving], leave()));
+            }
+        });
+    }
+    let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Runtime)?;
+    let gateway = gateway.clone();
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            reload(&gateway);
+        }
+    });
+    Ok(())
+}
+
+/// Reads the settings again. Addresses stay as they are until the next start.
+fn reload(gateway: &Gateway) {
+    let loaded = GatewaySettings::load(&gateway.settings.borrow().file);
+    let usable = loaded.is_ok();
+    match loaded {
+        Ok(settings) => gateway.settings.borrow_mut().bounds = settings.bounds,
+        Err(e) => log::error!("the settings stay as they were: {e}"),
+    }
+    gateway.log(&Event::Reloaded { usable });
+}
--- /dev/null
+++ b/src/gateway/decide/engine.rs
@@ -0,0 +1,68 @@
+//! Choice of an upstream by predicted time to the first token.
+
+use std::time::Duration;
+
+/// Cost of one recent failure, in seconds of delay: about what a failed
+/// attempt costs its caller.
+const FAILURE_COST: f64 = 0.4;
+/// Delay that each running request adds to those beside it, in seconds:
+/// a larger batch makes every step longer.
+const BATCH_COST: f64 = 0.002;
+/// Delay of a request that finds all slots taken, in seconds for each request
+/// ahead of it: a slot becomes free when one of some sixty runs ends.
+const FULL_COST: f64 = 0.03;
+/// Delay between data centres and price of their traffic, in seconds.
+const REMOTE_COST: f64 = 0.002;
+/// Largest part of the cost that is left to chance, in seconds, so that
+/// processes with the same view do not all choose the same upstream.
+const JITTER: f64 = 0.004;
+
+/// How fast the engines of a service are.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSpeed {
+    /// Prompt tokens read in a second.
+    pub prefill: f64,
+}
+
+/// An upstream that could run the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Requests running or waiting there, sent by any process.
+    pub running: f64,
+    /// Prompt tokens sent there by any process that are not read yet.
+    pub pending_tokens: f64,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Prompt tokens of this request that it would have to read.
+    pub missing_tokens: f64,
+    /// How much longer its answers take than predicted; 1 is as predicted.
+    pub slowness: f64,
+    /// Failures of late.
+    pub failures: f64,
+    /// Whether it is in another data centre.
+    pub remote: bool,
+    /// From 0 to 1, drawn for this choice.
+    pub chance: f64,
+}
+
+/// Returns the predicted time until the upstream begins to answer.
+pub fn predicted_wait(c: &Candidate, speed: EngineSpeed) -> Duration {
+    Duration::from_secs_f64(wait_seconds(c, speed))
+}
+
+fn wait_seconds(c: &Candidate, speed: EngineSpeed) -> f64 {
+    let reading = (c.pending_tokens + c.missing_tokens).max(0.0) / speed.prefill;
+    let over = (c.running + 1.0 - f64::from(c.slots.max(1))).max(0.0);
+    (reading + c.running.max(0.0) * BATCH_COST + over * FULL_COST) * c.slowness
+}
+
+fn cost(c: &Candidate, speed: EngineSpeed) -> f64 {
+    let remote = if c.remote { REMOTE_COST } else { 0.0 };
+    wait_seconds(c, speed) + c.failures * FAILURE_COST + remote + c.chance * JITTER
+}
+
+/// Returns the index of the best candidate; `None` if there is none.
+pub fn choose_engine(candidates: &[Candidate], speed: EngineSpeed) -> Option<usize> {
+    let costs = candidates.iter().map(|c| cost(c, speed)).enumerate();
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(i, _)| i)
+}
--- /dev/null
+++ b/src/gateway/model/mod.rs
@@ -0,0 +1,16 @@
+//! What the gateway knows: configuration and upstreams, in the project's own words.
+
+mod configuration;
+mod upstream;
+
+pub use configuration::{
+    CallerLimits, Configuration, Customer, EngineKind, Quota, RequestKind, Route, Scaling, Service,
+};
+pub use upstream::{Upstream, UpstreamPhase};
+
+/// Name of a service.
+pub type ServiceName = String;
+/// Name of a customer, passed on to upstreams.
+pub type CustomerName = String;
+/// Revision of a table in the platform's store; a higher one is newer.
+pub type Revision = u64;
--- /dev/null
+++ b/src/gateway/net/mod.rs
@@ -0,0 +1,12 @@
+//! Sockets: HTTP connections, the pool of connections to upstreams, and the
+//! server for callers.
+
+mod connect;
+mod pool;
+mod server;
+mod shutdown;
+
+pub use connect::{Answer, ConnectError, HttpConnection, RequestBody, connect, json_request};
+pub use pool::{Lease, Pool, PoolError};
+pub use server::{AnswerBody, BodyError, Service, full_body, serve};
+pub use shutdown::{Phase, Shutdown};
--- /dev/null
+++ b/src/gateway/peering/heartbeat.rs
@@ -0,0 +1,126 @@
+//! The datagram that gateways send each other several times a second.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{
+    gateway::{
+        decide::{Counts, Window},
+        model::{CustomerName, Revision, ServiceName},
+        net::Phase,
+    },
+    ids::{DataCentre, Incarnation, UpstreamId},
+    prefix::Fingerprint,
+    time::UnixMillis,
+};
+
+/// Name of a process: its host and a number drawn at its start.
+pub type ProcessId = String;
+
+/// Load that one process puts on an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport(
+    /// The upstream.
+    pub UpstreamId,
+    /// Requests that it runs for this process.
+    pub u32,
+    /// Prompt tokens that it has yet to read for this process.
+    pub u32,
+);
+
+/// A shared prompt prefix that was sent to an engine of late.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixReport(
+    /// Fingerprint of the prefix.
+    pub Fingerprint,
+    /// Tokens of the prefix.
+    pub u32,
+    /// The engine.
+    pub UpstreamId,
+);
+
+/// Load that callers bring to one process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Service.
+    pub service: ServiceName,
+    /// Prompt tokens a second that engines have to read.
+    pub prompt_rate: f32,
+}
+
+/// What a process tells the others.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Name of the host.
+    pub host: String,
+    /// Number drawn at the start of the process.
+    pub incarnation: Incarnation,
+    /// Data centre of the host.
+    pub data_centre: DataCentre,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other gateways' questions.
+    pub peers: SocketAddr,
+    /// Address for heartbeats.
+    pub heartbeats: SocketAddr,
+    /// How far it has got with leaving.
+    pub phase: Phase,
+    /// Version of its configuration; 0 if it has none.
+    pub configuration: u64,
+    /// Revision of the newest change of an upstream that it knows.
+    pub upstreams: Revision,
+    /// Its time of day.
+    pub time: UnixMillis,
+    /// Fencing number of the lease that it holds.
+    pub lease: Option<u64>,
+    /// Load that it puts on upstreams.
+    pub loads: Vec<LoadReport>,
+    /// Shared prefixes that it sent since the heartbeat before.
+    pub prefixes: Vec<PrefixReport>,
+    /// Tokens that it admitted since its start, by customer.
+    pub admitted: Vec<(CustomerName, i64)>,
+    /// Requests that began, in the newest windows.
+    pub usage: Vec<(Window, Counts)>,
+    /// Load that its callers bring.
+    pub demand: Vec<Demand>,
+}
+
+/// Why a datagram is not a heartbeat.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// It cannot be written.
+    #[error("{0}")]
+    Encode(#[from] ciborium::ser::Error<std::io::Error>),
+    /// It cannot be read.
+    #[error("{0}")]
+    Decode(#[from] ciborium::de::Error<std::io::Error>),
+}
+
+impl Heartbeat {
+    /// Returns the name of the sending process.
+    pub fn process(&self) -> ProcessId {
+        format!("{}.{:x}", self.host, self.incarnation)
+    }
+
+    /// Encodes the heartbeat as CBOR.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, WireError> {
+        let mut buf = Vec::with_capacity(512);
+        ciborium::into_writer(self, &mut buf)?;
+        Ok(buf)
+    }
+
+    /// Decodes a heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the datagram is not a heartbeat.
+    pub fn decode(datagram: &[u8]) -> Result<Self, WireError> {
+        Ok(ciborium::from_reader(datagram)?)
+    }
+}
--- /dev/null
+++ b/src/gateway/peering/mod.rs
@@ -0,0 +1,7 @@
+//! What gateways tell each other.
+
+mod heartbeat;
+mod snapshot;
+
+pub use heartbeat::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, WireError};
+pub use snapshot::UpstreamSnapshot;
--- /dev/null
+++ b/src/gateway/request/admit.rs
@@ -0,0 +1,103 @@
+//! Admission: which route, which customer, within which quota.
+
+use std::{rc::Rc, time::Instant};
+
+use super::Refusal;
+use crate::{
+    gateway::{
+        board::Board,
+        context::Gateway,
+        model::{Configuration, Customer, CustomerName, Route, ServiceName},
+    },
+    platform::RequestHead,
+};
+
+/// A request that may go to an upstream.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// Configuration under which it was admitted.
+    pub configuration: Rc<Configuration>,
+    /// Its route.
+    pub route: Route,
+    /// The customer, unless the route is open.
+    pub customer: Option<CustomerName>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Service that runs it.
+    pub service: ServiceName,
+    /// What it took from the customer's quota.
+    pub tokens: u64,
+}
+
+/// Admits a request, and takes its tokens from the customer's quota.
+///
+/// # Errors
+///
+/// Fails with the refusal that the caller gets.
+pub fn admit(gateway: &Gateway, head: &RequestHead, now: Instant) -> Result<Admitted, Refusal> {
+    let mut board = gateway.board.borrow_mut();
+    let configuration = board.configuration.clone().ok_or(Refusal::NoConfiguration)?;
+    // A refusal for good needs the newest configuration that anybody knows.
+    let behind = board.configuration_is_behind(now);
+    let for_good = |refusal| if behind { Refusal::NoConfiguration } else { refusal };
+    let route = configuration.route(&head.host, &head.path);
+    let route = route.ok_or_else(|| for_good(Refusal::NoRoute))?.clone();
+    let customer = customer(&configuration, &route, head.key.as_deref()).map_err(for_good)?;
+    let tokens = customer.map_or(0, |c| tokens(c, head));
+    if let Some(customer) = customer {
+        take_quota(&mut board, customer, tokens, now)?;
+    }
+    drop(board);
+    let service = draw_service(&route).ok_or(Refusal::NoRoom)?;
+    let priority = customer.and_then(|c| c.priority).unwrap_or(route.priority);
+    let customer = customer.map(|c| c.name.clone());
+    Ok(Admitted { route, customer, priority, service, tokens, configuration })
+}
+
+fn customer<'a>(
+    configuration: &'a Configuration,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<&'a Customer>, Refusal> {
+    if route.open || !configuration.needs_keys() {
+        return Ok(None);
+    }
+    let customer = key.and_then(|key| configuration.customer(key));
+    customer.map(Some).ok_or(Refusal::UnknownKey)
+}
+
+fn tokens(customer: &Customer, head: &RequestHead) -> u64 {
+    head.prompt
+        .as_ref()
+        .map_or(customer.plain_tokens, |p| u64::from(p.tokens) + u64::from(p.max_output))
+}
+
+fn take_quota(
+    board: &mut Board,
+    customer: &Customer,
+    tokens: u64,
+    now: Instant,
+) -> Result<(), Refusal> {
+    let Some(quota) = customer.quota else {
+        return Ok(());
+    };
+    let share = board.quota_share(now);
+    let taken = board.quotas.take(&customer.name, quota, tokens, share, now);
+    taken.map_err(Refusal::QuotaUsedUp)
+}
+
+/// Draws one of the route's services by weight.
+fn draw_service(route: &Route) -> Option<ServiceName> {
+    let total: u32 = route.targets.iter().map(|(_, weight)| weight).sum();
+    if total == 0 {
+        return route.targets.first().map(|(service, _)| service.clone());
+    }
+    let mut drawn = fastrand::u32(..total);
+    for (service, weight) in &route.targets {
+        if drawn < *weight {
+            return Some(service.clone());
+        }
+        drawn -= weight;
+    }
+    None
+}
--- /dev/null
+++ b/src/gateway/request/doors.rs
@@ -0,0 +1,148 @@
+//! What the process answers on each of its addresses.
+
+use std::{net::SocketAddr, rc::Rc, time::Instant};
+
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+
+use super::forward::forward;
+use crate::{
+    gateway::{
+        board::UpstreamView,
+        context::Gateway,
+        net::{AnswerBody, Phase, Service, full_body},
+        peering::UpstreamSnapshot,
+    },
+    platform::{decode_lookup, encode_addresses, is_ready_probe},
+};
+
+/// Seconds for which callers keep the addresses that they are told. A shorter
+/// time would only bring more questions: callers drop addresses that fail.
+const KEEP_SECONDS: u64 = 2;
+/// Addresses that one answer names at most; callers use no more.
+const MOST_ADDRESSES: usize = 64;
+
+/// Which address a request came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DoorKind {
+    /// Callers' requests.
+    Callers,
+    /// Callers' questions which addresses to use.
+    Directory,
+    /// The platform's question whether the process is ready.
+    Readiness,
+    /// Other gateways, metrics and status.
+    Peers,
+}
+
+/// Answers what comes to one address.
+#[derive(Debug)]
+pub struct Door {
+    /// Which.
+    pub kind: DoorKind,
+    /// Context.
+    pub gateway: Rc<Gateway>,
+}
+
+impl Service for Door {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        match self.kind {
+            DoorKind::Callers => forward(self.gateway.clone(), request).await,
+            DoorKind::Directory => directory(&self.gateway, &request),
+            DoorKind::Readiness => readiness(&self.gateway, &request),
+            DoorKind::Peers => peers(&self.gateway, &request),
+        }
+    }
+}
+
+fn with_status(status: StatusCode, body: impl Into<bytes::Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(full_body(body));
+    *response.status_mut() = status;
+    response
+}
+
+fn with_type(body: impl Into<bytes::Bytes>, kind: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(full_body(body));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+fn directory(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if decode_lookup(request.method(), request.uri()).is_none() {
+        return with_status(StatusCode::NOT_FOUND, "no such question\n");
+    }
+    let addresses = addresses(gateway, Instant::now());
+    if addresses.is_empty() {
+        return with_status(StatusCode::SERVICE_UNAVAILABLE, "nobody serves\n");
+    }
+    let longest = gateway.settings.borrow().bounds.directory_ttl.as_secs();
+    with_type(encode_addresses(&addresses, KEEP_SECONDS.min(longest)), "application/json")
+}
+
+/// Returns the gateways that callers may use. A process that hears nobody
+/// names itself.
+fn addresses(gateway: &Gateway, now: Instant) -> Vec<SocketAddr> {
+    let board = gateway.board.borrow();
+    let mut addresses: Vec<SocketAddr> = board.serving_peers(now).map(|p| p.last.callers).collect();
+    if gateway.shutdown.phase() == Phase::Serving && board.configuration.is_some() {
+        addresses.push(gateway.settings.borrow().listen.callers);
+    }
+    fastrand::shuffle(&mut addresses);
+    addresses.truncate(MOST_ADDRESSES);
+    addresses
+}
+
+fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if !is_ready_probe(request.method(), request.uri()) {
+        return with_status(StatusCode::NOT_FOUND, "no such question\n");
+    }
+    match gateway.is_ready() {
+        true => with_status(StatusCode::OK, "ready\n"),
+        false => with_status(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
+
+fn peers(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    match request.uri().path() {
+        "/peer/configuration" => {
+            let document = gateway.board.borrow().document.clone();
+            match document.is_empty() {
+                true => with_status(StatusCode::NOT_FOUND, "no configuration yet\n"),
+                false => with_type(document, "application/json"),
+            }
+        }
+        "/peer/upstreams" => upstreams(gateway),
+        "/metrics" => match gateway.metrics.text() {
+            Ok(text) => {
+                with_type(text, "application/openmetrics-text; version=1.0.0; charset=utf-8")
+            }
+            Err(e) => {
+                log::error!("the metrics cannot be written: {e}");
+                with_status(StatusCode::INTERNAL_SERVER_ERROR, "unwritable\n")
+            }
+        },
+        _ => with_status(StatusCode::NOT_FOUND, "no such question\n"),
+    }
+}
+
+fn upstreams(gateway: &Gateway) -> Response<AnswerBody> {
+    let board = gateway.board.borrow();
+    // A row that is missing may be back soon; whoever copies the list decides
+    // that for itself.
+    let present = |v: &&UpstreamView| v.missing_since.is_none();
+    let snapshot = UpstreamSnapshot {
+        position: board.upstreams_position,
+        last_change: board.upstreams_last_change,
+        upstreams: board.upstreams.values().filter(present).map(|v| v.upstream.clone()).collect(),
+    };
+    match snapshot.encode() {
+        Ok(bytes) => with_type(bytes, "application/cbor"),
+        Err(e) => {
+            log::error!("the upstreams cannot be encoded: {e}");
+            with_status(StatusCode::INTERNAL_SERVER_ERROR, "unwritable\n")
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/request/forward.rs
@@ -0,0 +1,451 @@
+//! A request on its way: attempts until one brings an answer.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
+use tokio::time::timeout_at;
+
+use super::{
+    Admitted, Refusal, admit,
+    attempt::{AttemptEnd, Outgoing, attempt},
+    in_flight::InProgress,
+    relay::relay,
+    select::{Selected, select},
+};
+use crate::{
+    gateway::{
+        context::Gateway,
+        decide::{RetryTerms, Verdict},
+        model::RequestKind,
+        net::{AnswerBody, Lease, Phase, full_body},
+        telemetry::{Event, RequestLabels},
+    },
+    ids::UpstreamId,
+    platform::{self, RequestHead},
+    telemetry::{Labels, count},
+};
+
+/// Patience of a caller that names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// Upstreams that one request is sent to at most, those included that did not
+/// run it.
+const MAX_SENDS: usize = 5;
+/// Time taken off the caller's patience for the way back.
+const WAY_BACK: Duration = Duration::from_millis(10);
+/// Largest answer that is read whole before it is passed on, in bytes.
+const MAX_WHOLE_ANSWER: usize = 8 << 20;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer was passed on.
+    Completed,
+    /// The upstream answered with a failure of its own, which was passed on.
+    UpstreamFailure,
+    /// The caller left.
+    CallerLeft,
+    /// The time was over in the middle of the answer.
+    TimeOver,
+    /// The upstream broke off in the middle of the answer.
+    BrokenOff,
+}
+
+impl Outcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::UpstreamFailure => "upstream_failure",
+            Self::CallerLeft => "caller_left",
+            Self::TimeOver => "time_over_midway",
+            Self::BrokenOff => "broken_off_midway",
+        }
+    }
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Forwarding {
+    /// Context.
+    pub gateway: Rc<Gateway>,
+    /// What is sent.
+    pub outgoing: Outgoing,
+    /// Terms on which it was admitted.
+    pub admitted: Admitted,
+    /// When the answer must have ended.
+    pub deadline: Instant,
+    arrived: Instant,
+    tried: Vec<UpstreamId>,
+    runs: u32,
+    _in_progress: InProgress,
+}
+
+/// Answers a caller's request.
+pub async fn forward(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    let leaving = gateway.shutdown.phase() > Phase::Serving;
+    let in_progress = InProgress::begin(&gateway);
+    let mut response = answer(&gateway, request, arrived, in_progress).await;
+    if leaving || gateway.shutdown.phase() > Phase::Serving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    arrived: Instant,
+    in_progress: InProgress,
+) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    let head = platform::decode_head(&parts);
+    if gateway.shutdown.phase() > Phase::Leaving {
+        return refuse(gateway, &head, None, Refusal::Leaving, arrived);
+    }
+    let admitted = match admit(gateway, &head, arrived) {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(gateway, &head, None, refusal, arrived),
+    };
+    let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
+    let patience = patience.saturating_sub(WAY_BACK).min(admitted.route.timeout);
+    let deadline = arrived + patience;
+    let limit = admitted.configuration.limits.body_bytes;
+    let read = timeout_at(deadline.into(), read_body(body, limit)).await;
+    let body = match read.unwrap_or(Err(Refusal::TimeOverNotRun)) {
+        Ok(body) => body,
+        Err(refusal) => {
+            give_back(gateway, &admitted);
+            return refuse(gateway, &head, Some(&admitted), refusal, arrived);
+        }
+    };
+    let outgoing = Outgoing::new(parts, head, body);
+    let mut forwarding = Forwarding {
+        gateway: gateway.clone(),
+        outgoing,
+        admitted,
+        deadline,
+        arrived,
+        tried: Vec::new(),
+        runs: 0,
+        _in_progress: in_progress,
+    };
+    forwarding.count_request();
+    let tried = timeout_at(deadline.into(), forwarding.first_answer()).await;
+    match tried {
+        Ok(Ok(Reply::Stream(response, lease, selected))) => {
+            relay(forwarding, response, lease, *selected)
+        }
+        Ok(Ok(Reply::Whole(response))) => {
+            let outcome = match response.status().is_success() {
+                true => Outcome::Completed,
+                false => Outcome::UpstreamFailure,
+            };
+            forwarding.answered(response.status(), outcome, Some(Instant::now()));
+            response
+        }
+        Ok(Err(refusal)) => forwarding.refused(refusal),
+        Err(_) => {
+            let not_run = forwarding.runs == 0;
+            forwarding.refused(if not_run { Refusal::TimeOverNotRun } else { Refusal::TimeOver })
+        }
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Err(_) => Err(Refusal::BodyIncomplete),
+    }
+}
+
+fn give_back(gateway: &Gateway, admitted: &Admitted) {
+    if let Some(customer) = &admitted.customer {
+        gateway.board.borrow_mut().quotas.give_back(customer, admitted.tokens);
+    }
+}
+
+/// Logs and returns an answer of this system's own.
+fn refuse(
+    gateway: &Gateway,
+    head: &RequestHead,
+    admitted: Option<&Admitted>,
+    refusal: Refusal,
+    arrived: Instant,
+) -> Response<AnswerBody> {
+    let took_ms = arrived.elapsed().as_millis() as u64;
+    gateway.log(&Event::Answered {
+        request: &head.id,
+        route: admitted.map_or("", |a| &a.route.name),
+        customer: admitted.and_then(|a| a.customer.as_deref()).unwrap_or_default(),
+        status: refusal.status().as_u16(),
+        outcome: refusal.cause(),
+        took_ms,
+        first_ms: took_ms,
+        configuration: gateway.board.borrow().configuration_version(),
+    });
+    let class = admitted.map_or_else(|| "unknown".to_owned(), class);
+    let labels = RequestLabels { class, outcome: refusal.cause().to_owned() };
+    gateway.metrics.requests.get_or_create(&labels).inc();
+    refusal.response()
+}
+
+/// Returns the class of a request for metrics: the kind and rank of its route.
+fn class(admitted: &Admitted) -> String {
+    let kind = match admitted.route.kind {
+        RequestKind::Safe => "safe",
+        RequestKind::Unsafe => "unsafe",
+        RequestKind::Streaming => "streaming",
+    };
+    format!("{kind}_{}", admitted.route.priority)
+}
+
+/// What the first upstream that answers gives.
+enum Reply {
+    /// A stream, to be passed on as it comes.
+    Stream(Response<Incoming>, Lease, Box<Selected>),
+    /// An answer that was read whole.
+    Whole(Response<AnswerBody>),
+}
+
+impl Forwarding {
+    async fn first_answer(&mut self) -> Result<Reply, Refusal> {
+        loop {
+            let Some(selected) = self.select() else {
+                return Err(self.give_up());
+            };
+            // Until the outcome is known it may have run.
+            self.runs += 1;
+            let end = attempt(
+                &self.gateway,
+                &self.outgoing,
+                &self.admitted,
+                &selected,
+                None,
+                self.deadline,
+            )
+            .await;
+            match end {
+                AttemptEnd::Answer(response, lease) => {
+                    if let Some(reply) = self.take_answer(response, lease, selected).await? {
+                        return Ok(reply);
+                    }
+                }
+                AttemptEnd::Unsent(cause) => {
+                    self.runs -= 1;
+                    if cause == "unreachable" {
+                        self.verdict(&selected.id, Verdict::Unreachable);
+                    }
+                    self.not_run(&selected.id, cause);
+                }
+                AttemptEnd::NotExecuted(status) => {
+                    self.runs -= 1;
+                    if status == StatusCode::MISDIRECTED_REQUEST {
+                        self.verdict(&selected.id, Verdict::Unreachable);
+                    }
+                    if !self.may_send_again(&selected.id, "not_executed") {
+                        return Err(self.give_up());
+                    }
+                }
+                AttemptEnd::Broken(cause) => {
+                    self.verdict(&selected.id, Verdict::Failed);
+                    if !self.may_run_again(&selected.id, cause) {
+                        return Err(Refusal::Broken);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes an answer; `None` if another attempt should be made.
+    async fn take_answer(
+        &mut self,
+        response: Response<Incoming>,
+        lease: Lease,
+        selected: Selected,
+    ) -> Result<Option<Reply>, Refusal> {
+        let streaming = self.admitted.route.kind == RequestKind::Streaming;
+        if streaming && response.status().is_success() {
+            return Ok(Some(Reply::Stream(response, lease, Box::new(selected))));
+        }
+        let (mut parts, body) = response.into_parts();
+        let read = Limited::new(body, MAX_WHOLE_ANSWER).collect().await;
+        let Ok(body) = read else {
+            self.verdict(&selected.id, Verdict::Failed);
+            if self.may_run_again(&selected.id, "answer_incomplete") {
+                return Ok(None);
+            }
+            return Err(Refusal::Broken);
+        };
+        let now = Instant::now();
+        if !platform::closes(&parts.headers) {
+            lease.give_back(platform::keep_alive(&parts.headers));
+        }
+        if parts.status.is_server_error() {
+            self.verdict(&selected.id, Verdict::Failed);
+            if self.may_run_again(&selected.id, "upstream_failure") {
+                return Ok(None);
+            }
+        } else {
+            self.verdict(&selected.id, Verdict::Good);
+        }
+        self.count_usage(now);
+        platform::strip_hop_headers(&mut parts.headers);
+        Ok(Some(Reply::Whole(Response::from_parts(parts, full_body(body.to_bytes())))))
+    }
+
+    /// Chooses the next upstream and logs the choice.
+    pub fn select(&mut self) -> Option<Selected> {
+        if self.tried.len() >= MAX_SENDS {
+            return None;
+        }
+        let prompt = self.outgoing.head.prompt.as_ref();
+        let now = Instant::now();
+        let selected = select(&self.gateway, &self.admitted, prompt, &self.tried, now)?;
+        self.tried.push(selected.id.clone());
+        self.gateway.log(&Event::Attempt {
+            request: &self.outgoing.head.id,
+            route: &self.admitted.route.name,
+            upstream: &selected.id,
+            attempt: self.tried.len() as u32,
+            candidates: selected.candidates,
+            predicted_ms: selected.predicted.as_millis() as u64,
+            running: selected.candidate.running,
+            pending_tokens: selected.candidate.pending_tokens,
+            configuration: self.admitted.configuration.version,
+            upstreams: selected.revision,
+        });
+        Some(selected)
+    }
+
+    /// Returns the refusal for a request that nobody took.
+    fn give_up(&self) -> Refusal {
+        if self.runs == 0 { Refusal::NoRoom } else { Refusal::Broken }
+    }
+
+    /// Returns whether a request that may have run may run again, and takes it
+    /// from the budget of second attempts.
+    pub fn may_run_again(&mut self, upstream: &str, cause: &'static str) -> bool {
+        let route = &self.admitted.route;
+        let allowed = route.repeatable() && self.runs < route.max_attempts && self.take_retry();
+        self.log_failed(upstream, cause, true, allowed);
+        allowed
+    }
+
+    /// Returns whether a request that did not run may be sent once more, and
+    /// takes it from the budget of second attempts.
+    pub fn may_send_again(&mut self, upstream: &str, cause: &'static str) -> bool {
+        let allowed = self.take_retry();
+        self.log_failed(upstream, cause, false, allowed);
+        allowed
+    }
+
+    /// Notes that nothing reached the upstream.
+    pub fn not_run(&mut self, upstream: &str, cause: &'static str) {
+        self.log_failed(upstream, cause, false, true);
+    }
+
+    fn take_retry(&self) -> bool {
+        let terms = self.retry_terms();
+        let mut board = self.gateway.board.borrow_mut();
+        let processes = 1 + board.peers.len();
+        board.retries.take(&self.admitted.service, terms, processes, Instant::now())
+    }
+
+    fn retry_terms(&self) -> RetryTerms {
+        let bounds = self.gateway.settings.borrow().bounds;
+        RetryTerms {
+            ratio: bounds.retry_ratio,
+            surplus: bounds.retry_surplus,
+            window: bounds.retry_window,
+        }
+    }
+
+    fn count_request(&self) {
+        let terms = self.retry_terms();
+        let mut board = self.gateway.board.borrow_mut();
+        board.retries.request(&self.admitted.service, terms, Instant::now());
+    }
+
+    fn log_failed(&self, upstream: &str, cause: &'static str, may_have_run: bool, again: bool) {
+        count(&self.gateway.metrics.failed_attempts, cause);
+        self.gateway.log(&Event::AttemptFailed {
+            request: &self.outgoing.head.id,
+            upstream,
+            cause,
+            may_have_run,
+            next: if again { "again" } else { "give_up" },
+        });
+    }
+
+    /// Notes how an upstream did.
+    pub fn verdict(&self, upstream: &str, verdict: Verdict) {
+        let mut board = self.gateway.board.borrow_mut();
+        if let Some(view) = board.upstreams.get_mut(upstream) {
+            view.breaker.record(verdict, Instant::now());
+        }
+    }
+
+    /// Notes how long the first token took against the prediction.
+    pub fn first_token(&self, selected: &Selected, now: Instant) {
+        let took = now.saturating_duration_since(self.arrived);
+        // Short times tell of the way and not of the engine.
+        let expected = selected.predicted.max(Duration::from_millis(80));
+        let mut board = self.gateway.board.borrow_mut();
+        if let Some(view) = board.upstreams.get_mut(&selected.id) {
+            view.breaker.record_time(took, expected);
+        }
+    }
+
+    /// Counts a request that began to run.
+    pub fn count_usage(&self, now: Instant) {
+        let Some(customer) = &self.admitted.customer else {
+            return;
+        };
+        let length = self.gateway.settings.borrow().bounds.usage_window.as_millis().max(1) as u64;
+        let mut board = self.gateway.board.borrow_mut();
+        let window = board.clock.unix_millis(now) / length;
+        board.usage.count(&self.gateway.process, window, customer);
+    }
+
+    /// Logs and counts an answer that was passed on.
+    pub fn answered(&self, status: StatusCode, outcome: Outcome, first: Option<Instant>) {
+        let took_ms = self.arrived.elapsed().as_millis() as u64;
+        let to_first = first.map(|t| t.saturating_duration_since(self.arrived));
+        self.gateway.log(&Event::Answered {
+            request: &self.outgoing.head.id,
+            route: &self.admitted.route.name,
+            customer: self.admitted.customer.as_deref().unwrap_or_default(),
+            status: status.as_u16(),
+            outcome: outcome.name(),
+            took_ms,
+            first_ms: to_first.map_or(took_ms, |t| t.as_millis() as u64),
+            configuration: self.admitted.configuration.version,
+        });
+        let class = class(&self.admitted);
+        if let Some(time) = to_first {
+            let labels = Labels { cause: class.clone() };
+            let histogram = self.gateway.metrics.first_byte.get_or_create(&labels);
+            histogram.observe(time.as_secs_f64());
+        }
+        let labels = RequestLabels { class, outcome: outcome.name().to_owned() };
+        self.gateway.metrics.requests.get_or_create(&labels).inc();
+    }
+
+    fn refused(&self, refusal: Refusal) -> Response<AnswerBody> {
+        if self.runs == 0 {
+            give_back(&self.gateway, &self.admitted);
+        }
+        let head = &self.outgoing.head;
+        refuse(&self.gateway, head, Some(&self.admitted), refusal, self.arrived)
+    }
+}
--- /dev/null
+++ b/src/gateway/request/mod.rs
@@ -0,0 +1,19 @@
+//! The way of a request: admission, attempts at upstreams, the answer.
+
+mod admit;
+mod attempt;
+mod doors;
+mod events;
+mod forward;
+mod in_flight;
+mod refusal;
+mod relay;
+mod select;
+
+pub use admit::{Admitted, admit};
+pub use doors::{Door, DoorKind};
+pub use events::EventSplitter;
+pub use refusal::Refusal;
+
+/// Prompt tokens that an engine reads in a second; the operators' figure.
+pub const PREFILL_TOKENS_PER_SECOND: f64 = 50_700.0;
--- /dev/null
+++ b/src/gateway/request/relay.rs
@@ -0,0 +1,235 @@
+//! Passes a stream on as it comes, and lets it go on at another upstream where
+//! the route allows.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Response,
+    body::{Body, Frame, Incoming},
+};
+use tokio::{
+    sync::mpsc::{Receiver, Sender, channel},
+    task::spawn_local,
+    time::sleep_until,
+};
+
+use super::{
+    EventSplitter,
+    attempt::{AttemptEnd, attempt},
+    forward::{Forwarding, Outcome},
+    select::Selected,
+};
+use crate::{
+    gateway::{
+        decide::Verdict,
+        net::{AnswerBody, BodyError, Lease},
+    },
+    platform,
+};
+
+/// Frames that wait for a slow caller: a stall of the caller then holds up the
+/// upstream and not this process's memory.
+const QUEUE: usize = 16;
+
+/// Body of an answer that is passed on as it comes.
+struct RelayBody {
+    rx: Receiver<Result<Bytes, BodyError>>,
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.rx.poll_recv(cx).map(|next| next.map(|bytes| bytes.map(Frame::data)))
+    }
+}
+
+/// Starts to pass on an answer; returns what the caller gets.
+pub fn relay(
+    forwarding: Forwarding,
+    response: Response<Incoming>,
+    lease: Lease,
+    selected: Selected,
+) -> Response<AnswerBody> {
+    let (mut parts, body) = response.into_parts();
+    let run = Run::new(&parts.headers, body, lease, selected);
+    platform::strip_hop_headers(&mut parts.headers);
+    let (tx, rx) = channel(QUEUE);
+    spawn_local(async move {
+        let mut relay = Relay { forwarding, tx, events: EventSplitter::default(), first: None };
+        let outcome = relay.pass_on(run).await;
+        relay.forwarding.answered(parts.status, outcome, relay.first);
+    });
+    Response::from_parts(parts, RelayBody { rx }.boxed_unsync())
+}
+
+/// A run at an upstream whose answer is being read.
+struct Run {
+    body: Incoming,
+    lease: Lease,
+    selected: Selected,
+    keep_alive: Option<std::time::Duration>,
+    closes: bool,
+}
+
+impl Run {
+    fn new(headers: &hyper::HeaderMap, body: Incoming, lease: Lease, selected: Selected) -> Self {
+        let (keep_alive, closes) = (platform::keep_alive(headers), platform::closes(headers));
+        Self { body, lease, selected, keep_alive, closes }
+    }
+}
+
+/// How reading a run ended.
+enum RunEnd {
+    Complete,
+    Broken,
+    TimeOver,
+    CallerLeft,
+}
+
+struct Relay {
+    forwarding: Forwarding,
+    tx: Sender<Result<Bytes, BodyError>>,
+    events: EventSplitter,
+    first: Option<Instant>,
+}
+
+impl Relay {
+    async fn pass_on(&mut self, mut run: Run) -> Outcome {
+        loop {
+            let end = self.read(&mut run).await;
+            let id = run.selected.id.clone();
+            match end {
+                RunEnd::Complete => {
+                    self.forwarding.verdict(&id, Verdict::Good);
+                    if !run.closes {
+                        run.lease.give_back(run.keep_alive);
+                    }
+                    return Outcome::Completed;
+                }
+                RunEnd::CallerLeft => return Outcome::CallerLeft,
+                RunEnd::TimeOver => {
+                    self.fail(BodyError::TimeOver).await;
+                    return Outcome::TimeOver;
+                }
+                RunEnd::Broken => {}
+            }
+            self.forwarding.verdict(&id, Verdict::Failed);
+            // The run must be over before it goes on elsewhere.
+            drop(run);
+            let Some(next) = self.resume(&id).await else {
+                self.fail(BodyError::BrokenOff).await;
+                return Outcome::BrokenOff;
+            };
+            run = next;
+        }
+    }
+
+    async fn read(&mut self, run: &mut Run) -> RunEnd {
+        let deadline = sleep_until(self.forwarding.deadline.into());
+        tokio::pin!(deadline);
+        loop {
+            let frame = tokio::select! {
+                frame = run.body.frame() => frame,
+                () = self.tx.closed() => return RunEnd::CallerLeft,
+                () = deadline.as_mut() => return RunEnd::TimeOver,
+            };
+            let data = match frame {
+                None => return self.finish().await,
+                Some(Err(_)) => return RunEnd::Broken,
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            if self.first.is_none() && !data.is_empty() {
+                self.begun(run);
+            }
+            run.selected.in_flight.prompt_read();
+            let data = if self.forwarding.admitted.route.resumable {
+                self.events.push(&data)
+            } else {
+                data
+            };
+            let sent = tokio::select! {
+                sent = self.tx.send(Ok(data)) => sent.is_ok(),
+                () = deadline.as_mut() => return RunEnd::TimeOver,
+            };
+            if !sent {
+                return RunEnd::CallerLeft;
+            }
+        }
+    }
+
+    fn begun(&mut self, run: &Run) {
+        let now = Instant::now();
+        self.first = Some(now);
+        self.forwarding.count_usage(now);
+        self.forwarding.first_token(&run.selected, now);
+    }
+
+    /// Passes on what follows the last whole event.
+    async fn finish(&mut self) -> RunEnd {
+        let rest = self.events.rest();
+        if rest.is_empty() || self.tx.send(Ok(rest)).await.is_ok() {
+            return RunEnd::Complete;
+        }
+        RunEnd::CallerLeft
+    }
+
+    /// Lets the stream go on at another upstream after the last whole event.
+    async fn resume(&mut self, broken: &str) -> Option<Run> {
+        let may_resume = self.forwarding.admitted.route.resumable;
+        self.events.restart();
+        if !may_resume || !self.forwarding.may_run_again(broken, "broken_off") {
+            return None;
+        }
+        let after = self.events.last_id().map(str::to_owned);
+        loop {
+            let selected = self.forwarding.select()?;
+            let Forwarding { gateway, outgoing, admitted, deadline, .. } = &self.forwarding;
+            let trying =
+                attempt(gateway, outgoing, admitted, &selected, after.as_deref(), *deadline);
+            let end = tokio::select! {
+                end = trying => end,
+                () = self.tx.closed() => return None,
+                () = sleep_until(self.forwarding.deadline.into()) => return None,
+            };
+            match end {
+                AttemptEnd::Answer(response, lease) if response.status().is_success() => {
+                    let (parts, body) = response.into_parts();
+                    return Some(Run::new(&parts.headers, body, lease, selected));
+                }
+                AttemptEnd::Answer(..) => return None,
+                AttemptEnd::Broken(cause) => {
+                    self.forwarding.verdict(&selected.id, Verdict::Failed);
+                    if !self.forwarding.may_run_again(&selected.id, cause) {
+                        return None;
+                    }
+                }
+                AttemptEnd::Unsent(cause) => {
+                    self.forwarding.verdict(&selected.id, Verdict::Unreachable);
+                    self.forwarding.not_run(&selected.id, cause);
+                }
+                AttemptEnd::NotExecuted(_) => {
+                    if !self.forwarding.may_send_again(&selected.id, "not_executed") {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends the caller's connection: the answer must not look complete.
+    async fn fail(&self, error: BodyError) {
+        // A caller that is gone needs no error.
+        drop(self.tx.send(Err(error)).await);
+    }
+}
--- /dev/null
+++ b/src/gateway/request/select.rs
@@ -0,0 +1,167 @@
+//! Choice of the upstream for one attempt.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use super::{Admitted, PREFILL_TOKENS_PER_SECOND, in_flight::InFlight};
+use crate::{
+    gateway::{
+        board::{Board, UpstreamView},
+        context::Gateway,
+        decide::{Candidate, EngineSpeed, choose_engine, predicted_wait},
+        peering::PrefixReport,
+    },
+    ids::UpstreamId,
+    platform::Prompt,
+    prefix::Fingerprint,
+};
+
+const SPEED: EngineSpeed = EngineSpeed { prefill: PREFILL_TOKENS_PER_SECOND };
+/// Share of an upstream's connections that all gateways together use: new ones
+/// hold slots, and an upstream may accept fewer at times.
+const CONNECTION_SHARE: f64 = 0.8;
+/// Connections to one upstream that every process may have.
+const LEAST_CONNECTIONS: usize = 2;
+
+/// The upstream chosen for an attempt.
+#[derive(Debug)]
+pub struct Selected {
+    /// The upstream.
+    pub id: UpstreamId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Connections that this process may have to it.
+    pub most_connections: usize,
+    /// Account of the attempt.
+    pub in_flight: InFlight,
+    /// Predicted time to the first token.
+    pub predicted: Duration,
+    /// What the choice rests on.
+    pub candidate: Candidate,
+    /// Candidates that it was chosen from.
+    pub candidates: usize,
+    /// Revision of the list of upstreams.
+    pub revision: u64,
+}
+
+/// The shared part of a prompt: what other requests are about, too.
+#[derive(Clone, Copy, Debug)]
+struct Shared {
+    fingerprint: Fingerprint,
+    tokens: u32,
+}
+
+/// The last part of a prompt is the request's own; those before are shared.
+fn shared(prompt: &Prompt) -> Option<Shared> {
+    let (_, shared) = prompt.parts.split_last()?;
+    let (fingerprint, _) = *shared.last()?;
+    Some(Shared { fingerprint, tokens: shared.iter().map(|(_, tokens)| tokens).sum() })
+}
+
+/// Chooses the upstream for an attempt and counts it there. `tried` are passed
+/// over while others remain.
+pub fn select(
+    gateway: &Rc<Gateway>,
+    admitted: &Admitted,
+    prompt: Option<&Prompt>,
+    tried: &[UpstreamId],
+    now: Instant,
+) -> Option<Selected> {
+    let shared = prompt.and_then(shared);
+    let (id, candidate, candidates) = choose(gateway, admitted, prompt, shared, tried, now)?;
+    let mut guard = gateway.board.borrow_mut();
+    let board = &mut *guard;
+    let view = board.upstreams.get(&id)?;
+    let (address, revision) = (view.upstream.address, board.upstreams_position);
+    let missing = candidate.missing_tokens as u32;
+    if let Some(shared) = shared {
+        let capacity = engine_cache(admitted);
+        board.cache.note(&id, shared.fingerprint, shared.tokens, capacity, now);
+        let report = PrefixReport(shared.fingerprint, shared.tokens, id.clone());
+        board.sent_prefixes.push(report);
+    }
+    if prompt.is_some() {
+        board.add_demand(&admitted.service, missing, now);
+    }
+    let processes = 1 + board.peers.len();
+    drop(guard);
+    let in_flight = InFlight::begin(gateway, &id, missing);
+    let most_connections = connection_share(admitted, processes);
+    let predicted = predicted_wait(&candidate, SPEED);
+    Some(Selected {
+        id,
+        address,
+        most_connections,
+        in_flight,
+        predicted,
+        candidate,
+        candidates,
+        revision,
+    })
+}
+
+fn engine_cache(admitted: &Admitted) -> u64 {
+    let service = admitted.configuration.services.get(&admitted.service);
+    service.and_then(|s| s.engine).map_or(0, |e| e.cache_tokens)
+}
+
+fn connection_share(admitted: &Admitted, processes: usize) -> usize {
+    let service = admitted.configuration.services.get(&admitted.service);
+    let all = service.map_or(0, |s| s.max_connections) as f64 * CONNECTION_SHARE;
+    ((all / processes as f64) as usize).max(LEAST_CONNECTIONS)
+}
+
+fn choose(
+    gateway: &Gateway,
+    admitted: &Admitted,
+    prompt: Option<&Prompt>,
+    shared: Option<Shared>,
+    tried: &[UpstreamId],
+    now: Instant,
+) -> Option<(UpstreamId, Candidate, usize)> {
+    let own = gateway.settings.borrow().data_centre.clone();
+    let board = gateway.board.borrow();
+    let views: Vec<&UpstreamView> =
+        board.serving(&admitted.service).filter(|v| !tried.contains(&v.upstream.id)).collect();
+    let home = shared.and_then(|s| home(&board, &views, s));
+    let candidates: Vec<Candidate> = views
+        .iter()
+        .map(|view| {
+            let at_home = home.is_some_and(|id| *id == view.upstream.id);
+            let missing = missing_tokens(&board, view, prompt, shared, at_home);
+            Board::candidate(view, missing, &own, now, fastrand::f64())
+        })
+        .collect();
+    let best = choose_engine(&candidates, SPEED)?;
+    Some((views[best].upstream.id.clone(), candidates[best], views.len()))
+}
+
+/// Returns where a prefix belongs that no engine holds yet, so that all
+/// processes send it to the same engine: the highest hash of both.
+fn home<'a>(board: &Board, views: &[&'a UpstreamView], shared: Shared) -> Option<&'a UpstreamId> {
+    if views.iter().any(|v| board.cache.holds(&v.upstream.id, shared.fingerprint)) {
+        return None;
+    }
+    let score =
+        |v: &&&UpstreamView| crate::prefix::fnv1a(shared.fingerprint, v.upstream.id.as_bytes());
+    views.iter().max_by_key(score).map(|v| &v.upstream.id)
+}
+
+/// Returns how many prompt tokens an engine would have to read.
+fn missing_tokens(
+    board: &Board,
+    view: &UpstreamView,
+    prompt: Option<&Prompt>,
+    shared: Option<Shared>,
+    at_home: bool,
+) -> u32 {
+    let all = prompt.map_or(0, |p| p.tokens);
+    let Some(shared) = shared else {
+        return all;
+    };
+    let held = at_home || board.cache.holds(&view.upstream.id, shared.fingerprint);
+    if held { all.saturating_sub(shared.tokens) } else { all }
+}
--- /dev/null
+++ b/src/gateway/telemetry/event.rs
@@ -0,0 +1,198 @@
+//! Everything that the log can say: one variant a kind of line.
+
+use serde::Serialize;
+
+use crate::{gateway::net::Phase, platform::OrderOutcome};
+
+/// Classes of lines, each with a budget of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EventClass {
+    /// Refusals and failures of requests.
+    Failure,
+    /// Decisions on requests that go well.
+    Request,
+    /// Changes of what the process believes, and its own life.
+    Belief,
+}
+
+/// A line of the log.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event<'a> {
+    /// The process serves.
+    Started {
+        /// Name of the process.
+        process: &'a str,
+        /// Version of the program.
+        version: &'a str,
+    },
+    /// The settings were read again.
+    Reloaded {
+        /// Whether they could be used.
+        usable: bool,
+    },
+    /// The process goes on with leaving.
+    Leaving {
+        /// How far it has got.
+        phase: Phase,
+        /// Requests in progress.
+        in_progress: usize,
+    },
+    /// A dependency answers again.
+    DependencyRegained {
+        /// Which.
+        dependency: &'a str,
+        /// For how long it did not answer, in milliseconds.
+        after_ms: u64,
+    },
+    /// A dependency does not answer.
+    DependencyLost {
+        /// Which.
+        dependency: &'a str,
+        /// Why.
+        error: &'a str,
+    },
+    /// A configuration is in force.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// Version before; 0 for none.
+        before: u64,
+        /// Where it came from.
+        source: &'a str,
+    },
+    /// An upstream is known, changed or gone.
+    Upstream {
+        /// The upstream.
+        upstream: &'a str,
+        /// What it is now.
+        state: &'a str,
+        /// Revision of the store that says so.
+        revision: u64,
+    },
+    /// A gateway is heard of, or no longer.
+    Peer {
+        /// The process.
+        process: &'a str,
+        /// What it is now.
+        state: &'a str,
+    },
+    /// The lease on the duties changed.
+    Lease {
+        /// Fencing number; 0 for none.
+        fence: u64,
+        /// What happened.
+        state: &'a str,
+    },
+    /// A usage report was sent.
+    Usage {
+        /// Window.
+        window: u64,
+        /// Requests in all.
+        total: u64,
+        /// Fencing number.
+        fence: u64,
+        /// What became of it.
+        outcome: &'a str,
+    },
+    /// Engines were ordered.
+    Engines {
+        /// Service.
+        service: &'a str,
+        /// Data centre.
+        data_centre: &'a str,
+        /// Whether they may be reclaimed.
+        reclaimable: bool,
+        /// How many are wished for.
+        count: u32,
+        /// Engines that the load needs.
+        needed: f64,
+        /// Fencing number.
+        fence: u64,
+        /// What became of it.
+        outcome: Option<OrderOutcome>,
+        /// Why it failed.
+        error: &'a str,
+    },
+    /// The clock of this process was wrong.
+    Clock {
+        /// Correction in milliseconds.
+        correction_ms: f64,
+    },
+    /// A request is sent to an upstream.
+    Attempt {
+        /// Request.
+        request: &'a str,
+        /// Route.
+        route: &'a str,
+        /// Upstream.
+        upstream: &'a str,
+        /// Number of the attempt, from 1.
+        attempt: u32,
+        /// Candidates that it was chosen from.
+        candidates: usize,
+        /// Predicted time to the first token, in milliseconds.
+        predicted_ms: u64,
+        /// Requests there, as believed.
+        running: f64,
+        /// Tokens there to be read, as believed.
+        pending_tokens: f64,
+        /// Version of the configuration.
+        configuration: u64,
+        /// Revision of the list of upstreams.
+        upstreams: u64,
+    },
+    /// An attempt failed.
+    AttemptFailed {
+        /// Request.
+        request: &'a str,
+        /// Upstream.
+        upstream: &'a str,
+        /// How.
+        cause: &'a str,
+        /// Whether the request may have run.
+        may_have_run: bool,
+        /// What follows.
+        next: &'a str,
+    },
+    /// A request was answered or refused.
+    Answered {
+        /// Request.
+        request: &'a str,
+        /// Route; empty if none is known.
+        route: &'a str,
+        /// Customer; empty if none is known.
+        customer: &'a str,
+        /// Status.
+        status: u16,
+        /// How it ended.
+        outcome: &'a str,
+        /// Time since it came, in milliseconds.
+        took_ms: u64,
+        /// Time to the first byte, in milliseconds.
+        first_ms: u64,
+        /// Version of the configuration that decided.
+        configuration: u64,
+    },
+    /// Lines that were left out to keep the volume bounded.
+    LeftOut {
+        /// Class of the lines.
+        class: EventClass,
+        /// How many.
+        lines: u64,
+    },
+}
+
+impl Event<'_> {
+    /// Returns the class of the line.
+    pub fn class(&self) -> EventClass {
+        match self {
+            Self::Attempt { .. } => EventClass::Request,
+            Self::AttemptFailed { .. } => EventClass::Failure,
+            Self::Answered { status, .. } if *status < 400 => EventClass::Request,
+            Self::Answered { .. } => EventClass::Failure,
+            _ => EventClass::Belief,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/telemetry/mod.rs
@@ -0,0 +1,9 @@
+//! Structured log lines and metrics of the gateway.
+
+mod event;
+mod journal;
+mod metrics;
+
+pub use event::{Event, EventClass};
+pub use journal::Journal;
+pub use metrics::{GatewayMetrics, RequestLabels};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,10 +17,12 @@
 
 pub mod caller;
 pub mod cli;
+pub mod cloud;
 pub mod config;
 pub mod control;
 pub mod edge;
 pub mod entry;
+pub mod gateway;
 pub mod ids;
 pub mod membership;
 pub mod ownership;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,10 +1,24 @@
-//! The platform's service: table, object store, weight store and cloud.
+//! Adapter between the users' platform and the gateway.
+//!
+//! This folder alone knows the names that the platform, its upstreams and its
+//! callers use. It translates each message once, in either direction, and
+//! holds no decision and no state beyond one call.
 
-mod client;
-mod types;
+mod configuration;
+mod duties;
+mod error;
+mod headers;
+mod lookup;
+mod store;
+mod upstreams;
 
-pub use client::{PlatformClient, PlatformError, TxnOutcome};
-pub use types::{
-    Check, Conflict, HostEntry, HostList, HostRole, HostStart, HostState, Put, Row, Rows, Txn,
-    TxnAccepted, TxnRefused,
+pub use configuration::decode_configuration;
+pub use duties::{DutyClient, EngineOrder, OrderOutcome};
+pub use error::PlatformError;
+pub use headers::{
+    Attempt, Prompt, RequestHead, closes, decode_head, is_not_executed, keep_alive, same_request,
+    seal_missing, stamp_attempt, strip_hop_headers,
 };
+pub use lookup::{Lookup, decode_lookup, encode_addresses, is_ready_probe};
+pub use store::{Change, Feed, RowWrite, Snapshot, StoreClient, StoreRow, Table, WriteOutcome};
+pub use upstreams::decode_upstream;
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,307 @@
+//! The platform's metadata store: rows with versions, and feeds of changes.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::PlatformError;
+use crate::gateway::{
+    model::Revision,
+    net::{Answer, HttpConnection, connect, json_request},
+};
+
+/// Longest time to open a connection to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for the answer to a read or write. The store answers within
+/// some ten milliseconds; it may be sixty times slower at times.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// What a feed's answer may take beyond the wait that was asked for.
+const FEED_SLACK: Duration = Duration::from_millis(2_500);
+/// Rows in one page of an answer; the store's own bound.
+const PAGE_ROWS: usize = 500;
+/// Idle connections that are kept.
+const IDLE_KEPT: usize = 3;
+
+/// A table of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Table {
+    /// Written by the operator: the configuration.
+    Operator,
+    /// Written by the upstreams: their descriptions.
+    Upstreams,
+    /// Written by the gateways: their addresses.
+    Members,
+    /// Written by the gateways: leases and what their holders must not forget.
+    Duties,
+}
+
+impl Table {
+    fn wire_name(self) -> &'static str {
+        match self {
+            Self::Operator => "op",
+            Self::Upstreams => "servers",
+            Self::Members => "members",
+            Self::Duties => "duties",
+        }
+    }
+}
+
+/// A row with its decoded value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreRow {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision at which it was written.
+    pub revision: Revision,
+}
+
+/// Rows of a table as of one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The rows, with keys in ascending order.
+    pub rows: Vec<StoreRow>,
+    /// Newest revision of the store at that moment.
+    pub revision: Revision,
+}
+
+/// A change of a row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The row was written.
+    Written(StoreRow),
+    /// The row with this key was removed, at this revision.
+    Removed(String, Revision),
+}
+
+/// Changes since a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Feed {
+    /// The changes, in order.
+    pub changes: Vec<Change>,
+    /// Revision from which to go on.
+    pub revision: Revision,
+}
+
+/// A row to be written if it is still at a revision.
+#[derive(Clone, Debug)]
+pub struct RowWrite {
+    /// Table of the row.
+    pub table: Table,
+    /// Key of the row.
+    pub key: String,
+    /// New value.
+    pub value: Vec<u8>,
+    /// Revision that the row must have, 0 for a row that must not exist;
+    /// `None` writes in any case.
+    pub expected: Option<Revision>,
+}
+
+/// What became of a conditional write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It was done, at this revision.
+    Done(Revision),
+    /// A row was not as expected; the rows as they are now.
+    Conflict(Vec<StoreRow>),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRow {
+    key: String,
+    #[serde(default)]
+    value: Option<String>,
+    row_version: Revision,
+    #[serde(default)]
+    tombstone: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRows {
+    #[serde(default)]
+    rows: Vec<WireRow>,
+    #[serde(default)]
+    more_pages: bool,
+    #[serde(default)]
+    row_version: Revision,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireExpected<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    row_version: Revision,
+}
+
+#[derive(Serialize)]
+struct WireWrite<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    value: String,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTxn<'a> {
+    expected_revision: Vec<WireExpected<'a>>,
+    writes: Vec<WireWrite<'a>>,
+    remove: [(); 0],
+}
+
+/// Client of the store.
+#[derive(Debug)]
+pub struct StoreClient {
+    address: SocketAddr,
+    idle: RefCell<Vec<HttpConnection>>,
+}
+
+impl StoreClient {
+    /// Creates a client of the store at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: RefCell::default() }
+    }
+
+    /// Reads all rows of a table. A store that lost its history may answer
+    /// from an older state: compare [`Snapshot::revision`] with what is known.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer as published.
+    pub async fn snapshot(&self, table: Table) -> Result<Snapshot, PlatformError> {
+        let mut snapshot = Snapshot::default();
+        let mut from = String::new();
+        loop {
+            let name = table.wire_name();
+            let mut path = format!("/rows-get?table={name}&part=&limit={PAGE_ROWS}");
+            if !from.is_empty() {
+                path.push_str(&format!("&from={from}"));
+            }
+            let answer = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+            let page = rows(&answer)?;
+            // The oldest page decides: a feed from there misses nothing.
+            let first = snapshot.rows.is_empty();
+            snapshot.revision =
+                if first { page.row_version } else { snapshot.revision.min(page.row_version) };
+            let more = page.more_pages;
+            for row in page.rows {
+                snapshot.rows.push(decode_row(row)?);
+            }
+            match snapshot.rows.last() {
+                // The range begins after the last key seen: no key is that short.
+                Some(last) if more => from = format!("{}%00", last.key),
+                _ => return Ok(snapshot),
+            }
+        }
+    }
+
+    /// Waits for changes of a table after a revision, for at most `wait`.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::HistoryLost`] if the changes are no longer kept; other
+    /// errors if the store does not answer as published.
+    pub async fn feed(
+        &self,
+        table: Table,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Feed, PlatformError> {
+        let (name, ms) = (table.wire_name(), wait.as_millis());
+        let path = format!("/rows-feed?table={name}&afterRevision={after}&waitMs={ms}");
+        let answer = self.call(Method::GET, &path, Bytes::new(), wait + FEED_SLACK).await?;
+        let page = rows(&answer)?;
+        let mut feed = Feed { changes: Vec::new(), revision: page.row_version.max(after) };
+        for row in page.rows {
+            let change = match row.tombstone {
+                true => Change::Removed(row.key, row.row_version),
+                false => Change::Written(decode_row(row)?),
+            };
+            feed.changes.push(change);
+        }
+        Ok(feed)
+    }
+
+    /// Writes rows in one transaction: all or none.
+    ///
+    /// # Errors
+    ///
+    /// After [`PlatformError::Http`] and [`PlatformError::Timeout`] the write
+    /// may have been done, or may still be; after other errors it is not.
+    pub async fn write(&self, writes: &[RowWrite]) -> Result<WriteOutcome, PlatformError> {
+        let expected = |w: &RowWrite| w.expected;
+        let txn = WireTxn {
+            expected_revision: writes
+                .iter()
+                .filter_map(|w| {
+                    let row_version = expected(w)?;
+                    let table = w.table.wire_name();
+                    Some(WireExpected { table, part: "", key: &w.key, row_version })
+                })
+                .collect(),
+            writes: writes
+                .iter()
+                .map(|w| WireWrite {
+                    table: w.table.wire_name(),
+                    part: "",
+                    key: &w.key,
+                    value: STANDARD.encode(&w.value),
+                })
+                .collect(),
+            remove: [],
+        };
+        let body = serde_json::to_vec(&txn).map_err(PlatformError::malformed("transaction"))?;
+        let answer = self.call(Method::POST, "/rows-tx", body.into(), CALL_TIMEOUT).await?;
+        let page = rows(&answer)?;
+        if answer.status != StatusCode::PRECONDITION_FAILED {
+            return Ok(WriteOutcome::Done(page.row_version));
+        }
+        let current = page.rows.into_iter().filter(|r| !r.tombstone).map(decode_row);
+        Ok(WriteOutcome::Conflict(current.collect::<Result<_, _>>()?))
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Answer, PlatformError> {
+        let kept = self.idle.borrow_mut().pop().filter(HttpConnection::is_open);
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => connect(self.address, CONNECT_TIMEOUT).await?,
+        };
+        let request = json_request(method, path, &self.address.to_string(), body);
+        let called = tokio::time::timeout(limit, connection.call(request)).await;
+        let answer = called.map_err(|_elapsed| PlatformError::Timeout)??;
+        if connection.is_open() && self.idle.borrow().len() < IDLE_KEPT {
+            self.idle.borrow_mut().push(connection);
+        }
+        match answer.status.as_u16() {
+            200 | 412 => Ok(answer),
+            410 => Err(PlatformError::HistoryLost),
+            status => Err(PlatformError::Refused(status)),
+        }
+    }
+}
+
+fn rows(answer: &Answer) -> Result<WireRows, PlatformError> {
+    serde_json::from_slice(&answer.body).map_err(PlatformError::malformed("rows"))
+}
+
+fn decode_row(row: WireRow) -> Result<StoreRow, PlatformError> {
+    let text = row.value.unwrap_or_default();
+    match STANDARD.decode(text) {
+        Ok(value) => Ok(StoreRow { key: row.key, value, revision: row.row_version }),
+        Err(source) => Err(PlatformError::Encoding { key: row.key, source }),
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,8 +2,10 @@
 
 mod control;
 mod entry;
+mod gateway;
 mod reader;
 
 pub use control::ControlSettings;
 pub use entry::{EntrySettings, Limits};
+pub use gateway::{Bounds, GatewaySettings, ListenSettings};
 pub use reader::{Mistake, Section, SettingsError, load};
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -170,6 +170,33 @@
         }
     }
 
+    /// Reads a number that is not negative, or takes the default.
+    pub fn number(&mut self, key: &str, default: f64) -> f64 {
+        let value = self.take(key);
+        let read = match &value {
+            None => Some(default),
+            Some(Value::Integer(n)) => Some(*n as f64),
+            Some(Value::Float(n)) => Some(*n),
+            Some(_) => None,
+        };
+        match read.filter(|n| *n >= 0.0 && n.is_finite()) {
+            Some(n) => n,
+            None => self.wrong(key, "a number that is not negative", value.as_ref(), default),
+        }
+    }
+
+    /// Reads a time in seconds above zero, or takes the default.
+    pub fn seconds(&mut self, key: &str, default: Duration) -> Duration {
+        let read = self.number(key, default.as_secs_f64());
+        match Duration::try_from_secs_f64(read) {
+            Ok(time) if !time.is_zero() => time,
+            _ => {
+                self.mistake(key, "seconds above zero", &read.to_string());
+                default
+            }
+        }
+    }
+
     /// Reads one of a closed set of words, or takes the default.
     pub fn one_of<T: Copy>(&mut self, key: &str, words: &[(&str, T)], default: T) -> T {
         let Some(value) = self.take(key) else {
--- a/src/upstream/owned.rs
+++ b/src/upstream/owned.rs
@@ -8,8 +8,8 @@
 
 use super::{Grant, Grants, UpstreamEvent, UpstreamState, grants::GRANT_TTL};
 use crate::{
+    cloud::HostEntry,
     ids::{Customer, GrantId, UpstreamId},
-    platform::HostEntry,
     routing::{Candidate, Policy, begins_within, choose_upstream},
     wire::{PlaceReply, PlaceRequest, Release, ReleaseOutcome, Supply, UpstreamAddr},
 };
--- a/src/upstream/state.rs
+++ b/src/upstream/state.rs
@@ -4,8 +4,8 @@
 
 use super::{CacheSketch, UpstreamEvent};
 use crate::{
+    cloud::{HostEntry, HostState},
     ids::Model,
-    platform::{HostEntry, HostState},
     routing::{Candidate, DEFAULT_PREFILL_RATE},
     time::unix_millis,
 };
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -6,9 +6,9 @@
 
 use super::{Adopted, Contact};
 use crate::{
+    cloud::HostEntry,
     config::{Change, ItemKey, Stored},
     ids::{ConfigVersion, Customer, DataCentre, GrantId, Home, Model, UpstreamId},
-    platform::HostEntry,
     prefix::Fingerprint,
     record::RecordSnapshot,
     routing::Class,
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use tackhollow::{
+    cloud::{HostEntry, HostRole, HostState},
     ownership,
-    platform::{HostEntry, HostRole, HostState},
     prefix::fingerprints,
     routing::{
         Admission, AdmissionInput, Candidate, Class, OwnerView, Policy, admit, choose_upstream,
