--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -46,10 +46,8 @@
     pub others: Load,
     /// Its health as requests saw it.
     pub breaker: Breaker,
-    /// Since when its row is missing, if it is.
-    pub missing_since: Option<Instant>,
-    /// Since when it is known.
-    pub known_since: Instant,
+    /// Whether its row is missing, which may be the store's fault.
+    pub missing: bool,
 }
 
 impl UpstreamView {
@@ -60,8 +58,7 @@
             own: Load::default(),
             others: Load::default(),
             breaker: Breaker::new(now),
-            missing_since: None,
-            known_since: now,
+            missing: false,
         }
     }
 
@@ -71,6 +68,18 @@
     }
 }
 
+/// Whether the store answers this process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreState {
+    /// It has answered all along.
+    #[default]
+    Up,
+    /// It has not answered since then.
+    Away(Instant),
+    /// It answers again since then.
+    Returned(Instant),
+}
+
 /// Another gateway as last heard.
 #[derive(Clone, Debug)]
 pub struct PeerView {
@@ -148,8 +157,8 @@
     pub clock: TrueClock,
     /// Lease on the duties.
     pub lease: LeaseView,
-    /// When a call to the store last failed.
-    pub store_failed: Option<Instant>,
+    /// Whether the store answers this process.
+    pub store: StoreState,
     /// Requests in progress.
     pub in_progress: usize,
     demand: BTreeMap<ServiceName, Rate>,
@@ -173,7 +182,7 @@
             usage: UsageBook::default(),
             clock,
             lease: LeaseView::default(),
-            store_failed: None,
+            store: StoreState::Up,
             in_progress: 0,
             demand: BTreeMap::new(),
         }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,15 +1,11 @@
 //! What every part of the gateway holds on to.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::Instant,
-};
+use std::{cell::RefCell, rc::Rc, time::Instant};
 
 use tokio::sync::Notify;
 
 use super::{
-    board::Board,
+    board::{Board, StoreState},
     controllers::Controllers,
     net::{Phase, Pool, Shutdown},
     peering::ProcessId,
@@ -48,7 +44,6 @@
     /// Wakes the controllers after a message to one of them.
     pub wake: Wake,
     controllers: RefCell<Option<Rc<Controllers>>>,
-    store_lost: Cell<Option<Instant>>,
     configuration_resync: Notify,
     upstreams_resync: Notify,
 }
@@ -77,7 +72,6 @@
             metrics: GatewayMetrics::new(),
             wake: Wake::default(),
             controllers: RefCell::new(None),
-            store_lost: Cell::new(None),
             configuration_resync: Notify::new(),
             upstreams_resync: Notify::new(),
         }
@@ -120,18 +114,19 @@
     /// Notes whether the store answered, and logs when that changes.
     pub fn note_store(&self, error: Option<&PlatformError>) {
         let now = Instant::now();
-        let Some(error) = error else {
-            if let Some(lost) = self.store_lost.take() {
-                let after_ms = now.duration_since(lost).as_millis() as u64;
+        let state = self.board.borrow().store;
+        match (state, error) {
+            (StoreState::Away(since), None) => {
+                self.board.borrow_mut().store = StoreState::Returned(now);
+                let after_ms = now.duration_since(since).as_millis() as u64;
                 self.log(&Event::DependencyRegained { dependency: "store", after_ms });
             }
-            return;
-        };
-        self.board.borrow_mut().store_failed = Some(now);
-        if self.store_lost.get().is_none() {
-            self.store_lost.set(Some(now));
-            let error = error.to_string();
-            self.log(&Event::DependencyLost { dependency: "store", error: &error });
+            (StoreState::Up | StoreState::Returned(_), Some(error)) => {
+                self.board.borrow_mut().store = StoreState::Away(now);
+                let error = error.to_string();
+                self.log(&Event::DependencyLost { dependency: "store", error: &error });
+            }
+            (StoreState::Away(_), Some(_)) | (StoreState::Up | StoreState::Returned(_), None) => {}
         }
     }
 }
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     gateway::{
-        board::UpstreamView,
+        board::{StoreState, UpstreamView},
         context::Gateway,
         model::{Revision, Upstream, UpstreamPhase},
         peering::UpstreamSnapshot,
@@ -27,9 +27,9 @@
 /// Time after the store's return in which rows that lapsed while it was away
 /// are back, if their upstreams live; the platform's figure.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
-/// For how long after its last failure the store counts as having been away:
-/// a lapsed row shows with the first answer.
-const STORE_UNSTABLE: Duration = Duration::from_millis(4_000);
+/// Time after the store's return in which a row that disappears may have
+/// lapsed while it was away: such rows show with the first answers.
+const LAPSE_SEEN: Duration = Duration::from_millis(700);
 /// Between looks at missing rows and idle connections.
 const PERIOD: Duration = Duration::from_millis(500);
 
@@ -52,26 +52,44 @@
         let upstreams = snapshot.rows.iter().filter_map(|r| self.decode(r)).collect();
         let last_change = snapshot.rows.iter().map(|r| r.revision).max().unwrap_or_default();
         let position = snapshot.revision;
-        self.copy(cx, UpstreamSnapshot { position, last_change, upstreams });
+        let missing = Vec::new();
+        let snapshot = UpstreamSnapshot { position, last_change, upstreams, missing };
+        self.replace(&snapshot, cx.now(), |id, now| self.missing(id, position, now));
     }
 
-    /// Takes over all upstreams, as read from the store or another gateway.
+    /// Takes over all upstreams as another gateway knows them. What is gone
+    /// there is gone: that gateway has waited for rows that may come back.
     pub fn copy(&mut self, cx: CX![], snapshot: UpstreamSnapshot) {
-        let now = cx.now();
-        let UpstreamSnapshot { position, last_change, upstreams } = snapshot;
+        let position = snapshot.position;
+        self.replace(&snapshot, cx.now(), |id, _| self.remove(id, position));
+        let mut board = self.gateway.board.borrow_mut();
+        for id in &snapshot.missing {
+            if let Some(view) = board.upstreams.get_mut(id) {
+                view.missing = true;
+            }
+        }
+    }
+
+    fn replace(
+        &self,
+        snapshot: &UpstreamSnapshot,
+        now: Instant,
+        absent: impl Fn(&UpstreamId, Instant),
+    ) {
+        let position = snapshot.position;
         if position < self.gateway.board.borrow().upstreams_position {
             return;
         }
-        let listed: BTreeSet<UpstreamId> = upstreams.iter().map(|u| u.id.clone()).collect();
-        for upstream in upstreams {
-            self.update(upstream, position, now);
+        let listed: BTreeSet<&UpstreamId> = snapshot.upstreams.iter().map(|u| &u.id).collect();
+        for upstream in &snapshot.upstreams {
+            self.update(upstream.clone(), position, now);
         }
         let known: Vec<UpstreamId> =
             self.gateway.board.borrow().upstreams.keys().cloned().collect();
-        for id in known.iter().filter(|id| !listed.contains(*id)) {
-            self.missing(id, position, now);
+        for id in known.iter().filter(|id| !listed.contains(id)) {
+            absent(id, now);
         }
-        self.advance(position, last_change);
+        self.advance(position, snapshot.last_change);
     }
 
     /// Takes over changes from the store's feed, which has come to `position`.
@@ -134,7 +152,7 @@
         match known {
             Some(view) => {
                 view.upstream = upstream;
-                view.missing_since = None;
+                view.missing = false;
             }
             None => drop(board.upstreams.insert(id.clone(), UpstreamView::new(upstream, now))),
         }
@@ -144,40 +162,50 @@
         }
     }
 
+    /// Handles the removal of a row.
     fn missing(&self, id: &UpstreamId, revision: Revision, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
-        let recent = |t: Instant| now.saturating_duration_since(t) < STORE_UNSTABLE;
-        let may_have_lapsed = board.store_failed.is_some_and(recent);
+        let may_have_lapsed = match board.store {
+            StoreState::Up => false,
+            StoreState::Away(_) => true,
+            StoreState::Returned(at) => now.saturating_duration_since(at) < LAPSE_SEEN,
+        };
         let Some(view) = board.upstreams.get_mut(id) else {
             return;
         };
-        let leaving = view.upstream.phase == UpstreamPhase::Draining;
-        let state = if may_have_lapsed && !leaving {
-            view.missing_since.get_or_insert(now);
-            "missing"
-        } else {
-            board.upstreams.remove(id);
-            "gone"
-        };
+        if may_have_lapsed && view.takes_work() {
+            view.missing = true;
+            drop(board);
+            self.gateway.log(&Event::Upstream { upstream: id, state: "missing", revision });
+            return;
+        }
         drop(board);
-        self.gateway.log(&Event::Upstream { upstream: id, state, revision });
+        self.remove(id, revision);
+    }
+
+    fn remove(&self, id: &UpstreamId, revision: Revision) {
+        if self.gateway.board.borrow_mut().upstreams.remove(id).is_some() {
+            self.gateway.log(&Event::Upstream { upstream: id, state: "gone", revision });
+        }
     }
 
     /// Drops upstreams whose rows stayed away after the store's return.
     fn drop_missing(&self, now: Instant) {
-        let mut board = self.gateway.board.borrow_mut();
-        let lapsed = |v: &UpstreamView| {
-            v.missing_since.is_some_and(|t| now.saturating_duration_since(t) >= LAPSE_GRACE)
+        let board = self.gateway.board.borrow();
+        let settled = match board.store {
+            StoreState::Up => true,
+            StoreState::Away(_) => false,
+            StoreState::Returned(at) => now.saturating_duration_since(at) >= LAPSE_GRACE,
         };
-        let gone: Vec<UpstreamId> =
-            board.upstreams.iter().filter(|(_, v)| lapsed(v)).map(|(id, _)| id.clone()).collect();
-        for id in &gone {
-            board.upstreams.remove(id);
+        if !settled {
+            return;
         }
+        let missing = board.upstreams.iter().filter(|(_, v)| v.missing);
+        let gone: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
         let revision = board.upstreams_position;
         drop(board);
         for id in &gone {
-            self.gateway.log(&Event::Upstream { upstream: id, state: "gone", revision });
+            self.remove(id, revision);
         }
     }
 
--- a/src/gateway/peering/snapshot.rs
+++ b/src/gateway/peering/snapshot.rs
@@ -3,7 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::WireError;
-use crate::gateway::model::{Revision, Upstream};
+use crate::{
+    gateway::model::{Revision, Upstream},
+    ids::UpstreamId,
+};
 
 /// The upstreams that a gateway knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,6 +17,8 @@
     pub last_change: Revision,
     /// The upstreams.
     pub upstreams: Vec<Upstream>,
+    /// Those among them whose rows are missing and may be back soon.
+    pub missing: Vec<UpstreamId>,
 }
 
 impl UpstreamSnapshot {
--- a/src/gateway/request/doors.rs
+++ b/src/gateway/request/doors.rs
@@ -11,7 +11,6 @@
 use super::forward::forward;
 use crate::{
     gateway::{
-        board::UpstreamView,
         context::Gateway,
         net::{AnswerBody, Phase, Service, full_body},
         peering::UpstreamSnapshot,
@@ -130,13 +129,12 @@
 
 fn upstreams(gateway: &Gateway) -> Response<AnswerBody> {
     let board = gateway.board.borrow();
-    // A row that is missing may be back soon; whoever copies the list decides
-    // that for itself.
-    let present = |v: &&UpstreamView| v.missing_since.is_none();
+    let missing = board.upstreams.iter().filter(|(_, v)| v.missing);
     let snapshot = UpstreamSnapshot {
         position: board.upstreams_position,
         last_change: board.upstreams_last_change,
-        upstreams: board.upstreams.values().filter(present).map(|v| v.upstream.clone()).collect(),
+        upstreams: board.upstreams.values().map(|v| v.upstream.clone()).collect(),
+        missing: missing.map(|(id, _)| id.clone()).collect(),
     };
     match snapshot.encode() {
         Ok(bytes) => with_type(bytes, "application/cbor"),
