--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -24,3 +24,11 @@
 usage_due_s = {{bounds.usageLateS}}
 lease_ms = {{bounds.leaseMs}}
 directory_ttl_s = {{bounds.ttl_max_s}}
+
+[capacity]
+reclaimable_factor = 3.0
+survive_share = 0.8
+on_demand_floor = 0
+needed_floor = 6.0
+prefill_share = 0.55
+slot_share = 0.5
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -166,7 +166,7 @@
 
 impl Board {
     /// Creates a board that knows nothing.
-    pub fn new(clock: TrueClock) -> Self {
+    pub fn new(clock: TrueClock, now: Instant) -> Self {
         Self {
             configuration: None,
             document: Bytes::new(),
@@ -177,7 +177,7 @@
             peers: BTreeMap::new(),
             cache: CacheBelief::default(),
             sent_prefixes: Vec::new(),
-            quotas: QuotaBook::default(),
+            quotas: QuotaBook::new(now),
             retries: RetryBook::default(),
             usage: UsageBook::default(),
             clock,
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -13,13 +13,14 @@
     gateway::{
         board::Board,
         context::Gateway,
-        decide::{CapacityInput, CapacityPolicy, Fleet, Wish, plan_engines},
+        decide::{CapacityInput, Fleet, Wish, plan_engines},
         model::{Configuration, Scaling, ServiceName},
         request::PREFILL_TOKENS_PER_SECOND,
         telemetry::Event,
     },
     ids::{DataCentre, UpstreamId},
     platform::{EngineOrder, OrderOutcome, PlatformError},
+    settings::CapacitySettings,
     telemetry::count,
 };
 
@@ -32,21 +33,6 @@
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(1_800);
 /// Time beyond `boot` after which engines that do not serve are ordered anew.
 const BOOT_SLACK: Duration = Duration::from_secs(3);
-/// Share of an engine's prefill speed that is planned with: at more, requests
-/// wait for each other longer than the latency objective allows.
-const PREFILL_SHARE: f64 = 0.55;
-/// Share of an engine's slots that is planned with: more running requests make
-/// each token slower.
-const SLOT_SHARE: f64 = 0.5;
-
-/// What is kept beyond the load; chosen by the runs in docs/MEASURED.md.
-const POLICY: CapacityPolicy = CapacityPolicy {
-    reclaimable_factor: 2.0,
-    survive_share: 0.8,
-    on_demand_floor: 0,
-    needed_floor: 4.0,
-};
-
 type Key = (ServiceName, DataCentre, bool);
 
 #[derive(Clone, Copy, Debug)]
@@ -101,13 +87,14 @@
         let Some(configuration) = board.configuration.clone() else {
             return;
         };
+        let capacity = self.gateway.settings.borrow().capacity;
         let mut orders = Vec::new();
         for service in configuration.services.values() {
             if let Some(scaling) = &service.scaling {
-                let needed = engines_needed(&board, &service.name, now);
+                let needed = engines_needed(&board, &service.name, &capacity, now);
                 let fleets = fleets(&board, &service.name, scaling);
                 let input = CapacityInput { needed, scaling, fleets: &fleets };
-                let wishes = plan_engines(&input, &POLICY);
+                let wishes = plan_engines(&input, &capacity.policy);
                 for (data_centre, wish) in wishes {
                     let fleet = fleets[&data_centre];
                     let at = (service.name.clone(), data_centre);
@@ -119,20 +106,22 @@
         for ((service, data_centre), wish, fleet, boot, needed) in orders {
             for (reclaimable, wished, serving) in kinds(wish, fleet) {
                 let key = (service.clone(), data_centre.clone(), reclaimable);
-                if self.should_order(&key, wished, serving, boot, now) {
+                if self.should_order(&key, wished, serving, boot, needed <= 0.0, now) {
                     self.order(key, wished, needed, now);
                 }
             }
         }
     }
 
-    /// Returns whether an order should be sent now.
+    /// Returns whether an order should be sent now. Where a service is `idle`,
+    /// engines are given up at once.
     fn should_order(
         &mut self,
         key: &Key,
         wished: u32,
         serving: u32,
         boot: Duration,
+        idle: bool,
         now: Instant,
     ) -> bool {
         let ordered = self.ordered.entry(key.clone()).or_insert(Ordered {
@@ -150,9 +139,10 @@
             ordered.fewer_since = None;
             return wished > serving;
         }
-        if wished < ordered.count {
+        // Engines of an earlier holder's order may show up late.
+        if wished < ordered.count.max(serving) {
             let since = *ordered.fewer_since.get_or_insert(now);
-            return now.saturating_duration_since(since) >= HOLD_BEFORE_FEWER;
+            return idle || now.saturating_duration_since(since) >= HOLD_BEFORE_FEWER;
         }
         ordered.fewer_since = None;
         // The platform took engines back, or they do not start.
@@ -218,15 +208,16 @@
 }
 
 /// Returns how many engines the load needs now.
-fn engines_needed(board: &Board, service: &str, now: Instant) -> f64 {
-    let reading = board.total_demand(service, now) / (PREFILL_TOKENS_PER_SECOND * PREFILL_SHARE);
+fn engines_needed(board: &Board, service: &str, capacity: &CapacitySettings, now: Instant) -> f64 {
+    let prefill = PREFILL_TOKENS_PER_SECOND * capacity.prefill_share;
+    let reading = board.total_demand(service, now) / prefill;
     let of_service = board.upstreams.values().filter(|v| v.upstream.service == service);
     let (mut running, mut slots) = (0.0, 1.0_f64);
     for view in of_service {
         running += f64::from(view.own.running + view.others.running);
         slots = slots.max(f64::from(view.upstream.slots));
     }
-    reading + running / (slots * SLOT_SHARE)
+    reading + running / (slots * capacity.slot_share)
 }
 
 fn fleets(board: &Board, service: &str, scaling: &Scaling) -> BTreeMap<DataCentre, Fleet> {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -65,10 +65,11 @@
     let listen = settings.listen;
     let socket = bind_udp(listen.heartbeats).await?;
     let incarnation = fastrand::u64(1..);
-    let clock = TrueClock::new(Instant::now(), unix_millis());
+    let now = Instant::now();
+    let clock = TrueClock::new(now, unix_millis());
     let process = format!("{}.{incarnation:x}", settings.id);
     let journal = Journal::new(process, io::stdout());
-    let gateway = Rc::new(Gateway::new(settings, incarnation, Board::new(clock), journal));
+    let gateway = Rc::new(Gateway::new(settings, incarnation, Board::new(clock, now), journal));
     for (address, kind) in [
         (listen.callers, DoorKind::Callers),
         (listen.directory, DoorKind::Directory),
--- a/src/gateway/decide/quota.rs
+++ b/src/gateway/decide/quota.rs
@@ -41,12 +41,19 @@
 }
 
 /// Buckets of all customers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct QuotaBook {
     buckets: HashMap<CustomerName, Bucket>,
+    started: Instant,
 }
 
 impl QuotaBook {
+    /// Creates the book of a process that started at `started`. All buckets
+    /// were empty then: after a restart nobody may know what was used before.
+    pub fn new(started: Instant) -> Self {
+        Self { buckets: HashMap::new(), started }
+    }
+
     /// Takes `tokens` from the customer's quota.
     ///
     /// # Errors
@@ -109,9 +116,10 @@
     }
 
     fn bucket(&mut self, customer: &CustomerName, quota: Quota, now: Instant) -> &mut Bucket {
+        let up = now.saturating_duration_since(self.started).as_secs_f64();
         let bucket = self.buckets.entry(customer.clone()).or_insert_with(|| Bucket {
             quota,
-            level: quota.burst,
+            level: (quota.rate * up).min(quota.burst),
             at: now,
             own: 0,
             others: HashMap::new(),
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -9,7 +9,10 @@
 use log::LevelFilter;
 
 use super::{Section, SettingsError, entry::LEVELS, load};
-use crate::ids::DataCentre;
+use crate::{gateway::decide::CapacityPolicy, ids::DataCentre};
+
+/// Smallest share of an engine that can be planned with.
+const LEAST_SHARE: f64 = 0.01;
 
 /// Addresses on which the process serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +50,19 @@
     pub directory_ttl: Duration,
 }
 
+/// How many engines are kept for the load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CapacitySettings {
+    /// What is kept beyond the load.
+    pub policy: CapacityPolicy,
+    /// Share of an engine's prefill speed that is planned with: at more,
+    /// requests wait for each other longer than the latency objective allows.
+    pub prefill_share: f64,
+    /// Share of an engine's slots that is planned with: more running requests
+    /// make each token slower.
+    pub slot_share: f64,
+}
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -68,6 +84,8 @@
     pub api: SocketAddr,
     /// Bounds that the operators set.
     pub bounds: Bounds,
+    /// How many engines are kept for the load.
+    pub capacity: CapacitySettings,
 }
 
 impl GatewaySettings {
@@ -93,6 +111,7 @@
             store,
             api,
             bounds: s.section("bounds", bounds),
+            capacity: s.section("capacity", capacity),
         }
     }
 }
@@ -121,3 +140,17 @@
         directory_ttl: s.seconds("directory_ttl_s", secs(5)),
     }
 }
+
+/// Defaults were chosen by the runs in docs/MEASURED.md.
+fn capacity(s: &mut Section) -> CapacitySettings {
+    CapacitySettings {
+        policy: CapacityPolicy {
+            reclaimable_factor: s.number("reclaimable_factor", 3.0),
+            survive_share: s.number("survive_share", 0.8),
+            on_demand_floor: s.number("on_demand_floor", 0.0) as u32,
+            needed_floor: s.number("needed_floor", 6.0),
+        },
+        prefill_share: s.number("prefill_share", 0.55).max(LEAST_SHARE),
+        slot_share: s.number("slot_share", 0.5).max(LEAST_SHARE),
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,5 +7,5 @@
 
 pub use control::ControlSettings;
 pub use entry::{EntrySettings, Limits};
-pub use gateway::{Bounds, GatewaySettings, ListenSettings};
+pub use gateway::{Bounds, CapacitySettings, GatewaySettings, ListenSettings};
 pub use reader::{Mistake, Section, SettingsError, load};
