Quota levels and usage are kept in the store for processes that start later; tests

The holder of the lease now writes levels and counts once a second; a starting process goes on from them, and counts what processes as young as itself admitted.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -27,6 +27,8 @@
     pub process: ProcessId,
     /// Number drawn at the start of this process.
     pub incarnation: Incarnation,
+    /// When this process started.
+    pub started: Instant,
     /// What this process believes.
     pub board: RefCell<Board>,
     /// Connections to upstreams.
@@ -63,6 +65,7 @@
             settings: RefCell::new(settings),
             process,
             incarnation,
+            started: Instant::now(),
             board: RefCell::new(board),
             pool: Pool::default(),
             store,
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -12,6 +12,7 @@
 use stakker::{CX, call, timer_max};
 use tokio::task::spawn_local;
 
+use super::kept::{KEEP_EVERY, keep};
 use crate::{
     control::{Lease, LeaseAction, LeaseRow, LeaseTiming},
     gateway::{
@@ -67,6 +68,7 @@
     renewed: Option<Instant>,
     holder_heard: Instant,
     reports: BTreeMap<Window, Report>,
+    kept: Option<Instant>,
 }
 
 impl Duties {
@@ -85,6 +87,7 @@
             renewed: None,
             holder_heard: cx.now(),
             reports: BTreeMap::new(),
+            kept: None,
         })
     }
 
@@ -96,6 +99,15 @@
         self.keep_lease(now);
         if self.gateway.board.borrow().lease.may_act(now).is_some() {
             self.send_reports(now);
+            self.keep(now);
+        }
+    }
+
+    /// Keeps quotas and usage in the store now and then.
+    fn keep(&mut self, now: Instant) {
+        if self.kept.is_none_or(|t| now.saturating_duration_since(t) >= KEEP_EVERY) {
+            self.kept = Some(now);
+            spawn_local(keep(self.gateway.clone()));
         }
     }
 
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod directory;
 mod duties;
+mod kept;
 mod leaving;
 mod peers;
 mod watch;
@@ -21,7 +22,7 @@
 pub use duties::Duties;
 pub use leaving::Leaving;
 pub use peers::Peers;
-pub use watch::{announce, watch_configuration, watch_upstreams};
+pub use watch::{announce, recall, watch_configuration, watch_upstreams};
 
 /// The controllers, to which messages are handed.
 pub struct Controllers {
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -17,6 +17,7 @@
     gateway::{
         board::{PEER_FORGOTTEN, PEER_SILENCE, PeerView},
         context::Gateway,
+        decide::PeerTotal,
         net::{connect, json_request},
         peering::{Heartbeat, ProcessId, UpstreamSnapshot},
         telemetry::Event,
@@ -36,6 +37,9 @@
 /// How long another gateway may be ahead before this one asks it and reads
 /// the store anew: feeds need some tens of milliseconds.
 const BEHIND_LIMIT: Duration = Duration::from_millis(400);
+/// From which difference of age another process counts as older than this one:
+/// the time in which processes that were killed together come back.
+const OLDER_BY_MS: u64 = 1_500;
 /// Longest wait for another gateway's answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -119,10 +123,14 @@
         let mut guard = self.gateway.board.borrow_mut();
         let board = &mut *guard;
         if let Some(configuration) = board.configuration.clone() {
+            let up_ms = now.saturating_duration_since(self.gateway.started).as_millis() as u64;
+            let older = heartbeat.up_ms > up_ms + OLDER_BY_MS;
             for (customer, total) in &heartbeat.admitted {
                 let known = configuration.customers.iter().find(|c| c.name == *customer);
                 if let Some(quota) = known.and_then(|c| c.quota) {
-                    board.quotas.hear(&process, customer, *total, quota, now);
+                    let total = *total;
+                    let peer = PeerTotal { process: &process, older, customer, total };
+                    board.quotas.hear(peer, quota, now);
                 }
             }
             for prefix in &heartbeat.prefixes {
@@ -259,6 +267,7 @@
             phase: self.gateway.shutdown.phase(),
             configuration: board.configuration_version(),
             upstreams: board.upstreams_last_change,
+            up_ms: now.saturating_duration_since(self.gateway.started).as_millis() as u64,
             time: board.clock.unix_millis(now),
             lease: board.lease.may_act(now),
             loads: board.own_loads(),
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -6,7 +6,10 @@
 use stakker::call;
 use tokio::time::{sleep, timeout};
 
-use super::{Controllers, Source};
+use super::{
+    Controllers, Source,
+    kept::{KEPT_KEY, restore},
+};
 use crate::{
     gateway::{context::Gateway, model::Revision},
     platform::{Change, Feed, PlatformError, RowWrite, Snapshot, StoreRow, Table},
@@ -115,6 +118,17 @@
     heartbeats: std::net::SocketAddr,
 }
 
+/// Takes over what earlier processes kept in the store. A process that cannot
+/// read it starts with empty quotas.
+pub async fn recall(gateway: Rc<Gateway>) {
+    let read = gateway.store.snapshot(Table::Duties).await;
+    note(&gateway, "recall", read.as_ref().err());
+    let row = read.ok().and_then(|s| s.rows.into_iter().find(|r| r.key == KEPT_KEY));
+    if let Some(Err(e)) = row.map(|row| restore(&gateway, &row)) {
+        log::error!("what earlier processes kept is lost: {e}");
+    }
+}
+
 /// Writes this process's address to the store and reads those of the others,
 /// until both have succeeded once.
 pub async fn announce(gateway: Rc<Gateway>) {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -19,7 +19,7 @@
 use super::{
     board::Board,
     context::Gateway,
-    controllers::{Controllers, announce, watch_configuration, watch_upstreams},
+    controllers::{Controllers, announce, recall, watch_configuration, watch_upstreams},
     decide::TrueClock,
     net::{Phase, serve},
     peering::Heartbeat,
@@ -86,6 +86,7 @@
     spawn_local(receive(gateway.clone(), socket));
     spawn_local(watch_configuration(gateway.clone()));
     spawn_local(watch_upstreams(gateway.clone()));
+    spawn_local(recall(gateway.clone()));
     spawn_local(announce(gateway.clone()));
     spawn_signals(&gateway)?;
     gateway.log(&Event::Started { process: &gateway.process, version: env!("CARGO_PKG_VERSION") });
--- a/src/gateway/decide/capacity.rs
+++ b/src/gateway/decide/capacity.rs
@@ -9,6 +9,9 @@
 
 use crate::{gateway::model::Scaling, ids::DataCentre};
 
+/// Data centres between which engines on demand are shared out at first.
+const PLACES_AT_ONCE: usize = 2;
+
 /// Engines of a service in one data centre.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Fleet {
@@ -60,20 +63,38 @@
     let needed = input.needed.max(policy.needed_floor);
     let places = input.fleets.len().max(1) as f64;
     let each = (needed * policy.reclaimable_factor / places).ceil() as u32;
-    let reclaimable = each.clamp(input.scaling.min, input.scaling.max);
-    let mut on_demand = on_demand_needed(input, policy, needed);
-    let mut wishes = BTreeMap::new();
-    for name in by_price(input) {
-        let room = input.scaling.max.saturating_sub(1).max(1);
-        let here = on_demand.min(room);
-        on_demand -= here;
-        let reclaimable = reclaimable.min(input.scaling.max - here.min(input.scaling.max));
-        wishes.insert(name.clone(), Wish { reclaimable, on_demand: here });
+    let most = input.scaling.max;
+    let mut wishes: BTreeMap<DataCentre, Wish> =
+        input.fleets.keys().map(|name| (name.clone(), Wish::default())).collect();
+    place_on_demand(&mut wishes, input, on_demand_needed(input, policy, needed));
+    for wish in wishes.values_mut() {
+        let least = input.scaling.min.saturating_sub(wish.on_demand);
+        wish.reclaimable = each.max(least).min(most - wish.on_demand);
     }
-    spread(&mut wishes);
     wishes
 }
 
+/// Places engines on demand in the cheapest data centres, in each pair of them
+/// by turns, so that not all stand in one.
+fn place_on_demand(
+    wishes: &mut BTreeMap<DataCentre, Wish>,
+    input: &CapacityInput<'_>,
+    mut count: u32,
+) {
+    for pair in by_price(input).chunks(PLACES_AT_ONCE) {
+        for turn in 0..input.scaling.max * PLACES_AT_ONCE as u32 {
+            let name = pair[turn as usize % pair.len()];
+            let Some(wish) = wishes.get_mut(name) else {
+                continue;
+            };
+            if count > 0 && wish.on_demand < input.scaling.max {
+                wish.on_demand += 1;
+                count -= 1;
+            }
+        }
+    }
+}
+
 /// Returns how many engines on demand the surviving load needs.
 fn on_demand_needed(input: &CapacityInput<'_>, policy: &CapacityPolicy, needed: f64) -> u32 {
     let serving = |f: &Fleet| f.reclaimable;
@@ -91,21 +112,3 @@
     names.sort_by(|a, b| price(a).total_cmp(&price(b)));
     names
 }
-
-/// Moves engines on demand from a crowded data centre to empty ones, so that
-/// they do not stand in one place only.
-fn spread(wishes: &mut BTreeMap<DataCentre, Wish>) {
-    let total: u32 = wishes.values().map(|w| w.on_demand).sum();
-    let most = total.div_ceil(2).max(1);
-    let mut over = 0;
-    for wish in wishes.values_mut() {
-        let extra = wish.on_demand.saturating_sub(most);
-        wish.on_demand -= extra;
-        over += extra;
-    }
-    for wish in wishes.values_mut() {
-        let room = most.saturating_sub(wish.on_demand).min(over);
-        wish.on_demand += room;
-        over -= room;
-    }
-}
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -15,6 +15,6 @@
 pub use capacity::{CapacityInput, CapacityPolicy, Fleet, Wish, plan_engines};
 pub use clock::TrueClock;
 pub use engine::{Candidate, EngineSpeed, choose_engine, predicted_wait};
-pub use quota::{QuotaBook, QuotaShare};
+pub use quota::{PeerTotal, QuotaBook, QuotaShare};
 pub use retry::{RetryBook, RetryTerms};
 pub use usage::{Counts, UsageBook, Window};
--- a/src/gateway/decide/quota.rs
+++ b/src/gateway/decide/quota.rs
@@ -6,7 +6,7 @@
 //! is paid, so the rate holds over every longer span.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
@@ -15,6 +15,11 @@
 /// Shortest time after which a refused caller is asked to come back.
 const SHORTEST_WAIT: Duration = Duration::from_millis(200);
 
+/// Time after its start in which a process does not refill its buckets: it may
+/// not have heard yet of the others that share the rate. Their heartbeats come
+/// several times a second.
+const HEARING_TIME: Duration = Duration::from_millis(500);
+
 /// Which part of the refill this process may count on: its own and that of
 /// the processes it hears from. The others may be cut off and still serve.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -44,14 +49,33 @@
 #[derive(Debug)]
 pub struct QuotaBook {
     buckets: HashMap<CustomerName, Bucket>,
-    started: Instant,
+    filling_since: Instant,
+    restored: BTreeMap<CustomerName, f64>,
+}
+
+/// What another process says that it admitted for a customer.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerTotal<'a> {
+    /// The process.
+    pub process: &'a str,
+    /// Whether it started well before this one.
+    pub older: bool,
+    /// The customer.
+    pub customer: &'a CustomerName,
+    /// Tokens since the start of that process.
+    pub total: i64,
 }
 
 impl QuotaBook {
     /// Creates the book of a process that started at `started`. All buckets
-    /// were empty then: after a restart nobody may know what was used before.
+    /// are empty then, until kept levels are restored: the processes before may
+    /// have used everything just now.
     pub fn new(started: Instant) -> Self {
-        Self { buckets: HashMap::new(), started }
+        Self {
+            buckets: HashMap::new(),
+            filling_since: started + HEARING_TIME,
+            restored: BTreeMap::new(),
+        }
     }
 
     /// Takes `tokens` from the customer's quota.
@@ -90,24 +114,30 @@
         }
     }
 
-    /// Notes how much another process has admitted since it started.
-    pub fn hear(
-        &mut self,
-        process: &str,
-        customer: &CustomerName,
-        total: i64,
-        quota: Quota,
-        now: Instant,
-    ) {
-        let bucket = self.bucket(customer, quota, now);
-        let Some(before) = bucket.others.insert(process.to_owned(), total) else {
-            // Nobody knows how much of it was used just now: at worst all of
-            // the burst, but the past is no debt.
-            let floor = bucket.level.min(0.0);
-            bucket.level = (bucket.level - total as f64).max(floor);
-            return;
-        };
-        bucket.level = (bucket.level - (total - before) as f64).max(-quota.burst);
+    /// Notes how much another process has admitted since it started. What an
+    /// `older` process admitted before it was first heard of is past: it is in
+    /// the levels that this process began with.
+    pub fn hear(&mut self, peer: PeerTotal<'_>, quota: Quota, now: Instant) {
+        let bucket = self.bucket(peer.customer, quota, now);
+        let before = bucket.others.insert(peer.process.to_owned(), peer.total);
+        let before = before.unwrap_or(if peer.older { peer.total } else { 0 });
+        bucket.level = (bucket.level - (peer.total - before) as f64).max(-quota.burst);
+    }
+
+    /// Begins with the levels that were kept from earlier processes.
+    pub fn restore(&mut self, levels: &BTreeMap<CustomerName, f64>, now: Instant) {
+        for (customer, level) in levels {
+            self.restored.insert(customer.clone(), *level);
+            if let Some(bucket) = self.buckets.get_mut(customer) {
+                bucket.level = bucket.level.max(level.min(bucket.quota.burst));
+            }
+        }
+        self.filling_since = self.filling_since.min(now);
+    }
+
+    /// Returns the levels, to be kept for processes that start later.
+    pub fn levels(&self) -> BTreeMap<CustomerName, f64> {
+        self.buckets.iter().map(|(customer, b)| (customer.clone(), b.level)).collect()
     }
 
     /// Returns what this process has admitted since it started, by customer.
@@ -116,11 +146,12 @@
     }
 
     fn bucket(&mut self, customer: &CustomerName, quota: Quota, now: Instant) -> &mut Bucket {
-        let up = now.saturating_duration_since(self.started).as_secs_f64();
+        let up = now.saturating_duration_since(self.filling_since).as_secs_f64();
+        let kept = self.restored.get(customer).copied().unwrap_or(0.0);
         let bucket = self.buckets.entry(customer.clone()).or_insert_with(|| Bucket {
             quota,
-            level: (quota.rate * up).min(quota.burst),
-            at: now,
+            level: (kept + quota.rate * up).min(quota.burst),
+            at: now.max(self.filling_since),
             own: 0,
             others: HashMap::new(),
         });
@@ -135,7 +166,7 @@
 impl Bucket {
     fn refill(&mut self, share: QuotaShare, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.at = now;
+        self.at = self.at.max(now);
         let refill = self.quota.rate * share.of_refill() * elapsed;
         self.level = (self.level + refill).min(self.quota.burst);
     }
--- a/src/gateway/decide/usage.rs
+++ b/src/gateway/decide/usage.rs
@@ -59,6 +59,11 @@
         windows.filter_map(|(w, all)| Some((*w, all.get(process)?.clone()))).collect()
     }
 
+    /// Returns the sums of all windows that are kept.
+    pub fn totals(&self) -> Vec<(Window, Counts)> {
+        self.windows.keys().map(|w| (*w, self.total(*w))).collect()
+    }
+
     /// Returns the sum over all processes.
     pub fn total(&self, window: Window) -> Counts {
         let mut total = Counts::new();
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -71,6 +71,8 @@
     pub configuration: u64,
     /// Revision of the newest change of an upstream that it knows.
     pub upstreams: Revision,
+    /// Milliseconds since its start.
+    pub up_ms: u64,
     /// Its time of day.
     pub time: UnixMillis,
     /// Fencing number of the lease that it holds.
--- /dev/null
+++ b/tests/gateway_decisions.rs
@@ -0,0 +1,497 @@
+//! Decisions of the gateway: tables of cases and properties.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use proptest::prelude::*;
+use tackhollow::{
+    gateway::{
+        decide::{
+            Breaker, CacheBelief, Candidate, CapacityInput, CapacityPolicy, EngineSpeed, Fleet,
+            PeerTotal, QuotaBook, QuotaShare, RetryBook, RetryTerms, TrueClock, UsageBook, Verdict,
+            choose_engine, plan_engines, predicted_wait,
+        },
+        model::{Quota, Scaling},
+        request::EventSplitter,
+    },
+    ids::DataCentre,
+};
+
+const ALONE: QuotaShare = QuotaShare { heard: 1, members: 1 };
+const SPEED: EngineSpeed = EngineSpeed { prefill: 50_000.0 };
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn customer() -> String {
+    "temple-fairs".to_owned()
+}
+
+// Quotas.
+
+#[test]
+fn a_process_starts_with_empty_quotas() {
+    struct Case {
+        name: &'static str,
+        up: Duration,
+        tokens: u64,
+        admitted: bool,
+    }
+    let cases = [
+        Case { name: "others not heard yet", up: ms(450), tokens: 100, admitted: false },
+        Case { name: "just started", up: ms(0), tokens: 100, admitted: false },
+        Case { name: "refilled for what is asked", up: ms(700), tokens: 100, admitted: true },
+        Case { name: "not yet for a large one", up: ms(700), tokens: 500, admitted: false },
+        Case { name: "full after a while", up: ms(60_000), tokens: 1_000, admitted: true },
+        Case { name: "larger than the burst", up: ms(60_000), tokens: 5_000, admitted: true },
+    ];
+    let quota = Quota { rate: 1_000.0, burst: 1_000.0 };
+    for case in cases {
+        let started = Instant::now();
+        let mut book = QuotaBook::new(started);
+        let taken = book.take(&customer(), quota, case.tokens, ALONE, started + case.up);
+        assert_eq!(taken.is_ok(), case.admitted, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_process_goes_on_from_the_levels_that_were_kept() {
+    struct Case {
+        name: &'static str,
+        kept: Option<f64>,
+        older: bool,
+        total: i64,
+        admitted: bool,
+    }
+    let cases = [
+        Case { name: "nothing kept", kept: None, older: true, total: 0, admitted: false },
+        Case { name: "a full bucket", kept: Some(1_000.0), older: true, total: 0, admitted: true },
+        Case { name: "a debt", kept: Some(-500.0), older: true, total: 0, admitted: false },
+        Case {
+            name: "an older process's past is in the kept level",
+            kept: Some(1_000.0),
+            older: true,
+            total: 90_000,
+            admitted: true,
+        },
+        Case {
+            name: "what a new one admitted is not",
+            kept: Some(1_000.0),
+            older: false,
+            total: 900,
+            admitted: false,
+        },
+    ];
+    let quota = Quota { rate: 1_000.0, burst: 1_000.0 };
+    for case in cases {
+        let now = Instant::now();
+        let customer = customer();
+        let mut book = QuotaBook::new(now);
+        let kept = case.kept.into_iter().map(|level| (customer.clone(), level));
+        book.restore(&kept.collect(), now);
+        let (older, total) = (case.older, case.total);
+        let peer = PeerTotal { process: "p", older, customer: &customer, total };
+        book.hear(peer, quota, now);
+        let taken = book.take(&customer, quota, 600, ALONE, now + ms(20));
+        assert_eq!(taken.is_ok(), case.admitted, "{}", case.name);
+    }
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let quota = Quota { rate: 10.0, burst: 100.0 };
+    let now = Instant::now();
+    let mut book = QuotaBook::new(now);
+    let later = now + ms(60_000);
+    book.take(&customer(), quota, 100, ALONE, later).expect("the bucket is full");
+    book.take(&customer(), quota, 100, ALONE, later).expect_err("the bucket is empty");
+    book.give_back(&customer(), 100);
+    book.take(&customer(), quota, 100, ALONE, later).expect("it is full again");
+    assert_eq!(book.own_totals().next().map(|(_, total)| total), Some(100));
+}
+
+#[test]
+fn a_cut_off_process_counts_on_its_part_only() {
+    let quota = Quota { rate: 900.0, burst: 10.0 };
+    let now = Instant::now();
+    let cut_off = QuotaShare { heard: 1, members: 9 };
+    let mut book = QuotaBook::new(now);
+    let full = now + ms(60_000);
+    book.take(&customer(), quota, 10, cut_off, full).expect("the bucket is full");
+    let wait = book.take(&customer(), quota, 10, cut_off, full).expect_err("it is empty");
+    assert!(wait >= ms(99), "a ninth of the rate refills in {wait:?}");
+}
+
+proptest! {
+    /// However processes start, exchange totals and admit, all together stay
+    /// within the rate, the burst and what they can admit between exchanges.
+    #[test]
+    fn the_sum_of_all_processes_keeps_the_quota(
+        steps in prop::collection::vec((0usize..4, 1u64..400, any::<bool>()), 1..400),
+    ) {
+        let quota = Quota { rate: 2_000.0, burst: 2_000.0 };
+        let share = QuotaShare { heard: 4, members: 4 };
+        let start = Instant::now();
+        let mut books: Vec<QuotaBook> = (0..4).map(|_| QuotaBook::new(start)).collect();
+        let mut admitted = 0.0;
+        let mut now = start;
+        for (at, tokens, exchange) in steps {
+            now += ms(20);
+            if books[at].take(&customer(), quota, tokens, share, now).is_ok() {
+                admitted += tokens as f64;
+            }
+            if exchange {
+                let totals: Vec<i64> =
+                    books.iter().map(|b| b.own_totals().map(|(_, t)| t).sum()).collect();
+                for (i, book) in books.iter_mut().enumerate() {
+                    for (j, total) in totals.iter().enumerate().filter(|(j, _)| *j != i) {
+                        let (process, customer) = (format!("p{j}"), customer());
+                        let peer = PeerTotal {
+                            process: &process,
+                            older: false,
+                            customer: &customer,
+                            total: *total,
+                        };
+                        book.hear(peer, quota, now);
+                    }
+                }
+            }
+            let elapsed = now.duration_since(start).as_secs_f64();
+            // Four processes may each use a whole burst before the first exchange.
+            let allowed = quota.rate * elapsed + 4.0 * quota.burst;
+            prop_assert!(admitted <= allowed, "{admitted} admitted, {allowed} allowed");
+        }
+    }
+}
+
+// Retries.
+
+#[test]
+fn second_attempts_stay_within_the_budget() {
+    struct Case {
+        name: &'static str,
+        requests: usize,
+        processes: usize,
+        most: usize,
+    }
+    let cases = [
+        Case { name: "no request", requests: 0, processes: 1, most: 58 },
+        Case { name: "a hundred requests", requests: 100, processes: 1, most: 78 },
+        Case { name: "the surplus is shared", requests: 0, processes: 9, most: 6 },
+        Case { name: "many processes", requests: 100, processes: 300, most: 20 },
+    ];
+    let terms = RetryTerms { ratio: 0.2, surplus: 58.0, window: ms(10_000) };
+    let service = "llm".to_owned();
+    for case in cases {
+        let now = Instant::now();
+        let mut book = RetryBook::default();
+        for _ in 0..case.requests {
+            book.request(&service, terms, now);
+        }
+        let taken = (0..1_000).filter(|_| book.take(&service, terms, case.processes, now)).count();
+        assert!(taken <= case.most, "{}: {taken} taken", case.name);
+        let later = now + ms(10_001);
+        let again =
+            (0..1_000).filter(|_| book.take(&service, terms, case.processes, later)).count();
+        assert!(again <= case.most, "{}: {again} taken in the next window", case.name);
+    }
+}
+
+// Usage.
+
+#[test]
+fn usage_sums_processes_and_ignores_older_messages() {
+    let mut book = UsageBook::default();
+    book.count("a", 7, &customer());
+    book.count("a", 7, &customer());
+    let of_b = |n: u64| BTreeMap::from([(customer(), n)]);
+    book.hear("b", 7, &of_b(5));
+    book.hear("b", 7, &of_b(3));
+    assert_eq!(book.total(7), of_b(7));
+    assert_eq!(book.of_process("a"), vec![(7, of_b(2))]);
+    book.open("a", 9);
+    assert_eq!(book.counted_before(9), vec![7]);
+    book.open("a", 100);
+    assert_eq!(book.total(7), BTreeMap::new(), "old windows are dropped");
+    book.hear("b", 7, &of_b(5));
+    assert_eq!(book.counted_before(100), Vec::<u64>::new(), "and do not come back");
+}
+
+proptest! {
+    /// In whatever order and however often counts arrive, the sum is the same.
+    #[test]
+    fn usage_does_not_depend_on_the_order_of_messages(
+        messages in prop::collection::vec((0usize..5, 1u64..50), 1..40),
+    ) {
+        let mut forth = UsageBook::default();
+        let mut back = UsageBook::default();
+        let tell = |book: &mut UsageBook, (at, n): &(usize, u64)| {
+            book.hear(&format!("p{at}"), 3, &BTreeMap::from([(customer(), *n)]));
+        };
+        messages.iter().for_each(|m| tell(&mut forth, m));
+        messages.iter().rev().chain(&messages).for_each(|m| tell(&mut back, m));
+        prop_assert_eq!(forth.total(3), back.total(3));
+    }
+}
+
+// Time.
+
+#[test]
+fn a_wrong_clock_takes_the_median_of_the_others() {
+    struct Case {
+        name: &'static str,
+        others: &'static [i64],
+        correction: i64,
+    }
+    let cases = [
+        Case { name: "one voice does not count", others: &[5_000], correction: 0 },
+        Case { name: "all agree with us", others: &[3, -4, 10], correction: 0 },
+        Case { name: "we are behind", others: &[2_400, 2_401, 2_399], correction: 2_400 },
+        Case { name: "one of the others is wrong", others: &[-7, 9_000, 4], correction: 0 },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut clock = TrueClock::new(now, 1_000_000);
+        for (i, ahead) in case.others.iter().enumerate() {
+            let time = (1_000_000 + ahead) as u64;
+            clock.hear(&format!("p{i}"), time, now);
+        }
+        let moved = clock.unix_millis(now) as i64 - 1_000_000;
+        assert!((moved - case.correction).abs() <= 2, "{}: moved by {moved}", case.name);
+    }
+}
+
+// Choice of an upstream.
+
+const IDLE: Candidate = Candidate {
+    running: 0.0,
+    pending_tokens: 0.0,
+    slots: 64,
+    missing_tokens: 1_000.0,
+    slowness: 1.0,
+    failures: 0.0,
+    remote: false,
+    chance: 0.0,
+};
+
+#[test]
+fn the_upstream_with_the_shortest_predicted_wait_is_chosen() {
+    struct Case {
+        name: &'static str,
+        candidates: Vec<Candidate>,
+        best: Option<usize>,
+    }
+    let cases = [
+        Case { name: "none", candidates: vec![], best: None },
+        Case {
+            name: "a cached prefix",
+            candidates: vec![Candidate { missing_tokens: 17_000.0, ..IDLE }, IDLE],
+            best: Some(1),
+        },
+        Case {
+            name: "a cached prefix behind a long queue",
+            candidates: vec![
+                Candidate { missing_tokens: 17_000.0, ..IDLE },
+                Candidate { pending_tokens: 90_000.0, ..IDLE },
+            ],
+            best: Some(0),
+        },
+        Case {
+            name: "recent failures",
+            candidates: vec![
+                Candidate { failures: 2.0, ..IDLE },
+                Candidate { running: 20.0, ..IDLE },
+            ],
+            best: Some(1),
+        },
+        Case {
+            name: "all failing, one must do",
+            candidates: vec![
+                Candidate { failures: 3.0, ..IDLE },
+                Candidate { failures: 2.0, ..IDLE },
+            ],
+            best: Some(1),
+        },
+        Case {
+            name: "slots taken",
+            candidates: vec![
+                Candidate { running: 70.0, ..IDLE },
+                Candidate { running: 40.0, ..IDLE },
+            ],
+            best: Some(1),
+        },
+        Case {
+            name: "slow answers",
+            candidates: vec![
+                Candidate { slowness: 7.0, ..IDLE },
+                Candidate { running: 9.0, ..IDLE },
+            ],
+            best: Some(1),
+        },
+        Case {
+            name: "the own data centre",
+            candidates: vec![Candidate { remote: true, ..IDLE }, IDLE],
+            best: Some(1),
+        },
+    ];
+    for case in cases {
+        assert_eq!(choose_engine(&case.candidates, SPEED), case.best, "{}", case.name);
+    }
+}
+
+proptest! {
+    /// More load never makes the predicted wait shorter.
+    #[test]
+    fn the_predicted_wait_grows_with_load(
+        running in 0.0..200.0f64, pending in 0.0..200_000.0f64, more in 0.0..50.0f64,
+    ) {
+        let c = Candidate { running, pending_tokens: pending, ..IDLE };
+        let busier = Candidate { running: running + more, ..c };
+        let queued = Candidate { pending_tokens: pending + more, ..c };
+        prop_assert!(predicted_wait(&busier, SPEED) >= predicted_wait(&c, SPEED));
+        prop_assert!(predicted_wait(&queued, SPEED) >= predicted_wait(&c, SPEED));
+    }
+}
+
+#[test]
+fn failures_age_and_successes_outweigh_them() {
+    let now = Instant::now();
+    let mut breaker = Breaker::new(now);
+    (0..50).for_each(|_| breaker.record(Verdict::Failed, now));
+    let many = breaker.recent_failures(now);
+    assert!(many <= 8.0, "failures are bounded, so that recovery is seen: {many}");
+    assert!(breaker.recent_failures(now + ms(8_000)) < many / 10.0);
+    (0..12).for_each(|_| breaker.record(Verdict::Good, now));
+    assert!(breaker.recent_failures(now) < 0.5);
+}
+
+#[test]
+fn the_least_recently_used_prefix_yields() {
+    let now = Instant::now();
+    let mut cache = CacheBelief::default();
+    let engine = "engine-1".to_owned();
+    for (i, prefix) in [1u64, 2, 1, 3].into_iter().enumerate() {
+        cache.note(&engine, prefix, 300, 1_000, now + ms(i as u64));
+    }
+    assert_eq!([1, 2, 3].map(|p| cache.holds(&engine, p)), [true, false, true]);
+    assert!(!cache.holds(&"engine-2".to_owned(), 1));
+    cache.retain(|_| false);
+    assert!(!cache.holds(&engine, 1));
+}
+
+// Capacity.
+
+fn scaling(max: u32) -> Scaling {
+    let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
+    Scaling {
+        min: 1,
+        max,
+        boot: ms(4_000),
+        reclaimable_price: 0.15,
+        prices: prices.into_iter().map(|(n, p)| (n.to_owned(), p)).collect(),
+    }
+}
+
+const POLICY: CapacityPolicy = CapacityPolicy {
+    reclaimable_factor: 2.0,
+    survive_share: 0.8,
+    on_demand_floor: 0,
+    needed_floor: 4.0,
+};
+
+fn fleets(reclaimable: [u32; 4]) -> BTreeMap<DataCentre, Fleet> {
+    let names = ["a", "b", "c", "d"].into_iter().map(str::to_owned);
+    names.zip(reclaimable.map(|reclaimable| Fleet { reclaimable, on_demand: 0 })).collect()
+}
+
+#[test]
+fn engines_on_demand_cover_what_reclaimable_ones_cannot() {
+    struct Case {
+        name: &'static str,
+        needed: f64,
+        reclaimable: [u32; 4],
+        on_demand: u32,
+    }
+    let cases = [
+        Case { name: "enough are reclaimable", needed: 5.0, reclaimable: [3; 4], on_demand: 0 },
+        Case { name: "none are", needed: 5.0, reclaimable: [0; 4], on_demand: 5 },
+        Case {
+            name: "one more loss leaves too few",
+            needed: 5.0,
+            reclaimable: [3, 0, 0, 3],
+            on_demand: 1,
+        },
+        Case {
+            name: "only one data centre is left",
+            needed: 5.0,
+            reclaimable: [0, 0, 0, 9],
+            on_demand: 4,
+        },
+        Case { name: "no load yet", needed: 0.0, reclaimable: [0; 4], on_demand: 4 },
+    ];
+    let scaling = scaling(10);
+    for case in cases {
+        let fleets = fleets(case.reclaimable);
+        let input = CapacityInput { needed: case.needed, scaling: &scaling, fleets: &fleets };
+        let wishes = plan_engines(&input, &POLICY);
+        let on_demand: u32 = wishes.values().map(|w| w.on_demand).sum();
+        assert_eq!(on_demand, case.on_demand, "{}", case.name);
+    }
+}
+
+proptest! {
+    /// The operator's bounds hold in each data centre, for both kinds together.
+    #[test]
+    fn wishes_keep_the_bounds(
+        needed in 0.0..200.0f64, reclaimable in prop::array::uniform4(0u32..12), max in 1u32..12,
+    ) {
+        let scaling = scaling(max);
+        let fleets = fleets(reclaimable);
+        let input = CapacityInput { needed, scaling: &scaling, fleets: &fleets };
+        for (name, wish) in plan_engines(&input, &POLICY) {
+            let both = wish.reclaimable + wish.on_demand;
+            prop_assert!(both <= max, "{name}: {wish:?} of {max}");
+            prop_assert!(both >= scaling.min.min(max), "{name}: {wish:?}");
+        }
+    }
+}
+
+// Streams.
+
+proptest! {
+    /// However a stream is cut into pieces, whole events come out, and the id
+    /// is that of the last whole one.
+    #[test]
+    fn events_come_out_whole(count in 1usize..20, cuts in prop::collection::vec(0usize..400, 0..12)) {
+        let text: String = (1..=count).map(|i| format!("id: {i}\ndata: token {i}\n\n")).collect();
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|c| c % (text.len() + 1)).collect();
+        cuts.extend([0, text.len()]);
+        cuts.sort_unstable();
+        let mut splitter = EventSplitter::default();
+        let mut passed = String::new();
+        for pair in cuts.windows(2) {
+            let out = splitter.push(&text.as_bytes()[pair[0]..pair[1]]);
+            let out = std::str::from_utf8(&out).expect("the text is ASCII");
+            prop_assert!(out.is_empty() || out.ends_with("\n\n"), "{out:?}");
+            passed.push_str(out);
+            let last = passed.matches("id:").count();
+            let id = splitter.last_id().map(|id| id.parse::<usize>().expect("a number"));
+            prop_assert_eq!(id.unwrap_or(0), last);
+        }
+        prop_assert_eq!(passed, text);
+    }
+}
+
+#[test]
+fn an_incomplete_event_is_dropped_before_a_resume() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(&splitter.push(b"id: 1\ndata: a\n\nid: 2\nda")[..], b"id: 1\ndata: a\n\n");
+    splitter.restart();
+    assert_eq!(&splitter.push(b"id: 2\ndata: b\n\n")[..], b"id: 2\ndata: b\n\n");
+    assert_eq!(splitter.last_id(), Some("2"));
+    splitter.push(b"tail");
+    assert_eq!(&splitter.rest()[..], b"tail");
+}
--- /dev/null
+++ b/tests/platform_adapter.rs
@@ -0,0 +1,204 @@
+//! The adapter: published messages in, the project's own types out.
+
+use std::time::Duration;
+
+use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
+use tackhollow::{
+    gateway::model::{RequestKind, UpstreamPhase},
+    platform::{
+        Attempt, closes, decode_configuration, decode_head, decode_lookup, decode_upstream,
+        encode_addresses, is_not_executed, keep_alive, same_request, seal_missing, stamp_attempt,
+        strip_hop_headers,
+    },
+};
+
+const CONFIGURATION: &str = include_str!("data/platform_configuration.json");
+
+#[test]
+fn the_configuration_is_decoded() {
+    let cfg = decode_configuration(CONFIGURATION.as_bytes()).expect("the published form");
+    assert_eq!(cfg.version, 7);
+    let route = cfg.route("ficu95.example", "/lohu930/2f").expect("a route");
+    assert_eq!(route.kind, RequestKind::Streaming);
+    assert_eq!(route.timeout, Duration::from_secs(15));
+    assert_eq!(route.targets, [("huvo11a".to_owned(), 90), ("wuno96b".to_owned(), 10)]);
+    assert!(!route.repeatable());
+    let resumable = cfg.route("ficu95.example", "/pufi791/x").expect("a route");
+    assert!(resumable.repeatable());
+    assert_eq!(resumable.targets, [("huvo11a".to_owned(), 1)]);
+    let service = &cfg.services["huvo11a"];
+    assert_eq!(service.max_connections, 370);
+    assert_eq!(service.engine.expect("model engines").cache_tokens, 583_597);
+    let scaling = service.scaling.as_ref().expect("a number that may change");
+    assert_eq!((scaling.min, scaling.max), (1, 10));
+    assert_eq!(scaling.boot, Duration::from_secs(4));
+    assert!(cfg.services["wuno96b"].scaling.is_none());
+    let customer = cfg.customer("i9n73hh2b9wu3fexd9dn").expect("a key");
+    assert_eq!(customer.name, "hule930");
+    assert_eq!(customer.quota.expect("a quota").burst, 287_032.0);
+    assert_eq!(cfg.limits.body_bytes, 4_194_304);
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let cases = [
+        Case { host: "ficu95.example", path: "/lohu930/2f", route: Some("r-6tta828") },
+        Case { host: "ficu95.example", path: "/lohu930/deep/2f", route: Some("r-deep") },
+        Case { host: "ficu95.example", path: "/lohu930", route: None },
+        Case { host: "ficu95.example", path: "/lohu9300/2f", route: None },
+        Case { host: "other.example", path: "/lohu930/2f", route: None },
+        Case { host: "ficu95.example", path: "/", route: None },
+    ];
+    let cfg = decode_configuration(CONFIGURATION.as_bytes()).expect("the published form");
+    for case in cases {
+        let route = cfg.route(case.host, case.path).map(|r| r.name.as_str());
+        assert_eq!(route, case.route, "{} {}", case.host, case.path);
+    }
+}
+
+#[test]
+fn documents_of_another_form_are_typed_errors() {
+    for bytes in [&b""[..], b"{", b"[]", b"{\"routes\":[]}", b"{\"version\":\"7\"}", b"\xff"] {
+        decode_configuration(bytes).expect_err("not a configuration");
+        decode_upstream("i-1".to_owned(), bytes).expect_err("not an upstream");
+    }
+}
+
+#[test]
+fn upstreams_are_decoded() {
+    struct Case {
+        row: &'static str,
+        phase: UpstreamPhase,
+        reclaimable: bool,
+        leaves_in: Option<Duration>,
+    }
+    let cases = [
+        Case {
+            row: r#"{"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready"}"#,
+            phase: UpstreamPhase::Ready,
+            reclaimable: false,
+            leaves_in: None,
+        },
+        Case {
+            row: r#"{"service":"s","address":"10.0.0.1:80","state":"draining","spot":true,"leaves_ms":2400}"#,
+            phase: UpstreamPhase::Draining,
+            reclaimable: true,
+            leaves_in: Some(Duration::from_millis(2_400)),
+        },
+        Case {
+            row: r#"{"service":"s","address":"10.0.0.1:80","state":"unheard of","new":1}"#,
+            phase: UpstreamPhase::Draining,
+            reclaimable: false,
+            leaves_in: None,
+        },
+    ];
+    for case in cases {
+        let upstream = decode_upstream("i-1".to_owned(), case.row.as_bytes()).expect(case.row);
+        assert_eq!(upstream.phase, case.phase, "{}", case.row);
+        assert_eq!(upstream.reclaimable, case.reclaimable, "{}", case.row);
+        assert_eq!(upstream.leaves_in, case.leaves_in, "{}", case.row);
+    }
+}
+
+#[test]
+fn the_head_of_a_request_is_decoded() {
+    let request = Request::post("/lohu930/2f?x=1")
+        .header("Host", "Ficu95.Example:8221")
+        .header("X-Request-Id", "9c41")
+        .header("X-Token-Usage", "1460,80")
+        .header("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+        .header("X-Deadline-Ms", "15000")
+        .header("X-Key", "secret")
+        .body(())
+        .expect("a request");
+    let head = decode_head(&request.into_parts().0);
+    assert_eq!(
+        (head.id.as_str(), head.host.as_str(), head.path.as_str()),
+        ("9c41", "ficu95.example", "/lohu930/2f")
+    );
+    assert_eq!(head.patience, Some(Duration::from_secs(15)));
+    assert_eq!(head.key.as_deref(), Some("secret"));
+    let prompt = head.prompt.expect("a prompt");
+    assert_eq!((prompt.tokens, prompt.max_output), (1_460, 80));
+    assert_eq!(prompt.parts.iter().map(|(_, tokens)| *tokens).collect::<Vec<_>>(), [800, 410, 250]);
+}
+
+fn headers(list: &[(&'static str, &'static str)]) -> HeaderMap {
+    list.iter().map(|(n, v)| (n.parse().expect(n), HeaderValue::from_static(v))).collect()
+}
+
+#[test]
+fn only_this_system_says_who_the_customer_is() {
+    let mut sent = headers(&[
+        ("x-key", "secret"),
+        ("x-tenant", "forged"),
+        ("x-expect-instance", "forged"),
+        ("x-request-priority", "0"),
+        ("kv-from", "10.0.0.1:1/7"),
+        ("connection", "close, x-hop"),
+        ("x-hop", "1"),
+        ("x-kept", "1"),
+    ]);
+    strip_hop_headers(&mut sent);
+    stamp_attempt(
+        &mut sent,
+        &Attempt {
+            time_left: Duration::from_millis(900),
+            upstream: "i-7",
+            customer: Some("hule930"),
+            priority: Some(2),
+            resume_after: Some("12"),
+        },
+    );
+    let expected = headers(&[
+        ("x-kept", "1"),
+        ("x-deadline-ms", "900"),
+        ("x-expect-instance", "i-7"),
+        ("x-tenant", "hule930"),
+        ("x-request-priority", "2"),
+        ("last-event-id", "12"),
+    ]);
+    assert_eq!(sent, expected);
+}
+
+#[test]
+fn answers_are_judged_by_their_heads() {
+    let ok = StatusCode::OK;
+    let full = StatusCode::SERVICE_UNAVAILABLE;
+    let sealed = headers(&[("x-response-seal", "3e1b"), ("x-request-id", "9c41")]);
+    assert!(!seal_missing(ok, &sealed));
+    assert!(seal_missing(ok, &HeaderMap::new()));
+    assert!(!seal_missing(full, &HeaderMap::new()));
+    assert!(same_request(&sealed, "9c41"));
+    assert!(!same_request(&sealed, "9c42"));
+    assert!(!is_not_executed(full, &HeaderMap::new()), "only the header says so");
+    assert!(is_not_executed(full, &headers(&[("x-not-executed", "1")])));
+    assert!(is_not_executed(StatusCode::MISDIRECTED_REQUEST, &HeaderMap::new()));
+    assert_eq!(
+        keep_alive(&headers(&[("keep-alive", "timeout=5, max=9")])),
+        Some(Duration::from_secs(5))
+    );
+    assert_eq!(keep_alive(&HeaderMap::new()), None);
+    assert!(closes(&headers(&[("connection", "keep-alive, Close")])));
+    assert!(!closes(&HeaderMap::new()));
+}
+
+#[test]
+fn lookups_are_decoded_and_answered() {
+    let get = |uri: &str| {
+        let request = Request::get(uri).body(()).expect("a request");
+        decode_lookup(request.method(), request.uri())
+    };
+    let lookup = get("/resolve?name=a.example&region=bkk&zone=bkk-nont").expect("a lookup");
+    assert_eq!(lookup.data_centre.as_deref(), Some("bkk-nont"));
+    assert_eq!(get("/resolve").expect("a lookup").data_centre, None);
+    assert_eq!(get("/ready"), None);
+    let addresses = ["10.1.0.14:8221".parse().expect("an address")];
+    let answer = String::from_utf8(encode_addresses(&addresses, 2)).expect("text");
+    assert_eq!(answer, r#"{"addresses":["10.1.0.14:8221"],"ttlS":2}"#);
+}
