Few gateways read the store and tell the others; heartbeats sized for many processes

Now three gateways follow the store, changes travel in heartbeats, the silence follows the number of gateways, usage goes to the holder of the lease, and what a silent gateway admits is extrapolated.

--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -15,17 +15,28 @@
     },
     model::{Configuration, Revision, ServiceName, Upstream, UpstreamPhase},
     net::Phase,
-    peering::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId},
+    peering::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, RecentChanges},
 };
 use crate::ids::{DataCentre, UpstreamId};
 
+/// Between heartbeats: load that is older misleads the choice of engines.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(150);
+/// Gateways that get each heartbeat. With more, each gets every few, and the
+/// cost of a process does not grow with their number.
+pub const HEARTBEAT_FAN_OUT: usize = 24;
 /// Silence after which a gateway is no longer named to callers: five
 /// heartbeats, so that a few lost datagrams change nothing.
-pub const PEER_SILENCE: Duration = Duration::from_millis(800);
+const SHORTEST_SILENCE: Duration = Duration::from_millis(800);
+/// The same where each gateway is heard less often, in mean intervals.
+const SILENT_INTERVALS: f64 = 3.0;
 /// Silence after which a gateway is taken not to serve any more. Until then it
 /// counts as one that may be cut off and use its part of quotas.
 pub const PEER_FORGOTTEN: Duration = Duration::from_secs(12);
 
+/// Processes that read the store and tell the others. Each call is paid for;
+/// three leave one when two are cut off.
+pub const WATCHERS: usize = 3;
+
 /// Load on one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -46,8 +57,8 @@
     pub others: Load,
     /// Its health as requests saw it.
     pub breaker: Breaker,
-    /// Whether its row is missing, which may be the store's fault.
-    pub missing: bool,
+    /// Until when its row may be missing: that may be the store's fault.
+    pub missing_until: Option<Instant>,
 }
 
 impl UpstreamView {
@@ -58,7 +69,7 @@
             own: Load::default(),
             others: Load::default(),
             breaker: Breaker::new(now),
-            missing: false,
+            missing_until: None,
         }
     }
 
@@ -139,6 +150,8 @@
     /// Revision of the newest change of an upstream that is known. Another
     /// gateway that knows a change beyond our position is ahead of us.
     pub upstreams_last_change: Revision,
+    /// Changes of late, for other gateways.
+    pub recent_changes: RecentChanges,
     /// Whether the upstreams were read at least once.
     pub upstreams_known: bool,
     /// Other gateways.
@@ -173,6 +186,7 @@
             upstreams: BTreeMap::new(),
             upstreams_position: 0,
             upstreams_last_change: 0,
+            recent_changes: RecentChanges::default(),
             upstreams_known: false,
             peers: BTreeMap::new(),
             cache: CacheBelief::default(),
@@ -193,22 +207,43 @@
         self.configuration.as_ref().map_or(0, |c| c.version)
     }
 
-    /// Returns the gateways that were heard within `silence`.
-    pub fn heard(&self, now: Instant, silence: Duration) -> impl Iterator<Item = &PeerView> {
+    /// Returns the silence after which a gateway counts as gone.
+    pub fn peer_silence(&self) -> Duration {
+        let beats = self.peers.len() as f64 / HEARTBEAT_FAN_OUT as f64;
+        HEARTBEAT_PERIOD.mul_f64(beats * SILENT_INTERVALS).max(SHORTEST_SILENCE)
+    }
+
+    /// Returns the gateways that were heard of late.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = &PeerView> {
+        let silence = self.peer_silence();
         let recent = move |p: &&PeerView| now.saturating_duration_since(p.heard) < silence;
         self.peers.values().filter(recent)
     }
 
     /// Returns which part of quotas this process may count on.
     pub fn quota_share(&self, now: Instant) -> QuotaShare {
-        let heard = 1 + self.heard(now, PEER_SILENCE).count();
+        let heard = 1 + self.heard(now).count();
         QuotaShare { heard, members: 1 + self.peers.len() }
     }
 
+    /// Returns whether this process reads the store: the first few processes
+    /// that the store answers do, and tell the others. A process that the store
+    /// does not answer goes on trying.
+    pub fn watches_store(&self, process: &str, now: Instant) -> bool {
+        if matches!(self.store, StoreState::Away(_)) || self.configuration.is_none() {
+            return true;
+        }
+        let before = self
+            .heard(now)
+            .filter(|p| p.last.store_answers && p.last.phase == Phase::Serving)
+            .filter(|p| p.last.process().as_str() < process);
+        before.count() < WATCHERS
+    }
+
     /// Returns whether another gateway has a newer configuration.
     pub fn configuration_is_behind(&self, now: Instant) -> bool {
         let own = self.configuration_version();
-        self.heard(now, PEER_SILENCE).any(|p| p.last.configuration > own)
+        self.heard(now).any(|p| p.last.configuration > own)
     }
 
     /// Returns the upstreams of a service that take new work.
@@ -258,7 +293,7 @@
     /// Returns the prompt tokens a second that all callers bring to a service.
     pub fn total_demand(&self, service: &str, now: Instant) -> f64 {
         let own = self.demand.get(service).map_or(0.0, |r| r.decayed(now));
-        let others = self.heard(now, PEER_SILENCE).flat_map(|p| &p.last.demand);
+        let others = self.heard(now).flat_map(|p| &p.last.demand);
         let others = others.filter(|d| d.service == service).map(|d| f64::from(d.prompt_rate));
         own + others.sum::<f64>()
     }
@@ -272,9 +307,7 @@
     /// Sums up the load that the other processes put on upstreams.
     pub fn sum_loads(&mut self, now: Instant) {
         let mut sums: BTreeMap<UpstreamId, Load> = BTreeMap::new();
-        for LoadReport(id, running, pending) in
-            self.heard(now, PEER_SILENCE).flat_map(|p| &p.last.loads)
-        {
+        for LoadReport(id, running, pending) in self.heard(now).flat_map(|p| &p.last.loads) {
             let sum = sums.entry(id.clone()).or_default();
             sum.running += running;
             sum.pending_tokens += pending;
@@ -287,6 +320,6 @@
     /// Returns the gateways that callers may use, as heard of late.
     pub fn serving_peers(&self, now: Instant) -> impl Iterator<Item = &PeerView> {
         let serves = |p: &&PeerView| p.last.phase == Phase::Serving && p.last.configuration > 0;
-        self.heard(now, PEER_SILENCE).filter(serves)
+        self.heard(now).filter(serves)
     }
 }
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -3,6 +3,8 @@
 //! A row that disappears means that the upstream is gone, unless the store was
 //! away shortly before: then leases of upstreams that live may have lapsed, and
 //! the upstream has some time to appear again.
+//!
+//! Few processes read the store; the others take over what these tell.
 
 use std::{
     collections::BTreeSet,
@@ -17,7 +19,7 @@
         board::{StoreState, UpstreamView},
         context::Gateway,
         model::{Revision, Upstream, UpstreamPhase},
-        peering::UpstreamSnapshot,
+        peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -62,12 +64,31 @@
     pub fn copy(&mut self, cx: CX![], snapshot: UpstreamSnapshot) {
         let position = snapshot.position;
         self.replace(&snapshot, cx.now(), |id, _| self.remove(id, position));
-        let mut board = self.gateway.board.borrow_mut();
         for id in &snapshot.missing {
-            if let Some(view) = board.upstreams.get_mut(id) {
-                view.missing = true;
+            self.mark_missing(id, position, cx.now() + LAPSE_GRACE);
+        }
+    }
+
+    /// Takes over changes that another gateway told, if none are lacking
+    /// before them.
+    pub fn follow(&mut self, cx: CX![], recent: RecentChanges) {
+        let now = cx.now();
+        let known = self.gateway.board.borrow().upstreams_position;
+        if recent.after > known || recent.position <= known {
+            return;
+        }
+        let mut last_change = 0;
+        for (revision, change) in recent.changes.into_iter().filter(|(r, _)| *r > known) {
+            last_change = revision;
+            match change {
+                UpstreamChange::Written(upstream) => self.update(upstream, revision, now),
+                UpstreamChange::Missing(id) => {
+                    self.mark_missing(&id, revision, now + LAPSE_GRACE);
+                }
+                UpstreamChange::Gone(id) => self.remove(&id, revision),
             }
         }
+        self.advance(recent.position, last_change);
     }
 
     fn replace(
@@ -89,6 +110,7 @@
         for id in known.iter().filter(|id| !listed.contains(id)) {
             absent(id, now);
         }
+        self.gateway.board.borrow_mut().recent_changes.reset(position);
         self.advance(position, snapshot.last_change);
     }
 
@@ -147,12 +169,13 @@
             UpstreamPhase::Ready => "ready",
             UpstreamPhase::Draining => "draining",
         };
+        board.recent_changes.push(revision, UpstreamChange::Written(upstream.clone()), now);
         let known = board.upstreams.get_mut(&id);
         let changed = known.as_ref().is_none_or(|view| view.upstream.phase != upstream.phase);
         match known {
             Some(view) => {
                 view.upstream = upstream;
-                view.missing = false;
+                view.missing_until = None;
             }
             None => drop(board.upstreams.insert(id.clone(), UpstreamView::new(upstream, now))),
         }
@@ -164,48 +187,56 @@
 
     /// Handles the removal of a row.
     fn missing(&self, id: &UpstreamId, revision: Revision, now: Instant) {
-        let mut board = self.gateway.board.borrow_mut();
-        let may_have_lapsed = match board.store {
-            StoreState::Up => false,
-            StoreState::Away(_) => true,
-            StoreState::Returned(at) => now.saturating_duration_since(at) < LAPSE_SEEN,
+        let board = self.gateway.board.borrow();
+        let lapse_ends = match board.store {
+            StoreState::Up => None,
+            StoreState::Away(_) => Some(now + LAPSE_GRACE),
+            StoreState::Returned(at) if now < at + LAPSE_SEEN => Some(at + LAPSE_GRACE),
+            StoreState::Returned(_) => None,
         };
+        let serves = board.upstreams.get(id).is_some_and(UpstreamView::takes_work);
+        drop(board);
+        match lapse_ends.filter(|_| serves) {
+            Some(until) => self.mark_missing(id, revision, until),
+            None => self.remove(id, revision),
+        }
+    }
+
+    fn mark_missing(&self, id: &UpstreamId, revision: Revision, until: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
         let Some(view) = board.upstreams.get_mut(id) else {
             return;
         };
-        if may_have_lapsed && view.takes_work() {
-            view.missing = true;
-            drop(board);
-            self.gateway.log(&Event::Upstream { upstream: id, state: "missing", revision });
-            return;
-        }
+        view.missing_until = Some(until);
+        board.recent_changes.push(revision, UpstreamChange::Missing(id.clone()), Instant::now());
         drop(board);
-        self.remove(id, revision);
+        self.gateway.log(&Event::Upstream { upstream: id, state: "missing", revision });
     }
 
     fn remove(&self, id: &UpstreamId, revision: Revision) {
-        if self.gateway.board.borrow_mut().upstreams.remove(id).is_some() {
-            self.gateway.log(&Event::Upstream { upstream: id, state: "gone", revision });
+        let mut board = self.gateway.board.borrow_mut();
+        if board.upstreams.remove(id).is_none() {
+            return;
         }
+        board.recent_changes.push(revision, UpstreamChange::Gone(id.clone()), Instant::now());
+        drop(board);
+        self.gateway.log(&Event::Upstream { upstream: id, state: "gone", revision });
     }
 
-    /// Drops upstreams whose rows stayed away after the store's return.
+    /// Drops upstreams whose rows stayed away after the store's return. Each
+    /// process does so by itself: the store has no revision for it.
     fn drop_missing(&self, now: Instant) {
-        let board = self.gateway.board.borrow();
-        let settled = match board.store {
-            StoreState::Up => true,
-            StoreState::Away(_) => false,
-            StoreState::Returned(at) => now.saturating_duration_since(at) >= LAPSE_GRACE,
-        };
-        if !settled {
-            return;
-        }
-        let missing = board.upstreams.iter().filter(|(_, v)| v.missing);
+        let mut board = self.gateway.board.borrow_mut();
+        let over = |v: &UpstreamView| v.missing_until.is_some_and(|until| now >= until);
+        let missing = board.upstreams.iter().filter(|(_, v)| over(v));
         let gone: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            board.upstreams.remove(id);
+        }
         let revision = board.upstreams_position;
         drop(board);
         for id in &gone {
-            self.remove(id, revision);
+            self.gateway.log(&Event::Upstream { upstream: id, state: "gone", revision });
         }
     }
 
@@ -214,6 +245,7 @@
         board.upstreams_position = board.upstreams_position.max(position);
         board.upstreams_last_change = board.upstreams_last_change.max(last_change);
         board.upstreams_known = true;
+        board.recent_changes.advance(position);
         let now = Instant::now();
         board.sum_loads(now);
         drop(board);
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -16,7 +16,6 @@
 use crate::{
     control::{Lease, LeaseAction, LeaseRow, LeaseTiming},
     gateway::{
-        board::PEER_SILENCE,
         context::Gateway,
         decide::{Counts, Window},
         net::Phase,
@@ -140,15 +139,14 @@
     /// processes suspect one after another, so that one alone reads the row.
     fn holder_is_heard(&mut self, now: Instant) -> bool {
         let board = self.gateway.board.borrow();
-        let mut heard = board.heard(now, PEER_SILENCE);
+        let mut heard = board.heard(now);
         if heard.any(|p| p.last.lease.is_some()) {
             self.holder_heard = now;
             // What was seen of the row is of no use for the next holder.
             self.lease.observe(0, None, now);
             return true;
         }
-        let before =
-            board.heard(now, PEER_SILENCE).filter(|p| p.last.process() < self.gateway.process);
+        let before = board.heard(now).filter(|p| p.last.process() < self.gateway.process);
         let wait = SUSPECT_AFTER + SUSPECT_STEP * before.count() as u32;
         now.saturating_duration_since(self.holder_heard) < wait
     }
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -15,9 +15,9 @@
 use super::Source;
 use crate::{
     gateway::{
-        board::{PEER_FORGOTTEN, PEER_SILENCE, PeerView},
+        board::{HEARTBEAT_FAN_OUT, HEARTBEAT_PERIOD, PEER_FORGOTTEN, PeerView, StoreState},
         context::Gateway,
-        decide::PeerTotal,
+        decide::{Counts, PeerTotal, Window},
         net::{connect, json_request},
         peering::{Heartbeat, ProcessId, UpstreamSnapshot},
         telemetry::Event,
@@ -25,13 +25,13 @@
     platform::Table,
 };
 
-/// Between heartbeats: load that is older misleads the choice of engines.
-const PERIOD: Duration = Duration::from_millis(150);
-/// Gateways that get each heartbeat. With more, each gets every few; the cost
-/// of a process does not grow with their number.
-const FAN_OUT: usize = 12;
 /// Every how many heartbeats addresses that are silent are tried.
 const SILENT_EVERY: u32 = 10;
+/// Every how many heartbeats usage is told to those that do not report it.
+const USAGE_EVERY: u32 = 4;
+/// For how long changes of upstreams are told: until each gateway has heard
+/// them from several others.
+const CHANGES_TOLD: Duration = Duration::from_millis(2_500);
 /// Windows of usage that are told: reports are due two windows after the end.
 const USAGE_WINDOWS: usize = 4;
 /// How long another gateway may be ahead before this one asks it and reads
@@ -84,12 +84,14 @@
     }
 
     /// Takes over a heartbeat.
-    pub fn hear(&mut self, cx: CX![], heartbeat: Heartbeat) {
+    pub fn hear(&mut self, cx: CX![], mut heartbeat: Heartbeat) {
         let now = cx.now();
         if heartbeat.process() == self.gateway.process {
             return;
         }
         self.addresses.insert(heartbeat.heartbeats);
+        let recent = std::mem::take(&mut heartbeat.recent);
+        self.gateway.tell(|c| call!([c.directory], follow(recent)));
         self.follow(&heartbeat, now);
         self.take_accounts(&heartbeat, now);
         let process = heartbeat.process();
@@ -99,8 +101,9 @@
         board.peers.retain(|id, peer| *id == process || peer.last.host != host);
         let known = board.peers.insert(process.clone(), PeerView { last: heartbeat, heard: now });
         board.sum_loads(now);
+        let silence = board.peer_silence();
         drop(board);
-        if known.is_none_or(|k| now.saturating_duration_since(k.heard) >= PEER_SILENCE) {
+        if known.is_none_or(|k| now.saturating_duration_since(k.heard) >= silence) {
             self.gateway.log(&Event::Peer { process: &process, state: "heard" });
         }
     }
@@ -112,7 +115,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        timer_max!(&mut self.timer, now + PERIOD, [cx], tick());
+        timer_max!(&mut self.timer, now + HEARTBEAT_PERIOD, [cx], tick());
         self.forget(now);
         self.send(now);
         self.catch_up(now);
@@ -162,9 +165,8 @@
     /// Asks another gateway, and reads the store anew, if it stays ahead.
     fn catch_up(&mut self, now: Instant) {
         let board = self.gateway.board.borrow();
-        let newest_configuration =
-            board.heard(now, PEER_SILENCE).max_by_key(|p| p.last.configuration);
-        let newest_upstreams = board.heard(now, PEER_SILENCE).max_by_key(|p| p.last.upstreams);
+        let newest_configuration = board.heard(now).max_by_key(|p| p.last.configuration);
+        let newest_upstreams = board.heard(now).max_by_key(|p| p.last.upstreams);
         let configuration_from = newest_configuration
             .filter(|p| p.last.configuration > board.configuration_version())
             .map(|p| p.last.peers);
@@ -205,7 +207,7 @@
         for id in &gone {
             board.peers.remove(id);
         }
-        let heard = board.heard(now, PEER_SILENCE).count();
+        let heard = board.heard(now).count();
         drop(board);
         for process in &gone {
             self.gateway.log(&Event::Peer { process, state: "forgotten" });
@@ -214,7 +216,20 @@
     }
 
     fn send(&mut self, now: Instant) {
-        let heartbeat = self.compose(now);
+        self.beats = self.beats.wrapping_add(1);
+        let mut heartbeat = self.compose(now);
+        let (holder, others) = self.receivers(now);
+        // Usage matters to the holder of the lease; the others get it now and
+        // then, since one of them may be the next holder.
+        if self.beats.is_multiple_of(USAGE_EVERY) {
+            heartbeat.usage = self.usage();
+        }
+        self.send_to(&heartbeat, &others);
+        heartbeat.usage = self.usage();
+        self.send_to(&heartbeat, holder.as_slice());
+    }
+
+    fn send_to(&self, heartbeat: &Heartbeat, addresses: &[SocketAddr]) {
         let datagram = match heartbeat.encode() {
             Ok(datagram) => datagram,
             Err(e) => {
@@ -222,41 +237,43 @@
                 return;
             }
         };
-        self.beats = self.beats.wrapping_add(1);
-        for address in self.receivers(now) {
-            if let Err(e) = self.socket.try_send_to(&datagram, address) {
+        for address in addresses {
+            if let Err(e) = self.socket.try_send_to(&datagram, *address) {
                 // The next one follows soon.
                 log::debug!("heartbeat to {address}: {e}");
             }
         }
     }
 
-    /// Returns who gets this heartbeat: gateways that are heard, up to the fan
-    /// out, and at times those that are silent. The holder of the lease always
-    /// gets it, since it sums up usage and demand.
-    fn receivers(&self, now: Instant) -> Vec<SocketAddr> {
+    fn usage(&self) -> Vec<(Window, Counts)> {
+        let mut usage = self.gateway.board.borrow().usage.of_process(&self.gateway.process);
+        usage.truncate(USAGE_WINDOWS);
+        usage
+    }
+
+    /// Returns who gets this heartbeat: the holder of the lease, since it sums
+    /// up usage and demand; gateways that are heard, up to the fan-out; and at
+    /// times those that are silent.
+    fn receivers(&self, now: Instant) -> (Option<SocketAddr>, Vec<SocketAddr>) {
         let board = self.gateway.board.borrow();
-        let heard: Vec<SocketAddr> =
-            board.heard(now, PEER_SILENCE).map(|p| p.last.heartbeats).collect();
-        let holder = board.heard(now, PEER_SILENCE).find(|p| p.last.lease.is_some());
+        let heard: Vec<SocketAddr> = board.heard(now).map(|p| p.last.heartbeats).collect();
+        let holder = board.heard(now).find(|p| p.last.lease.is_some());
         let holder = holder.map(|p| p.last.heartbeats);
-        let mut chosen = sample(&heard, FAN_OUT);
-        if let Some(holder) = holder.filter(|h| !chosen.contains(h)) {
-            chosen.push(holder);
-        }
+        let others: Vec<SocketAddr> =
+            heard.iter().filter(|a| Some(**a) != holder).copied().collect();
+        let mut chosen = sample(&others, HEARTBEAT_FAN_OUT);
         if heard.is_empty() || self.beats.is_multiple_of(SILENT_EVERY) {
             let silent: Vec<SocketAddr> =
                 self.addresses.iter().filter(|a| !heard.contains(a)).copied().collect();
-            chosen.extend(sample(&silent, FAN_OUT));
+            chosen.extend(sample(&silent, HEARTBEAT_FAN_OUT));
         }
-        chosen
+        (holder, chosen)
     }
 
     fn compose(&self, now: Instant) -> Heartbeat {
         let settings = self.gateway.settings.borrow();
         let mut board = self.gateway.board.borrow_mut();
-        let mut usage = board.usage.of_process(&self.gateway.process);
-        usage.truncate(USAGE_WINDOWS);
+        board.recent_changes.forget(now, CHANGES_TOLD);
         Heartbeat {
             host: settings.id.clone(),
             incarnation: self.gateway.incarnation,
@@ -267,13 +284,15 @@
             phase: self.gateway.shutdown.phase(),
             configuration: board.configuration_version(),
             upstreams: board.upstreams_last_change,
+            recent: board.recent_changes.clone(),
+            store_answers: !matches!(board.store, StoreState::Away(_)),
             up_ms: now.saturating_duration_since(self.gateway.started).as_millis() as u64,
             time: board.clock.unix_millis(now),
             lease: board.lease.may_act(now),
             loads: board.own_loads(),
             prefixes: std::mem::take(&mut board.sent_prefixes),
             admitted: board.quotas.own_totals().map(|(c, n)| (c.clone(), n)).collect(),
-            usage,
+            usage: Vec::new(),
             demand: board.own_demand(now),
         }
     }
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -1,6 +1,9 @@
 //! Tasks that read the platform's store and follow its changes.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 use stakker::call;
@@ -16,9 +19,13 @@
     telemetry::count,
 };
 
-/// How long one call waits for changes. Each call is paid for; a shorter wait
-/// only finds a dead connection earlier, and the kernel's probes do that.
-const FEED_WAIT: Duration = Duration::from_secs(20);
+/// How long one call waits for changes. Each call is paid for; a longer wait
+/// would find a store that has fallen silent too late.
+const FEED_WAIT: Duration = Duration::from_secs(4);
+/// Between looks at whether this process should read the store.
+const TURN_PERIOD: Duration = Duration::from_millis(200);
+/// Longest wait for the list of gateways.
+const MEMBERS_WAIT: Duration = Duration::from_secs(3);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(300);
 /// Pause after changes of upstreams: they come in groups, and each call is
@@ -69,13 +76,14 @@
 ) {
     let mut known: Revision = 0;
     loop {
+        wait_for_turn(gateway).await;
         let Some(snapshot) = read(gateway, table, known).await else {
             sleep(PAUSE).await;
             continue;
         };
         known = snapshot.revision;
         on_snapshot(gateway, snapshot);
-        loop {
+        while watches(gateway) {
             let behind = gateway.resync(table).notified();
             let fed = tokio::select! {
                 fed = gateway.store.feed(table, known, FEED_WAIT) => fed,
@@ -98,6 +106,16 @@
     }
 }
 
+fn watches(gateway: &Gateway) -> bool {
+    gateway.board.borrow().watches_store(&gateway.process, Instant::now())
+}
+
+async fn wait_for_turn(gateway: &Gateway) {
+    while !watches(gateway) {
+        sleep(TURN_PERIOD).await;
+    }
+}
+
 /// Reads a table. A store that has lost its history may answer from an older
 /// state than what is known; such an answer is of no use.
 async fn read(gateway: &Gateway, table: Table, known: Revision) -> Option<Snapshot> {
@@ -143,7 +161,7 @@
         sleep(PAUSE).await;
     }
     loop {
-        let read = timeout(FEED_WAIT, gateway.store.snapshot(Table::Members)).await;
+        let read = timeout(MEMBERS_WAIT, gateway.store.snapshot(Table::Members)).await;
         if let Ok(Ok(snapshot)) = read {
             let rows = snapshot.rows.iter();
             let addresses = rows
--- a/src/gateway/decide/quota.rs
+++ b/src/gateway/decide/quota.rs
@@ -20,6 +20,12 @@
 /// several times a second.
 const HEARING_TIME: Duration = Duration::from_millis(500);
 
+/// For how long a process that is not heard is taken to go on as before. With
+/// hundreds of processes each is heard about once in this time.
+const LONGEST_ASSUMED: Duration = Duration::from_millis(1_500);
+/// Shortest span over which the rate of another process is judged.
+const SHORTEST_SPAN: f64 = 0.1;
+
 /// Which part of the refill this process may count on: its own and that of
 /// the processes it hears from. The others may be cut off and still serve.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,13 +42,29 @@
     }
 }
 
+/// What another process admitted, as last heard. Until it is heard again it is
+/// taken to go on at the same rate.
+#[derive(Clone, Copy, Debug)]
+struct Other {
+    total: i64,
+    heard: Instant,
+    rate: f64,
+}
+
+impl Other {
+    fn assumed(&self, now: Instant) -> f64 {
+        let silent = now.saturating_duration_since(self.heard).min(LONGEST_ASSUMED);
+        self.rate * silent.as_secs_f64()
+    }
+}
+
 #[derive(Debug)]
 struct Bucket {
     quota: Quota,
     level: f64,
     at: Instant,
     own: i64,
-    others: HashMap<String, i64>,
+    others: HashMap<String, Other>,
 }
 
 /// Buckets of all customers.
@@ -97,8 +119,9 @@
         let tokens = tokens as f64;
         // A request larger than the whole burst runs when the bucket is full.
         let needed = tokens.min(quota.burst.max(1.0));
-        if bucket.level < needed {
-            let wait = (needed - bucket.level) / (quota.rate * share.of_refill()).max(1.0);
+        let level = bucket.level - bucket.assumed(now);
+        if level < needed {
+            let wait = (needed - level) / (quota.rate * share.of_refill()).max(1.0);
             return Err(Duration::from_secs_f64(wait.min(60.0)).max(SHORTEST_WAIT));
         }
         bucket.level -= tokens;
@@ -119,9 +142,16 @@
     /// the levels that this process began with.
     pub fn hear(&mut self, peer: PeerTotal<'_>, quota: Quota, now: Instant) {
         let bucket = self.bucket(peer.customer, quota, now);
-        let before = bucket.others.insert(peer.process.to_owned(), peer.total);
-        let before = before.unwrap_or(if peer.older { peer.total } else { 0 });
-        bucket.level = (bucket.level - (peer.total - before) as f64).max(-quota.burst);
+        let before = bucket.others.get(peer.process).copied();
+        let known = before.map_or(if peer.older { peer.total } else { 0 }, |b| b.total);
+        let admitted = (peer.total - known) as f64;
+        let rate = before.map_or(0.0, |b| {
+            let span = now.saturating_duration_since(b.heard).as_secs_f64();
+            (admitted / span.max(SHORTEST_SPAN)).max(0.0)
+        });
+        let other = Other { total: peer.total, heard: now, rate };
+        bucket.others.insert(peer.process.to_owned(), other);
+        bucket.level = (bucket.level - admitted).max(-quota.burst);
     }
 
     /// Begins with the levels that were kept from earlier processes.
@@ -164,6 +194,11 @@
 }
 
 impl Bucket {
+    /// Returns what the others have likely admitted since they were heard.
+    fn assumed(&self, now: Instant) -> f64 {
+        self.others.values().map(|o| o.assumed(now)).sum()
+    }
+
     fn refill(&mut self, share: QuotaShare, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use super::RecentChanges;
 use crate::{
     gateway::{
         decide::{Counts, Window},
@@ -71,6 +72,11 @@
     pub configuration: u64,
     /// Revision of the newest change of an upstream that it knows.
     pub upstreams: Revision,
+    /// Changes of upstreams of late, so that not every process has to read the
+    /// store.
+    pub recent: RecentChanges,
+    /// Whether the store answers it, as far as it knows.
+    pub store_answers: bool,
     /// Milliseconds since its start.
     pub up_ms: u64,
     /// Its time of day.
--- a/src/gateway/peering/mod.rs
+++ b/src/gateway/peering/mod.rs
@@ -4,4 +4,4 @@
 mod snapshot;
 
 pub use heartbeat::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, WireError};
-pub use snapshot::UpstreamSnapshot;
+pub use snapshot::{RecentChanges, UpstreamChange, UpstreamSnapshot};
--- a/src/gateway/peering/snapshot.rs
+++ b/src/gateway/peering/snapshot.rs
@@ -1,4 +1,9 @@
-//! The upstreams as one gateway knows them, for another that cannot read the store.
+//! The upstreams as one gateway knows them, for others that do not read the store.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -42,3 +47,68 @@
         Ok(ciborium::from_reader(bytes)?)
     }
 }
+
+/// What became of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum UpstreamChange {
+    /// It described itself anew.
+    Written(Upstream),
+    /// Its row is missing and may be back soon.
+    Missing(UpstreamId),
+    /// It is gone.
+    Gone(UpstreamId),
+}
+
+/// All changes of upstreams after one revision of the store, up to another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecentChanges {
+    /// Revision after which the changes begin.
+    pub after: Revision,
+    /// Revision up to which they go.
+    pub position: Revision,
+    /// The changes, in order, each with its revision.
+    pub changes: Vec<(Revision, UpstreamChange)>,
+    /// When each change was noted here.
+    #[serde(skip)]
+    noted: VecDeque<Instant>,
+}
+
+/// Changes that are kept for other gateways at most: more do not fit into a
+/// datagram, and whoever lacks them asks for a snapshot.
+const MOST_RECENT: usize = 24;
+
+impl RecentChanges {
+    /// Begins anew after a snapshot.
+    pub fn reset(&mut self, position: Revision) {
+        *self = Self { after: position, position, ..Self::default() };
+    }
+
+    /// Adds a change.
+    pub fn push(&mut self, revision: Revision, change: UpstreamChange, now: Instant) {
+        self.position = self.position.max(revision);
+        self.changes.push((revision, change));
+        self.noted.push_back(now);
+        if self.changes.len() > MOST_RECENT {
+            self.drop_oldest();
+        }
+    }
+
+    /// Forgets changes that have been told for long enough.
+    pub fn forget(&mut self, now: Instant, told: Duration) {
+        while self.noted.front().is_some_and(|t| now.saturating_duration_since(*t) > told) {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        self.noted.pop_front();
+        if !self.changes.is_empty() {
+            self.after = self.changes.remove(0).0;
+        }
+    }
+
+    /// Notes that there are no further changes up to `position`.
+    pub fn advance(&mut self, position: Revision) {
+        self.position = self.position.max(position);
+    }
+}
--- a/src/gateway/request/doors.rs
+++ b/src/gateway/request/doors.rs
@@ -129,7 +129,7 @@
 
 fn upstreams(gateway: &Gateway) -> Response<AnswerBody> {
     let board = gateway.board.borrow();
-    let missing = board.upstreams.iter().filter(|(_, v)| v.missing);
+    let missing = board.upstreams.iter().filter(|(_, v)| v.missing_until.is_some());
     let snapshot = UpstreamSnapshot {
         position: board.upstreams_position,
         last_change: board.upstreams_last_change,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -19,7 +19,7 @@
 /// some ten milliseconds; it may be sixty times slower at times.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// What a feed's answer may take beyond the wait that was asked for.
-const FEED_SLACK: Duration = Duration::from_millis(2_500);
+const FEED_SLACK: Duration = Duration::from_millis(1_500);
 /// Rows in one page of an answer; the store's own bound.
 const PAGE_ROWS: usize = 500;
 /// Idle connections that are kept.
