Emulator of the users' platform, and tests of the whole path before it

tackhollow-emulator speaks the published protocol (store with versions, feeds, lost history and lost answers; API; upstreams that refuse, fail, break off, cross answers or fall silent) and is controlled over HTTP.

--- /dev/null
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -0,0 +1,129 @@
+//! Control of the emulator by tests and the demo.
+
+use std::{collections::HashSet, rc::Rc, time::Instant};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde_json::{Value, json};
+use tackhollow::gateway::net::{AnswerBody, Service};
+
+use crate::{
+    answer::{empty, json as answer, read_json},
+    engine::EngineDoor,
+    listen,
+    world::{Behaviour, Engine, StoreMode, World, upstream_row},
+};
+
+/// The control door.
+pub struct Admin {
+    /// The platform.
+    pub world: Rc<World>,
+}
+
+impl Service for Admin {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let path = request.uri().path().to_owned();
+        let body = read_json(request.into_body()).await;
+        let done = match path.as_str() {
+            "/configuration" => self.configure(&body),
+            "/engine" => return self.start_engine(&body).await,
+            "/behaviour" => self.behave(&body),
+            "/state" => self.set_state(&body),
+            "/remove" => self.remove(&body),
+            "/store" => self.set_store(&body),
+            "/forget" => self.forget(),
+            "/seen" => return self.seen(),
+            _ => None,
+        };
+        empty(if done.is_some() { StatusCode::OK } else { StatusCode::BAD_REQUEST })
+    }
+}
+
+impl Admin {
+    /// Writes the configuration as the operator would.
+    fn configure(&self, body: &Value) -> Option<()> {
+        self.world.put("op", "config", Some(STANDARD.encode(body.to_string())));
+        Some(())
+    }
+
+    /// Starts an upstream: `service`, `zone`, `spot`.
+    async fn start_engine(&self, body: &Value) -> Response<AnswerBody> {
+        let id = format!("i-{}", self.world.state.borrow().engines.len() + 1);
+        let door = Rc::new(EngineDoor { world: self.world.clone(), id: id.clone() });
+        let Ok(address) = listen(door).await else {
+            return empty(StatusCode::INTERNAL_SERVER_ERROR);
+        };
+        let text = |name: &str| body[name].as_str().unwrap_or_default();
+        let spot = body["spot"].as_bool().unwrap_or_default();
+        let row = upstream_row(text("service"), text("zone"), spot, address);
+        let engine = Engine {
+            behaviour: Behaviour::Serve,
+            row: row.clone(),
+            reading_until: Instant::now(),
+            cache: HashSet::new(),
+        };
+        self.world.state.borrow_mut().engines.insert(id.clone(), engine);
+        self.world.put("servers", &id, Some(STANDARD.encode(row.to_string())));
+        answer(StatusCode::OK, &json!({ "id": id, "address": address }))
+    }
+
+    /// Sets how an upstream, or all of them, answers: `id`, `behaviour`.
+    fn behave(&self, body: &Value) -> Option<()> {
+        let behaviour: Behaviour = serde_json::from_value(body["behaviour"].clone()).ok()?;
+        let mut state = self.world.state.borrow_mut();
+        match body["id"].as_str() {
+            Some(id) => state.engines.get_mut(id)?.behaviour = behaviour,
+            None => state.engines.values_mut().for_each(|e| e.behaviour = behaviour),
+        }
+        Some(())
+    }
+
+    /// Sets an upstream's own state: `id`, `state`.
+    fn set_state(&self, body: &Value) -> Option<()> {
+        let id = body["id"].as_str()?;
+        let row = {
+            let mut state = self.world.state.borrow_mut();
+            let engine = state.engines.get_mut(id)?;
+            engine.row["state"] = body["state"].clone();
+            engine.row.to_string()
+        };
+        self.world.put("servers", id, Some(STANDARD.encode(row)));
+        Some(())
+    }
+
+    /// Removes an upstream's row; with `back` true it is written again.
+    fn remove(&self, body: &Value) -> Option<()> {
+        let id = body["id"].as_str()?;
+        let row = self.world.state.borrow().engines.get(id)?.row.to_string();
+        let back = body["back"].as_bool().unwrap_or_default();
+        self.world.put("servers", id, back.then(|| STANDARD.encode(row)));
+        Some(())
+    }
+
+    fn set_store(&self, body: &Value) -> Option<()> {
+        let mode: StoreMode = serde_json::from_value(body["mode"].clone()).ok()?;
+        self.world.state.borrow_mut().store_mode = mode;
+        Some(())
+    }
+
+    /// Forgets the store's history.
+    fn forget(&self) -> Option<()> {
+        let mut state = self.world.state.borrow_mut();
+        state.forgotten = state.version;
+        state.history.clear();
+        drop(state);
+        self.world.changed.notify_waiters();
+        Some(())
+    }
+
+    /// Returns what upstreams and the API have seen.
+    fn seen(&self) -> Response<AnswerBody> {
+        let state = self.world.state.borrow();
+        let body = json!({
+            "runs": state.runs,
+            "duties": state.duties,
+            "store_calls": state.store_calls,
+        });
+        answer(StatusCode::OK, &body)
+    }
+}
--- /dev/null
+++ b/src/bin/tackhollow-emulator/api.rs
@@ -0,0 +1,34 @@
+//! The API for the holder of the lease: takes note of every call.
+
+use std::rc::Rc;
+
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde_json::json;
+use tackhollow::gateway::net::{AnswerBody, Service};
+
+use crate::{
+    answer::{empty, read_json},
+    world::World,
+};
+
+/// The API's door.
+pub struct Api {
+    /// The platform.
+    pub world: Rc<World>,
+}
+
+impl Service for Api {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let header = |name: &str| {
+            let value = request.headers().get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        let (holder, fence) = (header("x-duty-holder"), header("x-fencing-token"));
+        let path = request.uri().path().to_owned();
+        let body = read_json(request.into_body()).await;
+        let fence: u64 = fence.parse().unwrap_or_default();
+        let call = json!({ "path": path, "holder": holder, "fence": fence, "body": body });
+        self.world.state.borrow_mut().duties.push(call);
+        empty(StatusCode::OK)
+    }
+}
--- /dev/null
+++ b/src/bin/tackhollow-emulator/main.rs
@@ -0,0 +1,54 @@
+//! Emulator of the users' platform: store, API and upstreams on loopback.
+//!
+//! It speaks the published protocol and no more. Tests and the demo control it
+//! over HTTP and read what its upstreams ran.
+
+mod admin;
+mod answer;
+mod api;
+mod engine;
+mod store;
+mod world;
+
+use std::{net::SocketAddr, process::ExitCode, rc::Rc};
+
+use anyhow::Result;
+use tackhollow::gateway::net::{Service, Shutdown, serve};
+use tokio::{
+    net::TcpListener,
+    runtime::Builder,
+    task::{LocalSet, spawn_local},
+};
+
+use crate::world::World;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("tackhollow-emulator: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let world = World::new();
+        let store = listen(Rc::new(store::Store { world: world.clone() })).await?;
+        let api = listen(Rc::new(api::Api { world: world.clone() })).await?;
+        let http = listen(Rc::new(admin::Admin { world })).await?;
+        println!("{}", serde_json::json!({ "http": http, "store": store, "api": api }));
+        std::future::pending::<()>().await;
+        Ok(())
+    })
+}
+
+/// Serves on a free port of loopback and returns the address.
+async fn listen<S: Service + 'static>(service: Rc<S>) -> Result<SocketAddr> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let address = listener.local_addr()?;
+    spawn_local(serve(listener, service, Shutdown::default()));
+    Ok(address)
+}
--- /dev/null
+++ b/src/bin/tackhollow-emulator/store.rs
@@ -0,0 +1,123 @@
+//! The store: rows, conditional writes and feeds.
+
+use std::{rc::Rc, time::Duration};
+
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde_json::{Value, json};
+use tackhollow::gateway::net::{AnswerBody, Service};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    answer::{empty, json as answer, query, read_json},
+    world::{StoreMode, World},
+};
+
+/// The store's door.
+pub struct Store {
+    /// The platform.
+    pub world: Rc<World>,
+}
+
+impl Service for Store {
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let mode = {
+            let mut state = self.world.state.borrow_mut();
+            state.store_calls += 1;
+            state.store_mode
+        };
+        if mode == StoreMode::Refusing {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let path = request.uri().path().to_owned();
+        let response = match path.as_str() {
+            "/rows-tx" => self.transaction(read_json(request.into_body()).await),
+            "/rows-get" => self.rows(&query(request.uri())["table"]),
+            "/rows-feed" => self.feed(&request).await,
+            _ => empty(StatusCode::NOT_FOUND),
+        };
+        if mode == StoreMode::Losing {
+            std::future::pending::<()>().await;
+        }
+        response
+    }
+}
+
+fn text<'a>(value: &'a Value, name: &str) -> &'a str {
+    value[name].as_str().unwrap_or_default()
+}
+
+impl Store {
+    fn with_version(&self, mut body: Value) -> Value {
+        body["rowVersion"] = self.world.state.borrow().version.into();
+        body["nowMs"] = self.world.now_ms().into();
+        body
+    }
+
+    fn transaction(&self, txn: Value) -> Response<AnswerBody> {
+        let list = |name: &str| txn[name].as_array().cloned().unwrap_or_default();
+        let conflicts: Vec<Value> = {
+            let state = self.world.state.borrow();
+            let at = |e: &Value| (text(e, "table").to_owned(), text(e, "key").to_owned());
+            let expected = list("expectedRevision");
+            let version = |e: &Value| state.rows.get(&at(e)).map_or(0, |r| r.version);
+            let wrong = expected.iter().filter(|e| e["rowVersion"].as_u64() != Some(version(e)));
+            wrong
+                .filter_map(|e| {
+                    let row = state.rows.get(&at(e))?;
+                    Some(json!({ "key": e["key"], "value": row.value, "rowVersion": row.version }))
+                })
+                .collect()
+        };
+        if !conflicts.is_empty() {
+            let body = self.with_version(json!({ "rows": conflicts }));
+            return answer(StatusCode::PRECONDITION_FAILED, &body);
+        }
+        for write in list("writes") {
+            let value = text(&write, "value").to_owned();
+            self.world.put(text(&write, "table"), text(&write, "key"), Some(value));
+        }
+        answer(StatusCode::OK, &self.with_version(json!({})))
+    }
+
+    fn rows(&self, table: &str) -> Response<AnswerBody> {
+        let rows: Vec<Value> = {
+            let state = self.world.state.borrow();
+            let of_table = state.rows.iter().filter(|((t, _), _)| t == table);
+            of_table
+                .map(|((_, key), row)| {
+                    json!({ "key": key, "value": row.value, "rowVersion": row.version })
+                })
+                .collect()
+        };
+        answer(StatusCode::OK, &self.with_version(json!({ "rows": rows, "morePages": false })))
+    }
+
+    async fn feed(&self, request: &Request<Incoming>) -> Response<AnswerBody> {
+        let query = query(request.uri());
+        let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+        let (table, after) = (&query["table"], number("afterRevision"));
+        let until = Instant::now() + Duration::from_millis(number("waitMs"));
+        loop {
+            let changed = self.world.changed.notified();
+            if after < self.world.state.borrow().forgotten {
+                return empty(StatusCode::GONE);
+            }
+            let rows = self.changes(table, after);
+            if !rows.is_empty() || timeout_at(until, changed).await.is_err() {
+                let body = self.with_version(json!({ "rows": rows }));
+                return answer(StatusCode::OK, &body);
+            }
+        }
+    }
+
+    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
+        let state = self.world.state.borrow();
+        let later = state.history.iter().filter(|w| w.version > after && w.at.0 == table);
+        later
+            .map(|w| match &w.value {
+                Some(value) => json!({ "key": w.at.1, "value": value, "rowVersion": w.version }),
+                None => json!({ "key": w.at.1, "tombstone": true, "rowVersion": w.version }),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/bin/tackhollow-emulator/world.rs
@@ -0,0 +1,183 @@
+//! State of the emulated platform.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Instant,
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoreMode {
+    /// As it should.
+    #[default]
+    Up,
+    /// Refuses every call.
+    Refusing,
+    /// Does what is asked and does not answer.
+    Losing,
+}
+
+/// How an upstream answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Behaviour {
+    /// As it should.
+    #[default]
+    Serve,
+    /// Refuses without running the request.
+    Full,
+    /// Runs the request and fails.
+    Fail,
+    /// Runs the request and breaks off before its answer's body.
+    Lose,
+    /// Breaks off in the middle of an event.
+    BreakMidway,
+    /// Answers with another request's id.
+    Crossed,
+    /// Runs the request and never answers.
+    Silent,
+}
+
+/// A row of the store.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Value in base64.
+    pub value: String,
+    /// Version.
+    pub version: u64,
+}
+
+/// A change in the store's history; `None` for a removal.
+#[derive(Clone, Debug)]
+pub struct Written {
+    /// Version.
+    pub version: u64,
+    /// Table and key.
+    pub at: (String, String),
+    /// Value in base64.
+    pub value: Option<String>,
+}
+
+/// A request that an upstream ran.
+#[derive(Clone, Debug, Serialize)]
+pub struct Run {
+    /// Identifier of the request.
+    pub request: String,
+    /// The upstream.
+    pub upstream: String,
+    /// Method and path.
+    pub target: String,
+    /// Customer that it was told.
+    pub customer: String,
+    /// Whether it was sent the caller's key.
+    pub key_passed: bool,
+    /// Milliseconds that it was given.
+    pub deadline_ms: u64,
+    /// Last event that the caller has.
+    pub resume_after: u64,
+    /// Bytes of the body.
+    pub body: usize,
+    /// How it ended; `running` until then.
+    pub end: &'static str,
+}
+
+/// An upstream.
+#[derive(Debug)]
+pub struct Engine {
+    /// How it answers.
+    pub behaviour: Behaviour,
+    /// Its row, without the sequence.
+    pub row: serde_json::Value,
+    /// Until when it reads prompts that were sent earlier.
+    pub reading_until: Instant,
+    /// Prompt parts that it holds.
+    pub cache: HashSet<String>,
+}
+
+/// State of the emulated platform.
+#[derive(Debug, Default)]
+pub struct State {
+    /// How the store answers.
+    pub store_mode: StoreMode,
+    /// Version of the store.
+    pub version: u64,
+    /// Rows by table and key.
+    pub rows: BTreeMap<(String, String), Row>,
+    /// History for feeds.
+    pub history: Vec<Written>,
+    /// Versions up to which the history is forgotten.
+    pub forgotten: u64,
+    /// Upstreams by id.
+    pub engines: BTreeMap<String, Engine>,
+    /// Requests that upstreams ran.
+    pub runs: Vec<Run>,
+    /// Calls to the API: path, holder, fencing number, body.
+    pub duties: Vec<serde_json::Value>,
+    /// Calls to the store.
+    pub store_calls: u64,
+}
+
+/// The emulated platform.
+#[derive(Debug)]
+pub struct World {
+    /// Its state.
+    pub state: RefCell<State>,
+    /// Tells of changes in the store.
+    pub changed: Notify,
+    started: Instant,
+}
+
+impl World {
+    /// Creates an empty platform.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self { state: RefCell::default(), changed: Notify::new(), started: Instant::now() })
+    }
+
+    /// Returns the store's steady clock in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Writes or removes a row.
+    pub fn put(&self, table: &str, key: &str, value: Option<String>) {
+        let mut state = self.state.borrow_mut();
+        state.version += 1;
+        let (version, at) = (state.version, (table.to_owned(), key.to_owned()));
+        match &value {
+            Some(value) => {
+                drop(state.rows.insert(at.clone(), Row { value: value.clone(), version }))
+            }
+            None => drop(state.rows.remove(&at)),
+        }
+        state.history.push(Written { version, at, value });
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Notes how a run ended.
+    pub fn end_run(&self, index: usize, end: &'static str) {
+        if let Some(run) = self.state.borrow_mut().runs.get_mut(index) {
+            run.end = end;
+        }
+    }
+}
+
+/// Returns a row by which an upstream describes itself.
+pub fn upstream_row(
+    service: &str,
+    zone: &str,
+    spot: bool,
+    address: SocketAddr,
+) -> serde_json::Value {
+    serde_json::json!({
+        "service": service, "address": address, "zone": zone, "version": "v1", "slots": 64,
+        "state": "ready", "coldRemainingMs": 0, "spot": spot, "sequence": 1,
+    })
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -89,7 +89,7 @@
     spawn_local(recall(gateway.clone()));
     spawn_local(announce(gateway.clone()));
     spawn_signals(&gateway)?;
-    gateway.log(&Event::Started { process: &gateway.process, version: env!("CARGO_PKG_VERSION") });
+    gateway.log(&Event::Started { version: env!("CARGO_PKG_VERSION") });
     reactor::drive(stakker, gateway.wake.clone()).await;
     gateway.log(&Event::Leaving {
         phase: Phase::Closing,
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -22,8 +22,6 @@
 pub enum Event<'a> {
     /// The process serves.
     Started {
-        /// Name of the process.
-        process: &'a str,
         /// Version of the program.
         version: &'a str,
     },
--- /dev/null
+++ b/tests/support/gateways.rs
@@ -0,0 +1,340 @@
+//! The emulated platform and gateways before it, as processes on loopback.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, StatusCode};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+use tackhollow::gateway::net::connect;
+use tempfile::TempDir;
+use tokio::{runtime::Builder, task::LocalSet, time::timeout};
+
+use super::{proc::Proc, wait_until};
+
+/// Generous bound on a call: a test that meets it has failed.
+const CALL_LIMIT: Duration = Duration::from_secs(40);
+/// Host of all routes.
+pub const HOST: &str = "assistant.example";
+/// Key of the customer `temple`.
+pub const KEY: &str = "temple-key";
+
+/// An answer, perhaps broken off.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: String,
+    /// Whether it ended as it should.
+    pub complete: bool,
+}
+
+impl Answer {
+    /// Returns the ids of the events in the body.
+    pub fn event_ids(&self) -> Vec<u64> {
+        let lines = self.body.lines().filter_map(|l| l.strip_prefix("id: "));
+        lines.filter_map(|id| id.parse().ok()).collect()
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default()
+    }
+}
+
+/// A call to be made.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub method: &'static str,
+    pub path: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: String,
+    /// When the caller leaves, if it does.
+    pub leaves_after: Option<Duration>,
+}
+
+impl Call {
+    pub fn new(method: &'static str, path: &str, id: &str) -> Self {
+        let headers = vec![
+            ("host", HOST.to_owned()),
+            ("x-request-id", id.to_owned()),
+            ("x-deadline-ms", "10000".to_owned()),
+            ("x-key", KEY.to_owned()),
+        ];
+        Self { method, path: path.to_owned(), headers, body: String::new(), leaves_after: None }
+    }
+
+    /// A request to a model engine for so many events.
+    pub fn stream(path: &str, id: &str, events: u64) -> Self {
+        let mut call = Self::new("POST", path, id);
+        call.headers.push(("x-token-usage", format!("600,{}", events * 3)));
+        call.headers.push(("x-prompt-prefix", format!("aa01:500,{id}:100")));
+        call.body = "prompt".to_owned();
+        call
+    }
+
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.retain(|(n, _)| *n != name);
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    pub fn leaving_after(mut self, time: Duration) -> Self {
+        self.leaves_after = Some(time);
+        self
+    }
+
+    /// Makes the call; `None` if the caller left, or nobody answered.
+    pub fn send(&self, to: SocketAddr) -> Option<Answer> {
+        let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let limit = self.leaves_after.unwrap_or(CALL_LIMIT);
+        LocalSet::new()
+            .block_on(&runtime, async { timeout(limit, self.exchange(to)).await.ok().flatten() })
+    }
+
+    async fn exchange(&self, to: SocketAddr) -> Option<Answer> {
+        let mut connection = connect(to, CALL_LIMIT).await.ok()?;
+        let mut request = Request::builder().method(self.method).uri(&self.path);
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        let request = request.body(Full::new(Bytes::from(self.body.clone()))).expect("a request");
+        let response = connection.send(request).await.ok()?;
+        let (parts, mut body) = response.into_parts();
+        let (mut text, mut complete) = (Vec::new(), true);
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => text.extend(frame.into_data().unwrap_or_default()),
+                Err(_) => complete = false,
+            }
+            if !complete {
+                break;
+            }
+        }
+        let body = String::from_utf8_lossy(&text).into_owned();
+        Some(Answer { status: parts.status, headers: parts.headers, body, complete })
+    }
+}
+
+/// One gateway.
+pub struct GatewayProc {
+    child: Child,
+    pub callers: SocketAddr,
+    pub directory: SocketAddr,
+    pub readiness: SocketAddr,
+    pub peers: SocketAddr,
+    log: PathBuf,
+}
+
+impl GatewayProc {
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+    }
+
+    pub fn kill(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    pub fn wait(&mut self) -> bool {
+        let mut status = None;
+        wait_until("the gateway has ended", || {
+            status = self.child.try_wait().expect("the process is ours");
+            status.is_some()
+        });
+        status.is_some_and(|s| s.success())
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let call = Call::new("GET", "/ready", "probe");
+        call.send(self.readiness).is_some_and(|a| a.status == StatusCode::OK)
+    }
+
+    /// Returns the addresses that callers are told.
+    pub fn told(&self) -> Vec<String> {
+        let answer = Call::new("GET", "/resolve?name=assistant.example", "lookup");
+        let Some(answer) = answer.send(self.directory) else {
+            return Vec::new();
+        };
+        let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        let list = body["addresses"].as_array().cloned().unwrap_or_default();
+        list.iter().filter_map(|a| a.as_str().map(str::to_owned)).collect()
+    }
+
+    /// Returns the lines of the log.
+    pub fn log(&self) -> Vec<Value> {
+        let text = fs::read_to_string(&self.log).expect("the log is there");
+        text.lines().filter_map(|l| serde_json::from_str(l).ok()).collect()
+    }
+
+    /// Returns the lines of the log about a request.
+    pub fn story(&self, request: &str) -> Vec<Value> {
+        self.log().into_iter().filter(|l| l["request"] == request).collect()
+    }
+
+    pub fn metrics(&self) -> String {
+        let answer = Call::new("GET", "/metrics", "metrics").send(self.peers);
+        answer.map(|a| a.body).unwrap_or_default()
+    }
+}
+
+impl Drop for GatewayProc {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The emulated platform and gateways before it.
+pub struct Site {
+    emulator: Proc,
+    pub gateways: Vec<GatewayProc>,
+    dir: TempDir,
+}
+
+impl Site {
+    /// Starts the platform with the usual configuration and so many gateways,
+    /// engines and plain upstreams, and waits until all are known.
+    pub fn start(gateways: usize, engines: usize, plain: usize) -> Self {
+        let mut site = Self::bare();
+        site.configure(&configuration(7));
+        (0..engines).for_each(|_| drop(site.add_upstream("llm")));
+        (0..plain).for_each(|_| drop(site.add_upstream("app")));
+        (0..gateways).for_each(|_| site.add_gateway());
+        site.wait_ready();
+        site
+    }
+
+    /// Starts a platform that knows nothing.
+    pub fn bare() -> Self {
+        let none: [&str; 0] = [];
+        let emulator = Proc::start(env!("CARGO_BIN_EXE_tackhollow-emulator"), none);
+        Self { emulator, gateways: Vec::new(), dir: TempDir::new().expect("a folder") }
+    }
+
+    pub fn wait_ready(&self) {
+        let all = self.gateways.len();
+        wait_until("all gateways are ready", || self.gateways.iter().all(GatewayProc::is_ready));
+        wait_until("all gateways know each other", || {
+            self.gateways.iter().all(|g| g.told().len() == all)
+        });
+    }
+
+    /// Starts a gateway.
+    pub fn add_gateway(&mut self) {
+        let n = self.gateways.len() + 1;
+        let file = self.dir.path().join(format!("gateway-{n}.toml"));
+        let ports: Vec<SocketAddr> = (0..5).map(|_| free_port()).collect();
+        let seed = ports[4];
+        let mut text = format!("id = \"gateway-{n}\"\ndata_centre = \"bkk-nont\"\n[listen]\n");
+        let names = ["callers", "directory", "readiness", "peers", "heartbeats"];
+        for (name, address) in names.iter().zip(&ports) {
+            writeln!(text, "{name} = \"{address}\"").expect("writing to a text");
+        }
+        let (store, api) = (self.emulator.address("store"), self.emulator.address("api"));
+        write!(text, "[platform]\nstore = \"{store}\"\napi = \"{api}\"\n")
+            .expect("writing to a text");
+        text.push_str("[bounds]\nusage_window_s = 1\n");
+        fs::write(&file, text).expect("the settings are written");
+        let log = self.dir.path().join(format!("gateway-{n}-{}.log", seed.port()));
+        let out = fs::File::create(&log).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_tackhollow-gateway"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(out)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the gateway starts");
+        let [callers, directory, readiness, peers] = [ports[0], ports[1], ports[2], ports[3]];
+        self.gateways.push(GatewayProc { child, callers, directory, readiness, peers, log });
+    }
+
+    /// Makes a control call to the emulator.
+    pub fn control(&self, path: &str, body: &Value) -> Value {
+        let mut call = Call::new("POST", path, "control");
+        call.body = body.to_string();
+        let answer = call.send(self.emulator.http()).expect("the emulator answers");
+        assert_eq!(answer.status, StatusCode::OK, "{path} {body}");
+        serde_json::from_str(&answer.body).unwrap_or_default()
+    }
+
+    pub fn configure(&self, configuration: &Value) {
+        self.control("/configuration", configuration);
+    }
+
+    pub fn add_upstream(&self, service: &str) -> String {
+        let started = self.control("/engine", &json!({ "service": service, "zone": "bkk-nont" }));
+        started["id"].as_str().expect("an id").to_owned()
+    }
+
+    pub fn behave(&self, id: Option<&str>, behaviour: &str) {
+        self.control("/behaviour", &json!({ "id": id, "behaviour": behaviour }));
+    }
+
+    pub fn store(&self, mode: &str) {
+        self.control("/store", &json!({ "mode": mode }));
+    }
+
+    pub fn seen(&self) -> Value {
+        self.control("/seen", &Value::Null)
+    }
+
+    /// Returns the runs of a request, in order.
+    pub fn runs(&self, request: &str) -> Vec<Value> {
+        let seen = self.seen();
+        let runs = seen["runs"].as_array().cloned().unwrap_or_default();
+        runs.into_iter().filter(|r| r["request"] == request).collect()
+    }
+
+    /// Returns the calls to the API with this path.
+    pub fn duties(&self, path: &str) -> Vec<Value> {
+        let seen = self.seen();
+        let duties = seen["duties"].as_array().cloned().unwrap_or_default();
+        duties.into_iter().filter(|d| d["path"] == path).collect()
+    }
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+/// Returns the usual configuration: streams that may be resumed and that may
+/// not, calls that may be repeated and that may not.
+pub fn configuration(version: u64) -> Value {
+    let route = |prefix: &str, kind: &str, service: &str, timeout: u64, attempts: u32| {
+        json!({
+            "name": prefix.trim_matches('/'), "host": HOST, "prefix": prefix, "kind": kind,
+            "timeoutMs": timeout, "targetLatencyMs": 1000, "priority": 1, "service": service,
+            "maxAttempts": attempts, "public": false, "streamResume": prefix == "/digest/",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("/plan/", "streaming", "llm", 15_000, 1),
+            route("/digest/", "streaming", "llm", 15_000, 2),
+            route("/confirm/", "unsafe", "app", 1_500, 1),
+            route("/check/", "safe", "app", 1_500, 2),
+        ],
+        "services": [
+            { "name": "llm", "healthPath": "/healthz", "maxConnections": 370,
+              "engine": { "slots": 64, "kvCapacityTokens": 500_000 } },
+            { "name": "app", "healthPath": "/healthz", "maxConnections": 110 },
+        ],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4096, "idleTimeoutMs": 15_000 },
+        "tenants": [
+            { "name": "temple", "apiKeys": [KEY], "plainTokens": 10 },
+            { "name": "small", "apiKeys": ["small-key"], "plainTokens": 10, "ratePerS": 20, "burst": 20 },
+        ],
+    })
+}
