--- /dev/null
+++ b/src/bin/tackhollow-trace/story.rs
@@ -0,0 +1,121 @@
+//! The story of a request: its own lines, what the gateways came to believe
+//! meanwhile, and the cause of its end.
+
+use std::{
+    collections::BTreeSet,
+    fmt::{self, Display},
+    time::Duration,
+};
+
+use crate::line::Line;
+
+/// Events that tell of requests; all others tell of beliefs.
+const REQUEST_EVENTS: [&str; 3] = ["attempt", "attempt_failed", "answered"];
+
+/// The story of a request.
+#[derive(Debug)]
+pub struct Story<'a> {
+    began_ms: u64,
+    lines: Vec<&'a Line>,
+    cause: String,
+}
+
+impl<'a> Story<'a> {
+    /// Returns the story of a request; `None` if no line tells of it.
+    pub fn of(request: &str, lines: &'a [Line], around: Duration) -> Option<Self> {
+        let own: Vec<&Line> = lines.iter().filter(|l| l.text("request") == request).collect();
+        let began_ms = own.iter().map(|l| l.time_ms).min()?;
+        let ended_ms = own.iter().map(|l| l.time_ms).max()?;
+        let around_ms = around.as_millis() as u64;
+        let span = began_ms.saturating_sub(around_ms)..=ended_ms + around_ms;
+        let processes: BTreeSet<&str> = own.iter().map(|l| l.process.as_str()).collect();
+        let upstreams: BTreeSet<&str> = own.iter().map(|l| l.text("upstream")).collect();
+        let matters = |l: &&Line| {
+            let belief = !REQUEST_EVENTS.contains(&l.event.as_str());
+            let about = l.event != "upstream" || upstreams.contains(l.text("upstream"));
+            belief && about && processes.contains(l.process.as_str()) && span.contains(&l.time_ms)
+        };
+        let beliefs: Vec<&Line> = lines.iter().filter(matters).collect();
+        let cause = cause(&own, &beliefs);
+        let mut told: Vec<&Line> = own.into_iter().chain(beliefs).collect();
+        told.sort_by_key(|l| l.time_ms);
+        Some(Self { began_ms, lines: told, cause })
+    }
+}
+
+impl Display for Story<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for line in &self.lines {
+            let at = line.time_ms as f64 - self.began_ms as f64;
+            let details = line.details(&["request"]);
+            writeln!(f, "{at:+8.0} ms  {:<24} {:<20} {details}", line.process, line.event)?;
+        }
+        writeln!(f, "cause: {}", self.cause)
+    }
+}
+
+/// Names the cause from the last line of a request and what was known then.
+fn cause(own: &[&Line], beliefs: &[&Line]) -> String {
+    let Some(end) = own.iter().rev().find(|l| l.event == "answered") else {
+        return "it is not over, or its last line was left out".to_owned();
+    };
+    let attempt = own.iter().rev().find(|l| l.event == "attempt");
+    let upstream = attempt.map_or("", |a| a.text("upstream"));
+    let outcome = end.text("outcome");
+    match outcome {
+        "completed" => late(end, attempt.copied()),
+        "quota_used_up" => {
+            format!("customer {} has used up its quota; it has not run", end.text("customer"))
+        }
+        "unknown_key" | "no_route" => {
+            let version = end.number("configuration");
+            format!("{outcome} in configuration {version}, the newest known")
+        }
+        "no_configuration" => "the process had no configuration yet, or an old one".to_owned(),
+        "leaving" => "the process was being stopped; another should have been used".to_owned(),
+        "upstream_failure" => format!("upstream {upstream} answered with a failure of its own"),
+        "caller_left" => "the caller left before the answer ended".to_owned(),
+        "broken" | "broken_off_midway" => {
+            format!("upstream {upstream} broke off; {}", state_of(upstream, beliefs))
+        }
+        "time_over" | "time_over_midway" => {
+            let predicted = attempt.map_or(0.0, |a| a.number("predicted_ms"));
+            let running = attempt.map_or(0.0, |a| a.number("running"));
+            format!(
+                "upstream {upstream} did not end within the time: a first token was predicted \
+                 after {predicted} ms with {running} requests there; {}",
+                state_of(upstream, beliefs)
+            )
+        }
+        "no_room" => {
+            let refused = own.iter().filter(|l| l.event == "attempt_failed");
+            let causes: BTreeSet<&str> = refused.map(|l| l.text("cause")).collect();
+            let causes: Vec<&str> = causes.into_iter().collect();
+            match causes.is_empty() {
+                true => "no upstream of the service was known to take work".to_owned(),
+                false => format!("no upstream took it: {}; it has not run", causes.join(", ")),
+            }
+        }
+        other => other.to_owned(),
+    }
+}
+
+/// Tells what delayed an answer that was whole.
+fn late(end: &Line, attempt: Option<&Line>) -> String {
+    let (first, took) = (end.number("first_ms"), end.number("took_ms"));
+    let predicted = attempt.map_or(0.0, |a| a.number("predicted_ms"));
+    let attempts = attempt.map_or(0.0, |a| a.number("attempt"));
+    format!(
+        "answered whole: first byte after {first} ms (predicted {predicted} ms), end after \
+         {took} ms, {attempts} attempt(s)"
+    )
+}
+
+/// Tells what was known of an upstream around the end.
+fn state_of(upstream: &str, beliefs: &[&Line]) -> String {
+    let about = |l: &&&Line| l.event == "upstream" && l.text("upstream") == upstream;
+    match beliefs.iter().rfind(about) {
+        Some(line) => format!("the platform's store said {}", line.text("state")),
+        None => "the platform's store said nothing of it then".to_owned(),
+    }
+}
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -280,6 +280,11 @@
         self.control("/behaviour", &json!({ "id": id, "behaviour": behaviour }));
     }
 
+    /// Returns the logs of all gateways.
+    pub fn logs(&self) -> Vec<PathBuf> {
+        self.gateways.iter().map(|g| g.log.clone()).collect()
+    }
+
     pub fn store(&self, mode: &str) {
         self.control("/store", &json!({ "mode": mode }));
     }
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,120 @@
+//! docs/OPERATIONS.md, played: a fault is injected, and the page's command
+//! names it as the cause.
+
+mod support;
+
+use std::{fs, process::Command, thread, time::Duration};
+
+use serde_json::json;
+use support::{
+    gateways::{Call, Site},
+    wait_until,
+};
+
+/// Runs the trace tool over the logs of all gateways.
+fn trace(site: &Site, request: &str) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_tackhollow-trace"))
+        .arg(request)
+        .args(site.logs())
+        .output()
+        .expect("the tool runs");
+    String::from_utf8(output.stdout).expect("text")
+}
+
+#[test]
+fn the_cause_of_a_failed_request_is_found_from_its_id() {
+    struct Case {
+        name: &'static str,
+        behaviour: &'static str,
+        call: Call,
+        cause: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "refused",
+            behaviour: "full",
+            call: Call::new("POST", "/confirm/x", "refused"),
+            cause: "cause: no upstream took it: not_executed; it has not run",
+        },
+        Case {
+            name: "broken off in midstream",
+            behaviour: "break_midway",
+            call: Call::stream("/plan/x", "broken", 12),
+            cause: "cause: upstream i-1 broke off; the platform's store said",
+        },
+        Case {
+            name: "too late",
+            behaviour: "silent",
+            call: Call::new("POST", "/confirm/x", "late"),
+            cause: "cause: upstream i-2 did not end within the time",
+        },
+        Case {
+            name: "a wrong key",
+            behaviour: "serve",
+            call: Call::new("POST", "/confirm/x", "stranger").header("x-key", "stolen"),
+            cause: "cause: unknown_key in configuration 7",
+        },
+    ];
+    let site = Site::start(2, 1, 1);
+    for case in cases {
+        site.behave(None, case.behaviour);
+        let id =
+            case.call.headers.iter().find(|(n, _)| *n == "x-request-id").expect("an id").1.clone();
+        case.call.send(site.gateways[1].callers).expect(case.name);
+        wait_until(case.name, || trace(&site, &id).contains(case.cause));
+    }
+}
+
+#[test]
+fn what_the_store_said_of_the_upstream_is_part_of_the_story() {
+    let site = Site::start(1, 1, 0);
+    site.behave(None, "break_midway");
+    let to = site.gateways[0].callers;
+    let caller = thread::spawn(move || Call::stream("/plan/x", "gone", 60).send(to));
+    wait_until("it runs", || !site.runs("gone").is_empty());
+    site.control("/remove", &json!({ "id": "i-1" }));
+    assert!(!caller.join().expect("the caller").expect("an answer").complete);
+    wait_until("the story is whole", || {
+        trace(&site, "gone").contains("i-1 broke off; the platform's store said gone")
+    });
+}
+
+#[test]
+fn a_request_that_no_log_knows_is_said_so() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("empty.log");
+    fs::write(&file, "not a log line\n{\"neither\": 1}\n").expect("a file");
+    let tool = || Command::new(env!("CARGO_BIN_EXE_tackhollow-trace"));
+    let unknown = tool().arg("r-1").arg(&file).output().expect("the tool runs");
+    assert!(!unknown.status.success());
+    let said = String::from_utf8(unknown.stderr).expect("text");
+    assert_eq!(said, "tackhollow-trace: r-1: no line of 0 tells of it\n");
+    let nothing = tool().output().expect("the tool runs");
+    assert!(!nothing.status.success());
+}
+
+/// The log stays bounded while requests are refused in a flood, and says how
+/// many lines were left out.
+#[test]
+fn a_flood_of_refusals_keeps_the_log_bounded() {
+    let site = Site::start(1, 0, 1);
+    let to = site.gateways[0].callers;
+    let senders: Vec<_> = (0..8)
+        .map(|n| {
+            thread::spawn(move || {
+                for i in 0..150 {
+                    let call = Call::new("GET", "/check/x", &format!("f-{n}-{i}"));
+                    call.header("x-key", "stolen").send(to);
+                }
+            })
+        })
+        .collect();
+    senders.into_iter().for_each(|s| s.join().expect("a sender"));
+    thread::sleep(Duration::from_millis(1_100));
+    Call::new("GET", "/check/x", "last").send(to);
+    let lines = site.gateways[0].log();
+    let refused = lines.iter().filter(|l| l["outcome"] == "unknown_key").count();
+    let left_out: u64 =
+        lines.iter().filter(|l| l["event"] == "left_out").filter_map(|l| l["lines"].as_u64()).sum();
+    assert_eq!(refused as u64 + left_out, 1_200, "each line is written or counted");
+}
