--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -12,7 +12,7 @@
 /// The row that stands for a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
-    /// Name of the holder, with its incarnation.
+    /// Name of the holder, with its incarnation; empty once it is given back.
     pub holder: String,
     /// Fencing number; rises with each new holder.
     pub fence: u64,
@@ -81,7 +81,8 @@
         };
         let mut next = LeaseRow { renewal: row.renewal + 1, ..row.clone() };
         if row.holder != self.own {
-            if now.duration_since(*since) <= self.timing.ttl {
+            let free = row.holder.is_empty();
+            if !free && now.duration_since(*since) <= self.timing.ttl {
                 return LeaseAction::Wait;
             }
             next.holder.clone_from(&self.own);
@@ -93,6 +94,16 @@
         LeaseAction::Write { row_version: *row_version, row: next }
     }
 
+    /// Gives the lease back: from now on this process gives no order. Returns
+    /// the version that the table's row must have and the row to write, if
+    /// this process held the lease.
+    pub fn release(&mut self) -> Option<(u64, LeaseRow)> {
+        self.held.take()?;
+        let (row_version, row, _) = self.seen.take()?;
+        let renewal = row.renewal + 1;
+        Some((row_version, LeaseRow { holder: String::new(), renewal, ..row }))
+    }
+
     /// Notes that the table took the row; the write was sent at `sent`.
     pub fn written(&mut self, row_version: u64, row: LeaseRow, sent: Instant, now: Instant) {
         self.held = Some((row.fence, sent));
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -120,6 +120,10 @@
             return;
         }
         let held = self.gateway.board.borrow().lease.may_act(now).is_some();
+        if held && self.gateway.shutdown.phase() > Phase::Serving {
+            self.release();
+            return;
+        }
         if held {
             if self.renewed.is_none_or(|t| now.saturating_duration_since(t) >= RENEW_EVERY) {
                 self.write_lease(now);
@@ -193,14 +197,7 @@
         let gateway = self.gateway.clone();
         let sent = now;
         spawn_local(async move {
-            let value = serde_json::to_vec(&row).unwrap_or_default();
-            let write = RowWrite {
-                table: Table::Duties,
-                key: LEASE_KEY.to_owned(),
-                value,
-                expected: Some(row_version),
-            };
-            let outcome = gateway.store.write(&[write]).await;
+            let outcome = gateway.store.write(&[lease_write(&row, row_version)]).await;
             gateway.note_store(outcome.as_ref().err());
             count(
                 &gateway.metrics.platform_calls,
@@ -210,6 +207,27 @@
         });
     }
 
+    /// Gives the lease back, so that another process can take it at once. This
+    /// one stays longer than the time in which two holders may not act in
+    /// turns, so that it cannot come back too early.
+    fn release(&mut self) {
+        self.gateway.board.borrow_mut().lease.held = None;
+        self.gateway.metrics.lease.set(0);
+        let Some((row_version, row)) = self.lease.release() else {
+            return;
+        };
+        self.gateway.log(&Event::Lease { fence: row.fence, state: "given_back" });
+        let gateway = self.gateway.clone();
+        spawn_local(async move {
+            keep(gateway.clone()).await;
+            let written = gateway.store.write(&[lease_write(&row, row_version)]).await;
+            gateway.note_store(written.as_ref().err());
+            if let Err(e) = written {
+                log::warn!("the lease was not given back and will lapse: {e}");
+            }
+        });
+    }
+
     /// Takes over what became of a write of the lease's row.
     pub fn lease_written(
         &mut self,
@@ -274,6 +292,16 @@
     }
 }
 
+/// Returns the write of the lease's row, if it is still at `row_version`.
+fn lease_write(row: &LeaseRow, row_version: u64) -> RowWrite {
+    RowWrite {
+        table: Table::Duties,
+        key: LEASE_KEY.to_owned(),
+        value: serde_json::to_vec(row).expect("texts and numbers always encode"),
+        expected: Some(row_version),
+    }
+}
+
 /// Keeps the counts in the store, so that whoever sends them again sends the
 /// same, and sends them.
 async fn report(gateway: Rc<Gateway>, window: Window, counts: Counts) {
--- a/src/gateway/decide/usage.rs
+++ b/src/gateway/decide/usage.rs
@@ -59,9 +59,10 @@
         windows.filter_map(|(w, all)| Some((*w, all.get(process)?.clone()))).collect()
     }
 
-    /// Returns the sums of all windows that are kept.
-    pub fn totals(&self) -> Vec<(Window, Counts)> {
-        self.windows.keys().map(|w| (*w, self.total(*w))).collect()
+    /// Returns the counts of each process in the newest `windows`.
+    pub fn of_all(&self, windows: usize) -> impl Iterator<Item = (Window, &str, &Counts)> {
+        let newest = self.windows.iter().rev().take(windows);
+        newest.flat_map(|(w, all)| all.iter().map(move |(p, counts)| (*w, p.as_str(), counts)))
     }
 
     /// Returns the sum over all processes.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -7,6 +7,7 @@
 
 use proptest::prelude::*;
 use tackhollow::{
+    control::{Lease, LeaseAction, LeaseTiming},
     gateway::{
         decide::{
             Breaker, CacheBelief, Candidate, CapacityInput, CapacityPolicy, EngineSpeed, Fleet,
@@ -237,6 +238,28 @@
     }
 }
 
+#[test]
+fn a_lease_that_was_given_back_can_be_taken_at_once() {
+    let timing = LeaseTiming { ttl: ms(3_200), margin: ms(700) };
+    let now = Instant::now();
+    let mut holder = Lease::new("a".to_owned(), timing);
+    let LeaseAction::Write { row, .. } = holder.next_action(now) else {
+        panic!("the lease is free");
+    };
+    holder.written(1, row.clone(), now, now);
+    let mut other = Lease::new("b".to_owned(), timing);
+    other.observe(1, Some(row), now);
+    assert_eq!(other.next_action(now + ms(100)), LeaseAction::Wait);
+    let (version, released) = holder.release().expect("it was held");
+    assert_eq!((version, holder.may_order(now)), (1, None), "it gives no order from then on");
+    other.observe(2, Some(released), now + ms(100));
+    let LeaseAction::Write { row_version, row } = other.next_action(now + ms(101)) else {
+        panic!("the lease is free again");
+    };
+    assert_eq!((row_version, row.holder.as_str(), row.fence), (2, "b", 2));
+    assert_eq!(holder.release(), None, "it is given back once");
+}
+
 // Time.
 
 #[test]
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -360,6 +360,48 @@
     assert_eq!(counted(&site), 9, "each request is counted once: {all:?}");
 }
 
+/// Restarted processes read what the holder kept and hear the same counts from
+/// processes that live on; each request still counts once.
+#[test]
+fn usage_is_counted_once_through_restarts() {
+    let mut site = Site::start(3, 0, 1);
+    let mut sent = 0;
+    for round in 0..3 {
+        for i in 0..6 {
+            let call = Call::new("GET", "/check/x", &format!("u-{round}-{i}"));
+            let answer = call.send(site.gateways[i % site.gateways.len()].callers);
+            sent += u64::from(answer.expect("an answer").status == StatusCode::OK);
+        }
+        let holder = || {
+            let reports = site.duties("/usage");
+            let holder = reports.last()?["holder"].as_str()?.to_owned();
+            holder.rsplit('-').next()?.parse::<usize>().ok()
+        };
+        wait_until("somebody reports", || holder().is_some());
+        // A process that starts now reads what the holder has kept.
+        thread::sleep(Duration::from_millis(1_200));
+        site.add_gateway();
+        site.wait_ready();
+    }
+    let counted = |site: &Site| -> u64 {
+        let reports = site.duties("/usage");
+        let mut windows = std::collections::BTreeMap::new();
+        for report in &reports {
+            let count = report["body"]["counts"]["temple"].as_u64().unwrap_or_default();
+            windows.insert(report["body"]["windowNumber"].as_u64(), count);
+        }
+        windows.values().sum()
+    };
+    let first = site.duties("/usage")[0]["holder"].as_str().expect("a holder").to_owned();
+    let n: usize = first.rsplit('-').next().and_then(|n| n.parse().ok()).expect("its number");
+    site.gateways[n - 1].signal(Signal::SIGTERM);
+    wait_until("another reports", || {
+        site.duties("/usage").iter().any(|r| r["holder"] != first.as_str())
+    });
+    wait_until("all are reported", || counted(&site) >= sent);
+    assert_eq!(counted(&site), sent);
+}
+
 #[test]
 fn the_log_tells_why_a_request_failed() {
     let site = Site::start(1, 0, 1);
