--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -2,8 +2,8 @@
 id = {{nodeName|json}}
 data_centre = {{zone|json}}
 log_level = "warn"
-seeds = {{seedNodes|json}}
-
+{{#seedNodes.0}}seeds = {{seedNodes|json}}
+{{/seedNodes.0}}
 [listen]
 callers = {{listen.frontend|json}}
 directory = {{listen.directory|json}}
@@ -16,15 +16,14 @@
 api = {{cloudApi.address|json}}
 
 [bounds]
-grace_s = {{bounds.graceS}}
-retry_ratio = {{bounds.retryBudgetRatio}}
-retry_surplus = {{bounds.budgetSlack}}
-retry_window_s = {{bounds.budgetWindowS}}
-usage_window_s = {{bounds.usageWindowS}}
-usage_due_s = {{bounds.usageLateS}}
-lease_ms = {{bounds.leaseMs}}
-directory_ttl_s = {{bounds.ttl_max_s}}
-
+{{#bounds.graceS}}grace_s = {{bounds.graceS}}
+{{/bounds.graceS}}{{#bounds.retryBudgetRatio}}retry_ratio = {{bounds.retryBudgetRatio}}
+{{/bounds.retryBudgetRatio}}{{#bounds.budgetSlack}}retry_surplus = {{bounds.budgetSlack}}
+{{/bounds.budgetSlack}}{{#bounds.budgetWindowS}}retry_window_s = {{bounds.budgetWindowS}}
+{{/bounds.budgetWindowS}}{{#bounds.usageWindowS}}usage_window_s = {{bounds.usageWindowS}}
+{{/bounds.usageWindowS}}{{#bounds.leaseMs}}lease_ms = {{bounds.leaseMs}}
+{{/bounds.leaseMs}}{{#bounds.ttl_max_s}}directory_ttl_s = {{bounds.ttl_max_s}}
+{{/bounds.ttl_max_s}}
 [capacity]
 reclaimable_factor = 3.0
 survive_share = 0.8
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -152,7 +152,11 @@
     let loaded = GatewaySettings::load(&gateway.settings.borrow().file);
     let usable = loaded.is_ok();
     match loaded {
-        Ok(settings) => gateway.settings.borrow_mut().bounds = settings.bounds,
+        Ok(settings) => {
+            let mut current = gateway.settings.borrow_mut();
+            current.bounds = settings.bounds;
+            current.capacity = settings.capacity;
+        }
         Err(e) => log::error!("the settings stay as they were: {e}"),
     }
     gateway.log(&Event::Reloaded { usable });
--- /dev/null
+++ b/src/gateway/decide/kept.rs
@@ -0,0 +1,52 @@
+//! Levels of quotas and counts of usage that outlive the processes.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Counts, QuotaBook, UsageBook, Window};
+use crate::gateway::{model::CustomerName, peering::ProcessId};
+
+/// Windows of usage that are kept: reports are due two windows after the end.
+const KEPT_WINDOWS: usize = 4;
+
+/// What is kept. Counts are kept by process, since those that live on tell
+/// theirs again.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    levels: BTreeMap<CustomerName, f64>,
+    customers: Vec<CustomerName>,
+    /// Window, process, and a count for each of `customers`.
+    usage: Vec<(Window, ProcessId, Vec<u64>)>,
+}
+
+impl Kept {
+    /// Takes what is to be kept.
+    pub fn of(quotas: &QuotaBook, usage: &UsageBook) -> Self {
+        let usage: Vec<_> = usage.of_all(KEPT_WINDOWS).collect();
+        let customers: BTreeSet<&CustomerName> =
+            usage.iter().flat_map(|(_, _, counts)| counts.keys()).collect();
+        let count = |counts: &Counts, customer| counts.get(customer).copied().unwrap_or_default();
+        let row = |(window, process, counts): &(Window, &str, &Counts)| {
+            let counts = customers.iter().map(|c| count(counts, *c)).collect();
+            (*window, (*process).to_owned(), counts)
+        };
+        Self {
+            levels: quotas.levels(),
+            usage: usage.iter().map(row).collect(),
+            customers: customers.into_iter().cloned().collect(),
+        }
+    }
+
+    /// Puts back what was kept.
+    pub fn restore(self, quotas: &mut QuotaBook, usage: &mut UsageBook, now: Instant) {
+        quotas.restore(&self.levels, now);
+        for (window, process, counts) in self.usage {
+            let counts = self.customers.iter().cloned().zip(counts).filter(|(_, n)| *n > 0);
+            usage.hear(&process, window, &counts.collect());
+        }
+    }
+}
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -42,8 +42,6 @@
     pub retry_window: Duration,
     /// Length of a window of the usage report.
     pub usage_window: Duration,
-    /// Time after the end of a window at which its report is due.
-    pub usage_due: Duration,
     /// Time in which two holders may not act in turns.
     pub lease: Duration,
     /// Longest time for which callers keep an answer to their question.
@@ -135,7 +133,6 @@
         retry_surplus: s.number("retry_surplus", 58.0),
         retry_window: s.seconds("retry_window_s", secs(10)),
         usage_window: s.seconds("usage_window_s", secs(5)),
-        usage_due: s.seconds("usage_due_s", secs(10)),
         lease: s.millis("lease_ms", secs(3)),
         directory_ttl: s.seconds("directory_ttl_s", secs(5)),
     }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -11,8 +11,8 @@
     gateway::{
         decide::{
             Breaker, CacheBelief, Candidate, CapacityInput, CapacityPolicy, EngineSpeed, Fleet,
-            PeerTotal, QuotaBook, QuotaShare, RetryBook, RetryTerms, TrueClock, UsageBook, Verdict,
-            choose_engine, plan_engines, predicted_wait,
+            Kept, PeerTotal, QuotaBook, QuotaShare, RetryBook, RetryTerms, TrueClock, UsageBook,
+            Verdict, choose_engine, plan_engines, predicted_wait,
         },
         model::{Quota, Scaling},
         request::EventSplitter,
@@ -221,6 +221,23 @@
     assert_eq!(book.counted_before(100), Vec::<u64>::new(), "and do not come back");
 }
 
+#[test]
+fn usage_that_was_kept_and_is_heard_again_counts_once() {
+    let now = Instant::now();
+    let mut before = UsageBook::default();
+    before.count("holder", 7, &customer());
+    before.hear("alive", 7, &BTreeMap::from([(customer(), 5), ("kitchens".to_owned(), 2)]));
+    before.hear("ended", 6, &BTreeMap::from([(customer(), 4)]));
+    let kept = Kept::of(&QuotaBook::new(now), &before);
+    let mut after = UsageBook::default();
+    after.hear("alive", 7, &BTreeMap::from([(customer(), 3)]));
+    kept.restore(&mut QuotaBook::new(now), &mut after, now);
+    after.hear("alive", 7, &BTreeMap::from([(customer(), 6)]));
+    let seven = BTreeMap::from([(customer(), 7), ("kitchens".to_owned(), 2)]);
+    assert_eq!(after.total(7), seven, "each process counts once, and rises");
+    assert_eq!(after.total(6), BTreeMap::from([(customer(), 4)]));
+}
+
 proptest! {
     /// In whatever order and however often counts arrive, the sum is the same.
     #[test]
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -392,13 +392,20 @@
         }
         windows.values().sum()
     };
-    let first = site.duties("/usage")[0]["holder"].as_str().expect("a holder").to_owned();
-    let n: usize = first.rsplit('-').next().and_then(|n| n.parse().ok()).expect("its number");
-    site.gateways[n - 1].signal(Signal::SIGTERM);
-    wait_until("another reports", || {
-        site.duties("/usage").iter().any(|r| r["holder"] != first.as_str())
-    });
+    // Only those that read what was kept are left to report the rest.
+    for old in &site.gateways[..3] {
+        old.signal(Signal::SIGTERM);
+    }
+    let young = |r: &Value| {
+        let holder = r["holder"].as_str().unwrap_or_default();
+        !["gateway-1", "gateway-2", "gateway-3"].contains(&holder)
+    };
+    wait_until("a young one reports", || site.duties("/usage").iter().any(young));
     wait_until("all are reported", || counted(&site) >= sent);
+    let last = site.duties("/usage").last().map(|r| r["body"]["windowNumber"].clone());
+    wait_until("later windows are reported, too", || {
+        site.duties("/usage").last().map(|r| r["body"]["windowNumber"].clone()) != last
+    });
     assert_eq!(counted(&site), sent);
 }
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeSet, fs, path::Path};
 
-use tackhollow::settings::{ControlSettings, EntrySettings, SettingsError};
+use tackhollow::settings::{ControlSettings, EntrySettings, GatewaySettings, SettingsError};
 use tempfile::TempDir;
 
 /// A settings file and the mistakes it must be told of.
@@ -132,4 +132,45 @@
     let sections = ["listen", "platform", "lease"];
     let control = |path: &Path| ControlSettings::load(path).expect_err("mistakes").to_string();
     assert_eq!(known_keys(&sections, control), documented_keys("## tackhollow-control"));
+    let sections = ["listen", "platform", "bounds", "capacity"];
+    let gateway = |path: &Path| GatewaySettings::load(path).expect_err("mistakes").to_string();
+    assert_eq!(known_keys(&sections, gateway), documented_keys("## tackhollow-gateway"));
+}
+
+#[test]
+fn a_gateway_names_every_mistake_with_its_unit() {
+    struct Mistake {
+        text: &'static str,
+        said: &'static str,
+    }
+    let cases = [
+        Mistake {
+            text: "[bounds]\ngrace_s = 0",
+            said: "bounds.grace_s: expected seconds above zero",
+        },
+        Mistake { text: "[bounds]\ngrace_s = \"8s\"", said: "bounds.grace_s: expected a number" },
+        Mistake {
+            text: "[bounds]\nretry_ratio = -1",
+            said: "bounds.retry_ratio: expected a number",
+        },
+        Mistake {
+            text: "[bounds]\nlease_ms = 0.5",
+            said: "bounds.lease_ms: expected milliseconds",
+        },
+        Mistake {
+            text: "[platform]\nstore = \"x\"",
+            said: "platform.store: expected an IP number",
+        },
+        Mistake {
+            text: "[capacity]\nfactor = 1",
+            said: "capacity.factor: expected one of the keys",
+        },
+    ];
+    let dir = TempDir::new().expect("a folder");
+    let path = dir.path().join("gateway.toml");
+    for case in cases {
+        fs::write(&path, case.text).expect("the file is written");
+        let message = GatewaySettings::load(&path).expect_err("a mistake").to_string();
+        assert!(message.contains(case.said), "{}: {message}", case.said);
+    }
 }
