--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -25,8 +25,8 @@
 {{/bounds.leaseMs}}{{#bounds.ttl_max_s}}directory_ttl_s = {{bounds.ttl_max_s}}
 {{/bounds.ttl_max_s}}
 [capacity]
-reclaimable_factor = 3.0
-survive_share = 0.8
+reclaimable_factor = 4.0
+survive_share = 1.1
 on_demand_floor = 0
 needed_floor = 6.0
 prefill_share = 0.55
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -31,6 +31,11 @@
 const HOLD_BEFORE_FEWER: Duration = Duration::from_secs(4);
 /// Pause after an order that was refused.
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(1_800);
+/// Share of the engines that the operator provided before any load which are
+/// taken to be needed when it begins.
+const PROVIDED_SHARE: f64 = 0.33;
+/// How long after the load begins that share is kept: by then its rate is known.
+const PROVIDED_FOR: Duration = Duration::from_secs(8);
 /// Time beyond `boot` after which engines that do not serve are ordered anew.
 const BOOT_SLACK: Duration = Duration::from_secs(3);
 type Key = (ServiceName, DataCentre, bool);
@@ -50,6 +55,30 @@
     gateway: Rc<Gateway>,
     timer: stakker::MaxTimerKey,
     ordered: HashMap<Key, Ordered>,
+    provided: HashMap<ServiceName, Provided>,
+}
+
+/// Engines that a service had before any load.
+#[derive(Clone, Copy, Debug, Default)]
+struct Provided {
+    most: u32,
+    loaded_since: Option<Instant>,
+}
+
+impl Provided {
+    /// Returns the engines needed at least, where the load needs `needed` and
+    /// `serving` serve.
+    fn floor(&mut self, needed: f64, serving: u32, now: Instant) -> f64 {
+        if needed <= 0.0 && self.loaded_since.is_none() {
+            self.most = self.most.max(serving);
+        } else {
+            self.loaded_since.get_or_insert(now);
+        }
+        match self.loaded_since {
+            Some(since) if now.saturating_duration_since(since) >= PROVIDED_FOR => 0.0,
+            _ => f64::from(self.most) * PROVIDED_SHARE,
+        }
+    }
 }
 
 /// Returns how many tokens the cache of an upstream holds.
@@ -63,7 +92,7 @@
     pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
         call!([cx], tick());
         let timer = stakker::MaxTimerKey::default();
-        Some(Self { gateway, timer, ordered: HashMap::new() })
+        Some(Self { gateway, timer, ordered: HashMap::new(), provided: HashMap::new() })
     }
 
     /// Looks at the engines at once: some may have announced that they go.
@@ -93,7 +122,10 @@
             if let Some(scaling) = &service.scaling {
                 let needed = engines_needed(&board, &service.name, &capacity, now);
                 let fleets = fleets(&board, &service.name, scaling);
-                let input = CapacityInput { needed, scaling, fleets: &fleets };
+                let on_demand = fleets.values().map(|f| f.on_demand).sum();
+                let provided = self.provided.entry(service.name.clone()).or_default();
+                let floor = provided.floor(needed, on_demand, now);
+                let input = CapacityInput { needed: needed.max(floor), scaling, fleets: &fleets };
                 let wishes = plan_engines(&input, &capacity.policy);
                 for (data_centre, wish) in wishes {
                     let fleet = fleets[&data_centre];
--- a/src/gateway/decide/quota.rs
+++ b/src/gateway/decide/quota.rs
@@ -21,7 +21,9 @@
 const HEARING_TIME: Duration = Duration::from_millis(500);
 
 /// For how long a process that is not heard is taken to go on as before. With
-/// hundreds of processes each is heard about once in this time.
+/// hundreds of processes each is heard about once in this time. After it the
+/// process is gone, or cut off and lives on its own part of the rate, which
+/// this process does not count on either.
 const LONGEST_ASSUMED: Duration = Duration::from_millis(1_500);
 /// Shortest span over which the rate of another process is judged.
 const SHORTEST_SPAN: f64 = 0.1;
@@ -53,7 +55,10 @@
 
 impl Other {
     fn assumed(&self, now: Instant) -> f64 {
-        let silent = now.saturating_duration_since(self.heard).min(LONGEST_ASSUMED);
+        let silent = now.saturating_duration_since(self.heard);
+        if silent > LONGEST_ASSUMED {
+            return 0.0;
+        }
         self.rate * silent.as_secs_f64()
     }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -101,6 +101,39 @@
     }
 }
 
+#[test]
+fn what_a_silent_process_admits_is_assumed_for_a_while_only() {
+    struct Case {
+        name: &'static str,
+        silent: Duration,
+        admitted: bool,
+    }
+    let cases = [
+        Case { name: "just heard", silent: ms(10), admitted: true },
+        Case { name: "likely going on", silent: ms(1_000), admitted: false },
+        Case {
+            name: "gone, or cut off with its own part of the rate",
+            silent: ms(2_000),
+            admitted: true,
+        },
+    ];
+    // A rate so low that nothing refills in the meantime.
+    let quota = Quota { rate: 0.001, burst: 1_000.0 };
+    for case in cases {
+        let now = Instant::now();
+        let customer = customer();
+        let mut book = QuotaBook::new(now);
+        book.restore(&BTreeMap::from([(customer.clone(), 1_000.0)]), now);
+        for (after, total) in [(0, 0), (100, 200), (200, 400)] {
+            let peer = PeerTotal { process: "p", older: true, customer: &customer, total };
+            book.hear(peer, quota, now + ms(after));
+        }
+        let at = now + ms(200) + case.silent;
+        let taken = book.take(&customer, quota, 500, ALONE, at);
+        assert_eq!(taken.is_ok(), case.admitted, "{}", case.name);
+    }
+}
+
 #[test]
 fn what_did_not_run_is_given_back() {
     let quota = Quota { rate: 10.0, burst: 100.0 };
