--- a/src/bin/tackhollow-emulator/engine.rs
+++ b/src/bin/tackhollow-emulator/engine.rs
@@ -1,22 +1,16 @@
 //! An upstream: reads prompts one after another, then streams events.
 
 use std::{
-    pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::{Body, Frame, Incoming},
-    header::HeaderValue,
-};
-use tackhollow::gateway::net::{AnswerBody, BodyError, Service, full_body};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
+use tackhollow::gateway::net::{AnswerBody, BodyError, Service, channel_body, full_body};
 use tokio::{
-    sync::mpsc::{Receiver, Sender, channel},
+    sync::mpsc::{Sender, channel},
     task::spawn_local,
     time::sleep,
 };
@@ -142,7 +136,7 @@
                 run.end = "lost";
                 let (tx, rx) = channel(1);
                 drop(tx.try_send(Err(BodyError::BrokenOff)));
-                Response::new(StreamBody { rx }.boxed_unsync())
+                Response::new(channel_body(rx))
             }
             _ if streams => self.stream(behaviour, headers, run),
             _ => {
@@ -175,7 +169,7 @@
         let first = header(headers, "last-event-id").parse::<u64>().unwrap_or_default() + 1;
         let (tx, rx) = channel(1);
         spawn_local(stream_events(tx, run, behaviour, first, events));
-        Response::new(StreamBody { rx }.boxed_unsync())
+        Response::new(channel_body(rx))
     }
 }
 
@@ -205,19 +199,3 @@
     }
     run.end = "complete";
 }
-
-struct StreamBody {
-    rx: Receiver<Result<Bytes, BodyError>>,
-}
-
-impl Body for StreamBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.rx.poll_recv(cx).map(|next| next.map(|bytes| bytes.map(Frame::data)))
-    }
-}
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -329,7 +329,7 @@
     counts: Counts,
 ) -> Result<Counts, PlatformError> {
     let key = format!("usage-{window}");
-    let value = serde_json::to_vec(&counts).unwrap_or_default();
+    let value = serde_json::to_vec(&counts).expect("texts and numbers always encode");
     let write = RowWrite { table: Table::Duties, key: key.clone(), value, expected: Some(0) };
     let outcome = gateway.store.write(&[write]).await;
     gateway.note_store(outcome.as_ref().err());
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -154,7 +154,7 @@
         let settings = gateway.settings.borrow();
         (settings.id.clone(), settings.listen.heartbeats)
     };
-    let value = serde_json::to_vec(&MemberRow { heartbeats }).unwrap_or_default();
+    let value = serde_json::to_vec(&MemberRow { heartbeats }).expect("an address always encodes");
     let row = RowWrite { table: Table::Members, key: host, value, expected: None };
     while let Err(e) = gateway.store.write(std::slice::from_ref(&row)).await {
         note(&gateway, "announce", Some(&e));
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
     body::Incoming,
@@ -44,6 +44,17 @@
     Http(#[from] hyper::Error),
 }
 
+/// Why a call brought no whole answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// The connection ended.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// The body broke off, or is larger than any that the platform sends.
+    #[error("{0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+}
+
 /// An answer that was read whole.
 #[derive(Debug)]
 pub struct Answer {
@@ -96,12 +107,12 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection ends first.
-    pub async fn call(&mut self, request: Request<RequestBody>) -> Result<Answer, hyper::Error> {
+    /// Fails if the connection ends first, or the answer is too large.
+    pub async fn call(&mut self, request: Request<RequestBody>) -> Result<Answer, CallError> {
         let response = self.sender.send_request(request).await?;
         let (parts, body) = response.into_parts();
-        let body = body.collect().await?.to_bytes();
-        debug_assert!(body.len() <= MAX_ANSWER, "the platform's answers are bounded");
+        let read = Limited::new(body, MAX_ANSWER).collect().await;
+        let body = read.map_err(CallError::Body)?.to_bytes();
         Ok(Answer { status: parts.status, headers: parts.headers, body })
     }
 }
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -6,7 +6,9 @@
 mod server;
 mod shutdown;
 
-pub use connect::{Answer, ConnectError, HttpConnection, RequestBody, connect, json_request};
+pub use connect::{
+    Answer, CallError, ConnectError, HttpConnection, RequestBody, connect, json_request,
+};
 pub use pool::{Lease, Pool, PoolError};
-pub use server::{AnswerBody, BodyError, Service, full_body, serve};
+pub use server::{AnswerBody, BodyError, Service, channel_body, full_body, serve};
 pub use shutdown::{Phase, Shutdown};
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -1,14 +1,27 @@
 //! HTTP/1.1 server on a listener.
 
-use std::{future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    future::Future,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use hyper::{Request, Response, body::Incoming, server::conn::http1::Builder, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::{Body, Frame, Incoming},
+    server::conn::http1::Builder,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use thiserror::Error;
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::mpsc::Receiver,
     task::spawn_local,
     time::sleep,
 };
@@ -43,6 +56,28 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+struct ChannelBody {
+    rx: Receiver<Result<Bytes, BodyError>>,
+}
+
+impl Body for ChannelBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.rx.poll_recv(cx).map(|next| next.map(|bytes| bytes.map(Frame::data)))
+    }
+}
+
+/// Returns a body that passes on what is sent to a channel. An error ends the
+/// connection, so that the answer cannot look complete.
+pub fn channel_body(rx: Receiver<Result<Bytes, BodyError>>) -> AnswerBody {
+    ChannelBody { rx }.boxed_unsync()
+}
+
 /// Answers requests.
 pub trait Service {
     /// Answers a request.
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -1,20 +1,13 @@
 //! Passes a stream on as it comes, and lets it go on at another upstream where
 //! the route allows.
 
-use std::{
-    pin::Pin,
-    task::{Context, Poll},
-    time::Instant,
-};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{
-    Response,
-    body::{Body, Frame, Incoming},
-};
+use hyper::{Response, body::Incoming};
 use tokio::{
-    sync::mpsc::{Receiver, Sender, channel},
+    sync::mpsc::{Sender, channel},
     task::spawn_local,
     time::sleep_until,
 };
@@ -28,7 +21,7 @@
 use crate::{
     gateway::{
         decide::Verdict,
-        net::{AnswerBody, BodyError, Lease},
+        net::{AnswerBody, BodyError, Lease, channel_body},
     },
     platform,
 };
@@ -37,23 +30,6 @@
 /// upstream and not this process's memory.
 const QUEUE: usize = 16;
 
-/// Body of an answer that is passed on as it comes.
-struct RelayBody {
-    rx: Receiver<Result<Bytes, BodyError>>,
-}
-
-impl Body for RelayBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.rx.poll_recv(cx).map(|next| next.map(|bytes| bytes.map(Frame::data)))
-    }
-}
-
 /// Starts to pass on an answer; returns what the caller gets.
 pub fn relay(
     forwarding: Forwarding,
@@ -70,7 +46,7 @@
         let outcome = relay.pass_on(run).await;
         relay.forwarding.answered(parts.status, outcome, relay.first);
     });
-    Response::from_parts(parts, RelayBody { rx }.boxed_unsync())
+    Response::from_parts(parts, channel_body(rx))
 }
 
 /// A run at an upstream whose answer is being read.
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -2,7 +2,7 @@
 
 use thiserror::Error;
 
-use crate::gateway::net::ConnectError;
+use crate::gateway::net::{CallError, ConnectError};
 
 /// Why a call to the platform brought no usable answer.
 #[derive(Debug, Error)]
@@ -12,7 +12,7 @@
     Connect(#[from] ConnectError),
     /// The connection ended; a write may have been done.
     #[error("no answer: {0}")]
-    Http(#[from] hyper::Error),
+    Http(#[from] CallError),
     /// No answer in time; a write may have been done.
     #[error("no answer in time")]
     Timeout,
