Tests: each gateway has a loopback address of its own

Cause of a test that failed once (a_row_that_lapsed_..., 60 s in vain for a gateway to be ready) and, with the start now checked, of two of six further runs: another process took the port between its choice and the gateway's start ('Address already in use').

--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt::Write as _,
     fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
     time::Duration,
@@ -25,6 +25,8 @@
 
 /// Generous bound on a call: a test that meets it has failed.
 const CALL_LIMIT: Duration = Duration::from_secs(40);
+/// First of the five ports of a gateway.
+const FIRST_PORT: u16 = 7_001;
 /// Host of all routes.
 pub const HOST: &str = "assistant.example";
 /// Key of the customer `temple`.
@@ -155,6 +157,14 @@
         status.is_some_and(|s| s.success())
     }
 
+    /// Fails the test if the process has ended, with what it said.
+    fn must_run(&self) {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let ended = stat.map_or(true, |s| s.contains(") Z "));
+        let said = fs::read_to_string(self.log.with_extension("err")).unwrap_or_default();
+        assert!(!ended, "the gateway ended at its start: {said}");
+    }
+
     pub fn is_ready(&self) -> bool {
         let call = Call::new("GET", "/ready", "probe");
         call.send(self.readiness).is_some_and(|a| a.status == StatusCode::OK)
@@ -223,7 +233,11 @@
 
     pub fn wait_ready(&self) {
         let all = self.gateways.len();
-        wait_until("all gateways are ready", || self.gateways.iter().all(GatewayProc::is_ready));
+        let running = || self.gateways.iter().for_each(GatewayProc::must_run);
+        wait_until("all gateways are ready", || {
+            running();
+            self.gateways.iter().all(GatewayProc::is_ready)
+        });
         wait_until("all gateways know each other", || {
             self.gateways.iter().all(|g| g.told().len() == all)
         });
@@ -233,8 +247,7 @@
     pub fn add_gateway(&mut self) {
         let n = self.gateways.len() + 1;
         let file = self.dir.path().join(format!("gateway-{n}.toml"));
-        let ports: Vec<SocketAddr> = (0..5).map(|_| free_port()).collect();
-        let seed = ports[4];
+        let ports: Vec<SocketAddr> = (0..5).map(|i| own_address(n, FIRST_PORT + i)).collect();
         let mut text = format!("id = \"gateway-{n}\"\ndata_centre = \"bkk-nont\"\n[listen]\n");
         let names = ["callers", "directory", "readiness", "peers", "heartbeats"];
         for (name, address) in names.iter().zip(&ports) {
@@ -245,13 +258,13 @@
             .expect("writing to a text");
         text.push_str("[bounds]\nusage_window_s = 1\n");
         fs::write(&file, text).expect("the settings are written");
-        let log = self.dir.path().join(format!("gateway-{n}-{}.log", seed.port()));
+        let log = self.dir.path().join(format!("gateway-{n}.log"));
         let out = fs::File::create(&log).expect("a log");
         let child = Command::new(env!("CARGO_BIN_EXE_tackhollow-gateway"))
             .arg("--settings")
             .arg(&file)
             .stdout(out)
-            .stderr(Stdio::null())
+            .stderr(fs::File::create(log.with_extension("err")).expect("a file"))
             .spawn()
             .expect("the gateway starts");
         let [callers, directory, readiness, peers] = [ports[0], ports[1], ports[2], ports[3]];
@@ -308,9 +321,13 @@
     }
 }
 
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    listener.local_addr().expect("its address")
+/// Returns an address for the `n`th gateway of this test. Each has a loopback
+/// IP number of its own, so that no other process can take its ports between
+/// their choice and the gateway's start.
+fn own_address(n: usize, port: u16) -> SocketAddr {
+    let pid = std::process::id();
+    let [high, low] = [(pid >> 8) as u8, pid as u8];
+    SocketAddr::from(([127, high % 250 + 1, low, n as u8], port))
 }
 
 /// Returns the usual configuration: streams that may be resumed and that may
