--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -5,7 +5,7 @@
     fs,
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, Command},
     time::Duration,
 };
 
