--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -19,6 +19,7 @@
     attempt::{AttemptEnd, Outgoing, attempt},
     in_flight::InProgress,
     relay::relay,
+    report::refuse,
     select::{Selected, select},
 };
 use crate::{
@@ -27,11 +28,10 @@
         decide::{RetryTerms, Verdict},
         model::RequestKind,
         net::{AnswerBody, Lease, Phase, full_body},
-        telemetry::{Event, RequestLabels},
+        telemetry::Event,
     },
     ids::UpstreamId,
-    platform::{self, RequestHead},
-    telemetry::{Labels, count},
+    platform,
 };
 
 /// Patience of a caller that names none.
@@ -60,7 +60,8 @@
 }
 
 impl Outcome {
-    fn name(self) -> &'static str {
+    /// Returns a word for logs and metrics.
+    pub fn name(self) -> &'static str {
         match self {
             Self::Completed => "completed",
             Self::UpstreamFailure => "upstream_failure",
@@ -82,7 +83,8 @@
     pub admitted: Admitted,
     /// When the answer must have ended.
     pub deadline: Instant,
-    arrived: Instant,
+    /// When the request came.
+    pub(super) arrived: Instant,
     tried: Vec<UpstreamId>,
     runs: u32,
     _in_progress: InProgress,
@@ -174,41 +176,6 @@
     }
 }
 
-/// Logs and returns an answer of this system's own.
-fn refuse(
-    gateway: &Gateway,
-    head: &RequestHead,
-    admitted: Option<&Admitted>,
-    refusal: Refusal,
-    arrived: Instant,
-) -> Response<AnswerBody> {
-    let took_ms = arrived.elapsed().as_millis() as u64;
-    gateway.log(&Event::Answered {
-        request: &head.id,
-        route: admitted.map_or("", |a| &a.route.name),
-        customer: admitted.and_then(|a| a.customer.as_deref()).unwrap_or_default(),
-        status: refusal.status().as_u16(),
-        outcome: refusal.cause(),
-        took_ms,
-        first_ms: took_ms,
-        configuration: gateway.board.borrow().configuration_version(),
-    });
-    let class = admitted.map_or_else(|| "unknown".to_owned(), class);
-    let labels = RequestLabels { class, outcome: refusal.cause().to_owned() };
-    gateway.metrics.requests.get_or_create(&labels).inc();
-    refusal.response()
-}
-
-/// Returns the class of a request for metrics: the kind and rank of its route.
-fn class(admitted: &Admitted) -> String {
-    let kind = match admitted.route.kind {
-        RequestKind::Safe => "safe",
-        RequestKind::Unsafe => "unsafe",
-        RequestKind::Streaming => "streaming",
-    };
-    format!("{kind}_{}", admitted.route.priority)
-}
-
 /// What the first upstream that answers gives.
 enum Reply {
     /// A stream, to be passed on as it comes.
@@ -376,71 +343,6 @@
         board.retries.request(&self.admitted.service, terms, Instant::now());
     }
 
-    fn log_failed(&self, upstream: &str, cause: &'static str, may_have_run: bool, again: bool) {
-        count(&self.gateway.metrics.failed_attempts, cause);
-        self.gateway.log(&Event::AttemptFailed {
-            request: &self.outgoing.head.id,
-            upstream,
-            cause,
-            may_have_run,
-            next: if again { "again" } else { "give_up" },
-        });
-    }
-
-    /// Notes how an upstream did.
-    pub fn verdict(&self, upstream: &str, verdict: Verdict) {
-        let mut board = self.gateway.board.borrow_mut();
-        if let Some(view) = board.upstreams.get_mut(upstream) {
-            view.breaker.record(verdict, Instant::now());
-        }
-    }
-
-    /// Notes how long the first token took against the prediction.
-    pub fn first_token(&self, selected: &Selected, now: Instant) {
-        let took = now.saturating_duration_since(self.arrived);
-        // Short times tell of the way and not of the engine.
-        let expected = selected.predicted.max(Duration::from_millis(80));
-        let mut board = self.gateway.board.borrow_mut();
-        if let Some(view) = board.upstreams.get_mut(&selected.id) {
-            view.breaker.record_time(took, expected);
-        }
-    }
-
-    /// Counts a request that began to run.
-    pub fn count_usage(&self, now: Instant) {
-        let Some(customer) = &self.admitted.customer else {
-            return;
-        };
-        let length = self.gateway.settings.borrow().bounds.usage_window.as_millis().max(1) as u64;
-        let mut board = self.gateway.board.borrow_mut();
-        let window = board.clock.unix_millis(now) / length;
-        board.usage.count(&self.gateway.process, window, customer);
-    }
-
-    /// Logs and counts an answer that was passed on.
-    pub fn answered(&self, status: StatusCode, outcome: Outcome, first: Option<Instant>) {
-        let took_ms = self.arrived.elapsed().as_millis() as u64;
-        let to_first = first.map(|t| t.saturating_duration_since(self.arrived));
-        self.gateway.log(&Event::Answered {
-            request: &self.outgoing.head.id,
-            route: &self.admitted.route.name,
-            customer: self.admitted.customer.as_deref().unwrap_or_default(),
-            status: status.as_u16(),
-            outcome: outcome.name(),
-            took_ms,
-            first_ms: to_first.map_or(took_ms, |t| t.as_millis() as u64),
-            configuration: self.admitted.configuration.version,
-        });
-        let class = class(&self.admitted);
-        if let Some(time) = to_first {
-            let labels = Labels { cause: class.clone() };
-            let histogram = self.gateway.metrics.first_byte.get_or_create(&labels);
-            histogram.observe(time.as_secs_f64());
-        }
-        let labels = RequestLabels { class, outcome: outcome.name().to_owned() };
-        self.gateway.metrics.requests.get_or_create(&labels).inc();
-    }
-
     fn refused(&self, refusal: Refusal) -> Response<AnswerBody> {
         if self.runs == 0 {
             give_back(&self.gateway, &self.admitted);
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -8,6 +8,7 @@
 mod in_flight;
 mod refusal;
 mod relay;
+mod report;
 mod select;
 
 pub use admit::{Admitted, admit};
--- /dev/null
+++ b/src/gateway/request/report.rs
@@ -0,0 +1,134 @@
+//! What is told of a request: log lines, metrics, health, usage.
+
+use std::time::{Duration, Instant};
+
+use hyper::{Response, StatusCode};
+
+use super::{
+    Admitted, Refusal,
+    forward::{Forwarding, Outcome},
+    select::Selected,
+};
+use crate::{
+    gateway::{
+        context::Gateway,
+        decide::Verdict,
+        model::RequestKind,
+        net::AnswerBody,
+        telemetry::{Event, RequestLabels},
+    },
+    platform::RequestHead,
+    telemetry::{Labels, count},
+};
+
+/// Shortest first token that an engine's slowness is judged against: shorter
+/// times tell of the way and not of the engine.
+const SHORTEST_EXPECTED: Duration = Duration::from_millis(80);
+
+/// Logs and returns an answer of this system's own.
+pub(super) fn refuse(
+    gateway: &Gateway,
+    head: &RequestHead,
+    admitted: Option<&Admitted>,
+    refusal: Refusal,
+    arrived: Instant,
+) -> Response<AnswerBody> {
+    let took_ms = arrived.elapsed().as_millis() as u64;
+    gateway.log(&Event::Answered {
+        request: &head.id,
+        route: admitted.map_or("", |a| &a.route.name),
+        customer: admitted.and_then(|a| a.customer.as_deref()).unwrap_or_default(),
+        status: refusal.status().as_u16(),
+        outcome: refusal.cause(),
+        took_ms,
+        first_ms: took_ms,
+        configuration: gateway.board.borrow().configuration_version(),
+    });
+    let class = admitted.map_or_else(|| "unknown".to_owned(), class);
+    let labels = RequestLabels { class, outcome: refusal.cause().to_owned() };
+    gateway.metrics.requests.get_or_create(&labels).inc();
+    refusal.response()
+}
+
+/// Returns the class of a request for metrics: the kind and rank of its route.
+fn class(admitted: &Admitted) -> String {
+    let kind = match admitted.route.kind {
+        RequestKind::Safe => "safe",
+        RequestKind::Unsafe => "unsafe",
+        RequestKind::Streaming => "streaming",
+    };
+    format!("{kind}_{}", admitted.route.priority)
+}
+
+impl Forwarding {
+    /// Logs and counts a failed attempt; `again` says what follows.
+    pub(super) fn log_failed(
+        &self,
+        upstream: &str,
+        cause: &'static str,
+        may_have_run: bool,
+        again: bool,
+    ) {
+        count(&self.gateway.metrics.failed_attempts, cause);
+        self.gateway.log(&Event::AttemptFailed {
+            request: &self.outgoing.head.id,
+            upstream,
+            cause,
+            may_have_run,
+            next: if again { "again" } else { "give_up" },
+        });
+    }
+
+    /// Notes how an upstream did.
+    pub fn verdict(&self, upstream: &str, verdict: Verdict) {
+        let mut board = self.gateway.board.borrow_mut();
+        if let Some(view) = board.upstreams.get_mut(upstream) {
+            view.breaker.record(verdict, Instant::now());
+        }
+    }
+
+    /// Notes how long the first token took against the prediction.
+    pub fn first_token(&self, selected: &Selected, now: Instant) {
+        let took = now.saturating_duration_since(self.arrived);
+        let expected = selected.predicted.max(SHORTEST_EXPECTED);
+        let mut board = self.gateway.board.borrow_mut();
+        if let Some(view) = board.upstreams.get_mut(&selected.id) {
+            view.breaker.record_time(took, expected);
+        }
+    }
+
+    /// Counts a request that began to run.
+    pub fn count_usage(&self, now: Instant) {
+        let Some(customer) = &self.admitted.customer else {
+            return;
+        };
+        let length = self.gateway.settings.borrow().bounds.usage_window.as_millis().max(1) as u64;
+        let mut board = self.gateway.board.borrow_mut();
+        let window = board.clock.unix_millis(now) / length;
+        board.usage.count(&self.gateway.process, window, customer);
+    }
+
+    /// Logs and counts an answer that was passed on.
+    pub fn answered(&self, status: StatusCode, outcome: Outcome, first: Option<Instant>) {
+        let took_ms = self.arrived.elapsed().as_millis() as u64;
+        let to_first = first.map(|t| t.saturating_duration_since(self.arrived));
+        self.gateway.log(&Event::Answered {
+            request: &self.outgoing.head.id,
+            route: &self.admitted.route.name,
+            customer: self.admitted.customer.as_deref().unwrap_or_default(),
+            status: status.as_u16(),
+            outcome: outcome.name(),
+            took_ms,
+            first_ms: to_first.map_or(took_ms, |t| t.as_millis() as u64),
+            configuration: self.admitted.configuration.version,
+        });
+        let class = class(&self.admitted);
+        if let Some(time) = to_first {
+            let labels = Labels { cause: class.clone() };
+            let histogram = self.gateway.metrics.first_byte.get_or_create(&labels);
+            histogram.observe(time.as_secs_f64());
+        }
+        let labels = RequestLabels { class, outcome: outcome.name().to_owned() };
+        self.gateway.metrics.requests.get_or_create(&labels).inc();
+    }
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -196,7 +196,8 @@
                 snapshot.rows.push(decode_row(row)?);
             }
             match snapshot.rows.last() {
-                // The range begins after the last key seen: no key is that short.
+                // The range includes its first key: the next page begins with
+                // the least key after the last one, which ends with a zero byte.
                 Some(last) if more => from = format!("{}%00", last.key),
                 _ => return Ok(snapshot),
             }
