A process that starts does not call a key's request not run

That is false, and the caller may begin anew. Ruled out: the test's own waits (it waits for members, not for a configuration, as callers would). Now a refusal for a key that is not homed here is 'unknown'. The new test holds the process in that state and failed first.

--- a/src/entry/api/start.rs
+++ b/src/entry/api/start.rs
@@ -108,7 +108,13 @@
     let Some(key) = key else {
         return Ok(None);
     };
-    let customer = customer_of(cx, api_key)?;
+    let customer = match customer_of(cx, api_key) {
+        Err(Problem::NotRun { .. }) if !is_homed_here(cx, key) => {
+            let reason = "this process is starting and cannot ask whether the key ran".to_owned();
+            return Err(Problem::Unknown { reason });
+        }
+        customer => customer?,
+    };
     if let Some(record) = cx.records.get_by_key(&customer, key) {
         // Found here: begun here, or taken over. `begin` compares the bodies.
         if record.id.starts_with(&format!("{}.", cx.home())) {
@@ -138,6 +144,12 @@
     relay_to_home(cx, incoming, body, &home).map(|relayed| Some(Started::Relayed(relayed)))
 }
 
+/// Returns whether this process alone may begin the key's request, so that a
+/// refusal here means that it has not run.
+fn is_homed_here(cx: &Context, key: &str) -> bool {
+    matches!(keys::parse(key), Key::Homed { home, .. } if home == *cx.home())
+}
+
 fn check_age(cx: &Context, issued_s: u64) -> Result<(), Problem> {
     let validity = cx.settings.limits.key_validity.as_secs();
     if keys::may_begin(issued_s, unix_millis(), validity) {
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -175,6 +175,25 @@
     format!("{home}.{seconds:x}.{:016x}", fastrand::u64(..))
 }
 
+/// A process that starts has no configuration. It may not call a key's request
+/// "not run" that an earlier process has run.
+#[test]
+fn a_process_that_starts_does_not_call_another_homes_call_not_run() {
+    let plan = Plan { data_centres: 1, entries_each: 1, ..Plan::default() };
+    let mut cluster = Cluster::start(plan);
+    let key = key_of(&cluster, 0);
+    let body = "confirm before the restart";
+    let first = send(cluster.entries[0].proc.http(), &key, body).expect("an answer");
+    assert_eq!((first.status, ran(&cluster, body)), (200, 1));
+    // With the platform away and no peers it stays without a configuration.
+    cluster.platform_faults(json!({ "down": "refuse" }));
+    cluster.entries[0].proc.kill();
+    cluster.restart_entry(0);
+    let again = send(cluster.entries[0].proc.http(), &key, body).expect("an answer");
+    let said: serde_json::Value = serde_json::from_slice(&again.body).expect("a problem");
+    assert_eq!(said["outcome"], "unknown", "{said}");
+}
+
 #[test]
 fn a_plain_key_with_a_lost_answer_of_the_table_and_without_the_table() {
     let cluster = Cluster::start(Plan { entries_each: 1, ..Plan::default() });
