--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -11,16 +11,15 @@
     gateway::{
         decide::{
             Breaker, CacheBelief, Candidate, CapacityInput, CapacityPolicy, EngineSpeed, Fleet,
-            Kept, PeerTotal, QuotaBook, QuotaShare, RetryBook, RetryTerms, TrueClock, UsageBook,
-            Verdict, choose_engine, plan_engines, predicted_wait,
+            Kept, QuotaBook, RetryBook, RetryTerms, TrueClock, UsageBook, Verdict, choose_engine,
+            plan_engines, predicted_wait,
         },
-        model::{Quota, Scaling},
+        model::Scaling,
         request::EventSplitter,
     },
     ids::DataCentre,
 };
 
-const ALONE: QuotaShare = QuotaShare { heard: 1, members: 1 };
 const SPEED: EngineSpeed = EngineSpeed { prefill: 50_000.0 };
 
 fn ms(ms: u64) -> Duration {
@@ -31,176 +30,6 @@
     "temple-fairs".to_owned()
 }
 
-// Quotas.
-
-#[test]
-fn a_process_starts_with_empty_quotas() {
-    struct Case {
-        name: &'static str,
-        up: Duration,
-        tokens: u64,
-        admitted: bool,
-    }
-    let cases = [
-        Case { name: "others not heard yet", up: ms(450), tokens: 100, admitted: false },
-        Case { name: "just started", up: ms(0), tokens: 100, admitted: false },
-        Case { name: "refilled for what is asked", up: ms(700), tokens: 100, admitted: true },
-        Case { name: "not yet for a large one", up: ms(700), tokens: 500, admitted: false },
-        Case { name: "full after a while", up: ms(60_000), tokens: 1_000, admitted: true },
-        Case { name: "larger than the burst", up: ms(60_000), tokens: 5_000, admitted: true },
-    ];
-    let quota = Quota { rate: 1_000.0, burst: 1_000.0 };
-    for case in cases {
-        let started = Instant::now();
-        let mut book = QuotaBook::new(started);
-        let taken = book.take(&customer(), quota, case.tokens, ALONE, started + case.up);
-        assert_eq!(taken.is_ok(), case.admitted, "{}", case.name);
-    }
-}
-
-#[test]
-fn a_process_goes_on_from_the_levels_that_were_kept() {
-    struct Case {
-        name: &'static str,
-        kept: Option<f64>,
-        older: bool,
-        total: i64,
-        admitted: bool,
-    }
-    let cases = [
-        Case { name: "nothing kept", kept: None, older: true, total: 0, admitted: false },
-        Case { name: "a full bucket", kept: Some(1_000.0), older: true, total: 0, admitted: true },
-        Case { name: "a debt", kept: Some(-500.0), older: true, total: 0, admitted: false },
-        Case {
-            name: "an older process's past is in the kept level",
-            kept: Some(1_000.0),
-            older: true,
-            total: 90_000,
-            admitted: true,
-        },
-        Case {
-            name: "what a new one admitted is not",
-            kept: Some(1_000.0),
-            older: false,
-            total: 900,
-            admitted: false,
-        },
-    ];
-    let quota = Quota { rate: 1_000.0, burst: 1_000.0 };
-    for case in cases {
-        let now = Instant::now();
-        let customer = customer();
-        let mut book = QuotaBook::new(now);
-        let kept = case.kept.into_iter().map(|level| (customer.clone(), level));
-        book.restore(&kept.collect(), now);
-        let (older, total) = (case.older, case.total);
-        let peer = PeerTotal { process: "p", older, customer: &customer, total };
-        book.hear(peer, quota, now);
-        let taken = book.take(&customer, quota, 600, ALONE, now + ms(20));
-        assert_eq!(taken.is_ok(), case.admitted, "{}", case.name);
-    }
-}
-
-#[test]
-fn what_a_silent_process_admits_is_assumed_for_a_while_only() {
-    struct Case {
-        name: &'static str,
-        silent: Duration,
-        admitted: bool,
-    }
-    let cases = [
-        Case { name: "just heard", silent: ms(10), admitted: true },
-        Case { name: "likely going on", silent: ms(1_000), admitted: false },
-        Case {
-            name: "gone, or cut off with its own part of the rate",
-            silent: ms(2_000),
-            admitted: true,
-        },
-    ];
-    // A rate so low that nothing refills in the meantime.
-    let quota = Quota { rate: 0.001, burst: 1_000.0 };
-    for case in cases {
-        let now = Instant::now();
-        let customer = customer();
-        let mut book = QuotaBook::new(now);
-        book.restore(&BTreeMap::from([(customer.clone(), 1_000.0)]), now);
-        for (after, total) in [(0, 0), (100, 200), (200, 400)] {
-            let peer = PeerTotal { process: "p", older: true, customer: &customer, total };
-            book.hear(peer, quota, now + ms(after));
-        }
-        let at = now + ms(200) + case.silent;
-        let taken = book.take(&customer, quota, 500, ALONE, at);
-        assert_eq!(taken.is_ok(), case.admitted, "{}", case.name);
-    }
-}
-
-#[test]
-fn what_did_not_run_is_given_back() {
-    let quota = Quota { rate: 10.0, burst: 100.0 };
-    let now = Instant::now();
-    let mut book = QuotaBook::new(now);
-    let later = now + ms(60_000);
-    book.take(&customer(), quota, 100, ALONE, later).expect("the bucket is full");
-    book.take(&customer(), quota, 100, ALONE, later).expect_err("the bucket is empty");
-    book.give_back(&customer(), 100);
-    book.take(&customer(), quota, 100, ALONE, later).expect("it is full again");
-    assert_eq!(book.own_totals().next().map(|(_, total)| total), Some(100));
-}
-
-#[test]
-fn a_cut_off_process_counts_on_its_part_only() {
-    let quota = Quota { rate: 900.0, burst: 10.0 };
-    let now = Instant::now();
-    let cut_off = QuotaShare { heard: 1, members: 9 };
-    let mut book = QuotaBook::new(now);
-    let full = now + ms(60_000);
-    book.take(&customer(), quota, 10, cut_off, full).expect("the bucket is full");
-    let wait = book.take(&customer(), quota, 10, cut_off, full).expect_err("it is empty");
-    assert!(wait >= ms(99), "a ninth of the rate refills in {wait:?}");
-}
-
-proptest! {
-    /// However processes start, exchange totals and admit, all together stay
-    /// within the rate, the burst and what they can admit between exchanges.
-    #[test]
-    fn the_sum_of_all_processes_keeps_the_quota(
-        steps in prop::collection::vec((0usize..4, 1u64..400, any::<bool>()), 1..400),
-    ) {
-        let quota = Quota { rate: 2_000.0, burst: 2_000.0 };
-        let share = QuotaShare { heard: 4, members: 4 };
-        let start = Instant::now();
-        let mut books: Vec<QuotaBook> = (0..4).map(|_| QuotaBook::new(start)).collect();
-        let mut admitted = 0.0;
-        let mut now = start;
-        for (at, tokens, exchange) in steps {
-            now += ms(20);
-            if books[at].take(&customer(), quota, tokens, share, now).is_ok() {
-                admitted += tokens as f64;
-            }
-            if exchange {
-                let totals: Vec<i64> =
-                    books.iter().map(|b| b.own_totals().map(|(_, t)| t).sum()).collect();
-                for (i, book) in books.iter_mut().enumerate() {
-                    for (j, total) in totals.iter().enumerate().filter(|(j, _)| *j != i) {
-                        let (process, customer) = (format!("p{j}"), customer());
-                        let peer = PeerTotal {
-                            process: &process,
-                            older: false,
-                            customer: &customer,
-                            total: *total,
-                        };
-                        book.hear(peer, quota, now);
-                    }
-                }
-            }
-            let elapsed = now.duration_since(start).as_secs_f64();
-            // Four processes may each use a whole burst before the first exchange.
-            let allowed = quota.rate * elapsed + 4.0 * quota.burst;
-            prop_assert!(admitted <= allowed, "{admitted} admitted, {allowed} allowed");
-        }
-    }
-}
-
 // Retries.
 
 #[test]
