Failures during a rest do not bring the next one

Cause of the red not_run test (two of six calls unknown, four not run): with five failures at once an upstream rested after the third, and the two that ended during the rest were kept. After the rest one failure made it rest again; with both services in that state two calls were unknown and the other four found no upstream.

Before: the new test failed (a single failure after five brought a rest).

--- a/src/upstream/state.rs
+++ b/src/upstream/state.rs
@@ -118,12 +118,16 @@
         self.boot = Some(boot);
     }
 
-    /// Counts how an attempt ended.
+    /// Counts how an attempt ended. Attempts that were sent before a rest and
+    /// fail during it tell nothing new: they do not count towards the next.
     pub fn attempt_ended(&mut self, failed: bool, now: Instant) {
         if !failed {
             self.failures = 0;
             return;
         }
+        if self.rests(now) {
+            return;
+        }
         self.failures += 1;
         if self.failures >= FAILURES_TO_REST {
             self.failures = 0;
@@ -135,8 +139,11 @@
     /// leaving and not resting.
     pub fn takes_work(&self, now: Instant, silence: Duration) -> bool {
         let fresh = self.heard.is_some_and(|at| now.duration_since(at) <= silence);
-        let rests = self.rests_until.is_some_and(|until| now < until);
-        fresh && !rests && self.leaves_at.is_none()
+        fresh && !self.rests(now) && self.leaves_at.is_none()
+    }
+
+    fn rests(&self, now: Instant) -> bool {
+        self.rests_until.is_some_and(|until| now < until)
     }
 
     /// Returns whether the upstream offers a model.
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -11,7 +11,7 @@
         Admission, AdmissionInput, Candidate, Class, OwnerView, Policy, admit, choose_upstream,
         rank_owners,
     },
-    upstream::{CacheSketch, Owned, OwnedSettings, UpstreamEvent},
+    upstream::{CacheSketch, Owned, OwnedSettings, UpstreamEvent, UpstreamState},
     wire::{PlaceReply, PlaceRequest, PlaceScope, Release, ReleaseOutcome},
 };
 
@@ -128,6 +128,37 @@
     assert_eq!(sketch.cached_tokens(&prefixes), 0);
 }
 
+/// Failures at one moment, and how many more after the rest end in another one.
+struct RestCase {
+    name: &'static str,
+    failures: u32,
+    then: u32,
+    rests: bool,
+}
+
+const REST_CASES: [RestCase; 4] = [
+    RestCase { name: "three in a row", failures: 3, then: 3, rests: true },
+    RestCase { name: "three, then fewer", failures: 3, then: 2, rests: false },
+    RestCase { name: "two more that were sent before the rest", failures: 5, then: 1, rests: false },
+    RestCase { name: "the same, then three", failures: 5, then: 3, rests: true },
+];
+
+#[test]
+fn failures_of_before_a_rest_do_not_bring_the_next_one() {
+    let silence = Duration::from_secs(3_600);
+    for case in REST_CASES {
+        let now = Instant::now();
+        let mut upstream = UpstreamState::new(host(0), now);
+        upstream.hear(&UpstreamEvent::Hello { boot: 1 }, now);
+        (0..case.failures).for_each(|_| upstream.attempt_ended(true, now));
+        assert!(!upstream.takes_work(now, silence), "{}: it rests", case.name);
+        let later = now + Duration::from_secs(10);
+        assert!(upstream.takes_work(later, silence), "{}: it has rested", case.name);
+        (0..case.then).for_each(|_| upstream.attempt_ended(true, later));
+        assert_eq!(!upstream.takes_work(later, silence), case.rests, "{}", case.name);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
