Quotas of processes that start together; the lease goes back to its host

And nobody held the lease for 4 s after the kill, so that what was counted until the next kill was in no row.

Change: a process counts on the part of a burst that those it hears make up of the hosts announced in the store; the first heartbeats go to every gateway, and a new one is answered at once; a host takes over the lease of its own earlier process; levels and usage are kept each 0.4 s.

Ruled out: the extrapolation of rates, which is at work only after two heartbeats of a process.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -47,6 +47,7 @@
 #[derive(Clone, Debug)]
 pub struct Lease {
     own: String,
+    host: Option<String>,
     timing: LeaseTiming,
     seen: Option<(u64, LeaseRow, Instant)>,
     held: Option<(u64, Instant)>,
@@ -55,7 +56,24 @@
 impl Lease {
     /// Creates the view of a process that has not read the row.
     pub fn new(own: String, timing: LeaseTiming) -> Self {
-        Self { own, timing, seen: None, held: None }
+        Self { own, host: None, timing, seen: None, held: None }
+    }
+
+    /// Names the host of this process. Holders are then named after their host,
+    /// a dot and their incarnation, and a host runs one process at a time: a
+    /// lease of an earlier process of this host is free.
+    pub fn of_host(self, host: String) -> Self {
+        Self { host: Some(host), ..self }
+    }
+
+    /// Returns whether the holder, as last seen, is an earlier process of this
+    /// host, which is over.
+    pub fn is_inherited(&self) -> bool {
+        let Some((_, row, _)) = &self.seen else {
+            return false;
+        };
+        let holder = row.holder.rsplit_once('.').map(|(host, _)| host);
+        row.holder != self.own && holder.is_some() && holder == self.host.as_deref()
     }
 
     /// Notes the row as read; the reading ended at `now`.
@@ -81,7 +99,7 @@
         };
         let mut next = LeaseRow { renewal: row.renewal + 1, ..row.clone() };
         if row.holder != self.own {
-            let free = row.holder.is_empty();
+            let free = row.holder.is_empty() || self.is_inherited();
             if !free && now.duration_since(*since) <= self.timing.ttl {
                 return LeaseAction::Wait;
             }
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -33,6 +33,11 @@
 /// counts as one that may be cut off and use its part of quotas.
 pub const PEER_FORGOTTEN: Duration = Duration::from_secs(12);
 
+/// Time after the start in which the hosts that have announced themselves in
+/// the store count as serving, whether they were heard or not: with some
+/// hundred of them, a few heartbeats pass until most are.
+const ANNOUNCED_COUNT: Duration = Duration::from_secs(3);
+
 /// Processes that read the store and tell the others. Each call is paid for;
 /// three leave one when two are cut off.
 pub const WATCHERS: usize = 3;
@@ -156,6 +161,8 @@
     pub upstreams_known: bool,
     /// Other gateways.
     pub peers: BTreeMap<ProcessId, PeerView>,
+    /// Hosts that had announced themselves in the store when this one started.
+    pub announced: usize,
     /// Which engines hold which prompt prefixes.
     pub cache: CacheBelief,
     /// Prefixes sent since the last heartbeat.
@@ -175,6 +182,7 @@
     /// Requests in progress.
     pub in_progress: usize,
     demand: BTreeMap<ServiceName, Rate>,
+    started: Instant,
 }
 
 impl Board {
@@ -189,6 +197,7 @@
             recent_changes: RecentChanges::default(),
             upstreams_known: false,
             peers: BTreeMap::new(),
+            announced: 0,
             cache: CacheBelief::default(),
             sent_prefixes: Vec::new(),
             quotas: QuotaBook::new(now),
@@ -199,6 +208,7 @@
             store: StoreState::Up,
             in_progress: 0,
             demand: BTreeMap::new(),
+            started: now,
         }
     }
 
@@ -223,7 +233,9 @@
     /// Returns which part of quotas this process may count on.
     pub fn quota_share(&self, now: Instant) -> QuotaShare {
         let heard = 1 + self.heard(now).count();
-        QuotaShare { heard, members: 1 + self.peers.len() }
+        let young = now.saturating_duration_since(self.started) < ANNOUNCED_COUNT;
+        let announced = if young { self.announced } else { 0 };
+        QuotaShare { heard, members: announced.max(1 + self.peers.len()) }
     }
 
     /// Returns whether this process reads the store: the first few processes
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -26,7 +26,7 @@
 };
 
 /// Key of the lease's row.
-const LEASE_KEY: &str = "lease";
+pub(super) const LEASE_KEY: &str = "lease";
 /// How much longer the lease holds than the time in which two holders may not
 /// act in turns.
 const TTL_BEYOND_BOUND: Duration = Duration::from_millis(200);
@@ -76,7 +76,8 @@
         call!([cx], tick());
         let bound = gateway.settings.borrow().bounds.lease;
         let timing = LeaseTiming { ttl: bound + TTL_BEYOND_BOUND, margin: LEASE_MARGIN };
-        let lease = Lease::new(gateway.process.clone(), timing);
+        let host = gateway.settings.borrow().id.clone();
+        let lease = Lease::new(gateway.process.clone(), timing).of_host(host);
         Some(Self {
             gateway,
             timer: stakker::MaxTimerKey::default(),
@@ -130,7 +131,10 @@
             }
             return;
         }
-        if self.holder_is_heard(now) || self.gateway.shutdown.phase() > Phase::Serving {
+        if self.gateway.shutdown.phase() > Phase::Serving || self.holder_is_heard(now) {
+            return;
+        }
+        if !self.lease.is_inherited() && !self.suspects_holder(now) {
             return;
         }
         match self.lease.holder() {
@@ -139,20 +143,29 @@
         }
     }
 
-    /// Returns whether another process holds the lease, as heard of late. The
-    /// processes suspect one after another, so that one alone reads the row.
+    /// Returns whether another process holds the lease, as heard of late.
     fn holder_is_heard(&mut self, now: Instant) -> bool {
-        let board = self.gateway.board.borrow();
-        let mut heard = board.heard(now);
-        if heard.any(|p| p.last.lease.is_some()) {
+        let heard = self.gateway.board.borrow().heard(now).any(|p| p.last.lease.is_some());
+        if heard {
             self.holder_heard = now;
             // What was seen of the row is of no use for the next holder.
             self.lease.observe(0, None, now);
-            return true;
         }
+        heard
+    }
+
+    /// Returns whether the holder has been silent for too long. The processes
+    /// suspect one after another, so that one alone reads the row.
+    fn suspects_holder(&self, now: Instant) -> bool {
+        let board = self.gateway.board.borrow();
         let before = board.heard(now).filter(|p| p.last.process() < self.gateway.process);
         let wait = SUSPECT_AFTER + SUSPECT_STEP * before.count() as u32;
-        now.saturating_duration_since(self.holder_heard) < wait
+        now.saturating_duration_since(self.holder_heard) >= wait
+    }
+
+    /// Takes over the lease's row as it was when this process started.
+    pub fn recalled(&mut self, cx: CX![], row: StoreRow) {
+        self.observe(&row, cx.now());
     }
 
     fn read_lease(&mut self) {
--- a/src/gateway/controllers/kept.rs
+++ b/src/gateway/controllers/kept.rs
@@ -17,7 +17,8 @@
 pub const KEPT_KEY: &str = "kept";
 /// Between writes. Each is paid for; what happens in between is lost when all
 /// processes are killed at once.
-pub const KEEP_EVERY: Duration = Duration::from_millis(1_000);
+pub const KEEP_EVERY: Duration = Duration::from_millis(400);
+
 /// Writes what the next processes need.
 pub async fn keep(gateway: Rc<Gateway>) {
     let kept = {
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -27,6 +27,12 @@
 
 /// Every how many heartbeats addresses that are silent are tried.
 const SILENT_EVERY: u32 = 10;
+/// Heartbeats that a process sends to every address it knows when it starts:
+/// quotas wait until the others are heard, and a datagram may be lost.
+const FIRST_BEATS: u32 = 4;
+/// Gateways that get each of the first heartbeats: 128 datagrams of about a
+/// kilobyte take a tenth of a second on the slowest links, of 10 Mbit/s.
+const FIRST_FAN_OUT: usize = 128;
 /// Every how many heartbeats usage is told to those that do not report it.
 const USAGE_EVERY: u32 = 4;
 /// For how long changes of upstreams are told: until each gateway has heard
@@ -51,6 +57,7 @@
     timer: stakker::MaxTimerKey,
     addresses: BTreeSet<SocketAddr>,
     beats: u32,
+    first_beats: u32,
     configuration_behind: Option<Instant>,
     upstreams_behind: Option<Instant>,
     asked: Option<Instant>,
@@ -71,16 +78,21 @@
             timer: stakker::MaxTimerKey::default(),
             addresses,
             beats: 0,
+            first_beats: FIRST_BEATS,
             configuration_behind: None,
             upstreams_behind: None,
             asked: None,
         })
     }
 
-    /// Takes over addresses that were found in the store.
-    pub fn found(&mut self, _: CX![], addresses: Vec<SocketAddr>) {
+    /// Takes over addresses that were found in the store, and tells all of
+    /// them of this process.
+    pub fn found(&mut self, cx: CX![], addresses: Vec<SocketAddr>) {
         let own = self.gateway.settings.borrow().listen.heartbeats;
+        self.gateway.board.borrow_mut().announced = addresses.len();
         self.addresses.extend(addresses.into_iter().filter(|a| *a != own));
+        self.first_beats = FIRST_BEATS;
+        self.send(cx.now());
     }
 
     /// Takes over a heartbeat.
@@ -89,7 +101,8 @@
         if heartbeat.process() == self.gateway.process {
             return;
         }
-        self.addresses.insert(heartbeat.heartbeats);
+        let from = heartbeat.heartbeats;
+        self.addresses.insert(from);
         let recent = std::mem::take(&mut heartbeat.recent);
         self.gateway.tell(|c| call!([c.directory], follow(recent)));
         self.follow(&heartbeat, now);
@@ -103,11 +116,22 @@
         board.sum_loads(now);
         let silence = board.peer_silence();
         drop(board);
+        if known.is_none() {
+            self.greet(from, now);
+        }
         if known.is_none_or(|k| now.saturating_duration_since(k.heard) >= silence) {
             self.gateway.log(&Event::Peer { process: &process, state: "heard" });
         }
     }
 
+    /// Answers a process that is new, which waits to hear the others. One that
+    /// has just started itself tells everybody anyway.
+    fn greet(&self, to: SocketAddr, now: Instant) {
+        if self.first_beats == 0 {
+            self.send_to(&self.compose(now), &[to]);
+        }
+    }
+
     /// Tells the others at once, for example that this process leaves.
     pub fn tell_now(&mut self, cx: CX![]) {
         self.send(cx.now());
@@ -217,7 +241,9 @@
 
     fn send(&mut self, now: Instant) {
         self.beats = self.beats.wrapping_add(1);
+        self.first_beats = self.first_beats.saturating_sub(1);
         let mut heartbeat = self.compose(now);
+        heartbeat.prefixes = std::mem::take(&mut self.gateway.board.borrow_mut().sent_prefixes);
         let (holder, others) = self.receivers(now);
         // Usage matters to the holder of the lease; the others get it now and
         // then, since one of them may be the next holder.
@@ -253,12 +279,17 @@
 
     /// Returns who gets this heartbeat: the holder of the lease, since it sums
     /// up usage and demand; gateways that are heard, up to the fan-out; and at
-    /// times those that are silent.
+    /// times, and at first, those that are silent.
     fn receivers(&self, now: Instant) -> (Option<SocketAddr>, Vec<SocketAddr>) {
         let board = self.gateway.board.borrow();
         let heard: Vec<SocketAddr> = board.heard(now).map(|p| p.last.heartbeats).collect();
         let holder = board.heard(now).find(|p| p.last.lease.is_some());
         let holder = holder.map(|p| p.last.heartbeats);
+        if self.first_beats > 0 {
+            let all: Vec<SocketAddr> =
+                self.addresses.iter().filter(|a| Some(**a) != holder).copied().collect();
+            return (holder, sample(&all, FIRST_FAN_OUT));
+        }
         let others: Vec<SocketAddr> =
             heard.iter().filter(|a| Some(**a) != holder).copied().collect();
         let mut chosen = sample(&others, HEARTBEAT_FAN_OUT);
@@ -290,7 +321,7 @@
             time: board.clock.unix_millis(now),
             lease: board.lease.may_act(now),
             loads: board.own_loads(),
-            prefixes: std::mem::take(&mut board.sent_prefixes),
+            prefixes: Vec::new(),
             admitted: board.quotas.own_totals().map(|(c, n)| (c.clone(), n)).collect(),
             usage: Vec::new(),
             demand: board.own_demand(now),
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Controllers, Source,
+    duties::LEASE_KEY,
     kept::{KEPT_KEY, restore},
 };
 use crate::{
@@ -141,9 +142,16 @@
 pub async fn recall(gateway: Rc<Gateway>) {
     let read = gateway.store.snapshot(Table::Duties).await;
     note(&gateway, "recall", read.as_ref().err());
-    let row = read.ok().and_then(|s| s.rows.into_iter().find(|r| r.key == KEPT_KEY));
-    if let Some(Err(e)) = row.map(|row| restore(&gateway, &row)) {
-        log::error!("what earlier processes kept is lost: {e}");
+    for row in read.map(|s| s.rows).unwrap_or_default() {
+        match row.key.as_str() {
+            KEPT_KEY => {
+                if let Err(e) = restore(&gateway, &row) {
+                    log::error!("what earlier processes kept is lost: {e}");
+                }
+            }
+            LEASE_KEY => gateway.tell(|c| call!([c.duties], recalled(row))),
+            _ => {}
+        }
     }
 }
 
--- a/src/gateway/decide/quota.rs
+++ b/src/gateway/decide/quota.rs
@@ -28,8 +28,9 @@
 /// Shortest span over which the rate of another process is judged.
 const SHORTEST_SPAN: f64 = 0.1;
 
-/// Which part of the refill this process may count on: its own and that of
-/// the processes it hears from. The others may be cut off and still serve.
+/// Which part of a quota this process may count on: its own and that of the
+/// processes it hears from. The others may be cut off and still serve, or have
+/// just started like this one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaShare {
     /// Processes that are heard from, this one included.
@@ -39,7 +40,7 @@
 }
 
 impl QuotaShare {
-    fn of_refill(self) -> f64 {
+    fn part(self) -> f64 {
         self.heard.max(1) as f64 / self.members.max(self.heard).max(1) as f64
     }
 }
@@ -122,11 +123,13 @@
         let bucket = self.bucket(customer, quota, now);
         bucket.refill(share, now);
         let tokens = tokens as f64;
+        // Part of the burst that is left to processes that are not heard.
+        let reserved = quota.burst * (1.0 - share.part());
         // A request larger than the whole burst runs when the bucket is full.
-        let needed = tokens.min(quota.burst.max(1.0));
-        let level = bucket.level - bucket.assumed(now);
+        let needed = tokens.min((quota.burst - reserved).max(1.0));
+        let level = bucket.level - bucket.assumed(now) - reserved;
         if level < needed {
-            let wait = (needed - level) / (quota.rate * share.of_refill()).max(1.0);
+            let wait = (needed - level) / (quota.rate * share.part()).max(1.0);
             return Err(Duration::from_secs_f64(wait.min(60.0)).max(SHORTEST_WAIT));
         }
         bucket.level -= tokens;
@@ -207,7 +210,7 @@
     fn refill(&mut self, share: QuotaShare, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        let refill = self.quota.rate * share.of_refill() * elapsed;
+        let refill = self.quota.rate * share.part() * elapsed;
         self.level = (self.level + refill).min(self.quota.burst);
     }
 }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -7,7 +7,7 @@
 
 use proptest::prelude::*;
 use tackhollow::{
-    control::{Lease, LeaseAction, LeaseTiming},
+    control::{Lease, LeaseAction, LeaseRow, LeaseTiming},
     gateway::{
         decide::{
             Breaker, CacheBelief, Candidate, CapacityInput, CapacityPolicy, EngineSpeed, Fleet,
@@ -139,6 +139,36 @@
     assert_eq!(holder.release(), None, "it is given back once");
 }
 
+#[test]
+fn a_host_takes_the_lease_of_its_earlier_process_at_once() {
+    struct Case {
+        name: &'static str,
+        holder: &'static str,
+        taken: bool,
+    }
+    let cases = [
+        Case { name: "an earlier process of this host", holder: "host-1.5f", taken: true },
+        Case { name: "another host", holder: "host-2.5f", taken: false },
+        Case { name: "a host whose name begins alike", holder: "host-1.a.5f", taken: false },
+        Case { name: "no incarnation", holder: "host-1", taken: false },
+    ];
+    let timing = LeaseTiming { ttl: ms(3_200), margin: ms(700) };
+    for case in cases {
+        let now = Instant::now();
+        let mut lease = Lease::new("host-1.77".to_owned(), timing).of_host("host-1".to_owned());
+        let row = LeaseRow { holder: case.holder.to_owned(), fence: 4, renewal: 9 };
+        lease.observe(12, Some(row), now);
+        assert_eq!(lease.is_inherited(), case.taken, "{}", case.name);
+        match lease.next_action(now + ms(10)) {
+            LeaseAction::Wait => assert!(!case.taken, "{}", case.name),
+            LeaseAction::Write { row_version, row } => {
+                assert!(case.taken, "{}", case.name);
+                assert_eq!((row_version, row.fence), (12, 5), "{}", case.name);
+            }
+        }
+    }
+}
+
 // Time.
 
 #[test]
--- a/tests/gateway_quotas.rs
+++ b/tests/gateway_quotas.rs
@@ -7,7 +7,8 @@
 
 use proptest::prelude::*;
 use tackhollow::gateway::{
-    decide::{PeerTotal, QuotaBook, QuotaShare},
+    board::Board,
+    decide::{PeerTotal, QuotaBook, QuotaShare, TrueClock},
     model::Quota,
 };
 
@@ -147,6 +148,58 @@
     assert!(wait >= ms(99), "a ninth of the rate refills in {wait:?}");
 }
 
+#[test]
+fn processes_that_do_not_hear_each_other_share_a_burst() {
+    struct Case {
+        name: &'static str,
+        kept: f64,
+        heard: usize,
+        tokens: u64,
+        /// Requests that one process admits out of a hundred.
+        admitted: usize,
+    }
+    let cases = [
+        Case { name: "hears nobody", kept: 7_000.0, heard: 1, tokens: 50, admitted: 2 },
+        Case { name: "hears half", kept: 7_000.0, heard: 35, tokens: 50, admitted: 70 },
+        Case { name: "hears all", kept: 7_000.0, heard: 70, tokens: 50, admitted: 100 },
+        Case { name: "nothing left", kept: 0.0, heard: 1, tokens: 50, admitted: 0 },
+        Case { name: "half left, hears few", kept: 3_500.0, heard: 7, tokens: 50, admitted: 0 },
+        Case { name: "larger than its part", kept: 7_000.0, heard: 1, tokens: 500, admitted: 1 },
+    ];
+    // A rate so low that nothing refills in the meantime.
+    let quota = Quota { rate: 0.001, burst: 7_000.0 };
+    for case in cases {
+        let now = Instant::now();
+        let mut book = QuotaBook::new(now);
+        book.restore(&BTreeMap::from([(customer(), case.kept)]), now);
+        let share = QuotaShare { heard: case.heard, members: 70 };
+        let takes = (0..100).map(|_| book.take(&customer(), quota, case.tokens, share, now));
+        assert_eq!(takes.filter(Result::is_ok).count(), case.admitted, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_process_that_starts_counts_hosts_that_it_has_not_heard() {
+    struct Case {
+        name: &'static str,
+        up: Duration,
+        announced: usize,
+        members: usize,
+    }
+    let cases = [
+        Case { name: "the list was not read", up: ms(100), announced: 0, members: 1 },
+        Case { name: "just started", up: ms(100), announced: 70, members: 70 },
+        Case { name: "who is there was heard by now", up: ms(5_000), announced: 70, members: 1 },
+    ];
+    for case in cases {
+        let started = Instant::now();
+        let mut board = Board::new(TrueClock::new(started, 0), started);
+        board.announced = case.announced;
+        let share = board.quota_share(started + case.up);
+        assert_eq!(share, QuotaShare { heard: 1, members: case.members }, "{}", case.name);
+    }
+}
+
 proptest! {
     /// However processes start, exchange totals and admit, all together stay
     /// within the rate, the burst and what they can admit between exchanges.
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -139,7 +139,12 @@
 const REST_CASES: [RestCase; 4] = [
     RestCase { name: "three in a row", failures: 3, then: 3, rests: true },
     RestCase { name: "three, then fewer", failures: 3, then: 2, rests: false },
-    RestCase { name: "two more that were sent before the rest", failures: 5, then: 1, rests: false },
+    RestCase {
+        name: "two more that were sent before the rest",
+        failures: 5,
+        then: 1,
+        rests: false,
+    },
     RestCase { name: "the same, then three", failures: 5, then: 3, rests: true },
 ];
 
