Engines: a floor until the load is known, reclaimable ones that serve stay, unreachable ones are avoided

Requests that waited counted as load without bound, so that 165 engines were thought to be needed, and engines on demand that had yet to start pushed out reclaimable ones that served: those were given up at the height of the load. Crashed engines were tried 250 times in two seconds by 14 processes, and requests ran out of tries.

Change: the floor at the start is a share of what the operator allows; an engine counts for its slots at most; engines on demand only get the room that serving reclaimable ones leave; a request brings its load once; an upstream that could not be reached is avoided for half a second and longer each time.

--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -29,5 +29,6 @@
 survive_share = 1.1
 on_demand_floor = 0
 needed_floor = 6.0
+start_share = 0.15
 prefill_share = 0.55
 slot_share = 0.5
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -13,7 +13,7 @@
     gateway::{
         board::Board,
         context::Gateway,
-        decide::{CapacityInput, Fleet, Wish, plan_engines},
+        decide::{CapacityInput, Fleet, Wish, needed_at_start, plan_engines},
         model::{Configuration, Scaling, ServiceName},
         request::PREFILL_TOKENS_PER_SECOND,
         telemetry::Event,
@@ -31,11 +31,9 @@
 const HOLD_BEFORE_FEWER: Duration = Duration::from_secs(4);
 /// Pause after an order that was refused.
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(1_800);
-/// Share of the engines that the operator provided before any load which are
-/// taken to be needed when it begins.
-const PROVIDED_SHARE: f64 = 0.33;
-/// How long after the load begins that share is kept: by then its rate is known.
-const PROVIDED_FOR: Duration = Duration::from_secs(8);
+/// How long after the load begins the number planned for the start is kept: by
+/// then its rate is known and the engines' caches are warm.
+const START_FOR: Duration = Duration::from_secs(8);
 /// Time beyond `boot` after which engines that do not serve are ordered anew.
 const BOOT_SLACK: Duration = Duration::from_secs(3);
 type Key = (ServiceName, DataCentre, bool);
@@ -55,30 +53,7 @@
     gateway: Rc<Gateway>,
     timer: stakker::MaxTimerKey,
     ordered: HashMap<Key, Ordered>,
-    provided: HashMap<ServiceName, Provided>,
-}
-
-/// Engines that a service had before any load.
-#[derive(Clone, Copy, Debug, Default)]
-struct Provided {
-    most: u32,
-    loaded_since: Option<Instant>,
-}
-
-impl Provided {
-    /// Returns the engines needed at least, where the load needs `needed` and
-    /// `serving` serve.
-    fn floor(&mut self, needed: f64, serving: u32, now: Instant) -> f64 {
-        if needed <= 0.0 && self.loaded_since.is_none() {
-            self.most = self.most.max(serving);
-        } else {
-            self.loaded_since.get_or_insert(now);
-        }
-        match self.loaded_since {
-            Some(since) if now.saturating_duration_since(since) >= PROVIDED_FOR => 0.0,
-            _ => f64::from(self.most) * PROVIDED_SHARE,
-        }
-    }
+    loaded_since: HashMap<ServiceName, Instant>,
 }
 
 /// Returns how many tokens the cache of an upstream holds.
@@ -92,7 +67,7 @@
     pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
         call!([cx], tick());
         let timer = stakker::MaxTimerKey::default();
-        Some(Self { gateway, timer, ordered: HashMap::new(), provided: HashMap::new() })
+        Some(Self { gateway, timer, ordered: HashMap::new(), loaded_since: HashMap::new() })
     }
 
     /// Looks at the engines at once: some may have announced that they go.
@@ -106,7 +81,24 @@
         self.plan(now);
     }
 
+    /// Notes since when services have load, whoever holds the lease.
+    fn note_load(&mut self, now: Instant) {
+        let board = self.gateway.board.borrow();
+        let services = board.configuration.iter().flat_map(|c| c.services.keys());
+        for service in services.filter(|s| board.total_demand(s, now) > 0.0) {
+            self.loaded_since.entry(service.clone()).or_insert(now);
+        }
+    }
+
+    /// Returns the engines needed at least while the load is not known yet.
+    fn floor(&self, service: &ServiceName, at_start: f64, now: Instant) -> f64 {
+        let loaded = self.loaded_since.get(service);
+        let known = loaded.is_some_and(|t| now.saturating_duration_since(*t) >= START_FOR);
+        if known { 0.0 } else { at_start }
+    }
+
     fn plan(&mut self, now: Instant) {
+        self.note_load(now);
         let board = self.gateway.board.borrow();
         if board.lease.may_act(now).is_none() || !board.upstreams_known {
             drop(board);
@@ -122,9 +114,8 @@
             if let Some(scaling) = &service.scaling {
                 let needed = engines_needed(&board, &service.name, &capacity, now);
                 let fleets = fleets(&board, &service.name, scaling);
-                let on_demand = fleets.values().map(|f| f.on_demand).sum();
-                let provided = self.provided.entry(service.name.clone()).or_default();
-                let floor = provided.floor(needed, on_demand, now);
+                let at_start = needed_at_start(scaling, &capacity.policy);
+                let floor = self.floor(&service.name, at_start, now);
                 let input = CapacityInput { needed: needed.max(floor), scaling, fleets: &fleets };
                 let wishes = plan_engines(&input, &capacity.policy);
                 for (data_centre, wish) in wishes {
@@ -246,8 +237,11 @@
     let of_service = board.upstreams.values().filter(|v| v.upstream.service == service);
     let (mut running, mut slots) = (0.0, 1.0_f64);
     for view in of_service {
-        running += f64::from(view.own.running + view.others.running);
-        slots = slots.max(f64::from(view.upstream.slots));
+        // Requests that wait count up to a full engine: a queue tells of the
+        // load of a moment ago, and would order engines without end.
+        let most = view.upstream.slots.max(1);
+        running += f64::from((view.own.running + view.others.running).min(most));
+        slots = slots.max(f64::from(most));
     }
     reading + running / (slots * capacity.slot_share)
 }
--- a/src/gateway/decide/capacity.rs
+++ b/src/gateway/decide/capacity.rs
@@ -4,6 +4,8 @@
 //! time. So the plan keeps more of them than the load needs, spread over all
 //! data centres, and orders others on demand only for the part of the load
 //! that the reclaimable ones could not carry if one more data centre went.
+//! Reclaimable engines that serve are never given up for others that have yet
+//! to start: the operator's bounds hold for both kinds together.
 
 use std::collections::BTreeMap;
 
@@ -44,6 +46,15 @@
     pub on_demand_floor: u32,
     /// Engines needed at least.
     pub needed_floor: f64,
+    /// Share of the engines that the operator allows, all data centres
+    /// together, which is needed at least until the load is known.
+    pub start_share: f64,
+}
+
+/// Returns the engines needed at least until the load is known: the operator's
+/// bounds tell how large a load was planned for.
+pub fn needed_at_start(scaling: &Scaling, policy: &CapacityPolicy) -> f64 {
+    f64::from(scaling.max) * scaling.prices.len() as f64 * policy.start_share
 }
 
 /// Engines wished for in a data centre.
@@ -87,7 +98,9 @@
             let Some(wish) = wishes.get_mut(name) else {
                 continue;
             };
-            if count > 0 && wish.on_demand < input.scaling.max {
+            let fleet = input.fleets.get(name).copied().unwrap_or_default();
+            let room = input.scaling.max.saturating_sub(fleet.reclaimable);
+            if count > 0 && wish.on_demand < room {
                 wish.on_demand += 1;
                 count -= 1;
             }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -13,7 +13,7 @@
 
 pub use breaker::{Breaker, Verdict};
 pub use cache::CacheBelief;
-pub use capacity::{CapacityInput, CapacityPolicy, Fleet, Wish, plan_engines};
+pub use capacity::{CapacityInput, CapacityPolicy, Fleet, Wish, needed_at_start, plan_engines};
 pub use clock::TrueClock;
 pub use engine::{Candidate, EngineSpeed, choose_engine, predicted_wait};
 pub use kept::Kept;
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -83,7 +83,8 @@
         let report = PrefixReport(shared.fingerprint, shared.tokens, id.clone());
         board.sent_prefixes.push(report);
     }
-    if prompt.is_some() {
+    // A request brings its load once, however often it is sent.
+    if prompt.is_some() && tried.is_empty() {
         board.add_demand(&admitted.service, missing, now);
     }
     let processes = 1 + board.peers.len();
@@ -124,8 +125,7 @@
 ) -> Option<(UpstreamId, Candidate, usize)> {
     let own = gateway.settings.borrow().data_centre.clone();
     let board = gateway.board.borrow();
-    let views: Vec<&UpstreamView> =
-        board.serving(&admitted.service).filter(|v| !tried.contains(&v.upstream.id)).collect();
+    let views = untried(&board, &admitted.service, tried, now);
     let home = shared.and_then(|s| home(&board, &views, s));
     let candidates: Vec<Candidate> = views
         .iter()
@@ -139,6 +139,19 @@
     Some((views[best].upstream.id.clone(), candidates[best], views.len()))
 }
 
+/// Returns the upstreams that the request was not sent to yet; those that
+/// could not be reached of late only if there are no others.
+fn untried<'a>(
+    board: &'a Board,
+    service: &'a str,
+    tried: &[UpstreamId],
+    now: Instant,
+) -> Vec<&'a UpstreamView> {
+    let all = board.serving(service).filter(|v| !tried.contains(&v.upstream.id));
+    let (reached, avoided): (Vec<_>, Vec<_>) = all.partition(|v| !v.breaker.is_avoided(now));
+    if reached.is_empty() { avoided } else { reached }
+}
+
 /// Returns where a prefix belongs that no engine holds yet, so that all
 /// processes send it to the same engine: the highest hash of both.
 fn home<'a>(board: &Board, views: &[&'a UpstreamView], shared: Shared) -> Option<&'a UpstreamId> {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -146,6 +146,7 @@
             survive_share: s.number("survive_share", 1.1),
             on_demand_floor: s.number("on_demand_floor", 0.0) as u32,
             needed_floor: s.number("needed_floor", 6.0),
+            start_share: s.number("start_share", 0.15),
         },
         prefill_share: s.number("prefill_share", 0.55).max(LEAST_SHARE),
         slot_share: s.number("slot_share", 0.5).max(LEAST_SHARE),
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -300,6 +300,53 @@
     assert!(breaker.recent_failures(now) < 0.5);
 }
 
+#[test]
+fn an_upstream_that_cannot_be_reached_is_avoided_for_a_while() {
+    struct Case {
+        name: &'static str,
+        /// When it was tried and how that ended.
+        tries: Vec<(u64, Verdict)>,
+        at: u64,
+        avoided: bool,
+    }
+    let unreachable = Verdict::Unreachable;
+    let cases = [
+        Case { name: "not tried", tries: vec![], at: 0, avoided: false },
+        Case {
+            name: "its answers failed",
+            tries: vec![(0, Verdict::Failed)],
+            at: 1,
+            avoided: false,
+        },
+        Case { name: "out of reach", tries: vec![(0, unreachable)], at: 400, avoided: true },
+        Case { name: "time to try again", tries: vec![(0, unreachable)], at: 600, avoided: false },
+        Case {
+            name: "many tries at once count once",
+            tries: vec![(0, unreachable), (1, unreachable), (2, unreachable)],
+            at: 600,
+            avoided: false,
+        },
+        Case {
+            name: "out of reach again, for longer",
+            tries: vec![(0, unreachable), (600, unreachable)],
+            at: 1_400,
+            avoided: true,
+        },
+        Case {
+            name: "reached since",
+            tries: vec![(0, unreachable), (100, Verdict::Good)],
+            at: 101,
+            avoided: false,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut breaker = Breaker::new(now);
+        case.tries.iter().for_each(|(at, verdict)| breaker.record(*verdict, now + ms(*at)));
+        assert_eq!(breaker.is_avoided(now + ms(case.at)), case.avoided, "{}", case.name);
+    }
+}
+
 #[test]
 fn the_least_recently_used_prefix_yields() {
     let now = Instant::now();
@@ -332,6 +379,7 @@
     survive_share: 0.8,
     on_demand_floor: 0,
     needed_floor: 4.0,
+    start_share: 0.15,
 };
 
 fn fleets(reclaimable: [u32; 4]) -> BTreeMap<DataCentre, Fleet> {
@@ -385,6 +433,11 @@
         let input = CapacityInput { needed, scaling: &scaling, fleets: &fleets };
         for (name, wish) in plan_engines(&input, &POLICY) {
             let both = wish.reclaimable + wish.on_demand;
+            let serving = fleets[&name].reclaimable.min(max);
+            prop_assert!(
+                wish.on_demand <= max - serving,
+                "{name}: {wish:?} takes the room of {serving} that serve"
+            );
             prop_assert!(both <= max, "{name}: {wish:?} of {max}");
             prop_assert!(both >= scaling.min.min(max), "{name}: {wish:?}");
         }
