The lease ends with its holder's claim, and is given up where the store answers others only

Change: heartbeats carry a claim (fencing number, renewal, its age, given up). The others take over when the claim has run out, if the row rests on the same renewal. A holder whose store has not answered for 1.6 s, while it answers others, gives up at once; it leaves the lease to others for a whole time to live, so that two never act in turns.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -2,13 +2,16 @@
 //!
 //! The holder renews its row; its lease runs from just before a renewal was
 //! sent. Others take over once they have seen the row unchanged for the whole
-//! time to live, which began after that. The holder gives no order in the
+//! time to live, which began after that, or once the holder's own claim, heard
+//! from it, has run out or was given up. The holder gives no order in the
 //! last part of its lease, and none that could take longer than that part.
 
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use super::HeardClaim;
+
 /// The row that stands for a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
@@ -51,12 +54,13 @@
     timing: LeaseTiming,
     seen: Option<(u64, LeaseRow, Instant)>,
     held: Option<(u64, Instant)>,
+    heard: Option<HeardClaim>,
 }
 
 impl Lease {
     /// Creates the view of a process that has not read the row.
     pub fn new(own: String, timing: LeaseTiming) -> Self {
-        Self { own, host: None, timing, seen: None, held: None }
+        Self { own, host: None, timing, seen: None, held: None, heard: None }
     }
 
     /// Names the host of this process. Holders are then named after their host,
@@ -76,6 +80,29 @@
         row.holder != self.own && holder.is_some() && holder == self.host.as_deref()
     }
 
+    /// Notes what another process says of its lease. Earlier holders go on
+    /// saying that they gave theirs up.
+    pub fn hear(&mut self, heard: HeardClaim) {
+        if self.heard.as_ref().is_none_or(|known| known.claim.fence <= heard.claim.fence) {
+            self.heard = Some(heard);
+        }
+    }
+
+    /// Stops acting for good under the lease that is held.
+    pub fn give_up(&mut self) {
+        self.held = None;
+    }
+
+    /// Returns whether the claim on which the row rests is over.
+    fn claim_is_over(&self, row: &LeaseRow, now: Instant) -> bool {
+        self.heard.as_ref().is_some_and(|heard| {
+            let same = heard.holder == row.holder && heard.claim.fence == row.fence;
+            // A later renewal, unless the holder no longer acts on any.
+            let renewed = !heard.claim.given_up && heard.claim.renewal < row.renewal;
+            same && !renewed && now > heard.ends(self.timing.ttl)
+        })
+    }
+
     /// Notes the row as read; the reading ended at `now`.
     pub fn observe(&mut self, row_version: u64, row: Option<LeaseRow>, now: Instant) {
         let Some(row) = row else {
@@ -99,7 +126,7 @@
         };
         let mut next = LeaseRow { renewal: row.renewal + 1, ..row.clone() };
         if row.holder != self.own {
-            let free = row.holder.is_empty() || self.is_inherited();
+            let free = row.holder.is_empty() || self.is_inherited() || self.claim_is_over(row, now);
             if !free && now.duration_since(*since) <= self.timing.ttl {
                 return LeaseAction::Wait;
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,8 +6,10 @@
 mod giver;
 mod keeper;
 mod lease;
+mod lease_claim;
 mod orders;
 
 pub use daemon::{ControlError, run};
 pub use lease::{Lease, LeaseAction, LeaseRow, LeaseTiming};
+pub use lease_claim::{HeardClaim, LeaseClaim};
 pub use orders::{EngineReport, Order, missing_orders};
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -14,8 +14,9 @@
 
 use super::kept::{KEEP_EVERY, keep};
 use crate::{
-    control::{Lease, LeaseAction, LeaseRow, LeaseTiming},
+    control::{HeardClaim, Lease, LeaseAction, LeaseRow, LeaseTiming},
     gateway::{
+        board::{OwnLease, StoreState},
         context::Gateway,
         decide::{Counts, Window},
         net::Phase,
@@ -37,6 +38,9 @@
 const RENEW_EVERY: Duration = Duration::from_millis(800);
 /// Between looks at the lease and the reports.
 const PERIOD: Duration = Duration::from_millis(200);
+/// Age of the last renewal at which a holder that the store does not answer
+/// gives the lease up, if the store answers others: two renewals have failed.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(1_600);
 /// Silence of a holder before the row is read, and what is added for each
 /// process that comes first in order.
 const SUSPECT_AFTER: Duration = Duration::from_millis(700);
@@ -125,13 +129,18 @@
             self.release();
             return;
         }
+        if self.should_give_up(now) {
+            self.give_up();
+            return;
+        }
         if held {
             if self.renewed.is_none_or(|t| now.saturating_duration_since(t) >= RENEW_EVERY) {
                 self.write_lease(now);
             }
             return;
         }
-        if self.gateway.shutdown.phase() > Phase::Serving || self.holder_is_heard(now) {
+        let leaving = self.gateway.shutdown.phase() > Phase::Serving;
+        if leaving || self.acted_of_late(now) || self.holder_is_heard(now) {
             return;
         }
         if !self.lease.is_inherited() && !self.suspects_holder(now) {
@@ -143,9 +152,46 @@
         }
     }
 
+    /// Returns whether the lease is of more use to another process: the store
+    /// answers others and not this one, or it has lapsed here.
+    fn should_give_up(&self, now: Instant) -> bool {
+        let board = self.gateway.board.borrow();
+        let Some(own) = board.lease.own.filter(|own| !own.given_up) else {
+            return false;
+        };
+        let away = matches!(board.store, StoreState::Away(_));
+        let others_reach = board.heard(now).any(|p| p.last.store_answers);
+        let old = now.saturating_duration_since(own.sent) >= GIVE_UP_AFTER;
+        now >= own.until || (away && others_reach && old)
+    }
+
+    fn give_up(&mut self) {
+        self.lease.give_up();
+        let mut board = self.gateway.board.borrow_mut();
+        board.lease.give_up();
+        let fence = board.lease.own.map_or(0, |own| own.fence);
+        drop(board);
+        self.gateway.metrics.lease.set(0);
+        self.gateway.log(&Event::Lease { fence, state: "given_up" });
+        self.gateway.tell(|c| call!([c.peers], tell_now()));
+    }
+
+    /// Returns whether this process acted so late that it must leave the lease
+    /// to others: two holders may not act in turns.
+    fn acted_of_late(&self, now: Instant) -> bool {
+        let own = self.gateway.board.borrow().lease.own;
+        let others = self.gateway.board.borrow().heard(now).next().is_some();
+        others && own.is_some_and(|own| own.given_up && now < own.until + self.timing.ttl)
+    }
+
+    /// Takes over what another process says of its lease.
+    pub fn claimed(&mut self, _: CX![], claim: HeardClaim) {
+        self.lease.hear(claim);
+    }
+
     /// Returns whether another process holds the lease, as heard of late.
     fn holder_is_heard(&mut self, now: Instant) -> bool {
-        let heard = self.gateway.board.borrow().heard(now).any(|p| p.last.lease.is_some());
+        let heard = self.gateway.board.borrow().heard(now).any(|p| p.last.holds_lease());
         if heard {
             self.holder_heard = now;
             // What was seen of the row is of no use for the next holder.
@@ -154,12 +200,16 @@
         heard
     }
 
-    /// Returns whether the holder has been silent for too long. The processes
-    /// suspect one after another, so that one alone reads the row.
+    /// Returns whether the holder has been silent for too long, or has given
+    /// up. The processes that the store answers suspect one after another, so
+    /// that one alone reads the row.
     fn suspects_holder(&self, now: Instant) -> bool {
         let board = self.gateway.board.borrow();
-        let before = board.heard(now).filter(|p| p.last.process() < self.gateway.process);
-        let wait = SUSPECT_AFTER + SUSPECT_STEP * before.count() as u32;
+        let own = &self.gateway.process;
+        let before = board.heard(now).filter(|p| p.last.store_answers && p.last.process() < *own);
+        let given_up = board.heard(now).any(|p| p.last.lease.is_some_and(|c| c.given_up));
+        let silence = if given_up { Duration::ZERO } else { SUSPECT_AFTER };
+        let wait = silence + SUSPECT_STEP * before.count() as u32;
         now.saturating_duration_since(self.holder_heard) >= wait
     }
 
@@ -190,7 +240,10 @@
             return;
         };
         match row {
-            Some(row) => self.observe(&row, cx.now()),
+            Some(row) => {
+                self.observe(&row, cx.now());
+                self.keep_lease(cx.now());
+            }
             None => self.write_lease(cx.now()),
         }
     }
@@ -224,7 +277,7 @@
     /// one stays longer than the time in which two holders may not act in
     /// turns, so that it cannot come back too early.
     fn release(&mut self) {
-        self.gateway.board.borrow_mut().lease.held = None;
+        self.gateway.board.borrow_mut().lease.give_up();
         self.gateway.metrics.lease.set(0);
         let Some((row_version, row)) = self.lease.release() else {
             return;
@@ -263,13 +316,21 @@
     }
 
     fn held(&mut self, revision: u64, row: LeaseRow, sent: Instant, now: Instant) {
-        let fence = row.fence;
+        let (fence, renewal) = (row.fence, row.renewal);
         self.renewed = Some(sent);
         self.lease.written(revision, row, sent, now);
         let until = sent + self.timing.ttl.saturating_sub(self.timing.margin);
-        let before = self.gateway.board.borrow().lease.held;
-        self.gateway.board.borrow_mut().lease.held = Some((fence, until));
-        if before.map(|(fence, _)| fence) != Some(fence) {
+        let mut board = self.gateway.board.borrow_mut();
+        let before = board.lease.own;
+        if before.is_some_and(|own| own.fence == fence && own.given_up) {
+            // The others were told that nothing follows under this number.
+            drop(board);
+            self.lease.give_up();
+            return;
+        }
+        board.lease.own = Some(OwnLease { fence, renewal, sent, until, given_up: false });
+        drop(board);
+        if before.map(|own| own.fence) != Some(fence) {
             self.gateway.log(&Event::Lease { fence, state: "acquired" });
             self.gateway.metrics.lease.set(fence as i64);
         }
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -14,6 +14,7 @@
 
 use super::Source;
 use crate::{
+    control::HeardClaim,
     gateway::{
         board::{HEARTBEAT_FAN_OUT, HEARTBEAT_PERIOD, PEER_FORGOTTEN, PeerView, StoreState},
         context::Gateway,
@@ -108,6 +109,10 @@
         self.follow(&heartbeat, now);
         self.take_accounts(&heartbeat, now);
         let process = heartbeat.process();
+        if let Some(claim) = heartbeat.lease {
+            let heard = HeardClaim { holder: process.clone(), claim, at: now };
+            self.gateway.tell(|c| call!([c.duties], claimed(heard)));
+        }
         let mut board = self.gateway.board.borrow_mut();
         let host = heartbeat.host.clone();
         // An earlier process of the same host is over.
@@ -283,7 +288,7 @@
     fn receivers(&self, now: Instant) -> (Option<SocketAddr>, Vec<SocketAddr>) {
         let board = self.gateway.board.borrow();
         let heard: Vec<SocketAddr> = board.heard(now).map(|p| p.last.heartbeats).collect();
-        let holder = board.heard(now).find(|p| p.last.lease.is_some());
+        let holder = board.heard(now).find(|p| p.last.holds_lease());
         let holder = holder.map(|p| p.last.heartbeats);
         if self.first_beats > 0 {
             let all: Vec<SocketAddr> =
@@ -319,7 +324,7 @@
             store_answers: !matches!(board.store, StoreState::Away(_)),
             up_ms: now.saturating_duration_since(self.gateway.started).as_millis() as u64,
             time: board.clock.unix_millis(now),
-            lease: board.lease.may_act(now),
+            lease: board.lease.claim(now),
             loads: board.own_loads(),
             prefixes: Vec::new(),
             admitted: board.quotas.own_totals().map(|(c, n)| (c.clone(), n)).collect(),
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -7,6 +7,7 @@
 
 use super::RecentChanges;
 use crate::{
+    control::LeaseClaim,
     gateway::{
         decide::{Counts, Window},
         model::{CustomerName, Revision, ServiceName},
@@ -81,8 +82,8 @@
     pub up_ms: u64,
     /// Its time of day.
     pub time: UnixMillis,
-    /// Fencing number of the lease that it holds.
-    pub lease: Option<u64>,
+    /// What it says of the lease that it holds, or held last.
+    pub lease: Option<LeaseClaim>,
     /// Load that it puts on upstreams.
     pub loads: Vec<LoadReport>,
     /// Shared prefixes that it sent since the heartbeat before.
@@ -112,6 +113,11 @@
         format!("{}.{:x}", self.host, self.incarnation)
     }
 
+    /// Returns whether the sending process holds the lease on the duties.
+    pub fn holds_lease(&self) -> bool {
+        self.lease.is_some_and(|claim| !claim.given_up)
+    }
+
     /// Encodes the heartbeat as CBOR.
     ///
     /// # Errors
