Engines: two losses are covered while the platform has none to give; leaving ones are a last resort

With the last data centre's notice all engines were leaving and 128 requests in two seconds found no room.

Change: while an order of reclaimable engines is refused, the plan covers the loss of two data centres; a request that no other upstream takes goes to one that has begun to leave within the last second.

--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -67,8 +67,14 @@
     pub breaker: Breaker,
     /// Until when its row may be missing: that may be the store's fault.
     pub missing_until: Option<Instant>,
+    /// Since when it is known to leave.
+    pub leaving_since: Option<Instant>,
 }
 
+/// For how long an upstream that leaves gets requests that nobody else takes.
+/// It serves on for two seconds or more, and much of its work ends within one.
+const LAST_RESORT: Duration = Duration::from_millis(1_000);
+
 impl UpstreamView {
     /// Creates the view of an upstream that was just heard of.
     pub fn new(upstream: Upstream, now: Instant) -> Self {
@@ -78,6 +84,7 @@
             others: Load::default(),
             breaker: Breaker::new(now),
             missing_until: None,
+            leaving_since: None,
         }
     }
 
@@ -85,6 +92,23 @@
     pub fn takes_work(&self) -> bool {
         self.upstream.phase == UpstreamPhase::Ready
     }
+
+    /// Takes over its newer description. Returns whether its phase changed.
+    pub fn update(&mut self, upstream: Upstream, now: Instant) -> bool {
+        let changed = self.upstream.phase != upstream.phase;
+        if changed {
+            self.leaving_since = (upstream.phase == UpstreamPhase::Draining).then_some(now);
+        }
+        self.upstream = upstream;
+        self.missing_until = None;
+        changed
+    }
+
+    /// Returns whether it still takes requests that no other upstream takes.
+    pub fn is_last_resort(&self, now: Instant) -> bool {
+        let recent = |t: Instant| now.saturating_duration_since(t) < LAST_RESORT;
+        self.leaving_since.is_some_and(recent)
+    }
 }
 
 /// Whether the store answers this process.
@@ -302,8 +326,15 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = &'a UpstreamView> + use<'a> {
-        let of_service = move |v: &&UpstreamView| v.upstream.service == service && v.takes_work();
-        self.upstreams.values().filter(of_service)
+        self.of_service(service).filter(|v| v.takes_work())
+    }
+
+    /// Returns the upstreams of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a UpstreamView> + use<'a> {
+        self.upstreams.values().filter(move |v| v.upstream.service == service)
     }
 
     /// Describes an upstream as a candidate for a request that would have to
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -36,6 +36,12 @@
 const START_FOR: Duration = Duration::from_secs(8);
 /// Time beyond `boot` after which engines that do not serve are ordered anew.
 const BOOT_SLACK: Duration = Duration::from_secs(3);
+/// Data centres that may lose their reclaimable engines next.
+const LOSSES: usize = 1;
+/// The same while the platform has none to give: it takes them back in waves,
+/// a data centre every few seconds, and one on demand takes longer to start.
+const LOSSES_WHILE_DRY: usize = 2;
+
 type Key = (ServiceName, DataCentre, bool);
 
 #[derive(Clone, Copy, Debug)]
@@ -97,6 +103,13 @@
         if known { 0.0 } else { at_start }
     }
 
+    fn losses(&self, service: &ServiceName) -> usize {
+        let dry = self.ordered.iter().any(|((of, _, reclaimable), ordered)| {
+            of == service && *reclaimable && ordered.refused
+        });
+        if dry { LOSSES_WHILE_DRY } else { LOSSES }
+    }
+
     fn plan(&mut self, now: Instant) {
         self.note_load(now);
         let board = self.gateway.board.borrow();
@@ -116,7 +129,12 @@
                 let fleets = fleets(&board, &service.name, scaling);
                 let at_start = needed_at_start(scaling, &capacity.policy);
                 let floor = self.floor(&service.name, at_start, now);
-                let input = CapacityInput { needed: needed.max(floor), scaling, fleets: &fleets };
+                let input = CapacityInput {
+                    needed: needed.max(floor),
+                    scaling,
+                    fleets: &fleets,
+                    losses: self.losses(&service.name),
+                };
                 let wishes = plan_engines(&input, &capacity.policy);
                 for (data_centre, wish) in wishes {
                     let fleet = fleets[&data_centre];
@@ -234,7 +252,7 @@
 fn engines_needed(board: &Board, service: &str, capacity: &CapacitySettings, now: Instant) -> f64 {
     let prefill = PREFILL_TOKENS_PER_SECOND * capacity.prefill_share;
     let reading = board.total_demand(service, now) / prefill;
-    let of_service = board.upstreams.values().filter(|v| v.upstream.service == service);
+    let of_service = board.of_service(service);
     let (mut running, mut slots) = (0.0, 1.0_f64);
     for view in of_service {
         // Requests that wait count up to a full engine: a queue tells of the
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -170,15 +170,13 @@
             UpstreamPhase::Draining => "draining",
         };
         board.recent_changes.push(revision, UpstreamChange::Written(upstream.clone()), now);
-        let known = board.upstreams.get_mut(&id);
-        let changed = known.as_ref().is_none_or(|view| view.upstream.phase != upstream.phase);
-        match known {
-            Some(view) => {
-                view.upstream = upstream;
-                view.missing_until = None;
+        let changed = match board.upstreams.get_mut(&id) {
+            Some(view) => view.update(upstream, now),
+            None => {
+                board.upstreams.insert(id.clone(), UpstreamView::new(upstream, now));
+                true
             }
-            None => drop(board.upstreams.insert(id.clone(), UpstreamView::new(upstream, now))),
-        }
+        };
         drop(board);
         if changed {
             self.gateway.log(&Event::Upstream { upstream: &id, state, revision });
--- a/src/gateway/decide/capacity.rs
+++ b/src/gateway/decide/capacity.rs
@@ -32,6 +32,8 @@
     pub scaling: &'a Scaling,
     /// Engines in each data centre.
     pub fleets: &'a BTreeMap<DataCentre, Fleet>,
+    /// Data centres that may lose their reclaimable engines next, all at once.
+    pub losses: usize,
 }
 
 /// How much more than needed is kept.
@@ -39,8 +41,8 @@
 pub struct CapacityPolicy {
     /// Reclaimable engines in all, as a multiple of those needed.
     pub reclaimable_factor: f64,
-    /// Share of the needed engines that must remain when the data centre with
-    /// the most reclaimable engines goes.
+    /// Share of the needed engines that must remain when the data centres with
+    /// the most reclaimable engines lose them.
     pub survive_share: f64,
     /// Engines on demand at least, all data centres together.
     pub on_demand_floor: u32,
@@ -110,10 +112,11 @@
 
 /// Returns how many engines on demand the surviving load needs.
 fn on_demand_needed(input: &CapacityInput<'_>, policy: &CapacityPolicy, needed: f64) -> u32 {
-    let serving = |f: &Fleet| f.reclaimable;
-    let all: u32 = input.fleets.values().map(serving).sum();
-    let largest = input.fleets.values().map(serving).max().unwrap_or_default();
-    let after_loss = needed * policy.survive_share - f64::from(all - largest);
+    let mut serving: Vec<u32> = input.fleets.values().map(|f| f.reclaimable).collect();
+    serving.sort_unstable_by(|a, b| b.cmp(a));
+    let all: u32 = serving.iter().sum();
+    let left: u32 = serving.iter().skip(input.losses).sum();
+    let after_loss = needed * policy.survive_share - f64::from(left);
     let now = needed - f64::from(all);
     (after_loss.max(now).max(0.0).ceil() as u32).max(policy.on_demand_floor)
 }
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -139,16 +139,22 @@
     Some((views[best].upstream.id.clone(), candidates[best], views.len()))
 }
 
-/// Returns the upstreams that the request was not sent to yet; those that
-/// could not be reached of late only if there are no others.
+/// Returns the upstreams that the request was not sent to yet. Those that could
+/// not be reached of late count only if there are no others, and those that
+/// have just begun to leave only if there are none at all.
 fn untried<'a>(
     board: &'a Board,
     service: &'a str,
     tried: &[UpstreamId],
     now: Instant,
 ) -> Vec<&'a UpstreamView> {
-    let all = board.serving(service).filter(|v| !tried.contains(&v.upstream.id));
-    let (reached, avoided): (Vec<_>, Vec<_>) = all.partition(|v| !v.breaker.is_avoided(now));
+    let all = board.of_service(service).filter(|v| !tried.contains(&v.upstream.id));
+    let (serving, leaving): (Vec<_>, Vec<_>) = all.partition(|v| v.takes_work());
+    if serving.is_empty() {
+        return leaving.into_iter().filter(|v| v.is_last_resort(now)).collect();
+    }
+    let (reached, avoided): (Vec<_>, Vec<_>) =
+        serving.into_iter().partition(|v| !v.breaker.is_avoided(now));
     if reached.is_empty() { avoided } else { reached }
 }
 
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -9,13 +9,13 @@
 use tackhollow::{
     control::{HeardClaim, Lease, LeaseAction, LeaseClaim, LeaseRow, LeaseTiming},
     gateway::{
-        board::{LeaseView, OwnLease},
+        board::{LeaseView, OwnLease, UpstreamView},
         decide::{
             Breaker, CacheBelief, Candidate, CapacityInput, CapacityPolicy, EngineSpeed, Fleet,
             Kept, QuotaBook, RetryBook, RetryTerms, TrueClock, UsageBook, Verdict, choose_engine,
             plan_engines, predicted_wait,
         },
-        model::Scaling,
+        model::{Scaling, Upstream, UpstreamPhase},
         request::EventSplitter,
     },
     ids::DataCentre,
@@ -427,6 +427,29 @@
     assert!(!cache.holds(&engine, 1));
 }
 
+#[test]
+fn who_begins_to_leave_is_a_last_resort_for_a_while() {
+    let now = Instant::now();
+    let upstream = |phase| Upstream {
+        id: "i-1".to_owned(),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".to_owned(),
+        phase,
+        slots: 64,
+        reclaimable: true,
+        leaves_in: None,
+    };
+    let mut view = UpstreamView::new(upstream(UpstreamPhase::Ready), now);
+    assert!(view.takes_work() && !view.is_last_resort(now));
+    assert!(view.update(upstream(UpstreamPhase::Draining), now + ms(100)), "its phase changed");
+    assert!(!view.update(upstream(UpstreamPhase::Draining), now + ms(900)), "told once more");
+    assert!(!view.takes_work() && view.is_last_resort(now + ms(1_000)));
+    assert!(!view.is_last_resort(now + ms(1_200)), "it may be gone soon");
+    let known_late = UpstreamView::new(upstream(UpstreamPhase::Draining), now);
+    assert!(!known_late.is_last_resort(now), "nobody knows since when it leaves");
+}
+
 // Capacity.
 
 fn scaling(max: u32) -> Scaling {
@@ -459,29 +482,50 @@
         name: &'static str,
         needed: f64,
         reclaimable: [u32; 4],
+        losses: usize,
         on_demand: u32,
     }
     let cases = [
-        Case { name: "enough are reclaimable", needed: 5.0, reclaimable: [3; 4], on_demand: 0 },
-        Case { name: "none are", needed: 5.0, reclaimable: [0; 4], on_demand: 5 },
+        Case {
+            name: "enough are reclaimable",
+            needed: 5.0,
+            reclaimable: [3; 4],
+            losses: 1,
+            on_demand: 0,
+        },
+        Case { name: "none are", needed: 5.0, reclaimable: [0; 4], losses: 1, on_demand: 5 },
         Case {
             name: "one more loss leaves too few",
             needed: 5.0,
             reclaimable: [3, 0, 0, 3],
+            losses: 1,
             on_demand: 1,
         },
         Case {
             name: "only one data centre is left",
             needed: 5.0,
             reclaimable: [0, 0, 0, 9],
+            losses: 1,
             on_demand: 4,
         },
-        Case { name: "no load yet", needed: 0.0, reclaimable: [0; 4], on_demand: 4 },
+        Case {
+            name: "two more losses in a wave leave too few",
+            needed: 5.0,
+            reclaimable: [3, 4, 0, 3],
+            losses: 2,
+            on_demand: 1,
+        },
+        Case { name: "no load yet", needed: 0.0, reclaimable: [0; 4], losses: 1, on_demand: 4 },
     ];
     let scaling = scaling(10);
     for case in cases {
         let fleets = fleets(case.reclaimable);
-        let input = CapacityInput { needed: case.needed, scaling: &scaling, fleets: &fleets };
+        let input = CapacityInput {
+            needed: case.needed,
+            scaling: &scaling,
+            fleets: &fleets,
+            losses: case.losses,
+        };
         let wishes = plan_engines(&input, &POLICY);
         let on_demand: u32 = wishes.values().map(|w| w.on_demand).sum();
         assert_eq!(on_demand, case.on_demand, "{}", case.name);
@@ -496,7 +540,7 @@
     ) {
         let scaling = scaling(max);
         let fleets = fleets(reclaimable);
-        let input = CapacityInput { needed, scaling: &scaling, fleets: &fleets };
+        let input = CapacityInput { needed, scaling: &scaling, fleets: &fleets, losses: 1 };
         for (name, wish) in plan_engines(&input, &POLICY) {
             let both = wish.reclaimable + wish.on_demand;
             let serving = fleets[&name].reclaimable.min(max);
