Engines: the pace of orders is a decision of its own; fewer only after the highest wish of a while

Change: fewer engines are ordered for the highest wish within the hold, which is 8 s for those on demand while the platform has no reclaimable ones; reclaimable ones are not given up meanwhile. The decision moved out of the controller (decide/pace.rs) with a table of cases.

--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -13,7 +13,7 @@
     gateway::{
         board::Board,
         context::Gateway,
-        decide::{CapacityInput, Fleet, Wish, needed_at_start, plan_engines},
+        decide::{CapacityInput, Fleet, OrderPace, PaceInput, Wish, needed_at_start, plan_engines},
         model::{Configuration, Scaling, ServiceName},
         request::PREFILL_TOKENS_PER_SECOND,
         telemetry::Event,
@@ -26,16 +26,9 @@
 
 /// Between looks at the load.
 const PERIOD: Duration = Duration::from_millis(500);
-/// How long a smaller number must suffice before engines are given up: load
-/// comes in waves, and a start takes seconds.
-const HOLD_BEFORE_FEWER: Duration = Duration::from_secs(4);
-/// Pause after an order that was refused.
-const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(1_800);
 /// How long after the load begins the number planned for the start is kept: by
 /// then its rate is known and the engines' caches are warm.
 const START_FOR: Duration = Duration::from_secs(8);
-/// Time beyond `boot` after which engines that do not serve are ordered anew.
-const BOOT_SLACK: Duration = Duration::from_secs(3);
 /// Data centres that may lose their reclaimable engines next.
 const LOSSES: usize = 1;
 /// The same while the platform has none to give: it takes them back in waves,
@@ -44,21 +37,12 @@
 
 type Key = (ServiceName, DataCentre, bool);
 
-#[derive(Clone, Copy, Debug)]
-struct Ordered {
-    count: u32,
-    at: Instant,
-    refused: bool,
-    busy: bool,
-    fewer_since: Option<Instant>,
-}
-
 /// Controller of the number of engines.
 #[derive(Debug)]
 pub struct Capacity {
     gateway: Rc<Gateway>,
     timer: stakker::MaxTimerKey,
-    ordered: HashMap<Key, Ordered>,
+    ordered: HashMap<Key, OrderPace>,
     loaded_since: HashMap<ServiceName, Instant>,
 }
 
@@ -103,11 +87,11 @@
         if known { 0.0 } else { at_start }
     }
 
-    fn losses(&self, service: &ServiceName) -> usize {
-        let dry = self.ordered.iter().any(|((of, _, reclaimable), ordered)| {
-            of == service && *reclaimable && ordered.refused
-        });
-        if dry { LOSSES_WHILE_DRY } else { LOSSES }
+    /// Returns whether the platform has no reclaimable engines to give.
+    fn is_dry(&self, service: &ServiceName) -> bool {
+        let of_service = self.ordered.iter().filter(|((of, ..), _)| of == service);
+        let mut reclaimable = of_service.filter(|((_, _, reclaimable), _)| *reclaimable);
+        reclaimable.any(|(_, pace)| pace.is_refused())
     }
 
     fn plan(&mut self, now: Instant) {
@@ -121,79 +105,42 @@
         let Some(configuration) = board.configuration.clone() else {
             return;
         };
-        let capacity = self.gateway.settings.borrow().capacity;
-        let mut orders = Vec::new();
+        drop(board);
         for service in configuration.services.values() {
             if let Some(scaling) = &service.scaling {
-                let needed = engines_needed(&board, &service.name, &capacity, now);
-                let fleets = fleets(&board, &service.name, scaling);
-                let at_start = needed_at_start(scaling, &capacity.policy);
-                let floor = self.floor(&service.name, at_start, now);
-                let input = CapacityInput {
-                    needed: needed.max(floor),
-                    scaling,
-                    fleets: &fleets,
-                    losses: self.losses(&service.name),
-                };
-                let wishes = plan_engines(&input, &capacity.policy);
-                for (data_centre, wish) in wishes {
-                    let fleet = fleets[&data_centre];
-                    let at = (service.name.clone(), data_centre);
-                    orders.push((at, wish, fleet, scaling.boot, needed));
-                }
+                self.plan_service(&service.name, scaling, now);
             }
         }
+    }
+
+    fn plan_service(&mut self, service: &ServiceName, scaling: &Scaling, now: Instant) {
+        let capacity = self.gateway.settings.borrow().capacity;
+        let board = self.gateway.board.borrow();
+        let needed = engines_needed(&board, service, &capacity, now);
+        let fleets = fleets(&board, service, scaling);
         drop(board);
-        for ((service, data_centre), wish, fleet, boot, needed) in orders {
-            for (reclaimable, wished, serving) in kinds(wish, fleet) {
+        let floor = self.floor(service, needed_at_start(scaling, &capacity.policy), now);
+        let dry = self.is_dry(service);
+        let losses = if dry { LOSSES_WHILE_DRY } else { LOSSES };
+        let input = CapacityInput { needed: needed.max(floor), scaling, fleets: &fleets, losses };
+        for (data_centre, wish) in plan_engines(&input, &capacity.policy) {
+            for (reclaimable, wished, serving) in kinds(wish, fleets[&data_centre]) {
                 let key = (service.clone(), data_centre.clone(), reclaimable);
-                if self.should_order(&key, wished, serving, boot, needed <= 0.0, now) {
-                    self.order(key, wished, needed, now);
+                let idle = needed <= 0.0;
+                let boot = scaling.boot;
+                let input = PaceInput { wished, serving, reclaimable, dry, idle, boot };
+                let pace = self.ordered.entry(key.clone());
+                let pace = pace.or_insert_with(|| OrderPace::new(serving, now));
+                if let Some(count) = pace.next(&input, now) {
+                    self.order(key, count, needed, now);
                 }
             }
         }
     }
 
-    /// Returns whether an order should be sent now. Where a service is `idle`,
-    /// engines are given up at once.
-    fn should_order(
-        &mut self,
-        key: &Key,
-        wished: u32,
-        serving: u32,
-        boot: Duration,
-        idle: bool,
-        now: Instant,
-    ) -> bool {
-        let ordered = self.ordered.entry(key.clone()).or_insert(Ordered {
-            count: serving,
-            at: now,
-            refused: false,
-            busy: false,
-            fewer_since: None,
-        });
-        let age = now.saturating_duration_since(ordered.at);
-        if ordered.busy || (ordered.refused && age < PAUSE_AFTER_REFUSAL) {
-            return false;
-        }
-        if wished > ordered.count || ordered.refused {
-            ordered.fewer_since = None;
-            return wished > serving;
-        }
-        // Engines of an earlier holder's order may show up late.
-        if wished < ordered.count.max(serving) {
-            let since = *ordered.fewer_since.get_or_insert(now);
-            return idle || now.saturating_duration_since(since) >= HOLD_BEFORE_FEWER;
-        }
-        ordered.fewer_since = None;
-        // The platform took engines back, or they do not start.
-        serving < wished && age >= boot + BOOT_SLACK
-    }
-
     fn order(&mut self, key: Key, count: u32, needed: f64, now: Instant) {
-        if let Some(ordered) = self.ordered.get_mut(&key) {
-            ordered.busy = true;
-            ordered.at = now;
+        if let Some(pace) = self.ordered.get_mut(&key) {
+            pace.sent(now);
         }
         let (service, data_centre, reclaimable) = key;
         let order = EngineOrder { service, data_centre, reclaimable, count };
@@ -208,13 +155,8 @@
         outcome: Result<OrderOutcome, PlatformError>,
     ) {
         let key = (order.service, order.data_centre, order.reclaimable);
-        if let Some(ordered) = self.ordered.get_mut(&key) {
-            ordered.busy = false;
-            ordered.refused = !matches!(outcome, Ok(OrderOutcome::Accepted));
-            if !ordered.refused {
-                ordered.count = order.count;
-                ordered.fewer_since = None;
-            }
+        if let Some(pace) = self.ordered.get_mut(&key) {
+            pace.answered(order.count, matches!(outcome, Ok(OrderOutcome::Accepted)));
         }
     }
 }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod engine;
 mod kept;
+mod pace;
 mod quota;
 mod retry;
 mod usage;
@@ -17,6 +18,7 @@
 pub use clock::TrueClock;
 pub use engine::{Candidate, EngineSpeed, choose_engine, predicted_wait};
 pub use kept::Kept;
+pub use pace::{OrderPace, PaceInput};
 pub use quota::{PeerTotal, QuotaBook, QuotaShare};
 pub use retry::{RetryBook, RetryTerms};
 pub use usage::{Counts, UsageBook, Window};
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -12,8 +12,8 @@
         board::{LeaseView, OwnLease, UpstreamView},
         decide::{
             Breaker, CacheBelief, Candidate, CapacityInput, CapacityPolicy, EngineSpeed, Fleet,
-            Kept, QuotaBook, RetryBook, RetryTerms, TrueClock, UsageBook, Verdict, choose_engine,
-            plan_engines, predicted_wait,
+            Kept, OrderPace, PaceInput, QuotaBook, RetryBook, RetryTerms, TrueClock, UsageBook,
+            Verdict, choose_engine, plan_engines, predicted_wait,
         },
         model::{Scaling, Upstream, UpstreamPhase},
         request::EventSplitter,
@@ -532,6 +532,59 @@
     }
 }
 
+#[test]
+fn fewer_engines_are_ordered_after_a_while_only() {
+    struct Case {
+        name: &'static str,
+        reclaimable: bool,
+        dry: bool,
+        idle: bool,
+        /// Wishes, one each second; ten engines serve.
+        wishes: &'static [u32],
+        ordered: Option<u32>,
+    }
+    let case = |name, wishes, ordered| Case {
+        name,
+        reclaimable: false,
+        dry: false,
+        idle: false,
+        wishes,
+        ordered,
+    };
+    let cases = [
+        case("more at once", &[12], Some(12)),
+        case("enough", &[10, 10, 10, 10, 10, 10], None),
+        case("fewer, not for long yet", &[6, 6, 6, 6], None),
+        case("fewer for long", &[6, 6, 6, 6, 6], Some(6)),
+        case("as many as were wished for meanwhile", &[6, 8, 3, 2, 2], Some(8)),
+        case("a wave", &[6, 6, 10, 6, 6], None),
+        Case { idle: true, ..case("no load", &[6], Some(6)) },
+        Case { dry: true, ..case("nothing else to be had", &[6, 6, 6, 6, 6, 6], None) },
+        Case {
+            dry: true,
+            reclaimable: true,
+            ..case("never given back while there are no others", &[6; 20], None)
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut pace = OrderPace::new(10, now);
+        let mut ordered = None;
+        for (i, wished) in case.wishes.iter().enumerate() {
+            let input = PaceInput {
+                wished: *wished,
+                serving: 10,
+                reclaimable: case.reclaimable,
+                dry: case.dry,
+                idle: case.idle,
+                boot: ms(4_000),
+            };
+            ordered = pace.next(&input, now + ms(1_000 * i as u64));
+        }
+        assert_eq!(ordered, case.ordered, "{}", case.name);
+    }
+}
+
 proptest! {
     /// The operator's bounds hold in each data centre, for both kinds together.
     #[test]
