A seeded soak of the gateway: real processes, faults from outside, promises checked

Proxies before the store, the API (one each a gateway) and every upstream delay, silence, cut one way or reset; gateways are killed, stopped, paused, reloaded and restarted; the store refuses, loses answers or forgets; upstreams fail in five ways and their rows lapse; configurations follow each other. Faults are drawn from a seed and overlap; callers keep their connections. Checked: whole answers each to its own request, events in order, at most one run, 'not run' is true, nothing runs unsent, fencing numbers never fall, one count a window, and every gateway serves every kind again.

--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -46,7 +46,8 @@
         Some(())
     }
 
-    /// Starts an upstream: `service`, `zone`, `spot`.
+    /// Starts an upstream: `service`, `zone`, `spot`, and the `address` that its
+    /// row names if callers reach it by another one.
     async fn start_engine(&self, body: &Value) -> Response<AnswerBody> {
         let id = format!("i-{}", self.world.state.borrow().engines.len() + 1);
         let door = Rc::new(EngineDoor { world: self.world.clone(), id: id.clone() });
@@ -55,7 +56,8 @@
         };
         let text = |name: &str| body[name].as_str().unwrap_or_default();
         let spot = body["spot"].as_bool().unwrap_or_default();
-        let row = upstream_row(text("service"), text("zone"), spot, address);
+        let named = text("address").parse().unwrap_or(address);
+        let row = upstream_row(text("service"), text("zone"), spot, named);
         let engine = Engine {
             behaviour: Behaviour::Serve,
             row: row.clone(),
--- a/src/gateway/controllers/kept.rs
+++ b/src/gateway/controllers/kept.rs
@@ -17,7 +17,7 @@
 pub const KEPT_KEY: &str = "kept";
 /// Between writes. Each is paid for; what happens in between is lost when all
 /// processes are killed at once.
-pub const KEEP_EVERY: Duration = Duration::from_millis(400);
+pub const KEEP_EVERY: Duration = Duration::from_millis(200);
 
 /// Writes what the next processes need.
 pub async fn keep(gateway: Rc<Gateway>) {
--- /dev/null
+++ b/tests/gateway_soak.rs
@@ -0,0 +1,186 @@
+//! A randomized soak: real processes before the emulated platform, faults from
+//! outside, and the promises checked from what callers and upstreams see.
+//!
+//! `scripts/soak-gateway` plays more seeds; those that ever failed stay in
+//! [`CASES`] with their cause.
+
+mod support;
+
+#[path = "soak/callers.rs"]
+mod callers;
+#[path = "soak/check.rs"]
+mod check;
+#[path = "soak/faults.rs"]
+mod faults;
+#[path = "soak/proxy.rs"]
+mod proxy;
+
+use std::{
+    env,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use callers::{Callers, Kind, Sent};
+use faults::Faults;
+use hyper::{HeaderMap, StatusCode, header::HeaderValue};
+use proxy::Proxy;
+use serde_json::{Value, json};
+use support::{
+    gateways::{Answer, Site},
+    wait_until,
+};
+
+/// Gateways, engines and plain upstreams of a soak.
+const SIZES: (usize, usize, usize) = (4, 3, 2);
+/// Callers at work at once.
+const CALLERS: u64 = 12;
+
+/// A seed that is played each time.
+struct Case {
+    seed: u64,
+    why: &'static str,
+}
+
+const CASES: [Case; 2] =
+    [Case { seed: 1, why: "a short run" }, Case { seed: 2, why: "a short run" }];
+
+#[test]
+fn promises_hold_under_faults() {
+    for case in CASES {
+        println!("seed {}: {}", case.seed, case.why);
+        soak(case.seed, Duration::from_secs(6));
+    }
+}
+
+/// Plays the seeds that the environment names: `SOAK_FIRST`, `SOAK_COUNT` and
+/// `SOAK_SECONDS`.
+#[test]
+#[ignore = "by hand: scripts/soak-gateway"]
+fn promises_hold_under_many_seeds() {
+    let number = |name: &str, default| {
+        env::var(name).ok().and_then(|v| v.parse::<u64>().ok()).unwrap_or(default)
+    };
+    let first = number("SOAK_FIRST", 1);
+    let seconds = Duration::from_secs(number("SOAK_SECONDS", 8));
+    for seed in first..first + number("SOAK_COUNT", 50) {
+        soak(seed, seconds);
+    }
+}
+
+/// Each promise, broken once: the checks must see it.
+#[test]
+fn the_checks_find_broken_promises() {
+    struct Broken {
+        name: &'static str,
+        kind: Kind,
+        status: u16,
+        seal: &'static str,
+        body: &'static str,
+        runs: Value,
+        duties: Value,
+    }
+    let none = json!([]);
+    let run = |request: &str, path: &str| {
+        json!({ "request": request, "target": format!("POST {path}"), "customer": "temple",
+                "key_passed": false })
+    };
+    let right = || Broken {
+        name: "nothing is broken",
+        kind: Kind::Plan,
+        status: 200,
+        seal: "i-1.c0-0",
+        body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        runs: json!([run("c0-0", "/plan/x")]),
+        duties: json!([{ "path": "/usage", "fence": 3, "body": { "windowNumber": 7, "counts": {} } }]),
+    };
+    let two = json!([run("c0-0", "/plan/x"), run("c0-0", "/plan/x")]);
+    let falling = json!([{ "path": "/usage", "fence": 3 }, { "path": "/usage", "fence": 2 }]);
+    let report = |n| json!({ "path": "/usage", "fence": 3, "body": { "windowNumber": 7, "counts": { "temple": n } } });
+    let cases = [
+        Broken { name: "ran twice", runs: two, ..right() },
+        Broken { name: "ran and was refused", status: 503, ..right() },
+        Broken { name: "another's answer", seal: "i-1.c0-1", ..right() },
+        Broken {
+            name: "an event is missing",
+            body: "id: 1\ndata: a\n\nid: 3\ndata: c\n\n",
+            ..right()
+        },
+        Broken { name: "looks whole", body: "id: 1\ndata: a\n\n", ..right() },
+        Broken { name: "an answer of nobody", kind: Kind::Check, body: "", runs: none, ..right() },
+        Broken { name: "not sent", runs: json!([run("c9-9", "/plan/x")]), ..right() },
+        Broken { name: "another path", runs: json!([run("c0-0", "/check/x")]), ..right() },
+        Broken { name: "a falling fencing number", duties: falling, ..right() },
+        Broken { name: "two counts of a window", duties: json!([report(1), report(2)]), ..right() },
+    ];
+    let check = |case: &Broken| {
+        let mut headers = HeaderMap::new();
+        headers.insert("x-response-seal", HeaderValue::from_static(case.seal));
+        headers.insert("x-request-id", HeaderValue::from_static("c0-0"));
+        let status = StatusCode::from_u16(case.status).expect("a status");
+        let answer = Answer { status, headers, body: case.body.to_owned(), complete: true };
+        let sent = Sent { id: "c0-0".to_owned(), kind: case.kind, events: 2, answer: Some(answer) };
+        check::broken_promises(&[sent], &json!({ "runs": case.runs, "duties": case.duties }))
+    };
+    assert_eq!(check(&right()), Vec::<String>::new());
+    for case in &cases {
+        assert!(!check(case).is_empty(), "{} goes unseen", case.name);
+    }
+}
+
+/// Starts the processes with proxies before the platform and the upstreams.
+fn start() -> (Site, Vec<Proxy>, Vec<String>) {
+    let mut site = Site::bare();
+    site.configure(&support::gateways::configuration(7));
+    let (gateways, engines, plain) = SIZES;
+    let mut links = Vec::new();
+    for _ in 0..gateways {
+        let (store, api) = (Proxy::start(), Proxy::start());
+        store.set_target(site.emulator_address("store"));
+        api.set_target(site.emulator_address("api"));
+        site.add_gateway_at(store.address, api.address);
+        links.extend([store, api]);
+    }
+    let services = ["llm"].repeat(engines).into_iter().chain(["app"].repeat(plain));
+    let mut upstreams = Vec::new();
+    for service in services {
+        let link = Proxy::start();
+        let (id, address) = site.add_upstream_behind(service, link.address);
+        link.set_target(address);
+        links.push(link);
+        upstreams.push(id);
+    }
+    site.wait_ready();
+    (site, links, upstreams)
+}
+
+fn soak(seed: u64, time: Duration) {
+    let (mut site, links, upstreams) = start();
+    let addresses: Vec<_> = site.gateways.iter().map(|g| g.callers).collect();
+    let addresses = Arc::new(Mutex::new(addresses));
+    let callers = Callers::start(seed, CALLERS, &addresses);
+    let mut faults = Faults::new(seed, &mut site, &links, &upstreams);
+    faults.play(time);
+    let counts = std::mem::take(&mut faults.counts);
+    let sent = callers.finish();
+    recovers(&site, seed);
+    let broken = check::broken_promises(&sent, &site.seen());
+    let answered = sent.iter().filter(|s| s.answer.as_ref().is_some_and(|a| a.complete)).count();
+    println!("seed {seed}: {} requests, {answered} answered, faults {counts:?}", sent.len());
+    assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+    assert!(answered > 0, "seed {seed}: nothing was served");
+}
+
+/// After the faults every gateway serves every kind of request again.
+fn recovers(site: &Site, seed: u64) {
+    let mut tries = 0;
+    for gateway in &site.gateways {
+        for kind in [Kind::Plan, Kind::Digest, Kind::Confirm, Kind::Check] {
+            wait_until(&format!("seed {seed}: {kind:?} is served again"), || {
+                tries += 1;
+                let call = kind.call(&format!("{}{tries}", check::AFTER), 3);
+                call.send(gateway.callers).is_some_and(|a| a.complete && a.status == 200)
+            });
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,207 @@
+//! Faults from outside, drawn from a seed. They come in series and overlap.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use super::proxy::{Link, Proxy};
+use crate::support::gateways::{Site, configuration};
+
+/// Upstreams' behaviours that a fault sets for a while.
+const BEHAVIOURS: [&str; 5] = ["full", "fail", "lose", "break_midway", "crossed"];
+
+/// What ends a fault.
+#[derive(Clone, Copy, Debug)]
+enum Mend {
+    /// Starts a gateway that was killed or has left.
+    Start(usize),
+    /// Lets a gateway go on.
+    Resume(usize),
+    /// Lets a link pass everything.
+    Link(usize),
+    /// Lets the store answer.
+    Store,
+    /// Lets an upstream serve.
+    Behave(usize),
+    /// Writes an upstream's row again.
+    Row(usize),
+}
+
+/// What the faults have at hand.
+pub struct Faults<'a> {
+    site: &'a mut Site,
+    /// Links to the store and the API by gateway, then those to upstreams.
+    links: &'a [Proxy],
+    upstreams: &'a [String],
+    rng: fastrand::Rng,
+    due: Vec<(Instant, Mend)>,
+    version: u64,
+    /// How often each kind came.
+    pub counts: std::collections::BTreeMap<&'static str, usize>,
+}
+
+impl<'a> Faults<'a> {
+    pub fn new(seed: u64, site: &'a mut Site, links: &'a [Proxy], upstreams: &'a [String]) -> Self {
+        let rng = fastrand::Rng::with_seed(seed);
+        let counts = std::collections::BTreeMap::new();
+        Self { site, links, upstreams, rng, due: Vec::new(), version: 7, counts }
+    }
+
+    /// Brings faults for a while, then mends all of them.
+    pub fn play(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(self.rng.u64(40..400)));
+            self.mend(Instant::now());
+            self.next();
+        }
+        while !self.due.is_empty() {
+            std::thread::sleep(Duration::from_millis(20));
+            self.mend(Instant::now());
+        }
+    }
+
+    fn next(&mut self) {
+        let gateway = self.rng.usize(..self.site.gateways.len());
+        let upstream = self.rng.usize(..self.upstreams.len());
+        let link = self.rng.usize(..self.links.len());
+        let kind = match self.rng.u8(..12) {
+            0 => self.kill(gateway),
+            1 => self.signal(gateway, Signal::SIGTERM, "stop"),
+            2 => self.signal(gateway, Signal::SIGHUP, "reload"),
+            3 => self.pause(gateway),
+            4 | 5 => self.harm(link),
+            6 => {
+                self.links[link].reset();
+                Some("reset")
+            }
+            7 => self.store(),
+            8 | 9 => self.misbehave(upstream),
+            10 => self.lapse(upstream),
+            _ => self.configure(),
+        };
+        if let Some(kind) = kind {
+            *self.counts.entry(kind).or_default() += 1;
+        }
+    }
+
+    fn after(&mut self, most_ms: u64, mend: Mend) {
+        let time = Duration::from_millis(self.rng.u64(100..most_ms));
+        self.due.push((Instant::now() + time, mend));
+    }
+
+    /// Returns whether a gateway is whole: one that is down, paused or leaving
+    /// is left to its present fault.
+    fn is_whole(&self, gateway: usize) -> bool {
+        let of_gateway = |mend: &Mend| match mend {
+            Mend::Start(n) | Mend::Resume(n) => *n == gateway,
+            _ => false,
+        };
+        !self.due.iter().any(|(_, mend)| of_gateway(mend))
+    }
+
+    fn kill(&mut self, gateway: usize) -> Option<&'static str> {
+        if !self.is_whole(gateway) {
+            return None;
+        }
+        self.site.gateways[gateway].kill();
+        self.after(1_500, Mend::Start(gateway));
+        Some("kill")
+    }
+
+    fn signal(
+        &mut self,
+        gateway: usize,
+        signal: Signal,
+        kind: &'static str,
+    ) -> Option<&'static str> {
+        if !self.is_whole(gateway) {
+            return None;
+        }
+        self.site.gateways[gateway].signal(signal);
+        if signal == Signal::SIGTERM {
+            self.after(500, Mend::Start(gateway));
+        }
+        Some(kind)
+    }
+
+    fn pause(&mut self, gateway: usize) -> Option<&'static str> {
+        if !self.is_whole(gateway) {
+            return None;
+        }
+        self.site.gateways[gateway].signal(Signal::SIGSTOP);
+        self.after(2_500, Mend::Resume(gateway));
+        Some("pause")
+    }
+
+    fn harm(&mut self, link: usize) -> Option<&'static str> {
+        let delay = Duration::from_millis(self.rng.u64(5..300));
+        let (state, kind) = match self.rng.u8(..3) {
+            0 => (Link::Delay(delay), "delay"),
+            1 => (Link::Silent, "silence"),
+            _ => (Link::OneWay, "one_way"),
+        };
+        self.links[link].set_link(state);
+        self.after(3_000, Mend::Link(link));
+        Some(kind)
+    }
+
+    fn store(&mut self) -> Option<&'static str> {
+        let (mode, kind) = match self.rng.u8(..3) {
+            0 => ("refusing", "store_refuses"),
+            1 => ("losing", "store_loses_answers"),
+            _ => {
+                self.site.control("/forget", &json!({}));
+                return Some("store_forgets");
+            }
+        };
+        self.site.store(mode);
+        self.after(2_500, Mend::Store);
+        Some(kind)
+    }
+
+    fn misbehave(&mut self, upstream: usize) -> Option<&'static str> {
+        let behaviour = BEHAVIOURS[self.rng.usize(..BEHAVIOURS.len())];
+        self.site.behave(Some(&self.upstreams[upstream]), behaviour);
+        self.after(2_000, Mend::Behave(upstream));
+        Some(behaviour)
+    }
+
+    fn lapse(&mut self, upstream: usize) -> Option<&'static str> {
+        self.site.control("/remove", &json!({ "id": self.upstreams[upstream] }));
+        self.after(1_500, Mend::Row(upstream));
+        Some("lapse")
+    }
+
+    fn configure(&mut self) -> Option<&'static str> {
+        self.version += self.rng.u64(1..9);
+        self.site.configure(&configuration(self.version));
+        Some("configuration")
+    }
+
+    fn mend(&mut self, now: Instant) {
+        let due = std::mem::take(&mut self.due);
+        let (over, later): (Vec<_>, Vec<_>) = due.into_iter().partition(|(at, _)| *at <= now);
+        self.due = later;
+        for (_, mend) in over {
+            self.end(mend);
+        }
+    }
+
+    fn end(&mut self, mend: Mend) {
+        match mend {
+            Mend::Start(n) if self.site.gateways[n].has_ended() => self.site.gateways[n].restart(),
+            // It is still leaving.
+            Mend::Start(_) => self.due.push((Instant::now() + Duration::from_millis(100), mend)),
+            Mend::Resume(n) => self.site.gateways[n].signal(Signal::SIGCONT),
+            Mend::Link(n) => self.links[n].set_link(Link::Pass),
+            Mend::Store => self.site.store("up"),
+            Mend::Behave(n) => self.site.behave(Some(&self.upstreams[n]), "serve"),
+            Mend::Row(n) => {
+                let row = json!({ "id": self.upstreams[n], "back": true });
+                self.site.control("/remove", &row);
+            }
+        }
+    }
+}
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -4,7 +4,7 @@
     fmt::Write as _,
     fs,
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command},
     time::Duration,
 };
@@ -17,7 +17,7 @@
     unistd::Pid,
 };
 use serde_json::{Value, json};
-use tackhollow::gateway::net::connect;
+use tackhollow::gateway::net::{HttpConnection, connect};
 use tempfile::TempDir;
 use tokio::{runtime::Builder, task::LocalSet, time::timeout};
 
@@ -106,6 +106,12 @@
 
     async fn exchange(&self, to: SocketAddr) -> Option<Answer> {
         let mut connection = connect(to, CALL_LIMIT).await.ok()?;
+        self.exchange_on(&mut connection).await
+    }
+
+    /// Makes the call on an open connection.
+    pub async fn exchange_on(&self, connection: &mut HttpConnection) -> Option<Answer> {
+        connection.ready().await.ok()?;
         let mut request = Request::builder().method(self.method).uri(&self.path);
         for (name, value) in &self.headers {
             request = request.header(*name, value);
@@ -135,10 +141,21 @@
     pub directory: SocketAddr,
     pub readiness: SocketAddr,
     pub peers: SocketAddr,
+    settings: PathBuf,
     log: PathBuf,
 }
 
 impl GatewayProc {
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Starts the process again, once the earlier one has ended.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.settings, &self.log);
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
     }
@@ -245,30 +262,34 @@
 
     /// Starts a gateway.
     pub fn add_gateway(&mut self) {
+        let (store, api) = (self.emulator.address("store"), self.emulator.address("api"));
+        self.add_gateway_at(store, api);
+    }
+
+    /// Returns an address of the emulator.
+    pub fn emulator_address(&self, name: &str) -> SocketAddr {
+        self.emulator.address(name)
+    }
+
+    /// Starts a gateway that reaches the platform at these addresses.
+    pub fn add_gateway_at(&mut self, store: SocketAddr, api: SocketAddr) {
         let n = self.gateways.len() + 1;
-        let file = self.dir.path().join(format!("gateway-{n}.toml"));
+        let settings = self.dir.path().join(format!("gateway-{n}.toml"));
         let ports: Vec<SocketAddr> = (0..5).map(|i| own_address(n, FIRST_PORT + i)).collect();
         let mut text = format!("id = \"gateway-{n}\"\ndata_centre = \"bkk-nont\"\n[listen]\n");
         let names = ["callers", "directory", "readiness", "peers", "heartbeats"];
         for (name, address) in names.iter().zip(&ports) {
             writeln!(text, "{name} = \"{address}\"").expect("writing to a text");
         }
-        let (store, api) = (self.emulator.address("store"), self.emulator.address("api"));
         write!(text, "[platform]\nstore = \"{store}\"\napi = \"{api}\"\n")
             .expect("writing to a text");
         text.push_str("[bounds]\nusage_window_s = 1\n");
-        fs::write(&file, text).expect("the settings are written");
+        fs::write(&settings, text).expect("the settings are written");
         let log = self.dir.path().join(format!("gateway-{n}.log"));
-        let out = fs::File::create(&log).expect("a log");
-        let child = Command::new(env!("CARGO_BIN_EXE_tackhollow-gateway"))
-            .arg("--settings")
-            .arg(&file)
-            .stdout(out)
-            .stderr(fs::File::create(log.with_extension("err")).expect("a file"))
-            .spawn()
-            .expect("the gateway starts");
+        let child = spawn(&settings, &log);
         let [callers, directory, readiness, peers] = [ports[0], ports[1], ports[2], ports[3]];
-        self.gateways.push(GatewayProc { child, callers, directory, readiness, peers, log });
+        let gateway = GatewayProc { child, callers, directory, readiness, peers, settings, log };
+        self.gateways.push(gateway);
     }
 
     /// Makes a control call to the emulator.
@@ -289,6 +310,16 @@
         started["id"].as_str().expect("an id").to_owned()
     }
 
+    /// Starts an upstream whose row names another address; returns its id and
+    /// its own address.
+    pub fn add_upstream_behind(&self, service: &str, named: SocketAddr) -> (String, SocketAddr) {
+        let ask = json!({ "service": service, "zone": "bkk-nont", "address": named });
+        let started = self.control("/engine", &ask);
+        let address = started["address"].as_str().and_then(|a| a.parse().ok());
+        let id = started["id"].as_str().expect("an id").to_owned();
+        (id, address.expect("an address"))
+    }
+
     pub fn behave(&self, id: Option<&str>, behaviour: &str) {
         self.control("/behaviour", &json!({ "id": id, "behaviour": behaviour }));
     }
@@ -321,6 +352,19 @@
     }
 }
 
+/// Starts a gateway's process; a log goes on after that of an earlier one.
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let append =
+        |path: &Path| fs::OpenOptions::new().create(true).append(true).open(path).expect("a file");
+    Command::new(env!("CARGO_BIN_EXE_tackhollow-gateway"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(append(log))
+        .stderr(append(&log.with_extension("err")))
+        .spawn()
+        .expect("the gateway starts")
+}
+
 /// Returns an address for the `n`th gateway of this test. Each has a loopback
 /// IP number of its own, so that no other process can take its ports between
 /// their choice and the gateway's start.
