A row is excused as lapsed only if no process knows the store was there; quotas over the operator's window

Change: heartbeats say whether the store has answered the sender all along (answers without a pause of a second, for 2.5 s); while anybody knows so, a row that is gone is gone.

Change: buckets hold half of the operator's slack beyond the burst; the sum over the operator's window still keeps rate and burst.

Tests: a_row_that_disappears_..., the_operator_s_window_leaves_room_..., a_window_never_sees_more_than_rate_and_burst.

--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -20,7 +20,9 @@
 {{/bounds.graceS}}{{#bounds.retryBudgetRatio}}retry_ratio = {{bounds.retryBudgetRatio}}
 {{/bounds.retryBudgetRatio}}{{#bounds.budgetSlack}}retry_surplus = {{bounds.budgetSlack}}
 {{/bounds.budgetSlack}}{{#bounds.budgetWindowS}}retry_window_s = {{bounds.budgetWindowS}}
-{{/bounds.budgetWindowS}}{{#bounds.usageWindowS}}usage_window_s = {{bounds.usageWindowS}}
+{{/bounds.budgetWindowS}}{{#bounds.quotaWindowS}}quota_window_s = {{bounds.quotaWindowS}}
+{{/bounds.quotaWindowS}}{{#bounds.quotaSlack}}quota_slack = {{bounds.quotaSlack}}
+{{/bounds.quotaSlack}}{{#bounds.usageWindowS}}usage_window_s = {{bounds.usageWindowS}}
 {{/bounds.usageWindowS}}{{#bounds.leaseMs}}lease_ms = {{bounds.leaseMs}}
 {{/bounds.leaseMs}}{{#bounds.ttl_max_s}}directory_ttl_s = {{bounds.ttl_max_s}}
 {{/bounds.ttl_max_s}}
--- a/src/gateway/board.rs
+++ b/src/gateway/board.rs
@@ -11,7 +11,8 @@
 
 use super::{
     decide::{
-        Breaker, CacheBelief, Candidate, QuotaBook, QuotaShare, RetryBook, TrueClock, UsageBook,
+        Breaker, CacheBelief, Candidate, QuotaBook, QuotaShare, RetryBook, Steadiness, TrueClock,
+        UsageBook,
     },
     model::{Configuration, Revision, ServiceName, Upstream, UpstreamPhase},
     net::Phase,
@@ -41,6 +42,13 @@
 /// hundred of them, a few heartbeats pass until most are.
 const ANNOUNCED_COUNT: Duration = Duration::from_secs(3);
 
+/// Time after the store's return in which rows that lapsed while it was away
+/// are back, if their upstreams live; the platform's figure.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+/// Time after the store's return in which a row that disappears may have
+/// lapsed while it was away: such rows show with the first answers.
+const LAPSE_SEEN: Duration = Duration::from_millis(700);
+
 /// Processes that read the store and tell the others. Each call is paid for;
 /// three leave one when two are cut off.
 pub const WATCHERS: usize = 3;
@@ -242,6 +250,8 @@
     pub lease: LeaseView,
     /// Whether the store answers this process.
     pub store: StoreState,
+    /// Whether the store has answered this process all along.
+    pub steadiness: Steadiness,
     /// Requests in progress.
     pub in_progress: usize,
     demand: BTreeMap<ServiceName, Rate>,
@@ -269,6 +279,7 @@
             clock,
             lease: LeaseView::default(),
             store: StoreState::Up,
+            steadiness: Steadiness::default(),
             in_progress: 0,
             demand: BTreeMap::new(),
             started: now,
@@ -315,6 +326,24 @@
         before.count() < WATCHERS
     }
 
+    /// Returns whether some process knows that the store has answered all
+    /// along: then a row that is gone is gone for good.
+    pub fn store_was_there(&self, now: Instant) -> bool {
+        self.steadiness.is_steady(now) || self.heard(now).any(|p| p.last.store_steady)
+    }
+
+    /// Returns until when a row that disappears may come back: it may have
+    /// lapsed while the store was away.
+    pub fn lapse_ends(&self, now: Instant) -> Option<Instant> {
+        match self.store {
+            _ if self.store_was_there(now) => None,
+            StoreState::Up => None,
+            StoreState::Away(_) => Some(now + LAPSE_GRACE),
+            StoreState::Returned(at) if now < at + LAPSE_SEEN => Some(at + LAPSE_GRACE),
+            StoreState::Returned(_) => None,
+        }
+    }
+
     /// Returns whether another gateway has a newer configuration.
     pub fn configuration_is_behind(&self, now: Instant) -> bool {
         let own = self.configuration_version();
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -55,10 +55,11 @@
     pub fn new(
         settings: GatewaySettings,
         incarnation: Incarnation,
-        board: Board,
+        mut board: Board,
         journal: Journal,
     ) -> Self {
         let process = format!("{}.{incarnation:x}", settings.id);
+        board.quotas.set_terms(settings.bounds.quotas);
         let store = StoreClient::new(settings.store);
         let duties = DutyClient::new(settings.api, settings.id.clone());
         Self {
@@ -117,6 +118,7 @@
     /// Notes whether the store answered, and logs when that changes.
     pub fn note_store(&self, error: Option<&PlatformError>) {
         let now = Instant::now();
+        self.board.borrow_mut().steadiness.note(error.is_none(), now);
         let state = self.board.borrow().store;
         match (state, error) {
             (StoreState::Away(since), None) => {
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     gateway::{
-        board::{StoreState, UpstreamView},
+        board::{LAPSE_GRACE, UpstreamView},
         context::Gateway,
         model::{Revision, Upstream, UpstreamPhase},
         peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
@@ -26,12 +26,6 @@
     platform::{Change, Snapshot, StoreRow, decode_upstream},
 };
 
-/// Time after the store's return in which rows that lapsed while it was away
-/// are back, if their upstreams live; the platform's figure.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
-/// Time after the store's return in which a row that disappears may have
-/// lapsed while it was away: such rows show with the first answers.
-const LAPSE_SEEN: Duration = Duration::from_millis(700);
 /// Between looks at missing rows and idle connections.
 const PERIOD: Duration = Duration::from_millis(500);
 
@@ -82,6 +76,10 @@
             last_change = revision;
             match change {
                 UpstreamChange::Written(upstream) => self.update(upstream, revision, now),
+                // That gateway may have been cut off itself.
+                UpstreamChange::Missing(id) if self.store_was_there(now) => {
+                    self.remove(&id, revision);
+                }
                 UpstreamChange::Missing(id) => {
                     self.mark_missing(&id, revision, now + LAPSE_GRACE);
                 }
@@ -183,15 +181,14 @@
         }
     }
 
+    fn store_was_there(&self, now: Instant) -> bool {
+        self.gateway.board.borrow().store_was_there(now)
+    }
+
     /// Handles the removal of a row.
     fn missing(&self, id: &UpstreamId, revision: Revision, now: Instant) {
         let board = self.gateway.board.borrow();
-        let lapse_ends = match board.store {
-            StoreState::Up => None,
-            StoreState::Away(_) => Some(now + LAPSE_GRACE),
-            StoreState::Returned(at) if now < at + LAPSE_SEEN => Some(at + LAPSE_GRACE),
-            StoreState::Returned(_) => None,
-        };
+        let lapse_ends = board.lapse_ends(now);
         let serves = board.upstreams.get(id).is_some_and(UpstreamView::takes_work);
         drop(board);
         match lapse_ends.filter(|_| serves) {
@@ -224,8 +221,9 @@
     /// Drops upstreams whose rows stayed away after the store's return. Each
     /// process does so by itself: the store has no revision for it.
     fn drop_missing(&self, now: Instant) {
+        let was_there = self.store_was_there(now);
         let mut board = self.gateway.board.borrow_mut();
-        let over = |v: &UpstreamView| v.missing_until.is_some_and(|until| now >= until);
+        let over = |v: &UpstreamView| v.missing_until.is_some_and(|u| was_there || now >= u);
         let missing = board.upstreams.iter().filter(|(_, v)| over(v));
         let gone: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
         for id in &gone {
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -322,6 +322,7 @@
             upstreams: board.upstreams_last_change,
             recent: board.recent_changes.clone(),
             store_answers: !matches!(board.store, StoreState::Away(_)),
+            store_steady: board.steadiness.is_steady(now),
             up_ms: now.saturating_duration_since(self.gateway.started).as_millis() as u64,
             time: board.clock.unix_millis(now),
             lease: board.lease.claim(now),
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -155,6 +155,7 @@
         Ok(settings) => {
             let mut current = gateway.settings.borrow_mut();
             current.bounds = settings.bounds;
+            gateway.board.borrow_mut().quotas.set_terms(settings.bounds.quotas);
             current.capacity = settings.capacity;
         }
         Err(e) => log::error!("the settings stay as they were: {e}"),
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -78,6 +78,8 @@
     pub recent: RecentChanges,
     /// Whether the store answers it, as far as it knows.
     pub store_answers: bool,
+    /// Whether the store has answered it all along.
+    pub store_steady: bool,
     /// Milliseconds since its start.
     pub up_ms: u64,
     /// Its time of day.
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -172,7 +172,7 @@
 
 fn give_back(gateway: &Gateway, admitted: &Admitted) {
     if let Some(customer) = &admitted.customer {
-        gateway.board.borrow_mut().quotas.give_back(customer, admitted.tokens);
+        gateway.board.borrow_mut().quotas.give_back(customer, admitted.tokens, Instant::now());
     }
 }
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -9,10 +9,17 @@
 use log::LevelFilter;
 
 use super::{Section, SettingsError, entry::LEVELS, load};
-use crate::{gateway::decide::CapacityPolicy, ids::DataCentre};
+use crate::{
+    gateway::decide::{CapacityPolicy, QuotaTerms},
+    ids::DataCentre,
+};
 
 /// Smallest share of an engine that can be planned with.
 const LEAST_SHARE: f64 = 0.01;
+/// Share of the quotas' slack by which buckets exceed the burst. The sum over
+/// the window keeps rate and burst; after a restart, whose window is not known,
+/// the rest of the slack is left.
+const QUOTA_SLACK_USED: f64 = 0.5;
 
 /// Addresses on which the process serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +47,8 @@
     pub retry_surplus: f64,
     /// Length of the window in which second attempts are counted.
     pub retry_window: Duration,
+    /// How the operator counts quotas.
+    pub quotas: QuotaTerms,
     /// Length of a window of the usage report.
     pub usage_window: Duration,
     /// Time in which two holders may not act in turns.
@@ -132,6 +141,10 @@
         retry_ratio: s.number("retry_ratio", 0.2),
         retry_surplus: s.number("retry_surplus", 58.0),
         retry_window: s.seconds("retry_window_s", secs(10)),
+        quotas: QuotaTerms {
+            window: s.seconds("quota_window_s", secs(8)),
+            extra: s.number("quota_slack", 0.0) * QUOTA_SLACK_USED,
+        },
         usage_window: s.seconds("usage_window_s", secs(5)),
         lease: s.millis("lease_ms", secs(3)),
         directory_ttl: s.seconds("directory_ttl_s", secs(5)),
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -9,7 +9,7 @@
 use tackhollow::{
     control::{HeardClaim, Lease, LeaseAction, LeaseClaim, LeaseRow, LeaseTiming},
     gateway::{
-        board::{LeaseView, OwnLease, UpstreamView},
+        board::{Board, LeaseView, OwnLease, StoreState, UpstreamView},
         decide::{
             Breaker, CacheBelief, Candidate, CapacityInput, CapacityPolicy, EngineSpeed, Fleet,
             Kept, OrderPace, PaceInput, QuotaBook, RetryBook, RetryTerms, TrueClock, UsageBook,
@@ -235,6 +235,52 @@
     assert_eq!(view.claim(now + ms(60_000)), None, "for a while");
 }
 
+// The list of upstreams.
+
+#[test]
+fn a_row_that_disappears_may_be_back_only_if_the_store_was_away() {
+    struct Case {
+        name: &'static str,
+        store: StoreState,
+        /// Answers of the store to this process, by the millisecond.
+        answers: &'static [u64],
+        excused: bool,
+    }
+    let start = Instant::now();
+    let now = start + ms(10_000);
+    let returned = |ago| StoreState::Returned(now - ms(ago));
+    let often: &[u64] = &[7_000, 7_400, 7_800, 8_200, 8_600, 9_000, 9_400, 9_800];
+    let cases = [
+        Case { name: "the store answers", store: StoreState::Up, answers: &[], excused: false },
+        Case { name: "it is away", store: StoreState::Away(start), answers: &[], excused: true },
+        Case { name: "just back", store: returned(300), answers: &[9_700], excused: true },
+        Case {
+            name: "back for a while",
+            store: returned(2_000),
+            answers: &[8_000],
+            excused: false,
+        },
+        Case {
+            name: "away for one call between many answers",
+            store: returned(300),
+            answers: often,
+            excused: false,
+        },
+        Case {
+            name: "answers with a pause",
+            store: returned(300),
+            answers: &[7_000, 7_400, 7_800, 9_700],
+            excused: true,
+        },
+    ];
+    for case in cases {
+        let mut board = Board::new(TrueClock::new(start, 0), start);
+        board.store = case.store;
+        case.answers.iter().for_each(|at| board.steadiness.note(true, start + ms(*at)));
+        assert_eq!(board.lapse_ends(now).is_some(), case.excused, "{}", case.name);
+    }
+}
+
 // Time.
 
 #[test]
--- a/tests/gateway_quotas.rs
+++ b/tests/gateway_quotas.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use tackhollow::gateway::{
     board::Board,
-    decide::{PeerTotal, QuotaBook, QuotaShare, TrueClock},
+    decide::{PeerTotal, QuotaBook, QuotaShare, QuotaTerms, TrueClock},
     model::Quota,
 };
 
@@ -131,7 +131,7 @@
     let later = now + ms(60_000);
     book.take(&customer(), quota, 100, ALONE, later).expect("the bucket is full");
     book.take(&customer(), quota, 100, ALONE, later).expect_err("the bucket is empty");
-    book.give_back(&customer(), 100);
+    book.give_back(&customer(), 100, later);
     book.take(&customer(), quota, 100, ALONE, later).expect("it is full again");
     assert_eq!(book.own_totals().next().map(|(_, total)| total), Some(100));
 }
@@ -178,6 +178,72 @@
     }
 }
 
+#[test]
+fn the_operator_s_window_leaves_room_for_large_requests() {
+    struct Case {
+        name: &'static str,
+        extra: f64,
+        /// Requests of a hundred tokens, by the millisecond in which they come.
+        requests: &'static [u64],
+        admitted: usize,
+    }
+    let cases = [
+        Case { name: "no more than the burst", extra: 0.0, requests: &[0, 0, 0], admitted: 1 },
+        Case { name: "two more at once", extra: 200.0, requests: &[0, 0, 0, 0], admitted: 3 },
+        Case {
+            name: "no more than the window allows",
+            extra: 2_000.0,
+            requests: &[0, 0, 0, 0, 1_000, 2_000, 3_000, 4_000],
+            admitted: 3,
+        },
+        Case {
+            name: "again once they have left the window",
+            extra: 2_000.0,
+            requests: &[0, 0, 0, 4_000, 9_000, 9_000, 9_000, 9_000],
+            admitted: 6,
+        },
+    ];
+    // In eight seconds 200 tokens and a burst of 100.
+    let quota = Quota { rate: 25.0, burst: 100.0 };
+    for case in cases {
+        let now = Instant::now();
+        let mut book = QuotaBook::new(now);
+        book.set_terms(QuotaTerms { window: ms(8_000), extra: case.extra });
+        book.restore(&BTreeMap::from([(customer(), 10_000.0)]), now);
+        let takes = case.requests.iter().map(|at| {
+            let at = now + ms(*at);
+            book.take(&customer(), quota, 100, ALONE, at)
+        });
+        assert_eq!(takes.filter(Result::is_ok).count(), case.admitted, "{}", case.name);
+    }
+}
+
+proptest! {
+    /// Over every window one process keeps rate and burst, whatever it holds.
+    #[test]
+    fn a_window_never_sees_more_than_rate_and_burst(
+        steps in prop::collection::vec((1u64..900, 1u64..300), 1..300),
+        extra in 0.0..5_000.0f64,
+    ) {
+        let quota = Quota { rate: 100.0, burst: 300.0 };
+        let now = Instant::now();
+        let mut book = QuotaBook::new(now);
+        book.set_terms(QuotaTerms { window: ms(8_000), extra });
+        book.restore(&BTreeMap::from([(customer(), 10_000.0)]), now);
+        let mut at = 0;
+        let mut admitted: Vec<(u64, u64)> = Vec::new();
+        for (pause, tokens) in steps {
+            at += pause;
+            if book.take(&customer(), quota, tokens, ALONE, now + ms(at)).is_ok() {
+                admitted.push((at, tokens));
+            }
+            let recent = admitted.iter().filter(|(t, _)| t + 8_000 > at);
+            let sum: u64 = recent.map(|(_, tokens)| tokens).sum();
+            prop_assert!(sum <= 1_100, "{sum} in the window");
+        }
+    }
+}
+
 #[test]
 fn a_process_that_starts_counts_hosts_that_it_has_not_heard() {
     struct Case {
