--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -12,7 +12,7 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     runtime::Builder,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     task::{LocalSet, spawn_local},
 };
 
@@ -62,6 +62,8 @@
 }
 
 async fn start(settings: GatewaySettings) -> Result<(), StartError> {
+    // First of all: until then a signal ends the process.
+    let signals = Signals::new()?;
     let listen = settings.listen;
     let socket = bind_udp(listen.heartbeats).await?;
     let incarnation = fastrand::u64(1..);
@@ -88,7 +90,7 @@
     spawn_local(watch_upstreams(gateway.clone()));
     spawn_local(recall(gateway.clone()));
     spawn_local(announce(gateway.clone()));
-    spawn_signals(&gateway)?;
+    signals.spawn(&gateway);
     gateway.log(&Event::Started { version: env!("CARGO_PKG_VERSION") });
     reactor::drive(stakker, gateway.wake.clone()).await;
     gateway.log(&Event::Leaving {
@@ -127,24 +129,37 @@
     }
 }
 
-fn spawn_signals(gateway: &Rc<Gateway>) -> Result<(), StartError> {
-    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
-        let mut stop = signal(kind).map_err(StartError::Runtime)?;
-        let gateway = gateway.clone();
+/// Signals that the process handles.
+struct Signals {
+    stops: [Signal; 2],
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, StartError> {
+        let listen = |kind| signal(kind).map_err(StartError::Runtime);
+        Ok(Self {
+            stops: [listen(SignalKind::terminate())?, listen(SignalKind::interrupt())?],
+            hangup: listen(SignalKind::hangup())?,
+        })
+    }
+
+    fn spawn(self, gateway: &Rc<Gateway>) {
+        for mut stop in self.stops {
+            let gateway = gateway.clone();
+            spawn_local(async move {
+                while stop.recv().await.is_some() {
+                    gateway.tell(|c| call!([c.leaving], leave()));
+                }
+            });
+        }
+        let (gateway, mut hangup) = (gateway.clone(), self.hangup);
         spawn_local(async move {
-            while stop.recv().await.is_some() {
-                gateway.tell(|c| call!([c.leaving], leave()));
+            while hangup.recv().await.is_some() {
+                reload(&gateway);
             }
         });
     }
-    let mut hangup = signal(SignalKind::hangup()).map_err(StartError::Runtime)?;
-    let gateway = gateway.clone();
-    spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            reload(&gateway);
-        }
-    });
-    Ok(())
 }
 
 /// Reads the settings again. Addresses stay as they are until the next start.
