--- a/src/gateway/board.rs
+++ b/src/gateway/board/mod.rs
@@ -1,6 +1,11 @@
 //! The blackboard: what this process believes. Controllers write it, request
 //! tasks read it, all on one thread.
 
+mod lease;
+mod rate;
+mod store;
+mod upstream;
+
 use std::{
     collections::BTreeMap,
     rc::Rc,
@@ -11,17 +16,20 @@
 
 use super::{
     decide::{
-        Breaker, CacheBelief, Candidate, QuotaBook, QuotaShare, RetryBook, Steadiness, TrueClock,
-        UsageBook,
+        CacheBelief, Candidate, QuotaBook, QuotaShare, RetryBook, Steadiness, TrueClock, UsageBook,
     },
-    model::{Configuration, Revision, ServiceName, Upstream, UpstreamPhase},
+    model::{Configuration, Revision, ServiceName},
     net::Phase,
     peering::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, RecentChanges},
 };
-use crate::{
-    control::LeaseClaim,
-    ids::{DataCentre, UpstreamId},
-};
+use crate::ids::{DataCentre, UpstreamId};
+
+use rate::Rate;
+use store::LAPSE_SEEN;
+
+pub use lease::{LeaseView, OwnLease};
+pub use store::{LAPSE_GRACE, StoreState};
+pub use upstream::{Load, UpstreamView};
 
 /// Between heartbeats: load that is older misleads the choice of engines.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(150);
@@ -42,95 +50,10 @@
 /// hundred of them, a few heartbeats pass until most are.
 const ANNOUNCED_COUNT: Duration = Duration::from_secs(3);
 
-/// Time after the store's return in which rows that lapsed while it was away
-/// are back, if their upstreams live; the platform's figure.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
-/// Time after the store's return in which a row that disappears may have
-/// lapsed while it was away: such rows show with the first answers.
-const LAPSE_SEEN: Duration = Duration::from_millis(700);
-
 /// Processes that read the store and tell the others. Each call is paid for;
 /// three leave one when two are cut off.
 pub const WATCHERS: usize = 3;
 
-/// Load on one upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    /// Requests running or waiting.
-    pub running: u32,
-    /// Prompt tokens that are not read yet.
-    pub pending_tokens: u32,
-}
-
-/// An upstream as this process knows it.
-#[derive(Clone, Debug)]
-pub struct UpstreamView {
-    /// Its own description.
-    pub upstream: Upstream,
-    /// Load that this process puts on it.
-    pub own: Load,
-    /// Load that the other processes put on it, as last heard.
-    pub others: Load,
-    /// Its health as requests saw it.
-    pub breaker: Breaker,
-    /// Until when its row may be missing: that may be the store's fault.
-    pub missing_until: Option<Instant>,
-    /// Since when it is known to leave.
-    pub leaving_since: Option<Instant>,
-}
-
-/// For how long an upstream that leaves gets requests that nobody else takes.
-/// It serves on for two seconds or more, and much of its work ends within one.
-const LAST_RESORT: Duration = Duration::from_millis(1_000);
-
-impl UpstreamView {
-    /// Creates the view of an upstream that was just heard of.
-    pub fn new(upstream: Upstream, now: Instant) -> Self {
-        Self {
-            upstream,
-            own: Load::default(),
-            others: Load::default(),
-            breaker: Breaker::new(now),
-            missing_until: None,
-            leaving_since: None,
-        }
-    }
-
-    /// Returns whether it takes new work.
-    pub fn takes_work(&self) -> bool {
-        self.upstream.phase == UpstreamPhase::Ready
-    }
-
-    /// Takes over its newer description. Returns whether its phase changed.
-    pub fn update(&mut self, upstream: Upstream, now: Instant) -> bool {
-        let changed = self.upstream.phase != upstream.phase;
-        if changed {
-            self.leaving_since = (upstream.phase == UpstreamPhase::Draining).then_some(now);
-        }
-        self.upstream = upstream;
-        self.missing_until = None;
-        changed
-    }
-
-    /// Returns whether it still takes requests that no other upstream takes.
-    pub fn is_last_resort(&self, now: Instant) -> bool {
-        let recent = |t: Instant| now.saturating_duration_since(t) < LAST_RESORT;
-        self.leaving_since.is_some_and(recent)
-    }
-}
-
-/// Whether the store answers this process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum StoreState {
-    /// It has answered all along.
-    #[default]
-    Up,
-    /// It has not answered since then.
-    Away(Instant),
-    /// It answers again since then.
-    Returned(Instant),
-}
-
 /// Another gateway as last heard.
 #[derive(Clone, Debug)]
 pub struct PeerView {
@@ -140,78 +63,6 @@
     pub heard: Instant,
 }
 
-/// For how long after its end a lease is told of: until another holds it.
-const CLAIM_TOLD: Duration = Duration::from_secs(10);
-
-/// A lease that this process holds, or held last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OwnLease {
-    /// Fencing number.
-    pub fence: u64,
-    /// Number of the renewal that it rests on.
-    pub renewal: u64,
-    /// When that renewal was sent.
-    pub sent: Instant,
-    /// Until when this process may act.
-    pub until: Instant,
-    /// Whether this process has given it up.
-    pub given_up: bool,
-}
-
-/// The lease on the duties as this process sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LeaseView {
-    /// The lease that this process holds, or held last.
-    pub own: Option<OwnLease>,
-}
-
-impl LeaseView {
-    /// Returns the fencing number with which this process may act at `now`.
-    pub fn may_act(&self, now: Instant) -> Option<u64> {
-        self.own.filter(|own| !own.given_up && now < own.until).map(|own| own.fence)
-    }
-
-    /// Stops acting under the lease for good.
-    pub fn give_up(&mut self) {
-        if let Some(own) = &mut self.own {
-            own.given_up = true;
-        }
-    }
-
-    /// Returns what the others are told.
-    pub fn claim(&self, now: Instant) -> Option<LeaseClaim> {
-        let own = self.own.filter(|own| now < own.until + CLAIM_TOLD)?;
-        Some(LeaseClaim {
-            fence: own.fence,
-            renewal: own.renewal,
-            age_ms: now.saturating_duration_since(own.sent).as_millis() as u64,
-            given_up: own.given_up,
-        })
-    }
-}
-
-/// Prompt tokens that callers bring, smoothed.
-#[derive(Clone, Copy, Debug)]
-struct Rate {
-    per_second: f64,
-    at: Instant,
-}
-
-/// Time over which the rate of prompt tokens is smoothed.
-const RATE_SPAN: f64 = 3.0;
-
-impl Rate {
-    fn decayed(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at).as_secs_f64();
-        self.per_second * (-age / RATE_SPAN).exp()
-    }
-
-    fn add(&mut self, tokens: f64, now: Instant) {
-        self.per_second = self.decayed(now) + tokens / RATE_SPAN;
-        self.at = now;
-    }
-}
-
 /// What this process believes.
 #[derive(Debug)]
 pub struct Board {
@@ -389,7 +240,7 @@
 
     /// Counts prompt tokens that the engines of a service have to read.
     pub fn add_demand(&mut self, service: &ServiceName, tokens: u32, now: Instant) {
-        let rate = self.demand.entry(service.clone()).or_insert(Rate { per_second: 0.0, at: now });
+        let rate = self.demand.entry(service.clone()).or_insert_with(|| Rate::new(now));
         rate.add(f64::from(tokens), now);
     }
 
--- /dev/null
+++ b/src/gateway/board/upstream.rs
@@ -0,0 +1,74 @@
+//! An upstream as this process knows it.
+
+use std::time::{Duration, Instant};
+
+use crate::gateway::{
+    decide::Breaker,
+    model::{Upstream, UpstreamPhase},
+};
+
+/// Load on one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests running or waiting.
+    pub running: u32,
+    /// Prompt tokens that are not read yet.
+    pub pending_tokens: u32,
+}
+
+/// An upstream as this process knows it.
+#[derive(Clone, Debug)]
+pub struct UpstreamView {
+    /// Its own description.
+    pub upstream: Upstream,
+    /// Load that this process puts on it.
+    pub own: Load,
+    /// Load that the other processes put on it, as last heard.
+    pub others: Load,
+    /// Its health as requests saw it.
+    pub breaker: Breaker,
+    /// Until when its row may be missing: that may be the store's fault.
+    pub missing_until: Option<Instant>,
+    /// Since when it is known to leave.
+    pub leaving_since: Option<Instant>,
+}
+
+/// For how long an upstream that leaves gets requests that nobody else takes.
+/// It serves on for two seconds or more, and much of its work ends within one.
+const LAST_RESORT: Duration = Duration::from_millis(1_000);
+
+impl UpstreamView {
+    /// Creates the view of an upstream that was just heard of.
+    pub fn new(upstream: Upstream, now: Instant) -> Self {
+        Self {
+            upstream,
+            own: Load::default(),
+            others: Load::default(),
+            breaker: Breaker::new(now),
+            missing_until: None,
+            leaving_since: None,
+        }
+    }
+
+    /// Returns whether it takes new work.
+    pub fn takes_work(&self) -> bool {
+        self.upstream.phase == UpstreamPhase::Ready
+    }
+
+    /// Takes over its newer description. Returns whether its phase changed.
+    pub fn update(&mut self, upstream: Upstream, now: Instant) -> bool {
+        let changed = self.upstream.phase != upstream.phase;
+        if changed {
+            self.leaving_since = (upstream.phase == UpstreamPhase::Draining).then_some(now);
+        }
+        self.upstream = upstream;
+        self.missing_until = None;
+        changed
+    }
+
+    /// Returns whether it still takes requests that no other upstream takes.
+    pub fn is_last_resort(&self, now: Instant) -> bool {
+        let recent = |t: Instant| now.saturating_duration_since(t) < LAST_RESORT;
+        self.leaving_since.is_some_and(recent)
+    }
+}
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -7,6 +7,7 @@
 mod kept;
 mod leaving;
 mod peers;
+mod usage_report;
 mod watch;
 
 use std::rc::Rc;
