--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::HeardClaim;
+use super::{HeardClaim, LeaseClaim};
 
 /// The row that stands for a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,10 +80,14 @@
         row.holder != self.own && holder.is_some() && holder == self.host.as_deref()
     }
 
-    /// Notes what another process says of its lease. Earlier holders go on
-    /// saying that they gave theirs up.
+    /// Notes what another process says of its lease. Holders go on saying that
+    /// they gave theirs up: the first time counts.
     pub fn hear(&mut self, heard: HeardClaim) {
-        if self.heard.as_ref().is_none_or(|known| known.claim.fence <= heard.claim.fence) {
+        let (new, known) = (heard.claim, self.heard.as_ref().map(|k| k.claim));
+        let tells_more = |known: LeaseClaim| {
+            new.fence > known.fence || (new.fence == known.fence && !known.given_up)
+        };
+        if known.is_none_or(tells_more) {
             self.heard = Some(heard);
         }
     }
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -221,6 +221,26 @@
     }
 }
 
+#[test]
+fn a_claim_given_up_counts_from_the_first_time_it_is_heard() {
+    let now = Instant::now();
+    let timing = LeaseTiming { ttl: ms(3_200), margin: ms(700) };
+    let mut lease = Lease::new("host-1.77".to_owned(), timing);
+    let holder = "host-2.5f".to_owned();
+    let claim = LeaseClaim { fence: 4, renewal: 9, age_ms: 1_600, given_up: false };
+    let hear = |lease: &mut Lease, at, claim| {
+        lease.hear(HeardClaim { holder: holder.clone(), claim, at: now + ms(at) });
+    };
+    hear(&mut lease, 0, claim);
+    // Heartbeats repeat it more often than a call of the holder may take.
+    let given_up = LeaseClaim { given_up: true, ..claim };
+    (1..10).for_each(|i| hear(&mut lease, i * 150, given_up));
+    hear(&mut lease, 1_400, LeaseClaim { fence: 3, ..given_up });
+    let later = now + ms(1_450);
+    lease.observe(12, Some(LeaseRow { holder: holder.clone(), fence: 4, renewal: 9 }), later);
+    assert!(matches!(lease.next_action(later), LeaseAction::Write { .. }), "it is free");
+}
+
 #[test]
 fn a_lease_that_was_given_up_is_not_acted_on() {
     let now = Instant::now();
