--- /dev/null
+++ b/tests/gateway_choice.rs
@@ -0,0 +1,204 @@
+//! Choice of an upstream: predicted wait, health, caches, and who is left.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use tackhollow::gateway::{
+    board::UpstreamView,
+    decide::{
+        Breaker, CacheBelief, Candidate, EngineSpeed, Verdict, choose_engine, predicted_wait,
+    },
+    model::{Upstream, UpstreamPhase},
+};
+
+const SPEED: EngineSpeed = EngineSpeed { prefill: 50_000.0 };
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const IDLE: Candidate = Candidate {
+    running: 0.0,
+    pending_tokens: 0.0,
+    slots: 64,
+    missing_tokens: 1_000.0,
+    slowness: 1.0,
+    failures: 0.0,
+    remote: false,
+    chance: 0.0,
+};
+
+#[test]
+fn the_upstream_with_the_shortest_predicted_wait_is_chosen() {
+    struct Case {
+        name: &'static str,
+        candidates: Vec<Candidate>,
+        best: Option<usize>,
+    }
+    let cases = [
+        Case { name: "none", candidates: vec![], best: None },
+        Case {
+            name: "a cached prefix",
+            candidates: vec![Candidate { missing_tokens: 17_000.0, ..IDLE }, IDLE],
+            best: Some(1),
+        },
+        Case {
+            name: "a cached prefix behind a long queue",
+            candidates: vec![
+                Candidate { missing_tokens: 17_000.0, ..IDLE },
+                Candidate { pending_tokens: 90_000.0, ..IDLE },
+            ],
+            best: Some(0),
+        },
+        Case {
+            name: "recent failures",
+            candidates: vec![
+                Candidate { failures: 2.0, ..IDLE },
+                Candidate { running: 20.0, ..IDLE },
+            ],
+            best: Some(1),
+        },
+        Case {
+            name: "all failing, one must do",
+            candidates: vec![
+                Candidate { failures: 3.0, ..IDLE },
+                Candidate { failures: 2.0, ..IDLE },
+            ],
+            best: Some(1),
+        },
+        Case {
+            name: "slots taken",
+            candidates: vec![
+                Candidate { running: 70.0, ..IDLE },
+                Candidate { running: 40.0, ..IDLE },
+            ],
+            best: Some(1),
+        },
+        Case {
+            name: "slow answers",
+            candidates: vec![
+                Candidate { slowness: 7.0, ..IDLE },
+                Candidate { running: 9.0, ..IDLE },
+            ],
+            best: Some(1),
+        },
+        Case {
+            name: "the own data centre",
+            candidates: vec![Candidate { remote: true, ..IDLE }, IDLE],
+            best: Some(1),
+        },
+    ];
+    for case in cases {
+        assert_eq!(choose_engine(&case.candidates, SPEED), case.best, "{}", case.name);
+    }
+}
+
+proptest! {
+    /// More load never makes the predicted wait shorter.
+    #[test]
+    fn the_predicted_wait_grows_with_load(
+        running in 0.0..200.0f64, pending in 0.0..200_000.0f64, more in 0.0..50.0f64,
+    ) {
+        let c = Candidate { running, pending_tokens: pending, ..IDLE };
+        let busier = Candidate { running: running + more, ..c };
+        let queued = Candidate { pending_tokens: pending + more, ..c };
+        prop_assert!(predicted_wait(&busier, SPEED) >= predicted_wait(&c, SPEED));
+        prop_assert!(predicted_wait(&queued, SPEED) >= predicted_wait(&c, SPEED));
+    }
+}
+
+#[test]
+fn failures_age_and_successes_outweigh_them() {
+    let now = Instant::now();
+    let mut breaker = Breaker::new(now);
+    (0..50).for_each(|_| breaker.record(Verdict::Failed, now));
+    let many = breaker.recent_failures(now);
+    assert!(many <= 8.0, "failures are bounded, so that recovery is seen: {many}");
+    assert!(breaker.recent_failures(now + ms(8_000)) < many / 10.0);
+    (0..12).for_each(|_| breaker.record(Verdict::Good, now));
+    assert!(breaker.recent_failures(now) < 0.5);
+}
+
+#[test]
+fn an_upstream_that_cannot_be_reached_is_avoided_for_a_while() {
+    struct Case {
+        name: &'static str,
+        /// When it was tried and how that ended.
+        tries: Vec<(u64, Verdict)>,
+        at: u64,
+        avoided: bool,
+    }
+    let unreachable = Verdict::Unreachable;
+    let cases = [
+        Case { name: "not tried", tries: vec![], at: 0, avoided: false },
+        Case {
+            name: "its answers failed",
+            tries: vec![(0, Verdict::Failed)],
+            at: 1,
+            avoided: false,
+        },
+        Case { name: "out of reach", tries: vec![(0, unreachable)], at: 400, avoided: true },
+        Case { name: "time to try again", tries: vec![(0, unreachable)], at: 600, avoided: false },
+        Case {
+            name: "many tries at once count once",
+            tries: vec![(0, unreachable), (1, unreachable), (2, unreachable)],
+            at: 600,
+            avoided: false,
+        },
+        Case {
+            name: "out of reach again, for longer",
+            tries: vec![(0, unreachable), (600, unreachable)],
+            at: 1_400,
+            avoided: true,
+        },
+        Case {
+            name: "reached since",
+            tries: vec![(0, unreachable), (100, Verdict::Good)],
+            at: 101,
+            avoided: false,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut breaker = Breaker::new(now);
+        case.tries.iter().for_each(|(at, verdict)| breaker.record(*verdict, now + ms(*at)));
+        assert_eq!(breaker.is_avoided(now + ms(case.at)), case.avoided, "{}", case.name);
+    }
+}
+
+#[test]
+fn the_least_recently_used_prefix_yields() {
+    let now = Instant::now();
+    let mut cache = CacheBelief::default();
+    let engine = "engine-1".to_owned();
+    for (i, prefix) in [1u64, 2, 1, 3].into_iter().enumerate() {
+        cache.note(&engine, prefix, 300, 1_000, now + ms(i as u64));
+    }
+    assert_eq!([1, 2, 3].map(|p| cache.holds(&engine, p)), [true, false, true]);
+    assert!(!cache.holds(&"engine-2".to_owned(), 1));
+    cache.retain(|_| false);
+    assert!(!cache.holds(&engine, 1));
+}
+
+#[test]
+fn who_begins_to_leave_is_a_last_resort_for_a_while() {
+    let now = Instant::now();
+    let upstream = |phase| Upstream {
+        id: "i-1".to_owned(),
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".to_owned(),
+        phase,
+        slots: 64,
+        reclaimable: true,
+        leaves_in: None,
+    };
+    let mut view = UpstreamView::new(upstream(UpstreamPhase::Ready), now);
+    assert!(view.takes_work() && !view.is_last_resort(now));
+    assert!(view.update(upstream(UpstreamPhase::Draining), now + ms(100)), "its phase changed");
+    assert!(!view.update(upstream(UpstreamPhase::Draining), now + ms(900)), "told once more");
+    assert!(!view.takes_work() && view.is_last_resort(now + ms(1_000)));
+    assert!(!view.is_last_resort(now + ms(1_200)), "it may be gone soon");
+    let known_late = UpstreamView::new(upstream(UpstreamPhase::Draining), now);
+    assert!(!known_late.is_last_resort(now), "nobody knows since when it leaves");
+}
