A leaving entry process that falls silent counts as gone

The others answered 'home unreachable, ask again' until the caller gave up after a minute. It showed when the announcement got round before the kill. Ruled out: load (the answers came within milliseconds), a wrong key.

Change: a leaving member that leaves three heartbeats unanswered, for as long as a suspect has, is dead; it is asked every other time, so that this holds in large views. It objects as before if it lives.

The gateway does not use this membership; its code is unchanged.

--- a/src/membership/heartbeats.rs
+++ b/src/membership/heartbeats.rs
@@ -61,21 +61,22 @@
         let waiting = std::mem::take(&mut self.waiting);
         let mut changed = false;
         let mut effects = Vec::new();
+        for (id, w) in &waiting {
+            if let Some(member) = self.members.get_mut(id) {
+                member.note_heartbeat(w.answered, now);
+            }
+        }
         for (id, _) in waiting.into_iter().filter(|(_, w)| !w.answered) {
             if self.mark(&id, Liveness::Alive, Liveness::Suspect, now) {
                 effects.extend(self.warn_suspect(&id));
             }
         }
         let patience = self.patience();
-        let overdue: Vec<EntryId> = self
-            .members
-            .values()
-            .filter(|m| m.state.liveness == Liveness::Suspect)
-            .filter(|m| now.duration_since(m.since) >= patience)
-            .map(|m| m.state.contact.id.clone())
-            .collect();
-        for id in overdue {
-            self.mark(&id, Liveness::Suspect, Liveness::Dead, now);
+        let overdue = self.members.values().filter(|m| m.is_overdue(patience, now));
+        let overdue: Vec<(EntryId, Liveness)> =
+            overdue.map(|m| (m.state.contact.id.clone(), m.state.liveness)).collect();
+        for (id, liveness) in overdue {
+            self.mark(&id, liveness, Liveness::Dead, now);
             changed = true;
         }
         let forget = self.timing.forget_after;
@@ -155,8 +156,14 @@
 
     /// Returns the next member to ping: each once in a random order, then anew.
     /// A dead member is tried too, now and then, so that a healed partition
-    /// is noticed.
+    /// is noticed. Every other time a leaving member that did not answer is
+    /// asked again: in a large view its turn would come too late.
     pub(super) fn next_target(&mut self) -> Option<EntryId> {
+        if self.seq.is_multiple_of(2)
+            && let Some(silent) = self.silent_leaving()
+        {
+            return Some(silent);
+        }
         if self.order.is_empty() {
             self.order = self.members.keys().cloned().collect();
             self.rng.shuffle(&mut self.order);
@@ -169,6 +176,13 @@
         None
     }
 
+    /// Returns the leaving member that has been asked least since it fell silent.
+    fn silent_leaving(&self) -> Option<EntryId> {
+        let leaving = self.members.values().filter(|m| m.state.liveness == Liveness::Leaving);
+        let silent = leaving.filter_map(|m| Some((m.unanswered?.0, &m.state.contact.id)));
+        silent.min().map(|(_, id)| id.clone())
+    }
+
     pub(super) fn random_members(&mut self, count: usize, except: &str) -> Vec<SocketAddr> {
         let working = self.members.values().filter(|m| m.is_working());
         let mut addrs: Vec<SocketAddr> = working
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -145,6 +145,41 @@
     assert!(net.agrees(), "the partition does not heal");
 }
 
+/// What becomes of a process that has announced that it leaves.
+struct LeavingCase {
+    name: &'static str,
+    processes: usize,
+    lost_percent: u8,
+    dies: bool,
+}
+
+#[test]
+fn a_leaving_process_is_gone_once_it_is_silent() {
+    let cases = [
+        LeavingCase { name: "dies, one is left", processes: 2, lost_percent: 0, dies: true },
+        LeavingCase { name: "dies among many", processes: 12, lost_percent: 5, dies: true },
+        LeavingCase { name: "dies among very many", processes: 60, lost_percent: 2, dies: true },
+        LeavingCase { name: "lives on for long", processes: 2, lost_percent: 0, dies: false },
+        LeavingCase { name: "lives on among many", processes: 12, lost_percent: 5, dies: false },
+    ];
+    for case in cases {
+        let mut net = Net::start(case.processes, case.lost_percent, 11);
+        net.run(Duration::from_secs(40));
+        assert!(net.agrees(), "{}", case.name);
+        let now = net.now;
+        let leaving = net.views.get_mut(&addr(1)).expect("it is there");
+        let home = leaving.own_contact().home.clone();
+        leaving.leave(now);
+        net.run(Duration::from_secs(5));
+        if case.dies {
+            net.views.remove(&addr(1));
+        }
+        net.run(Duration::from_secs(60));
+        let mut others = net.views.iter().filter(|(a, _)| **a != addr(1));
+        assert!(others.all(|(_, v)| v.is_known_dead(&home) == case.dies), "{}", case.name);
+    }
+}
+
 #[test]
 fn traffic_at_rest_does_not_grow_with_the_size() {
     let per_process = |count: usize| {
