--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -46,13 +46,16 @@
 ];
 
 /// Headers that only this system may set towards an upstream.
-const OWN_HEADERS: [HeaderName; 9] = [
+const OWN_HEADERS: [HeaderName; 10] = [
     KEY,
     CUSTOMER,
     EXPECT_INSTANCE,
     PRIORITY,
     HeaderName::from_static("x-expect-version"),
     HeaderName::from_static("x-hold"),
+    // Keeps a finished request's cache from yielding to others; a caller that
+    // sets it would take memory from all the others at that engine.
+    HeaderName::from_static("x-pin-ms"),
     HeaderName::from_static("x-kv-backup"),
     HeaderName::from_static("kv-from"),
     HeaderName::from_static("kv-fetch"),
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -140,6 +140,7 @@
         ("x-expect-instance", "forged"),
         ("x-request-priority", "0"),
         ("kv-from", "10.0.0.1:1/7"),
+        ("x-pin-ms", "4000"),
         ("connection", "close, x-hop"),
         ("x-hop", "1"),
         ("x-kept", "1"),
