Speed of engines is learnt, and the need of engines follows the load

Change: base, time a token and time a running request are fitted by service from first tokens; the rate of requests is followed at once, the cost of one slowly. Planned use 1.0 of reading and 0.7 of the slots, factor 2, floor 2.

--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -27,10 +27,12 @@
 {{/bounds.leaseMs}}{{#bounds.ttl_max_s}}directory_ttl_s = {{bounds.ttl_max_s}}
 {{/bounds.ttl_max_s}}
 [capacity]
-reclaimable_factor = 4.0
+reclaimable_factor = 2.0
 survive_share = 1.1
 on_demand_floor = 0
-needed_floor = 6.0
+needed_floor = 2.0
 start_share = 0.15
-prefill_share = 0.55
-slot_share = 0.5
+prefill_share = 1.0
+slot_share = 0.7
+losses = 1
+losses_while_dry = 2
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -2,7 +2,6 @@
 //! tasks read it, all on one thread.
 
 mod lease;
-mod rate;
 mod store;
 mod upstream;
 
@@ -16,15 +15,15 @@
 
 use super::{
     decide::{
-        CacheBelief, Candidate, QuotaBook, QuotaShare, RetryBook, Steadiness, TrueClock, UsageBook,
+        CacheBelief, Candidate, EngineSpeed, LoadMeter, PlannedUse, QuotaBook, QuotaShare,
+        RetryBook, SpeedModel, Steadiness, TrueClock, UsageBook, engines_needed,
     },
     model::{Configuration, Revision, ServiceName},
     net::Phase,
-    peering::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, RecentChanges},
+    peering::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport},
 };
 use crate::ids::{DataCentre, UpstreamId};
 
-use rate::Rate;
 use store::LAPSE_SEEN;
 
 pub use lease::{LeaseView, OwnLease};
@@ -105,7 +104,8 @@
     pub steadiness: Steadiness,
     /// Requests in progress.
     pub in_progress: usize,
-    demand: BTreeMap<ServiceName, Rate>,
+    loads: BTreeMap<ServiceName, LoadMeter>,
+    speeds: BTreeMap<ServiceName, SpeedModel>,
     started: Instant,
 }
 
@@ -132,7 +132,8 @@
             store: StoreState::Up,
             steadiness: Steadiness::default(),
             in_progress: 0,
-            demand: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            speeds: BTreeMap::new(),
             started: now,
         }
     }
@@ -238,28 +239,54 @@
         }
     }
 
-    /// Counts prompt tokens that the engines of a service have to read.
-    pub fn add_demand(&mut self, service: &ServiceName, tokens: u32, now: Instant) {
-        let rate = self.demand.entry(service.clone()).or_insert_with(|| Rate::new(now));
-        rate.add(f64::from(tokens), now);
+    /// Returns how fast the upstreams of a service are, as far as is known.
+    pub fn speed(&self, service: &str) -> EngineSpeed {
+        let mut speed = self.speeds.get(service).map(SpeedModel::speed).unwrap_or_default();
+        let cost = self.loads.get(service).and_then(|l| l.cost(Instant::now()));
+        speed.held = cost.map_or(speed.held, |c| c.held);
+        speed
     }
 
-    /// Returns the demand of this process's callers.
+    /// Returns what learns how fast the upstreams of a service are.
+    pub fn speed_model(&mut self, service: &ServiceName) -> &mut SpeedModel {
+        self.speeds.entry(service.clone()).or_default()
+    }
+
+    /// Returns what this process has learnt of the speed of upstreams.
+    pub fn own_speeds(&self) -> Vec<SpeedReport> {
+        let speeds = self.speeds.iter();
+        speeds.map(|(service, model)| SpeedReport::new(service, model)).collect()
+    }
+
+    /// Returns the meter of the load that this process's callers bring.
+    pub fn load_meter(&mut self, service: &ServiceName, now: Instant) -> &mut LoadMeter {
+        self.loads.entry(service.clone()).or_insert_with(|| LoadMeter::new(now))
+    }
+
+    /// Returns the requests that this process's callers bring.
     pub fn own_demand(&self, now: Instant) -> Vec<Demand> {
-        let demand = self.demand.iter();
+        let demand = self.loads.iter();
         demand
-            .map(|(s, r)| Demand { service: s.clone(), prompt_rate: r.decayed(now) as f32 })
+            .map(|(s, l)| Demand { service: s.clone(), request_rate: l.rate(now) as f32 })
             .collect()
     }
 
-    /// Returns the prompt tokens a second that all callers bring to a service.
+    /// Returns the requests a second that all callers bring to a service.
     pub fn total_demand(&self, service: &str, now: Instant) -> f64 {
-        let own = self.demand.get(service).map_or(0.0, |r| r.decayed(now));
+        let own = self.loads.get(service).map_or(0.0, |l| l.rate(now));
         let others = self.heard(now).flat_map(|p| &p.last.demand);
-        let others = others.filter(|d| d.service == service).map(|d| f64::from(d.prompt_rate));
+        let others = others.filter(|d| d.service == service).map(|d| f64::from(d.request_rate));
         own + others.sum::<f64>()
     }
 
+    /// Returns the engines that the load of a service needs, as far as is known.
+    pub fn engines_needed(&self, service: &str, planned: PlannedUse, now: Instant) -> f64 {
+        let cost = self.loads.get(service).and_then(|l| l.cost(now)).unwrap_or_default();
+        let slots = self.of_service(service).map(|v| v.upstream.slots).max().unwrap_or(1);
+        let rate = self.total_demand(service, now);
+        engines_needed(rate, cost, self.speed(service), slots, planned)
+    }
+
     /// Returns the load that this process puts on upstreams.
     pub fn own_loads(&self) -> Vec<LoadReport> {
         let loaded = self.upstreams.iter().filter(|(_, v)| v.own != Load::default());
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -15,12 +15,10 @@
         context::Gateway,
         decide::{CapacityInput, Fleet, OrderPace, PaceInput, Wish, needed_at_start, plan_engines},
         model::{Configuration, Scaling, ServiceName},
-        request::PREFILL_TOKENS_PER_SECOND,
         telemetry::Event,
     },
     ids::{DataCentre, UpstreamId},
     platform::{EngineOrder, OrderOutcome, PlatformError},
-    settings::CapacitySettings,
     telemetry::count,
 };
 
@@ -29,11 +27,6 @@
 /// How long after the load begins the number planned for the start is kept: by
 /// then its rate is known and the engines' caches are warm.
 const START_FOR: Duration = Duration::from_secs(8);
-/// Data centres that may lose their reclaimable engines next.
-const LOSSES: usize = 1;
-/// The same while the platform has none to give: it takes them back in waves,
-/// a data centre every few seconds, and one on demand takes longer to start.
-const LOSSES_WHILE_DRY: usize = 2;
 
 type Key = (ServiceName, DataCentre, bool);
 
@@ -116,12 +109,13 @@
     fn plan_service(&mut self, service: &ServiceName, scaling: &Scaling, now: Instant) {
         let capacity = self.gateway.settings.borrow().capacity;
         let board = self.gateway.board.borrow();
-        let needed = engines_needed(&board, service, &capacity, now);
+        let needed = board.engines_needed(service, capacity.planned, now);
         let fleets = fleets(&board, service, scaling);
         drop(board);
         let floor = self.floor(service, needed_at_start(scaling, &capacity.policy), now);
         let dry = self.is_dry(service);
-        let losses = if dry { LOSSES_WHILE_DRY } else { LOSSES };
+        let policy = &capacity.policy;
+        let losses = if dry { policy.losses_while_dry } else { policy.losses };
         let input = CapacityInput { needed: needed.max(floor), scaling, fleets: &fleets, losses };
         for (data_centre, wish) in plan_engines(&input, &capacity.policy) {
             for (reclaimable, wished, serving) in kinds(wish, fleets[&data_centre]) {
@@ -177,6 +171,7 @@
         reclaimable: order.reclaimable,
         count: order.count,
         needed,
+        tokens_per_second: 1.0 / gateway.board.borrow().speed(&order.service).per_token,
         fence: fence().unwrap_or_default(),
         outcome: outcome.as_ref().ok().copied(),
         error: &error,
@@ -190,22 +185,6 @@
     gateway.tell(|c| call!([c.capacity], ordered(order, outcome)));
 }
 
-/// Returns how many engines the load needs now.
-fn engines_needed(board: &Board, service: &str, capacity: &CapacitySettings, now: Instant) -> f64 {
-    let prefill = PREFILL_TOKENS_PER_SECOND * capacity.prefill_share;
-    let reading = board.total_demand(service, now) / prefill;
-    let of_service = board.of_service(service);
-    let (mut running, mut slots) = (0.0, 1.0_f64);
-    for view in of_service {
-        // Requests that wait count up to a full engine: a queue tells of the
-        // load of a moment ago, and would order engines without end.
-        let most = view.upstream.slots.max(1);
-        running += f64::from((view.own.running + view.others.running).min(most));
-        slots = slots.max(f64::from(most));
-    }
-    reading + running / (slots * capacity.slot_share)
-}
-
 fn fleets(board: &Board, service: &str, scaling: &Scaling) -> BTreeMap<DataCentre, Fleet> {
     let names = scaling.prices.keys().cloned();
     let mut fleets: BTreeMap<DataCentre, Fleet> = names.map(|n| (n, Fleet::default())).collect();
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -170,6 +170,9 @@
                 board.cache.note(&prefix.2, prefix.0, prefix.1, capacity, now);
             }
         }
+        for report in &heartbeat.speeds {
+            board.speed_model(&report.service).adopt(report.speed(), f64::from(report.requests));
+        }
         for (window, counts) in &heartbeat.usage {
             board.usage.hear(&process, *window, counts);
         }
@@ -331,6 +334,7 @@
             admitted: board.quotas.own_totals().map(|(c, n)| (c.clone(), n)).collect(),
             usage: Vec::new(),
             demand: board.own_demand(now),
+            speeds: board.own_speeds(),
         }
     }
 }
--- a/src/gateway/decide/engine.rs
+++ b/src/gateway/decide/engine.rs
@@ -2,28 +2,17 @@
 
 use std::time::Duration;
 
+use super::EngineSpeed;
+
 /// Cost of one recent failure, in seconds of delay: about what a failed
 /// attempt costs its caller.
 const FAILURE_COST: f64 = 0.4;
-/// Delay that each running request adds to those beside it, in seconds:
-/// a larger batch makes every step longer.
-const BATCH_COST: f64 = 0.002;
-/// Delay of a request that finds all slots taken, in seconds for each request
-/// ahead of it: a slot becomes free when one of some sixty runs ends.
-const FULL_COST: f64 = 0.03;
 /// Delay between data centres and price of their traffic, in seconds.
 const REMOTE_COST: f64 = 0.002;
 /// Largest part of the cost that is left to chance, in seconds, so that
 /// processes with the same view do not all choose the same upstream.
 const JITTER: f64 = 0.004;
 
-/// How fast the engines of a service are.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EngineSpeed {
-    /// Prompt tokens read in a second.
-    pub prefill: f64,
-}
-
 /// An upstream that could run the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -51,9 +40,11 @@
 }
 
 fn wait_seconds(c: &Candidate, speed: EngineSpeed) -> f64 {
-    let reading = (c.pending_tokens + c.missing_tokens).max(0.0) / speed.prefill;
-    let over = (c.running + 1.0 - f64::from(c.slots.max(1))).max(0.0);
-    (reading + c.running.max(0.0) * BATCH_COST + over * FULL_COST) * c.slowness
+    let slots = f64::from(c.slots.max(1));
+    let first = speed.first_token(c.pending_tokens + c.missing_tokens, c.running.min(slots));
+    // With all slots taken, one becomes free each time one of the runs ends.
+    let ahead = (c.running + 1.0 - slots).max(0.0);
+    (first + ahead * speed.held / slots) * c.slowness
 }
 
 fn cost(c: &Candidate, speed: EngineSpeed) -> f64 {
--- /dev/null
+++ b/src/gateway/decide/need.rs
@@ -0,0 +1,126 @@
+//! How many engines a service's load needs.
+//!
+//! The need belongs to the load and not to the state that a loss has left: after
+//! a loss, caches are cold and requests run longer beside each other, and a need
+//! taken from that state orders engines for as long as the disturbance lasts. So
+//! the rate of requests is followed at once, and what one request costs only
+//! slowly. Trials on the look-up fleet: from the state, the need rose from 6 to
+//! 23 engines within ten seconds of the loss of a data centre at a steady rate.
+
+use std::time::Instant;
+
+use super::EngineSpeed;
+
+/// Time over which the rate of requests is smoothed, in seconds: bursts last a
+/// few seconds, and an engine takes as long to start.
+const RATE_SPAN: f64 = 3.0;
+/// Time over which the cost of a request is smoothed, in seconds: longer than
+/// the waves in which the platform takes engines back.
+const COST_SPAN: f64 = 20.0;
+
+/// A sum whose earlier parts count less and less.
+#[derive(Clone, Copy, Debug)]
+struct Fading {
+    sum: f64,
+    at: Instant,
+    span: f64,
+}
+
+impl Fading {
+    fn new(span: f64, now: Instant) -> Self {
+        Self { sum: 0.0, at: now, span }
+    }
+
+    fn get(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        self.sum * (-age / self.span).exp()
+    }
+
+    fn add(&mut self, amount: f64, now: Instant) {
+        self.sum = self.get(now) + amount;
+        self.at = self.at.max(now);
+    }
+}
+
+/// What one request costs its engine, on average.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RequestCost {
+    /// Prompt tokens that no cache holds.
+    pub tokens: f64,
+    /// Seconds for which it holds a slot.
+    pub held: f64,
+}
+
+/// Requests that callers bring to one service through this process.
+#[derive(Clone, Debug)]
+pub struct LoadMeter {
+    rate: Fading,
+    requests: Fading,
+    tokens: Fading,
+    runs: Fading,
+    held: Fading,
+}
+
+impl LoadMeter {
+    /// Begins without load.
+    pub fn new(now: Instant) -> Self {
+        let slow = Fading::new(COST_SPAN, now);
+        Self {
+            rate: Fading::new(RATE_SPAN, now),
+            requests: slow,
+            tokens: slow,
+            runs: slow,
+            held: slow,
+        }
+    }
+
+    /// Counts a request that has `tokens` prompt tokens to read.
+    pub fn request(&mut self, tokens: u32, now: Instant) {
+        self.rate.add(1.0, now);
+        self.requests.add(1.0, now);
+        self.tokens.add(f64::from(tokens), now);
+    }
+
+    /// Counts a request that ended, after it held its slot for `held` seconds.
+    pub fn ended(&mut self, held: f64, now: Instant) {
+        self.runs.add(1.0, now);
+        self.held.add(held, now);
+    }
+
+    /// Returns the requests a second.
+    pub fn rate(&self, now: Instant) -> f64 {
+        self.rate.get(now) / RATE_SPAN
+    }
+
+    /// Returns what a request costs; `None` before the first one has ended.
+    pub fn cost(&self, now: Instant) -> Option<RequestCost> {
+        let mean = |sum: &Fading, count: &Fading| sum.get(now) / count.get(now);
+        (self.runs.get(now) > 0.0 && self.requests.get(now) > 0.0).then(|| RequestCost {
+            tokens: mean(&self.tokens, &self.requests),
+            held: mean(&self.held, &self.runs),
+        })
+    }
+}
+
+/// How much of an engine is planned with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlannedUse {
+    /// Share of the time that may go into reading prompts, by the time that a
+    /// token adds to the first token's.
+    pub reading: f64,
+    /// Share of the slots that may be taken.
+    pub slots: f64,
+}
+
+/// Returns the engines needed for `rate` requests a second at that cost.
+pub fn engines_needed(
+    rate: f64,
+    cost: RequestCost,
+    speed: EngineSpeed,
+    slots: u32,
+    planned: PlannedUse,
+) -> f64 {
+    let reading = rate * cost.tokens * speed.per_token / planned.reading;
+    let running = rate * cost.held / (f64::from(slots.max(1)) * planned.slots);
+    reading + running
+}
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -9,7 +9,7 @@
 use crate::{
     control::LeaseClaim,
     gateway::{
-        decide::{Counts, Window},
+        decide::{Counts, EngineSpeed, SpeedModel, Window},
         model::{CustomerName, Revision, ServiceName},
         net::Phase,
     },
@@ -48,8 +48,34 @@
 pub struct Demand {
     /// Service.
     pub service: ServiceName,
-    /// Prompt tokens a second that engines have to read.
-    pub prompt_rate: f32,
+    /// Requests a second.
+    pub request_rate: f32,
+}
+
+/// How fast the upstreams of a service are, as one process has learnt.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SpeedReport {
+    /// Service.
+    pub service: ServiceName,
+    /// Requests that it rests on; older ones count less.
+    pub requests: f32,
+    /// See [`EngineSpeed`]: base, seconds a token, seconds a running request.
+    parts: [f32; 3],
+}
+
+impl SpeedReport {
+    /// Tells what `model` has learnt.
+    pub fn new(service: &ServiceName, model: &SpeedModel) -> Self {
+        let EngineSpeed { base, per_token, per_running, .. } = model.speed();
+        let parts = [base, per_token, per_running].map(|part| part as f32);
+        Self { service: service.clone(), requests: model.requests() as f32, parts }
+    }
+
+    /// Returns the speed that is told.
+    pub fn speed(&self) -> EngineSpeed {
+        let [base, per_token, per_running] = self.parts.map(f64::from);
+        EngineSpeed { base, per_token, per_running, ..EngineSpeed::default() }
+    }
 }
 
 /// What a process tells the others.
@@ -96,6 +122,8 @@
     pub usage: Vec<(Window, Counts)>,
     /// Load that its callers bring.
     pub demand: Vec<Demand>,
+    /// How fast it has learnt that upstreams are.
+    pub speeds: Vec<SpeedReport>,
 }
 
 /// Why a datagram is not a heartbeat.
--- a/src/gateway/peering/mod.rs
+++ b/src/gateway/peering/mod.rs
@@ -3,5 +3,7 @@
 mod heartbeat;
 mod snapshot;
 
-pub use heartbeat::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, WireError};
+pub use heartbeat::{
+    Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, SpeedReport, WireError,
+};
 pub use snapshot::{RecentChanges, UpstreamChange, UpstreamSnapshot};
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -15,6 +15,3 @@
 pub use doors::{Door, DoorKind};
 pub use events::EventSplitter;
 pub use refusal::Refusal;
-
-/// Prompt tokens that an engine reads in a second; the operators' figure.
-pub const PREFILL_TOKENS_PER_SECOND: f64 = 50_700.0;
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -88,6 +88,7 @@
             match end {
                 RunEnd::Complete => {
                     self.forwarding.verdict(&id, Verdict::Good);
+                    self.forwarding.held(&run.selected, Instant::now());
                     if !run.closes {
                         run.lease.give_back(run.keep_alive);
                     }
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -1,6 +1,6 @@
 //! What is told of a request: log lines, metrics, health, usage.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hyper::{Response, StatusCode};
 
@@ -12,7 +12,7 @@
 use crate::{
     gateway::{
         context::Gateway,
-        decide::Verdict,
+        decide::{FirstToken, Verdict},
         model::RequestKind,
         net::AnswerBody,
         telemetry::{Event, RequestLabels},
@@ -21,10 +21,6 @@
     telemetry::{Labels, count},
 };
 
-/// Shortest first token that an engine's slowness is judged against: shorter
-/// times tell of the way and not of the engine.
-const SHORTEST_EXPECTED: Duration = Duration::from_millis(80);
-
 /// Logs and returns an answer of this system's own.
 pub(super) fn refuse(
     gateway: &Gateway,
@@ -87,16 +83,29 @@
         }
     }
 
-    /// Notes how long the first token took against the prediction.
+    /// Notes how long the first token took against the prediction, and learns
+    /// from it how fast the service is.
     pub fn first_token(&self, selected: &Selected, now: Instant) {
-        let took = now.saturating_duration_since(self.arrived);
-        let expected = selected.predicted.max(SHORTEST_EXPECTED);
+        let took = now.saturating_duration_since(selected.at);
+        let c = selected.candidate;
         let mut board = self.gateway.board.borrow_mut();
         if let Some(view) = board.upstreams.get_mut(&selected.id) {
-            view.breaker.record_time(took, expected);
+            view.breaker.record_time(took, selected.predicted);
+        }
+        if c.running < f64::from(c.slots) {
+            let tokens = c.pending_tokens + c.missing_tokens;
+            let seen = FirstToken { tokens, running: c.running, took };
+            board.speed_model(&self.admitted.service).note_first_token(seen);
         }
     }
 
+    /// Learns for how long a request held its slot.
+    pub fn held(&self, selected: &Selected, now: Instant) {
+        let held = now.saturating_duration_since(selected.at);
+        let mut board = self.gateway.board.borrow_mut();
+        board.load_meter(&self.admitted.service, now).ended(held.as_secs_f64(), now);
+    }
+
     /// Counts a request that began to run.
     pub fn count_usage(&self, now: Instant) {
         let Some(customer) = &self.admitted.customer else {
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Admitted, PREFILL_TOKENS_PER_SECOND, in_flight::InFlight};
+use super::{Admitted, in_flight::InFlight};
 use crate::{
     gateway::{
         board::{Board, UpstreamView},
@@ -19,7 +19,6 @@
     prefix::Fingerprint,
 };
 
-const SPEED: EngineSpeed = EngineSpeed { prefill: PREFILL_TOKENS_PER_SECOND };
 /// Share of an upstream's connections that all gateways together use: new ones
 /// hold slots, and an upstream may accept fewer at times.
 const CONNECTION_SHARE: f64 = 0.8;
@@ -37,6 +36,8 @@
     pub most_connections: usize,
     /// Account of the attempt.
     pub in_flight: InFlight,
+    /// When it was chosen.
+    pub at: Instant,
     /// Predicted time to the first token.
     pub predicted: Duration,
     /// What the choice rests on.
@@ -71,7 +72,8 @@
     now: Instant,
 ) -> Option<Selected> {
     let shared = prompt.and_then(shared);
-    let (id, candidate, candidates) = choose(gateway, admitted, prompt, shared, tried, now)?;
+    let speed = gateway.board.borrow().speed(&admitted.service);
+    let (id, candidate, candidates) = choose(gateway, admitted, prompt, shared, tried, speed, now)?;
     let mut guard = gateway.board.borrow_mut();
     let board = &mut *guard;
     let view = board.upstreams.get(&id)?;
@@ -84,19 +86,20 @@
         board.sent_prefixes.push(report);
     }
     // A request brings its load once, however often it is sent.
-    if prompt.is_some() && tried.is_empty() {
-        board.add_demand(&admitted.service, missing, now);
+    if tried.is_empty() {
+        board.load_meter(&admitted.service, now).request(missing, now);
     }
     let processes = 1 + board.peers.len();
     drop(guard);
     let in_flight = InFlight::begin(gateway, &id, missing);
     let most_connections = connection_share(admitted, processes);
-    let predicted = predicted_wait(&candidate, SPEED);
+    let predicted = predicted_wait(&candidate, speed);
     Some(Selected {
         id,
         address,
         most_connections,
         in_flight,
+        at: now,
         predicted,
         candidate,
         candidates,
@@ -121,6 +124,7 @@
     prompt: Option<&Prompt>,
     shared: Option<Shared>,
     tried: &[UpstreamId],
+    speed: EngineSpeed,
     now: Instant,
 ) -> Option<(UpstreamId, Candidate, usize)> {
     let own = gateway.settings.borrow().data_centre.clone();
@@ -135,7 +139,7 @@
             Board::candidate(view, missing, &own, now, fastrand::f64())
         })
         .collect();
-    let best = choose_engine(&candidates, SPEED)?;
+    let best = choose_engine(&candidates, speed)?;
     Some((views[best].upstream.id.clone(), candidates[best], views.len()))
 }
 
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -106,6 +106,8 @@
         count: u32,
         /// Engines that the load needs.
         needed: f64,
+        /// Prompt tokens that an engine reads in a second, as learnt.
+        tokens_per_second: f64,
         /// Fencing number.
         fence: u64,
         /// What became of it.
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -10,7 +10,7 @@
 
 use super::{Section, SettingsError, entry::LEVELS, load};
 use crate::{
-    gateway::decide::{CapacityPolicy, QuotaTerms},
+    gateway::decide::{CapacityPolicy, PlannedUse, QuotaTerms},
     ids::DataCentre,
 };
 
@@ -62,12 +62,8 @@
 pub struct CapacitySettings {
     /// What is kept beyond the load.
     pub policy: CapacityPolicy,
-    /// Share of an engine's prefill speed that is planned with: at more,
-    /// requests wait for each other longer than the latency objective allows.
-    pub prefill_share: f64,
-    /// Share of an engine's slots that is planned with: more running requests
-    /// make each token slower.
-    pub slot_share: f64,
+    /// How much of an engine is planned with.
+    pub planned: PlannedUse,
 }
 
 /// Settings of a gateway.
@@ -157,11 +153,15 @@
         policy: CapacityPolicy {
             reclaimable_factor: s.number("reclaimable_factor", 4.0),
             survive_share: s.number("survive_share", 1.1),
+            losses: s.number("losses", 1.0) as usize,
+            losses_while_dry: s.number("losses_while_dry", 2.0) as usize,
             on_demand_floor: s.number("on_demand_floor", 0.0) as u32,
             needed_floor: s.number("needed_floor", 6.0),
             start_share: s.number("start_share", 0.15),
         },
-        prefill_share: s.number("prefill_share", 0.55).max(LEAST_SHARE),
-        slot_share: s.number("slot_share", 0.5).max(LEAST_SHARE),
+        planned: PlannedUse {
+            reading: s.number("prefill_share", 0.55).max(LEAST_SHARE),
+            slots: s.number("slot_share", 0.5).max(LEAST_SHARE),
+        },
     }
 }
