Attempts log the tokens of the prompt and those missing; cover of one loss, four fifths of the need

Hypothesis: engines on demand that cover a second loss, or all of the need after one, cost more than the second or two of fewer engines that they prevent, since they are ordered at the notice anyway.

--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -28,11 +28,11 @@
 {{/bounds.ttl_max_s}}
 [capacity]
 reclaimable_factor = 2.0
-survive_share = 1.1
+survive_share = 0.8
 on_demand_floor = 0
 needed_floor = 2.0
 start_share = 0.15
 prefill_share = 1.0
 slot_share = 0.7
 losses = 1
-losses_while_dry = 2
+losses_while_dry = 1
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -290,6 +290,8 @@
             predicted_ms: selected.predicted.as_millis() as u64,
             running: selected.candidate.running,
             pending_tokens: selected.candidate.pending_tokens,
+            prompt_tokens: prompt.map_or(0, |p| p.tokens),
+            missing_tokens: selected.candidate.missing_tokens,
             configuration: self.admitted.configuration.version,
             upstreams: selected.revision,
         });
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -138,6 +138,10 @@
         running: f64,
         /// Tokens there to be read, as believed.
         pending_tokens: f64,
+        /// Tokens of the prompt.
+        prompt_tokens: u32,
+        /// Those that it has to read, as believed.
+        missing_tokens: f64,
         /// Version of the configuration.
         configuration: u64,
         /// Revision of the list of upstreams.
