The largest need of late is held in place of the largest wish; an ended load is seen at once

Change: the need of the last four seconds' peak makes the wish; a silence of twenty mean intervals ends the load.

--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -13,7 +13,10 @@
     gateway::{
         board::Board,
         context::Gateway,
-        decide::{CapacityInput, Fleet, OrderPace, PaceInput, Wish, needed_at_start, plan_engines},
+        decide::{
+            CapacityInput, Fleet, NeedPeak, OrderPace, PaceInput, Wish, needed_at_start,
+            plan_engines,
+        },
         model::{Configuration, Scaling, ServiceName},
         telemetry::Event,
     },
@@ -37,6 +40,7 @@
     timer: stakker::MaxTimerKey,
     ordered: HashMap<Key, OrderPace>,
     loaded_since: HashMap<ServiceName, Instant>,
+    needs: HashMap<ServiceName, NeedPeak>,
 }
 
 /// Returns how many tokens the cache of an upstream holds.
@@ -50,7 +54,13 @@
     pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
         call!([cx], tick());
         let timer = stakker::MaxTimerKey::default();
-        Some(Self { gateway, timer, ordered: HashMap::new(), loaded_since: HashMap::new() })
+        Some(Self {
+            gateway,
+            timer,
+            ordered: HashMap::new(),
+            loaded_since: HashMap::new(),
+            needs: HashMap::new(),
+        })
     }
 
     /// Looks at the engines at once: some may have announced that they go.
@@ -112,6 +122,7 @@
         let needed = board.engines_needed(service, capacity.planned, now);
         let fleets = fleets(&board, service, scaling);
         drop(board);
+        let needed = self.needs.entry(service.clone()).or_default().note(needed, now);
         let floor = self.floor(service, needed_at_start(scaling, &capacity.policy), now);
         let dry = self.is_dry(service);
         let policy = &capacity.policy;
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -22,7 +22,7 @@
 pub use clock::TrueClock;
 pub use engine::{Candidate, choose_engine, predicted_wait};
 pub use kept::Kept;
-pub use need::{LoadMeter, PlannedUse, RequestCost, engines_needed};
+pub use need::{LoadMeter, NeedPeak, PlannedUse, RequestCost, engines_needed};
 pub use pace::{OrderPace, PaceInput};
 pub use quota::{PeerTotal, QuotaBook, QuotaShare, QuotaTerms};
 pub use retry::{RetryBook, RetryTerms};
--- a/src/gateway/decide/need.rs
+++ b/src/gateway/decide/need.rs
@@ -7,13 +7,22 @@
 //! slowly. Trials on the look-up fleet: from the state, the need rose from 6 to
 //! 23 engines within ten seconds of the loss of a data centre at a steady rate.
 
-use std::time::Instant;
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 use super::EngineSpeed;
 
 /// Time over which the rate of requests is smoothed, in seconds: bursts last a
 /// few seconds, and an engine takes as long to start.
 const RATE_SPAN: f64 = 3.0;
+/// Silence, in mean times between requests, after which the load has ended: it
+/// comes by chance once in 10^8 times, and the rate would take seconds to fade.
+const ENDED_AFTER: f64 = 20.0;
+/// For how long the largest need is kept to: load comes in waves, and an engine
+/// takes seconds to start.
+const PEAK_SPAN: Duration = Duration::from_secs(4);
 /// Time over which the cost of a request is smoothed, in seconds: longer than
 /// the waves in which the platform takes engines back.
 const COST_SPAN: f64 = 20.0;
@@ -87,8 +96,13 @@
         self.held.add(held, now);
     }
 
-    /// Returns the requests a second.
+    /// Returns the requests a second; none once they have ended.
     pub fn rate(&self, now: Instant) -> f64 {
+        let last = self.rate.sum / RATE_SPAN;
+        let silent = now.saturating_duration_since(self.rate.at).as_secs_f64();
+        if silent * last > ENDED_AFTER {
+            return 0.0;
+        }
         self.rate.get(now) / RATE_SPAN
     }
 
@@ -124,3 +138,25 @@
     let running = rate * cost.held / (f64::from(slots.max(1)) * planned.slots);
     reading + running
 }
+
+/// The largest need of late.
+#[derive(Clone, Debug, Default)]
+pub struct NeedPeak {
+    /// Falling needs, each with its time: the first is the largest.
+    falling: VecDeque<(Instant, f64)>,
+}
+
+impl NeedPeak {
+    /// Notes the need at `now` and returns the largest of late.
+    pub fn note(&mut self, need: f64, now: Instant) -> f64 {
+        while self.falling.back().is_some_and(|(_, n)| *n <= need) {
+            self.falling.pop_back();
+        }
+        self.falling.push_back((now, need));
+        let old = |at: Instant| now.saturating_duration_since(at) > PEAK_SPAN;
+        while self.falling.front().is_some_and(|(at, _)| old(*at)) {
+            self.falling.pop_front();
+        }
+        self.falling.front().map_or(need, |(_, n)| *n)
+    }
+}
--- a/src/gateway/decide/pace.rs
+++ b/src/gateway/decide/pace.rs
@@ -3,12 +3,10 @@
 
 use std::time::{Duration, Instant};
 
-/// How long a smaller number must suffice before engines are given up: load
-/// comes in waves, and a start takes seconds.
-const HOLD_BEFORE_FEWER: Duration = Duration::from_secs(4);
-/// The same for engines on demand while the platform has no reclaimable ones to
-/// give: nothing else stands in if the load comes back.
-const HOLD_WHILE_DRY: Duration = Duration::from_secs(8);
+/// How long a smaller number must suffice before engines are given up: engines
+/// that have just started fail at times. The need itself is that of the last
+/// seconds, so that waves of load give up none.
+const HOLD_BEFORE_FEWER: Duration = Duration::from_secs(1);
 /// Pause after an order that was refused.
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(1_800);
 /// Time beyond the start of an engine after which those that do not serve are
@@ -92,8 +90,8 @@
         }
         let fewer = self.fewer.get_or_insert(Fewer { since: now, most: 0 });
         fewer.most = fewer.most.max(input.wished);
-        let hold = if input.dry { HOLD_WHILE_DRY } else { HOLD_BEFORE_FEWER };
-        (now.saturating_duration_since(fewer.since) >= hold).then_some(fewer.most)
+        let held = now.saturating_duration_since(fewer.since);
+        (held >= HOLD_BEFORE_FEWER).then_some(fewer.most)
     }
 
     /// Notes that an order was sent.
