--- a/src/gateway/decide/speed.rs
+++ b/src/gateway/decide/speed.rs
@@ -148,8 +148,8 @@
     /// requests than this process has seen.
     pub fn adopt(&mut self, speed: EngineSpeed, requests: f64) {
         if self.requests < EXPERIENCED && requests > self.requests {
-            self.begin_at(speed, EXPERIENCED);
-            self.requests = self.requests.max(EXPERIENCED.min(requests));
+            self.requests = requests.min(EXPERIENCED);
+            self.begin_at(speed, self.requests);
         }
     }
 
