--- a/src/gateway/decide/quota.rs
+++ b/src/gateway/decide/quota.rs
@@ -108,6 +108,21 @@
     terms: QuotaTerms,
 }
 
+/// Why a request lies beyond its customer's quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaUsedUp {
+    /// Time after which it is worth coming back.
+    pub wait: Duration,
+    /// Tokens in the bucket; a debt if negative.
+    pub level: f64,
+    /// Tokens admitted in the operator's window, by all processes.
+    pub in_window: f64,
+    /// Tokens that silent processes are taken to have admitted since.
+    pub assumed: f64,
+    /// The part of the quota that was counted on.
+    pub share: QuotaShare,
+}
+
 /// What another process says that it admitted for a customer.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerTotal<'a> {
@@ -143,8 +158,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which it is worth coming back if the quota is
-    /// used up.
+    /// Fails if the quota is used up.
     pub fn take(
         &mut self,
         customer: &CustomerName,
@@ -152,7 +166,7 @@
         tokens: u64,
         share: QuotaShare,
         now: Instant,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), QuotaUsedUp> {
         let terms = self.terms;
         let bucket = self.bucket(customer, quota, now);
         bucket.refill(share, terms, now);
@@ -162,7 +176,13 @@
             .wait_for_level(tokens, assumed, share, terms)
             .max(bucket.wait_for_window(tokens, assumed, share, terms, now));
         if let Some(wait) = wait {
-            return Err(wait.clamp(SHORTEST_WAIT, LONGEST_WAIT));
+            return Err(QuotaUsedUp {
+                wait: wait.clamp(SHORTEST_WAIT, LONGEST_WAIT),
+                level: bucket.level,
+                in_window: bucket.admitted.total(terms.window, now),
+                assumed,
+                share,
+            });
         }
         bucket.level -= tokens;
         bucket.own += tokens as i64;
--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -7,7 +7,9 @@
     gateway::{
         board::Board,
         context::Gateway,
+        decide::QuotaUsedUp,
         model::{Configuration, Customer, CustomerName, Route, ServiceName},
+        telemetry::Event,
     },
     platform::RequestHead,
 };
@@ -45,7 +47,8 @@
     let customer = customer(&configuration, &route, head.key.as_deref()).map_err(for_good)?;
     let tokens = customer.map_or(0, |c| tokens(c, head));
     if let Some(customer) = customer {
-        take_quota(&mut board, customer, tokens, now)?;
+        let taken = take_quota(&mut board, customer, tokens, now);
+        taken.map_err(|used_up| quota_used_up(gateway, head, customer, tokens, used_up))?;
     }
     drop(board);
     let service = draw_service(&route).ok_or(Refusal::NoRoom)?;
@@ -77,13 +80,35 @@
     customer: &Customer,
     tokens: u64,
     now: Instant,
-) -> Result<(), Refusal> {
+) -> Result<(), QuotaUsedUp> {
     let Some(quota) = customer.quota else {
         return Ok(());
     };
     let share = board.quota_share(now);
-    let taken = board.quotas.take(&customer.name, quota, tokens, share, now);
-    taken.map_err(Refusal::QuotaUsedUp)
+    board.quotas.take(&customer.name, quota, tokens, share, now)
+}
+
+/// Logs why a request lies beyond its customer's quota.
+fn quota_used_up(
+    gateway: &Gateway,
+    head: &RequestHead,
+    customer: &Customer,
+    tokens: u64,
+    used_up: QuotaUsedUp,
+) -> Refusal {
+    gateway.log(&Event::QuotaUsedUp {
+        request: &head.id,
+        customer: &customer.name,
+        tokens,
+        rate: customer.quota.map_or(0.0, |q| q.rate),
+        level: used_up.level,
+        in_window: used_up.in_window,
+        assumed: used_up.assumed,
+        heard: used_up.share.heard,
+        members: used_up.share.members,
+        wait_ms: used_up.wait.as_millis() as u64,
+    });
+    Refusal::QuotaUsedUp(used_up.wait)
 }
 
 /// Draws one of the route's services by weight.
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -120,6 +120,29 @@
         /// Correction in milliseconds.
         correction_ms: f64,
     },
+    /// A request lies beyond its customer's quota.
+    QuotaUsedUp {
+        /// Request.
+        request: &'a str,
+        /// Customer.
+        customer: &'a str,
+        /// Tokens that it asks for.
+        tokens: u64,
+        /// Tokens a second that the customer may use.
+        rate: f64,
+        /// Tokens in the bucket; a debt if negative.
+        level: f64,
+        /// Tokens admitted in the operator's window, by all processes.
+        in_window: f64,
+        /// Tokens that silent processes are taken to have admitted since.
+        assumed: f64,
+        /// Processes heard, this one included.
+        heard: usize,
+        /// Processes that may be serving.
+        members: usize,
+        /// After which time the caller is asked to come back, in milliseconds.
+        wait_ms: u64,
+    },
     /// A request is sent to an upstream.
     Attempt {
         /// Request.
@@ -193,7 +216,7 @@
     pub fn class(&self) -> EventClass {
         match self {
             Self::Attempt { .. } => EventClass::Request,
-            Self::AttemptFailed { .. } => EventClass::Failure,
+            Self::AttemptFailed { .. } | Self::QuotaUsedUp { .. } => EventClass::Failure,
             Self::Answered { status, .. } if *status < 400 => EventClass::Request,
             Self::Answered { .. } => EventClass::Failure,
             _ => EventClass::Belief,
