--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -34,5 +34,3 @@
 start_share = 0.3
 prefill_share = 0.7
 slot_share = 0.6
-losses = 1
-losses_while_dry = 1
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -15,8 +15,9 @@
 
 use super::{
     decide::{
-        CacheBelief, Candidate, EngineSpeed, LoadMeter, PlannedUse, QuotaBook, QuotaShare,
-        RetryBook, SpeedModel, Steadiness, TrueClock, UsageBook, engines_needed,
+        CacheBelief, Candidate, EngineSpeed, LoadMeter, Mechanism, PlannedUse, QuotaBook,
+        QuotaShare, RetryBook, SpeedModel, Steadiness, SwitchedOff, TrueClock, UsageBook,
+        engines_needed,
     },
     model::{Configuration, Revision, ServiceName},
     net::Phase,
@@ -241,7 +242,10 @@
     }
 
     /// Returns how fast the upstreams of a service are, as far as is known.
-    pub fn speed(&self, service: &str) -> EngineSpeed {
+    pub fn speed(&self, service: &str, off: &SwitchedOff) -> EngineSpeed {
+        if !off.is_on(Mechanism::LearntSpeed) {
+            return EngineSpeed::default();
+        }
         let mut speed = self.speeds.get(service).map(SpeedModel::speed).unwrap_or_default();
         let cost = self.loads.get(service).and_then(|l| l.cost(Instant::now()));
         speed.held = cost.map_or(speed.held, |c| c.held);
@@ -281,11 +285,17 @@
     }
 
     /// Returns the engines that the load of a service needs, as far as is known.
-    pub fn engines_needed(&self, service: &str, planned: PlannedUse, now: Instant) -> f64 {
+    pub fn engines_needed(
+        &self,
+        service: &str,
+        speed: EngineSpeed,
+        planned: PlannedUse,
+        now: Instant,
+    ) -> f64 {
         let cost = self.loads.get(service).and_then(|l| l.cost(now)).unwrap_or_default();
         let slots = self.of_service(service).map(|v| v.upstream.slots).max().unwrap_or(1);
         let rate = self.total_demand(service, now);
-        engines_needed(rate, cost, self.speed(service), slots, planned)
+        engines_needed(rate, cost, speed, slots, planned)
     }
 
     /// Returns the load that this process puts on upstreams.
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -14,7 +14,7 @@
         board::Board,
         context::Gateway,
         decide::{
-            CapacityInput, Fleet, NeedPeak, OrderPace, PaceInput, Wish, needed_at_start,
+            CapacityInput, Fleet, Mechanism, NeedPeak, OrderPace, PaceInput, Wish, needed_at_start,
             plan_engines,
         },
         model::{Configuration, Scaling, ServiceName},
@@ -31,6 +31,11 @@
 /// then its rate is known and the engines' caches are warm.
 const START_FOR: Duration = Duration::from_secs(8);
 
+/// Data centres that may lose their reclaimable engines next. Covering a second
+/// one while the platform takes them back in waves cost 0.01 of worth: an order
+/// at the notice comes nearly in time.
+const LOSSES: usize = 1;
+
 type Key = (ServiceName, DataCentre, bool);
 
 /// Controller of the number of engines.
@@ -117,16 +122,19 @@
     }
 
     fn plan_service(&mut self, service: &ServiceName, scaling: &Scaling, now: Instant) {
-        let capacity = self.gateway.settings.borrow().capacity;
+        let settings = self.gateway.settings.borrow();
+        let (capacity, off) = (settings.capacity, settings.off.clone());
+        drop(settings);
         let board = self.gateway.board.borrow();
-        let needed = board.engines_needed(service, capacity.planned, now);
+        let speed = board.speed(service, &off);
+        let current = board.engines_needed(service, speed, capacity.planned, now);
         let fleets = fleets(&board, service, scaling);
         drop(board);
-        let needed = self.needs.entry(service.clone()).or_default().note(needed, now);
+        let peak = self.needs.entry(service.clone()).or_default().note(current, now);
+        let needed = if off.is_on(Mechanism::NeedPeak) { peak } else { current };
         let floor = self.floor(service, needed_at_start(scaling, &capacity.policy), now);
         let dry = self.is_dry(service);
-        let policy = &capacity.policy;
-        let losses = if dry { policy.losses_while_dry } else { policy.losses };
+        let losses = if off.is_on(Mechanism::LossCover) { LOSSES } else { 0 };
         let input = CapacityInput { needed: needed.max(floor), scaling, fleets: &fleets, losses };
         for (data_centre, wish) in plan_engines(&input, &capacity.policy) {
             for (reclaimable, wished, serving) in kinds(wish, fleets[&data_centre]) {
@@ -173,6 +181,7 @@
 }
 
 async fn send(gateway: Rc<Gateway>, order: EngineOrder, needed: f64) {
+    let speed = gateway.board.borrow().speed(&order.service, &gateway.settings.borrow().off);
     let fence = || gateway.board.borrow().lease.may_act(Instant::now());
     let outcome = gateway.duties.order_engines(fence, &order).await;
     let error = outcome.as_ref().err().map(ToString::to_string).unwrap_or_default();
@@ -182,7 +191,7 @@
         reclaimable: order.reclaimable,
         count: order.count,
         needed,
-        tokens_per_second: 1.0 / gateway.board.borrow().speed(&order.service).per_token,
+        tokens_per_second: 1.0 / speed.per_token,
         fence: fence().unwrap_or_default(),
         outcome: outcome.as_ref().ok().copied(),
         error: &error,
--- a/src/gateway/decide/capacity.rs
+++ b/src/gateway/decide/capacity.rs
@@ -44,11 +44,6 @@
     /// Share of the needed engines that must remain when the data centres with
     /// the most reclaimable engines lose them.
     pub survive_share: f64,
-    /// Data centres that may lose their reclaimable engines next.
-    pub losses: usize,
-    /// The same while the platform has none to give: it takes them back in waves,
-    /// a data centre every few seconds, and one on demand takes longer to start.
-    pub losses_while_dry: usize,
     /// Engines on demand at least, all data centres together.
     pub on_demand_floor: u32,
     /// Engines needed at least.
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod engine;
 mod kept;
+mod mechanism;
 mod need;
 mod pace;
 mod quota;
@@ -22,6 +23,7 @@
 pub use clock::TrueClock;
 pub use engine::{Candidate, choose_engine, predicted_wait};
 pub use kept::Kept;
+pub use mechanism::{Mechanism, SwitchedOff};
 pub use need::{LoadMeter, NeedPeak, PlannedUse, RequestCost, engines_needed};
 pub use pace::{OrderPace, PaceInput};
 pub use quota::{PeerTotal, QuotaBook, QuotaShare, QuotaTerms, QuotaUsedUp};
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -287,6 +287,7 @@
             upstream: &selected.id,
             attempt: self.tried.len() as u32,
             candidates: selected.candidates,
+            holders: selected.holders,
             predicted_ms: selected.predicted.as_millis() as u64,
             running: selected.candidate.running,
             pending_tokens: selected.candidate.pending_tokens,
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -11,7 +11,7 @@
     gateway::{
         board::{Board, UpstreamView},
         context::Gateway,
-        decide::{Candidate, EngineSpeed, choose_engine, predicted_wait},
+        decide::{Candidate, EngineSpeed, Mechanism, SwitchedOff, choose_engine, predicted_wait},
         peering::PrefixReport,
     },
     ids::UpstreamId,
@@ -44,6 +44,8 @@
     pub candidate: Candidate,
     /// Candidates that it was chosen from.
     pub candidates: usize,
+    /// Those among them that hold the shared part of the prompt, as believed.
+    pub holders: usize,
     /// Revision of the list of upstreams.
     pub revision: u64,
 }
@@ -72,8 +74,9 @@
     now: Instant,
 ) -> Option<Selected> {
     let shared = prompt.and_then(shared);
-    let speed = gateway.board.borrow().speed(&admitted.service);
-    let (id, candidate, candidates) = choose(gateway, admitted, prompt, shared, tried, speed, now)?;
+    let speed = gateway.board.borrow().speed(&admitted.service, &gateway.settings.borrow().off);
+    let (id, candidate, candidates, holders) =
+        choose(gateway, admitted, prompt, shared, tried, speed, now)?;
     let mut guard = gateway.board.borrow_mut();
     let board = &mut *guard;
     let view = board.upstreams.get(&id)?;
@@ -103,6 +106,7 @@
         predicted,
         candidate,
         candidates,
+        holders,
         revision,
     })
 }
@@ -126,11 +130,16 @@
     tried: &[UpstreamId],
     speed: EngineSpeed,
     now: Instant,
-) -> Option<(UpstreamId, Candidate, usize)> {
-    let own = gateway.settings.borrow().data_centre.clone();
+) -> Option<(UpstreamId, Candidate, usize, usize)> {
+    let (own, off) = {
+        let settings = gateway.settings.borrow();
+        (settings.data_centre.clone(), settings.off.clone())
+    };
     let board = gateway.board.borrow();
-    let views = untried(&board, admitted, tried, now);
-    let home = shared.and_then(|s| home(&board, &views, s));
+    let views = untried(&board, admitted, tried, &off, now);
+    let shared = shared.filter(|_| off.is_on(Mechanism::KnownCaches));
+    let home =
+        shared.filter(|_| off.is_on(Mechanism::PrefixHome)).and_then(|s| home(&board, &views, s));
     let candidates: Vec<Candidate> = views
         .iter()
         .map(|view| {
@@ -138,11 +147,17 @@
             let missing = missing_tokens(&board, view, prompt, shared, at_home);
             let candidate = Board::candidate(view, missing, &own, now, fastrand::f64());
             let at_risk = if view.takes_work() { 0 } else { prompt.map_or(0, |p| p.tokens) };
-            Candidate { at_risk_tokens: f64::from(at_risk), ..candidate }
+            let slowness = if off.is_on(Mechanism::Slowness) { candidate.slowness } else { 1.0 };
+            let failures = if off.is_on(Mechanism::Failures) { candidate.failures } else { 0.0 };
+            Candidate { at_risk_tokens: f64::from(at_risk), slowness, failures, ..candidate }
         })
         .collect();
     let best = choose_engine(&candidates, speed)?;
-    Some((views[best].upstream.id.clone(), candidates[best], views.len()))
+    let holds = |v: &&&UpstreamView| {
+        shared.is_some_and(|s| board.cache.holds(&v.upstream.id, s.fingerprint))
+    };
+    let holders = views.iter().filter(holds).count();
+    Some((views[best].upstream.id.clone(), candidates[best], views.len(), holders))
 }
 
 /// Returns the upstreams that the request was not sent to yet. Those that could
@@ -157,6 +172,7 @@
     board: &'a Board,
     admitted: &'a Admitted,
     tried: &[UpstreamId],
+    off: &SwitchedOff,
     now: Instant,
 ) -> Vec<&'a UpstreamView> {
     let all = board.of_service(&admitted.service).filter(|v| !tried.contains(&v.upstream.id));
@@ -165,13 +181,14 @@
     if serving.is_empty() {
         return leaving;
     }
-    let (mut reached, avoided): (Vec<_>, Vec<_>) =
-        serving.into_iter().partition(|v| !v.breaker.is_avoided(now));
+    let avoided = |v: &&UpstreamView| off.is_on(Mechanism::Avoidance) && v.breaker.is_avoided(now);
+    let (mut reached, unreachable): (Vec<_>, Vec<_>) =
+        serving.into_iter().partition(|v| !avoided(v));
     if reached.is_empty() {
-        return avoided;
+        return unreachable;
     }
-    if admitted.route.repeatable() {
-        leaving.retain(|v| !v.breaker.is_avoided(now));
+    if admitted.route.repeatable() && off.is_on(Mechanism::LeavingOverflow) {
+        leaving.retain(|v| !avoided(v));
         reached.append(&mut leaving);
     }
     reached
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -155,6 +155,8 @@
         attempt: u32,
         /// Candidates that it was chosen from.
         candidates: usize,
+        /// Those among them that hold the shared part of the prompt, as believed.
+        holders: usize,
         /// Predicted time to the first token, in milliseconds.
         predicted_ms: u64,
         /// Requests there, as believed.
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -10,7 +10,7 @@
 
 use super::{Section, SettingsError, entry::LEVELS, load};
 use crate::{
-    gateway::decide::{CapacityPolicy, PlannedUse, QuotaTerms},
+    gateway::decide::{CapacityPolicy, Mechanism, PlannedUse, QuotaTerms, SwitchedOff},
     ids::DataCentre,
 };
 
@@ -89,6 +89,8 @@
     pub bounds: Bounds,
     /// How many engines are kept for the load.
     pub capacity: CapacitySettings,
+    /// Mechanisms that are switched off, for measurements.
+    pub off: SwitchedOff,
 }
 
 impl GatewaySettings {
@@ -115,6 +117,7 @@
             api,
             bounds: s.section("bounds", bounds),
             capacity: s.section("capacity", capacity),
+            off: SwitchedOff::new(s.some_of("off", &Mechanism::NAMES)),
         }
     }
 }
@@ -151,17 +154,15 @@
 fn capacity(s: &mut Section) -> CapacitySettings {
     CapacitySettings {
         policy: CapacityPolicy {
-            reclaimable_factor: s.number("reclaimable_factor", 4.0),
-            survive_share: s.number("survive_share", 1.1),
-            losses: s.number("losses", 1.0) as usize,
-            losses_while_dry: s.number("losses_while_dry", 2.0) as usize,
+            reclaimable_factor: s.number("reclaimable_factor", 2.0),
+            survive_share: s.number("survive_share", 0.8),
             on_demand_floor: s.number("on_demand_floor", 0.0) as u32,
-            needed_floor: s.number("needed_floor", 6.0),
-            start_share: s.number("start_share", 0.15),
+            needed_floor: s.number("needed_floor", 2.0),
+            start_share: s.number("start_share", 0.3),
         },
         planned: PlannedUse {
-            reading: s.number("prefill_share", 0.55).max(LEAST_SHARE),
-            slots: s.number("slot_share", 0.5).max(LEAST_SHARE),
+            reading: s.number("prefill_share", 0.7).max(LEAST_SHARE),
+            slots: s.number("slot_share", 0.6).max(LEAST_SHARE),
         },
     }
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -132,6 +132,18 @@
         }
     }
 
+    /// Reads a list of words of a closed set; an absent one is empty.
+    pub fn some_of<T: Copy>(&mut self, key: &str, words: &[(&str, T)]) -> Vec<T> {
+        let listed = self.texts(key);
+        let named = |text: &String| words.iter().find(|(word, _)| word == text).map(|(_, t)| *t);
+        let found: Vec<T> = listed.iter().filter_map(named).collect();
+        if found.len() < listed.len() {
+            let names: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+            self.mistake(key, &format!("some of {}", names.join(", ")), &listed.join(", "));
+        }
+        found
+    }
+
     /// Reads an address that must be there.
     pub fn addr(&mut self, key: &str) -> SocketAddr {
         let unset = SocketAddr::from(([0, 0, 0, 0], 0));
--- a/tests/gateway_capacity.rs
+++ b/tests/gateway_capacity.rs
@@ -34,8 +34,6 @@
 const POLICY: CapacityPolicy = CapacityPolicy {
     reclaimable_factor: 2.0,
     survive_share: 0.8,
-    losses: 1,
-    losses_while_dry: 2,
     on_demand_floor: 0,
     needed_floor: 4.0,
     start_share: 0.15,
