Slowness seen at an upstream is gone; engines beyond the busy ones by the square root

Hypotheses: (1) a ratio of time taken to time predicted, smoothed over five answers, passes over the engine that holds a prompt's shared part for noise, and slow engines show by what was sent there and not read yet; (2) a fixed share of use keeps too many engines for a large load and too few for a small one.

--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -32,5 +32,4 @@
 on_demand_floor = 0
 needed_floor = 2.0
 start_share = 0.3
-prefill_share = 0.7
-slot_share = 0.6
+safety = 1.5
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -15,9 +15,8 @@
 
 use super::{
     decide::{
-        CacheBelief, Candidate, EngineSpeed, LoadMeter, Mechanism, PlannedUse, QuotaBook,
-        QuotaShare, RetryBook, SpeedModel, Steadiness, SwitchedOff, TrueClock, UsageBook,
-        engines_needed,
+        CacheBelief, Candidate, EngineSpeed, LoadMeter, Mechanism, QuotaBook, QuotaShare,
+        RetryBook, SpeedModel, Steadiness, SwitchedOff, TrueClock, UsageBook, engines_busy,
     },
     model::{Configuration, Revision, ServiceName},
     net::Phase,
@@ -233,7 +232,6 @@
             pending_tokens: f64::from(view.own.pending_tokens + view.others.pending_tokens),
             slots: view.upstream.slots,
             missing_tokens: f64::from(missing_tokens),
-            slowness: view.breaker.slowness(),
             failures: view.breaker.recent_failures(now),
             remote: view.upstream.data_centre != *own_data_centre,
             at_risk_tokens: 0.0,
@@ -284,18 +282,11 @@
         own + others.sum::<f64>()
     }
 
-    /// Returns the engines that the load of a service needs, as far as is known.
-    pub fn engines_needed(
-        &self,
-        service: &str,
-        speed: EngineSpeed,
-        planned: PlannedUse,
-        now: Instant,
-    ) -> f64 {
+    /// Returns the engines that the load of a service keeps busy, as far as is known.
+    pub fn engines_busy(&self, service: &str, speed: EngineSpeed, now: Instant) -> f64 {
         let cost = self.loads.get(service).and_then(|l| l.cost(now)).unwrap_or_default();
         let slots = self.of_service(service).map(|v| v.upstream.slots).max().unwrap_or(1);
-        let rate = self.total_demand(service, now);
-        engines_needed(rate, cost, speed, slots, planned)
+        engines_busy(self.total_demand(service, now), cost, speed, slots)
     }
 
     /// Returns the load that this process puts on upstreams.
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -14,8 +14,8 @@
         board::Board,
         context::Gateway,
         decide::{
-            CapacityInput, Fleet, Mechanism, NeedPeak, OrderPace, PaceInput, Wish, needed_at_start,
-            plan_engines,
+            CapacityInput, Fleet, Mechanism, NeedPeak, OrderPace, PaceInput, Wish, engines_needed,
+            needed_at_start, plan_engines,
         },
         model::{Configuration, Scaling, ServiceName},
         telemetry::Event,
@@ -127,7 +127,8 @@
         drop(settings);
         let board = self.gateway.board.borrow();
         let speed = board.speed(service, &off);
-        let current = board.engines_needed(service, speed, capacity.planned, now);
+        let busy = board.engines_busy(service, speed, now);
+        let current = engines_needed(busy, capacity.safety);
         let fleets = fleets(&board, service, scaling);
         drop(board);
         let peak = self.needs.entry(service.clone()).or_default().note(current, now);
--- a/src/gateway/decide/breaker.rs
+++ b/src/gateway/decide/breaker.rs
@@ -19,8 +19,6 @@
 const AVOID_FIRST: Duration = Duration::from_millis(500);
 /// The same after several such tries in a row; it doubles with each up to this.
 const AVOID_LONGEST: Duration = Duration::from_secs(2);
-/// Weight of a new observation of slowness.
-const SLOWNESS_WEIGHT: f64 = 0.2;
 
 /// How an attempt ended, as far as it tells of the upstream's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +36,6 @@
 pub struct Breaker {
     failures: f64,
     at: Instant,
-    slowness: f64,
     unreachable: u32,
     avoid_until: Option<Instant>,
 }
@@ -46,7 +43,7 @@
 impl Breaker {
     /// Creates the health of an upstream that has not been tried.
     pub fn new(now: Instant) -> Self {
-        Self { failures: 0.0, at: now, slowness: 1.0, unreachable: 0, avoid_until: None }
+        Self { failures: 0.0, at: now, unreachable: 0, avoid_until: None }
     }
 
     /// Notes how an attempt ended.
@@ -80,21 +77,9 @@
         self.avoid_until.is_some_and(|until| now < until)
     }
 
-    /// Notes how long an answer took against what was expected.
-    pub fn record_time(&mut self, took: Duration, expected: Duration) {
-        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
-        let ratio = ratio.clamp(0.5, 10.0);
-        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness);
-    }
-
     /// Returns the recent failures; older ones count less.
     pub fn recent_failures(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.at).as_secs_f64();
         self.failures * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
     }
-
-    /// Returns how much longer its answers take than expected: 1 is as expected.
-    pub fn slowness(&self) -> f64 {
-        self.slowness
-    }
 }
--- a/src/gateway/decide/engine.rs
+++ b/src/gateway/decide/engine.rs
@@ -24,8 +24,6 @@
     pub slots: u32,
     /// Prompt tokens of this request that it would have to read.
     pub missing_tokens: f64,
-    /// How much longer its answers take than predicted; 1 is as predicted.
-    pub slowness: f64,
     /// Failures of late.
     pub failures: f64,
     /// Whether it is in another data centre.
@@ -47,7 +45,7 @@
     let first = speed.first_token(c.pending_tokens + c.missing_tokens, c.running.min(slots));
     // With all slots taken, one becomes free each time one of the runs ends.
     let ahead = (c.running + 1.0 - slots).max(0.0);
-    (first + ahead * speed.held / slots) * c.slowness
+    first + ahead * speed.held / slots
 }
 
 fn cost(c: &Candidate, speed: EngineSpeed) -> f64 {
--- a/src/gateway/decide/mechanism.rs
+++ b/src/gateway/decide/mechanism.rs
@@ -9,8 +9,6 @@
     KnownCaches,
     /// One home for a shared part that no engine holds.
     PrefixHome,
-    /// How much slower an upstream answers than the others.
-    Slowness,
     /// Failures of an upstream of late.
     Failures,
     /// Avoiding upstreams that could not be reached.
@@ -25,11 +23,10 @@
 
 impl Mechanism {
     /// All, with their names in the settings.
-    pub const NAMES: [(&'static str, Self); 9] = [
+    pub const NAMES: [(&'static str, Self); 8] = [
         ("learnt_speed", Self::LearntSpeed),
         ("known_caches", Self::KnownCaches),
         ("prefix_home", Self::PrefixHome),
-        ("slowness", Self::Slowness),
         ("failures", Self::Failures),
         ("avoidance", Self::Avoidance),
         ("leaving_overflow", Self::LeavingOverflow),
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -24,7 +24,7 @@
 pub use engine::{Candidate, choose_engine, predicted_wait};
 pub use kept::Kept;
 pub use mechanism::{Mechanism, SwitchedOff};
-pub use need::{LoadMeter, NeedPeak, PlannedUse, RequestCost, engines_needed};
+pub use need::{LoadMeter, NeedPeak, RequestCost, engines_busy, engines_needed};
 pub use pace::{OrderPace, PaceInput};
 pub use quota::{PeerTotal, QuotaBook, QuotaShare, QuotaTerms, QuotaUsedUp};
 pub use retry::{RetryBook, RetryTerms};
--- a/src/gateway/decide/need.rs
+++ b/src/gateway/decide/need.rs
@@ -116,27 +116,20 @@
     }
 }
 
-/// How much of an engine is planned with.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PlannedUse {
-    /// Share of the time that may go into reading prompts, by the time that a
-    /// token adds to the first token's.
-    pub reading: f64,
-    /// Share of the slots that may be taken.
-    pub slots: f64,
+/// Returns the engines that `rate` requests a second at that cost would keep busy,
+/// reading prompts and with all slots taken.
+pub fn engines_busy(rate: f64, cost: RequestCost, speed: EngineSpeed, slots: u32) -> f64 {
+    let reading = rate * cost.tokens * speed.per_token;
+    let running = rate * cost.held / f64::from(slots.max(1));
+    reading + running
 }
 
-/// Returns the engines needed for `rate` requests a second at that cost.
-pub fn engines_needed(
-    rate: f64,
-    cost: RequestCost,
-    speed: EngineSpeed,
-    slots: u32,
-    planned: PlannedUse,
-) -> f64 {
-    let reading = rate * cost.tokens * speed.per_token / planned.reading;
-    let running = rate * cost.held / (f64::from(slots.max(1)) * planned.slots);
-    reading + running
+/// Returns the engines needed so that so many may be busy: a load varies by the
+/// square root of its size, so that a large one needs less beyond it than a small
+/// one. With a fixed share of 0.65 in place of it, sixty engines were kept where
+/// forty do.
+pub fn engines_needed(busy: f64, safety: f64) -> f64 {
+    busy + safety * busy.sqrt()
 }
 
 /// The largest need of late.
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -83,15 +83,11 @@
         }
     }
 
-    /// Notes how long the first token took against the prediction, and learns
-    /// from it how fast the service is.
+    /// Learns from a first token how fast the service is.
     pub fn first_token(&self, selected: &Selected, now: Instant) {
         let took = now.saturating_duration_since(selected.at);
         let c = selected.candidate;
         let mut board = self.gateway.board.borrow_mut();
-        if let Some(view) = board.upstreams.get_mut(&selected.id) {
-            view.breaker.record_time(took, selected.predicted);
-        }
         if c.running < f64::from(c.slots) {
             let tokens = c.pending_tokens + c.missing_tokens;
             let seen = FirstToken { tokens, running: c.running, took };
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -147,9 +147,8 @@
             let missing = missing_tokens(&board, view, prompt, shared, at_home);
             let candidate = Board::candidate(view, missing, &own, now, fastrand::f64());
             let at_risk = if view.takes_work() { 0 } else { prompt.map_or(0, |p| p.tokens) };
-            let slowness = if off.is_on(Mechanism::Slowness) { candidate.slowness } else { 1.0 };
             let failures = if off.is_on(Mechanism::Failures) { candidate.failures } else { 0.0 };
-            Candidate { at_risk_tokens: f64::from(at_risk), slowness, failures, ..candidate }
+            Candidate { at_risk_tokens: f64::from(at_risk), failures, ..candidate }
         })
         .collect();
     let best = choose_engine(&candidates, speed)?;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -10,12 +10,10 @@
 
 use super::{Section, SettingsError, entry::LEVELS, load};
 use crate::{
-    gateway::decide::{CapacityPolicy, Mechanism, PlannedUse, QuotaTerms, SwitchedOff},
+    gateway::decide::{CapacityPolicy, Mechanism, QuotaTerms, SwitchedOff},
     ids::DataCentre,
 };
 
-/// Smallest share of an engine that can be planned with.
-const LEAST_SHARE: f64 = 0.01;
 /// Share of the quotas' slack by which buckets exceed the burst. The sum over
 /// the window keeps rate and burst; after a restart, whose window is not known,
 /// the rest of the slack is left.
@@ -62,8 +60,9 @@
 pub struct CapacitySettings {
     /// What is kept beyond the load.
     pub policy: CapacityPolicy,
-    /// How much of an engine is planned with.
-    pub planned: PlannedUse,
+    /// Engines needed beyond those that the load keeps busy, for each square root
+    /// of their number.
+    pub safety: f64,
 }
 
 /// Settings of a gateway.
@@ -160,9 +159,6 @@
             needed_floor: s.number("needed_floor", 2.0),
             start_share: s.number("start_share", 0.3),
         },
-        planned: PlannedUse {
-            reading: s.number("prefill_share", 0.7).max(LEAST_SHARE),
-            slots: s.number("slot_share", 0.6).max(LEAST_SHARE),
-        },
+        safety: s.number("safety", 1.5),
     }
 }
