A read of the table that gets no answer is made once more

Ruled out: a write in doubt (only the read timed out). Reading twice changes nothing, so it is done.

--- a/src/cloud/client.rs
+++ b/src/cloud/client.rs
@@ -126,8 +126,18 @@
         }
     }
 
+    /// Reads; once more if no answer came. Reading twice changes nothing, and an
+    /// operator who gets "not run" for a slow read has to apply again.
     fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
-        match self.send("GET", path, b"")? {
+        let first = self.send("GET", path, b"");
+        if let Err(PlatformError::Unavailable(e)) = &first {
+            log::warn!("the platform did not answer {path}, which is read once more: {e}");
+        }
+        let answer = first.or_else(|e| match e {
+            PlatformError::Unavailable(_) => self.send("GET", path, b""),
+            other => Err(other),
+        });
+        match answer? {
             (200, body) => from_json(&body),
             (status, _) => Err(PlatformError::Status(status)),
         }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -3,7 +3,13 @@
 
 mod support;
 
-use std::{fs, thread, time::Duration};
+use std::{
+    fs,
+    io::{Read, Write},
+    net::TcpListener,
+    thread,
+    time::Duration,
+};
 
 use proptest::prelude::*;
 use serde_json::{Value, json};
@@ -16,6 +22,7 @@
 };
 use tackhollow::{
     caller::{Caller, Verdict},
+    cloud::PlatformClient,
     config::{Change, ConfigStore, Drain, Item, ItemKey, ItemKind, Template},
     control::{Lease, LeaseAction, LeaseRow, LeaseTiming},
 };
@@ -249,3 +256,35 @@
         }
     }
 }
+
+#[test]
+fn a_read_that_gets_no_answer_is_made_once_more() {
+    struct Case {
+        name: &'static str,
+        /// Connections that are closed without an answer.
+        unanswered: usize,
+        read: bool,
+    }
+    let cases = [
+        Case { name: "an answer at once", unanswered: 0, read: true },
+        Case { name: "one answer is lost", unanswered: 1, read: true },
+        Case { name: "nobody answers", unanswered: 2, read: false },
+    ];
+    const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n[]";
+    for case in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("its address");
+        thread::spawn(move || {
+            for (i, stream) in listener.incoming().enumerate() {
+                let mut stream = stream.expect("a connection");
+                let mut head = [0; 1_024];
+                let read = stream.read(&mut head).expect("a request");
+                if read > 0 && i >= case.unanswered {
+                    stream.write_all(ANSWER.as_bytes()).expect("the caller is there");
+                }
+            }
+        });
+        let client = PlatformClient::new(address, Duration::from_secs(1));
+        assert_eq!(client.list_objects("").is_ok(), case.read, "{}", case.name);
+    }
+}
