--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -234,7 +234,6 @@
             missing_tokens: f64::from(missing_tokens),
             failures: view.breaker.recent_failures(now),
             remote: view.upstream.data_centre != *own_data_centre,
-            at_risk_tokens: 0.0,
             chance,
         }
     }
--- a/src/gateway/board/upstream.rs
+++ b/src/gateway/board/upstream.rs
@@ -33,9 +33,9 @@
     pub leaving_since: Option<Instant>,
 }
 
-/// For how long an upstream that leaves gets requests: it serves on for two
-/// seconds or more, and much of its work ends within one.
-const LEAVING_TAKES_WORK: Duration = Duration::from_millis(1_000);
+/// For how long an upstream that leaves gets requests that nobody else takes.
+/// It serves on for two seconds or more, and much of its work ends within one.
+const LAST_RESORT: Duration = Duration::from_millis(1_000);
 
 impl UpstreamView {
     /// Creates the view of an upstream that was just heard of.
@@ -66,9 +66,9 @@
         changed
     }
 
-    /// Returns whether it has just begun to leave and still takes requests.
-    pub fn still_takes_work(&self, now: Instant) -> bool {
-        let recent = |t: Instant| now.saturating_duration_since(t) < LEAVING_TAKES_WORK;
+    /// Returns whether it still takes requests that no other upstream takes.
+    pub fn is_last_resort(&self, now: Instant) -> bool {
+        let recent = |t: Instant| now.saturating_duration_since(t) < LAST_RESORT;
         self.leaving_since.is_some_and(recent)
     }
 }
--- a/src/gateway/decide/engine.rs
+++ b/src/gateway/decide/engine.rs
@@ -28,9 +28,6 @@
     pub failures: f64,
     /// Whether it is in another data centre.
     pub remote: bool,
-    /// Prompt tokens that would be read once more if it went in the middle of
-    /// the run; none if it is not known to leave.
-    pub at_risk_tokens: f64,
     /// From 0 to 1, drawn for this choice.
     pub chance: f64,
 }
@@ -50,11 +47,7 @@
 
 fn cost(c: &Candidate, speed: EngineSpeed) -> f64 {
     let remote = if c.remote { REMOTE_COST } else { 0.0 };
-    let at_risk = match c.at_risk_tokens {
-        0.0 => 0.0,
-        tokens => speed.first_token(tokens, 0.0),
-    };
-    wait_seconds(c, speed) + c.failures * FAILURE_COST + at_risk + remote + c.chance * JITTER
+    wait_seconds(c, speed) + c.failures * FAILURE_COST + remote + c.chance * JITTER
 }
 
 /// Returns the index of the best candidate; `None` if there is none.
--- a/src/gateway/decide/mechanism.rs
+++ b/src/gateway/decide/mechanism.rs
@@ -13,8 +13,6 @@
     Failures,
     /// Avoiding upstreams that could not be reached.
     Avoidance,
-    /// Overflow to engines that have just begun to leave.
-    LeavingOverflow,
     /// Engines on demand for the case that one more data centre goes.
     LossCover,
     /// Keeping to the largest need of the last seconds.
@@ -23,13 +21,12 @@
 
 impl Mechanism {
     /// All, with their names in the settings.
-    pub const NAMES: [(&'static str, Self); 8] = [
+    pub const NAMES: [(&'static str, Self); 7] = [
         ("learnt_speed", Self::LearntSpeed),
         ("known_caches", Self::KnownCaches),
         ("prefix_home", Self::PrefixHome),
         ("failures", Self::Failures),
         ("avoidance", Self::Avoidance),
-        ("leaving_overflow", Self::LeavingOverflow),
         ("loss_cover", Self::LossCover),
         ("need_peak", Self::NeedPeak),
     ];
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -136,7 +136,7 @@
         (settings.data_centre.clone(), settings.off.clone())
     };
     let board = gateway.board.borrow();
-    let views = untried(&board, admitted, tried, &off, now);
+    let views = untried(&board, &admitted.service, tried, &off, now);
     let shared = shared.filter(|_| off.is_on(Mechanism::KnownCaches));
     let home =
         shared.filter(|_| off.is_on(Mechanism::PrefixHome)).and_then(|s| home(&board, &views, s));
@@ -146,9 +146,8 @@
             let at_home = home.is_some_and(|id| *id == view.upstream.id);
             let missing = missing_tokens(&board, view, prompt, shared, at_home);
             let candidate = Board::candidate(view, missing, &own, now, fastrand::f64());
-            let at_risk = if view.takes_work() { 0 } else { prompt.map_or(0, |p| p.tokens) };
             let failures = if off.is_on(Mechanism::Failures) { candidate.failures } else { 0.0 };
-            Candidate { at_risk_tokens: f64::from(at_risk), failures, ..candidate }
+            Candidate { failures, ..candidate }
         })
         .collect();
     let best = choose_engine(&candidates, speed)?;
@@ -160,37 +159,24 @@
 }
 
 /// Returns the upstreams that the request was not sent to yet. Those that could
-/// not be reached of late count only if there are no others. Those that have
-/// just begun to leave count for requests that can go on elsewhere, and for
-/// others if there are none at all.
-///
-/// A data centre's engines announce together that they go, some seconds before
-/// they do and a little before others have started. Using them for one of these
-/// seconds halves the time in which the rest is overloaded.
+/// not be reached of late count only if there are no others, and those that
+/// have just begun to leave only if there are none at all.
 fn untried<'a>(
     board: &'a Board,
-    admitted: &'a Admitted,
+    service: &'a str,
     tried: &[UpstreamId],
     off: &SwitchedOff,
     now: Instant,
 ) -> Vec<&'a UpstreamView> {
-    let all = board.of_service(&admitted.service).filter(|v| !tried.contains(&v.upstream.id));
+    let all = board.of_service(service).filter(|v| !tried.contains(&v.upstream.id));
     let (serving, leaving): (Vec<_>, Vec<_>) = all.partition(|v| v.takes_work());
-    let mut leaving: Vec<_> = leaving.into_iter().filter(|v| v.still_takes_work(now)).collect();
     if serving.is_empty() {
-        return leaving;
+        return leaving.into_iter().filter(|v| v.is_last_resort(now)).collect();
     }
-    let avoided = |v: &&UpstreamView| off.is_on(Mechanism::Avoidance) && v.breaker.is_avoided(now);
-    let (mut reached, unreachable): (Vec<_>, Vec<_>) =
-        serving.into_iter().partition(|v| !avoided(v));
-    if reached.is_empty() {
-        return unreachable;
-    }
-    if admitted.route.repeatable() && off.is_on(Mechanism::LeavingOverflow) {
-        leaving.retain(|v| !avoided(v));
-        reached.append(&mut leaving);
-    }
-    reached
+    let is_avoided =
+        |v: &&UpstreamView| off.is_on(Mechanism::Avoidance) && v.breaker.is_avoided(now);
+    let (avoided, reached): (Vec<_>, Vec<_>) = serving.into_iter().partition(is_avoided);
+    if reached.is_empty() { avoided } else { reached }
 }
 
 /// Returns where a prefix belongs that no engine holds yet, so that all
--- a/tests/gateway_choice.rs
+++ b/tests/gateway_choice.rs
@@ -25,7 +25,6 @@
     missing_tokens: 1_000.0,
     failures: 0.0,
     remote: false,
-    at_risk_tokens: 0.0,
     chance: 0.0,
 };
 
@@ -195,11 +194,11 @@
         leaves_in: None,
     };
     let mut view = UpstreamView::new(upstream(UpstreamPhase::Ready), now);
-    assert!(view.takes_work() && !view.still_takes_work(now));
+    assert!(view.takes_work() && !view.is_last_resort(now));
     assert!(view.update(upstream(UpstreamPhase::Draining), now + ms(100)), "its phase changed");
     assert!(!view.update(upstream(UpstreamPhase::Draining), now + ms(900)), "told once more");
-    assert!(!view.takes_work() && view.still_takes_work(now + ms(1_000)));
-    assert!(!view.still_takes_work(now + ms(1_200)), "it may be gone soon");
+    assert!(!view.takes_work() && view.is_last_resort(now + ms(1_000)));
+    assert!(!view.is_last_resort(now + ms(1_200)), "it may be gone soon");
     let known_late = UpstreamView::new(upstream(UpstreamPhase::Draining), now);
-    assert!(!known_late.still_takes_work(now), "nobody knows since when it leaves");
+    assert!(!known_late.is_last_resort(now), "nobody knows since when it leaves");
 }
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -217,7 +217,6 @@
                 missing_tokens: job.prompt,
                 failures: 0.0,
                 remote: false,
-                at_risk_tokens: 0.0,
                 chance: self.rng.f64(),
             })
             .collect();
