--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -27,8 +27,8 @@
 {{/bounds.leaseMs}}{{#bounds.ttl_max_s}}directory_ttl_s = {{bounds.ttl_max_s}}
 {{/bounds.ttl_max_s}}
 [capacity]
-reclaimable_factor = 2.0
-survive_share = 0.8
+reclaimable_factor = 3.0
+survive_share = 1.1
 on_demand_floor = 0
 needed_floor = 2.0
 start_share = 0.3
