--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -75,7 +75,7 @@
 ) -> Option<Selected> {
     let shared = prompt.and_then(shared);
     let speed = gateway.board.borrow().speed(&admitted.service, &gateway.settings.borrow().off);
-    let (id, candidate, candidates, holders) =
+    let Choice { id, candidate, candidates, holders } =
         choose(gateway, admitted, prompt, shared, tried, speed, now)?;
     let mut guard = gateway.board.borrow_mut();
     let board = &mut *guard;
@@ -122,6 +122,16 @@
     ((all / processes as f64) as usize).max(LEAST_CONNECTIONS)
 }
 
+/// The best of the upstreams that the request may go to.
+struct Choice {
+    id: UpstreamId,
+    candidate: Candidate,
+    /// Upstreams that it was chosen from.
+    candidates: usize,
+    /// Those among them that hold the shared part of the prompt, as believed.
+    holders: usize,
+}
+
 fn choose(
     gateway: &Gateway,
     admitted: &Admitted,
@@ -130,7 +140,7 @@
     tried: &[UpstreamId],
     speed: EngineSpeed,
     now: Instant,
-) -> Option<(UpstreamId, Candidate, usize, usize)> {
+) -> Option<Choice> {
     let (own, off) = {
         let settings = gateway.settings.borrow();
         (settings.data_centre.clone(), settings.off.clone())
@@ -154,8 +164,12 @@
     let holds = |v: &&&UpstreamView| {
         shared.is_some_and(|s| board.cache.holds(&v.upstream.id, s.fingerprint))
     };
-    let holders = views.iter().filter(holds).count();
-    Some((views[best].upstream.id.clone(), candidates[best], views.len(), holders))
+    Some(Choice {
+        id: views[best].upstream.id.clone(),
+        candidate: candidates[best],
+        candidates: views.len(),
+        holders: views.iter().filter(holds).count(),
+    })
 }
 
 /// Returns the upstreams that the request was not sent to yet. Those that could
