The trace of a refusal by quota names the customer and what decided

Cause: the line that says who was refused and why was new, and the trace neither read it nor left out those of other requests; its cause named no customer.

--- a/src/bin/tackhollow-trace/story.rs
+++ b/src/bin/tackhollow-trace/story.rs
@@ -10,7 +10,7 @@
 use crate::line::Line;
 
 /// Events that tell of requests; all others tell of beliefs.
-const REQUEST_EVENTS: [&str; 3] = ["attempt", "attempt_failed", "answered"];
+const REQUEST_EVENTS: [&str; 4] = ["attempt", "attempt_failed", "quota_used_up", "answered"];
 
 /// The story of a request.
 #[derive(Debug)]
@@ -64,9 +64,7 @@
     let outcome = end.text("outcome");
     match outcome {
         "completed" => late(end, attempt.copied()),
-        "quota_used_up" => {
-            format!("customer {} has used up its quota; it has not run", end.text("customer"))
-        }
+        "quota_used_up" => quota_used_up(own),
         "unknown_key" | "no_route" => {
             let version = end.number("configuration");
             format!("{outcome} in configuration {version}, the newest known")
@@ -100,6 +98,19 @@
     }
 }
 
+/// Tells whose quota is used up, and which part of it was counted on.
+fn quota_used_up(own: &[&Line]) -> String {
+    let Some(line) = own.iter().rev().find(|l| l.event == "quota_used_up") else {
+        return "the customer has used up its quota; it has not run".to_owned();
+    };
+    let (customer, rate) = (line.text("customer"), line.number("rate"));
+    let (heard, members) = (line.number("heard"), line.number("members"));
+    format!(
+        "customer {customer} has used up its quota of {rate} tokens/s, as {heard} of {members} \
+         gateways are heard; it has not run"
+    )
+}
+
 /// Tells what delayed an answer that was whole.
 fn late(end: &Line, attempt: Option<&Line>) -> String {
     let (first, took) = (end.number("first_ms"), end.number("took_ms"));
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -65,6 +65,42 @@
     }
 }
 
+/// Lines as gateways write them, each test's request among others.
+#[test]
+fn a_refusal_by_quota_names_the_customer_and_what_decided() {
+    let line = |request: &str, event: &str| {
+        format!(r#"{{"time_ms":1000,"process":"g-1.a","event":{event},"request":"{request}"}}"#)
+    };
+    let used_up = |customer: &str| {
+        format!(
+            r#""quota_used_up","customer":"{customer}","tokens":4000,"rate":500000.0,"level":-120.0,"in_window":4400000.0,"assumed":0.0,"heard":7,"members":7,"wait_ms":210"#
+        )
+    };
+    let answered = r#""answered","route":"","customer":"","status":429,"outcome":"quota_used_up","took_ms":0,"first_ms":0,"configuration":7"#;
+    let lines = [
+        line("another", &used_up("kitchens")),
+        line("refused", &used_up("temple-fairs")),
+        line("refused", answered),
+    ];
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("gateway.log");
+    fs::write(&file, lines.join("\n")).expect("a file");
+    let output = Command::new(env!("CARGO_BIN_EXE_tackhollow-trace"))
+        .arg("refused")
+        .arg(&file)
+        .output()
+        .expect("the tool runs");
+    let story = String::from_utf8(output.stdout).expect("text");
+    assert!(
+        story.contains(
+            "cause: customer temple-fairs has used up its quota of 500000 tokens/s, as 7 of 7 \
+             gateways are heard; it has not run"
+        ),
+        "{story}"
+    );
+    assert!(!story.contains("kitchens"), "what befell others is no part of it: {story}");
+}
+
 #[test]
 fn what_the_store_said_of_the_upstream_is_part_of_the_story() {
     let site = Site::start(1, 1, 0);
