Capacity settings stand once; names and units of the learnt speed

The template repeated the defaults and the player of loads both; now the defaults alone decide. A speed without prompts is none, and not an infinite one, in the log. note_first_token and note_held say that they learn. Unknown names under 'off' are mistakes with a test. No decision changed.

--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -26,10 +26,3 @@
 {{/bounds.usageWindowS}}{{#bounds.leaseMs}}lease_ms = {{bounds.leaseMs}}
 {{/bounds.leaseMs}}{{#bounds.ttl_max_s}}directory_ttl_s = {{bounds.ttl_max_s}}
 {{/bounds.ttl_max_s}}
-[capacity]
-reclaimable_factor = 3.0
-survive_share = 1.1
-on_demand_floor = 0
-needed_floor = 2.0
-start_share = 0.3
-safety = 1.5
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -239,12 +239,12 @@
     }
 
     /// Returns how fast the upstreams of a service are, as far as is known.
-    pub fn speed(&self, service: &str, off: &SwitchedOff) -> EngineSpeed {
+    pub fn speed(&self, service: &str, off: &SwitchedOff, now: Instant) -> EngineSpeed {
         if !off.is_on(Mechanism::LearntSpeed) {
             return EngineSpeed::default();
         }
         let mut speed = self.speeds.get(service).map(SpeedModel::speed).unwrap_or_default();
-        let cost = self.loads.get(service).and_then(|l| l.cost(Instant::now()));
+        let cost = self.loads.get(service).and_then(|l| l.cost(now));
         speed.held = cost.map_or(speed.held, |c| c.held);
         speed
     }
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -129,7 +129,7 @@
         let (capacity, off) = (settings.capacity, settings.off.clone());
         drop(settings);
         let board = self.gateway.board.borrow();
-        let speed = board.speed(service, &off);
+        let speed = board.speed(service, &off, now);
         let busy = board.engines_busy(service, speed, now);
         let current = engines_needed(busy, capacity.safety);
         let fleets = fleets(&board, service, scaling);
@@ -189,7 +189,8 @@
 }
 
 async fn send(gateway: Rc<Gateway>, order: EngineOrder, needed: f64) {
-    let speed = gateway.board.borrow().speed(&order.service, &gateway.settings.borrow().off);
+    let off = gateway.settings.borrow().off.clone();
+    let speed = gateway.board.borrow().speed(&order.service, &off, Instant::now());
     let fence = || gateway.board.borrow().lease.may_act(Instant::now());
     let outcome = gateway.duties.order_engines(fence, &order).await;
     let error = outcome.as_ref().err().map(ToString::to_string).unwrap_or_default();
@@ -199,7 +200,7 @@
         reclaimable: order.reclaimable,
         count: order.count,
         needed,
-        tokens_per_second: 1.0 / speed.per_token,
+        tokens_per_second: speed.tokens_per_second(),
         fence: fence().unwrap_or_default(),
         outcome: outcome.as_ref().ok().copied(),
         error: &error,
--- a/src/gateway/decide/speed.rs
+++ b/src/gateway/decide/speed.rs
@@ -22,7 +22,7 @@
 /// Requests' worth of weight that the start values have.
 const START_WEIGHT: f64 = 2.0;
 /// What remains of the weight of earlier requests after one more: some hundred
-/// of them count, about a second's worth of a small deployment.
+/// of them count, some seconds' worth of one gateway.
 const MEMORY: f64 = 0.99;
 /// Weight of a new observation of the usual error.
 const SMOOTHING: f64 = 0.05;
@@ -67,6 +67,12 @@
 }
 
 impl EngineSpeed {
+    /// Returns the prompt tokens read in a second; `None` if reading takes no time,
+    /// as where no request has a prompt.
+    pub fn tokens_per_second(&self) -> Option<f64> {
+        (self.per_token > 0.0).then(|| 1.0 / self.per_token)
+    }
+
     /// Returns the seconds to the first token at an upstream that runs `running`
     /// requests and has `tokens` prompt tokens to read first.
     pub fn first_token(&self, tokens: f64, running: f64) -> f64 {
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -264,8 +264,8 @@
             }
         } else {
             self.verdict(&selected.id, Verdict::Good);
-            self.first_token(&selected, now);
-            self.held(&selected, now);
+            self.note_first_token(&selected, now);
+            self.note_held(&selected, now);
         }
         self.count_usage(now);
         platform::strip_hop_headers(&mut parts.headers);
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -88,7 +88,7 @@
             match end {
                 RunEnd::Complete => {
                     self.forwarding.verdict(&id, Verdict::Good);
-                    self.forwarding.held(&run.selected, Instant::now());
+                    self.forwarding.note_held(&run.selected, Instant::now());
                     if !run.closes {
                         run.lease.give_back(run.keep_alive);
                     }
@@ -149,7 +149,7 @@
         let now = Instant::now();
         self.first = Some(now);
         self.forwarding.count_usage(now);
-        self.forwarding.first_token(&run.selected, now);
+        self.forwarding.note_first_token(&run.selected, now);
     }
 
     /// Passes on what follows the last whole event.
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -84,7 +84,7 @@
     }
 
     /// Learns from a first token how fast the service is.
-    pub fn first_token(&self, selected: &Selected, now: Instant) {
+    pub fn note_first_token(&self, selected: &Selected, now: Instant) {
         let took = now.saturating_duration_since(selected.at);
         let c = selected.candidate;
         let mut board = self.gateway.board.borrow_mut();
@@ -96,7 +96,7 @@
     }
 
     /// Learns for how long a request held its slot.
-    pub fn held(&self, selected: &Selected, now: Instant) {
+    pub fn note_held(&self, selected: &Selected, now: Instant) {
         let held = now.saturating_duration_since(selected.at);
         let mut board = self.gateway.board.borrow_mut();
         board.load_meter(&self.admitted.service, now).ended(held.as_secs_f64(), now);
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -74,7 +74,8 @@
     now: Instant,
 ) -> Option<Selected> {
     let shared = prompt.and_then(shared);
-    let speed = gateway.board.borrow().speed(&admitted.service, &gateway.settings.borrow().off);
+    let off = gateway.settings.borrow().off.clone();
+    let speed = gateway.board.borrow().speed(&admitted.service, &off, now);
     let Choice { id, candidate, candidates, holders } =
         choose(gateway, admitted, prompt, shared, tried, speed, now)?;
     let mut guard = gateway.board.borrow_mut();
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -107,7 +107,7 @@
         /// Engines that the load needs.
         needed: f64,
         /// Prompt tokens that an engine reads in a second, as learnt.
-        tokens_per_second: f64,
+        tokens_per_second: Option<f64>,
         /// Fencing number.
         fence: u64,
         /// What became of it.
--- a/tests/gateway_speed.rs
+++ b/tests/gateway_speed.rs
@@ -162,6 +162,20 @@
     assert_eq!(seen, [8.0, 8.0, 8.0, 6.0, 3.0]);
 }
 
+#[test]
+fn a_service_without_prompts_has_no_reading_speed() {
+    let mut model = SpeedModel::default();
+    for _ in 0..2_000 {
+        let took = Duration::from_millis(60);
+        model.note_first_token(FirstToken { tokens: 0.0, running: 1.0, took });
+    }
+    let speed = model.speed();
+    assert!((speed.first_token(0.0, 1.0) - 0.06).abs() < 0.005, "{speed:?}");
+    assert!(speed.tokens_per_second().is_none_or(|s| s.is_finite() && s > 0.0), "{speed:?}");
+    let nothing_read = EngineSpeed { per_token: 0.0, ..speed };
+    assert_eq!(nothing_read.tokens_per_second(), None);
+}
+
 #[test]
 fn a_large_load_needs_less_beyond_it_than_a_small_one() {
     let share = |busy: f64| engines_needed(busy, 1.5) / busy;
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -7,20 +7,23 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fs,
     time::{Duration, Instant},
 };
 
 use tackhollow::{
     gateway::{
         decide::{
-            Candidate, CapacityInput, CapacityPolicy, EngineSpeed, FirstToken, Fleet, LoadMeter,
-            NeedPeak, OrderPace, PaceInput, SpeedModel, choose_engine, engines_busy,
-            engines_needed, plan_engines,
+            Candidate, CapacityInput, EngineSpeed, FirstToken, Fleet, LoadMeter, NeedPeak,
+            OrderPace, PaceInput, SpeedModel, choose_engine, engines_busy, engines_needed,
+            plan_engines,
         },
         model::Scaling,
     },
     ids::DataCentre,
+    settings::{CapacitySettings, GatewaySettings},
 };
+use tempfile::NamedTempFile;
 
 pub use engine::EngineTruth;
 use engine::{Engine, Job};
@@ -31,16 +34,6 @@
 const PLAN_EVERY: f64 = 0.5;
 /// Data centres.
 const PLACES: [&str; 4] = ["a", "b", "c", "d"];
-/// How the policy is set in service, see `deploy/gateway.toml.tpl`.
-const POLICY: CapacityPolicy = CapacityPolicy {
-    reclaimable_factor: 3.0,
-    survive_share: 1.1,
-    on_demand_floor: 0,
-    needed_floor: 2.0,
-    start_share: 0.3,
-};
-/// Engines beyond the busy ones, as in service.
-const SAFETY: f64 = 1.5;
 /// Price of a reclaimable engine against one on demand.
 const RECLAIMABLE_PRICE: f64 = 0.22;
 
@@ -102,9 +95,23 @@
     player.outcome
 }
 
+/// Returns the capacity settings of a gateway whose file names none.
+fn capacity_in_service() -> CapacitySettings {
+    const REQUIRED: &str = r#"
+        id = "g-1"
+        data_centre = "a"
+        listen = { callers = "127.0.0.1:1", directory = "127.0.0.1:2", readiness = "127.0.0.1:3", peers = "127.0.0.1:4", heartbeats = "127.0.0.1:5" }
+        platform = { store = "127.0.0.1:6", api = "127.0.0.1:7" }
+    "#;
+    let file = NamedTempFile::new().expect("a file");
+    fs::write(file.path(), REQUIRED).expect("the file is written");
+    GatewaySettings::load(file.path()).expect("no mistakes").capacity
+}
+
 struct Player<'a> {
     scene: &'a Scene,
     policy: Policy,
+    capacity: CapacitySettings,
     rng: fastrand::Rng,
     started: Instant,
     now: f64,
@@ -126,6 +133,7 @@
         Self {
             scene,
             policy,
+            capacity: capacity_in_service(),
             rng: fastrand::Rng::with_seed(seed),
             started,
             now: 0.0,
@@ -262,7 +270,7 @@
         if self.policy == Policy::Learnt {
             let cost = self.meter.cost(now).unwrap_or_default();
             let busy = engines_busy(self.meter.rate(now), cost, speed, slots);
-            return self.peak.note(engines_needed(busy, SAFETY), now);
+            return self.peak.note(engines_needed(busy, self.capacity.safety), now);
         }
         let running: usize = self.engines.iter().map(|e| e.jobs().min(slots as usize)).sum();
         let reading = self.meter.rate(now) * self.scene.prompt * speed.per_token / 0.55;
@@ -281,7 +289,7 @@
         let fleets: BTreeMap<DataCentre, Fleet> =
             (0..PLACES.len()).map(|p| (PLACES[p].to_owned(), self.fleet(p))).collect();
         let input = CapacityInput { needed, scaling: &scaling, fleets: &fleets, losses: 1 };
-        for (place, wish) in plan_engines(&input, &POLICY).into_values().enumerate() {
+        for (place, wish) in plan_engines(&input, &self.capacity.policy).into_values().enumerate() {
             self.order(place, true, wish.reclaimable, &scaling);
             self.order(place, false, wish.on_demand, &scaling);
         }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -161,6 +161,10 @@
             text: "[platform]\nstore = \"x\"",
             said: "platform.store: expected an IP number",
         },
+        Mistake {
+            text: "off = [\"need_peak\", \"sleep\"]",
+            said: "off: expected some of learnt_speed, known_caches",
+        },
         Mistake {
             text: "[capacity]\nfactor = 1",
             said: "capacity.factor: expected one of the keys",
