What a request costs is averaged over all processes

Change: heartbeats tell tokens and time in a slot beside the rate, and the need rests on the mean over all. A need is known from the first request, with the start value of the time in a slot, and a rate that has just begun is reckoned from one second.

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -16,7 +16,8 @@
 use super::{
     decide::{
         Busy, CacheBelief, Candidate, EngineSpeed, LoadMeter, Mechanism, QuotaBook, QuotaShare,
-        RetryBook, SpeedModel, Steadiness, SwitchedOff, TrueClock, UsageBook, busy,
+        RequestCost, RetryBook, SpeedModel, Steadiness, SwitchedOff, TrueClock, UsageBook, busy,
+        mean_cost,
     },
     model::{Configuration, Revision, ServiceName},
     net::Phase,
@@ -109,6 +110,8 @@
     /// Requests in progress.
     pub in_progress: usize,
     loads: BTreeMap<ServiceName, LoadMeter>,
+    /// What a request to each service costs on average, over all processes.
+    costs: BTreeMap<ServiceName, RequestCost>,
     speeds: BTreeMap<ServiceName, SpeedModel>,
     started: Instant,
 }
@@ -139,6 +142,7 @@
             steadiness: Steadiness::default(),
             in_progress: 0,
             loads: BTreeMap::new(),
+            costs: BTreeMap::new(),
             speeds: BTreeMap::new(),
             started: now,
         }
@@ -245,13 +249,12 @@
     }
 
     /// Returns how fast the upstreams of a service are, as far as is known.
-    pub fn speed(&self, service: &str, off: &SwitchedOff, now: Instant) -> EngineSpeed {
+    pub fn speed(&self, service: &str, off: &SwitchedOff) -> EngineSpeed {
         if !off.is_on(Mechanism::LearntSpeed) {
             return EngineSpeed::default();
         }
         let mut speed = self.speeds.get(service).map(SpeedModel::speed).unwrap_or_default();
-        let cost = self.loads.get(service).and_then(|l| l.cost(now));
-        speed.held = cost.map_or(speed.held, |c| c.held);
+        speed.held = self.costs.get(service).map_or(speed.held, |c| c.held);
         speed
     }
 
@@ -273,23 +276,31 @@
 
     /// Returns the requests that this process's callers bring.
     pub fn own_demand(&self, now: Instant) -> Vec<Demand> {
-        let demand = self.loads.iter();
-        demand
-            .map(|(s, l)| Demand { service: s.clone(), request_rate: l.rate(now) as f32 })
-            .collect()
+        self.loads.iter().map(|(service, load)| own_demand(service, load, now)).collect()
+    }
+
+    /// Takes the mean over all processes of what a request costs.
+    pub fn average_costs(&mut self, now: Instant) {
+        let services = self.loads.keys();
+        let costs = services.filter_map(|s| Some((s.clone(), mean_cost(&self.demand(s, now))?)));
+        self.costs = costs.collect();
+    }
+
+    /// Returns the load that callers bring to a service through each process.
+    fn demand(&self, service: &str, now: Instant) -> Vec<Demand> {
+        let own = self.loads.get_key_value(service).map(|(s, l)| own_demand(s, l, now));
+        let others = self.heard(now).flat_map(|p| &p.last.demand);
+        own.into_iter().chain(others.filter(|d| d.service == service).cloned()).collect()
     }
 
     /// Returns the requests a second that all callers bring to a service.
     pub fn total_demand(&self, service: &str, now: Instant) -> f64 {
-        let own = self.loads.get(service).map_or(0.0, |l| l.rate(now));
-        let others = self.heard(now).flat_map(|p| &p.last.demand);
-        let others = others.filter(|d| d.service == service).map(|d| f64::from(d.request_rate));
-        own + others.sum::<f64>()
+        self.demand(service, now).iter().map(|d| f64::from(d.request_rate)).sum()
     }
 
     /// Returns what the load of a service keeps busy, as far as is known.
     pub fn busy(&self, service: &str, speed: EngineSpeed, now: Instant) -> Busy {
-        let cost = self.loads.get(service).and_then(|l| l.cost(now)).unwrap_or_default();
+        let cost = self.costs.get(service).copied().unwrap_or_default();
         busy(self.total_demand(service, now), cost, speed)
     }
 
@@ -323,3 +334,13 @@
         self.heard(now).filter(serves)
     }
 }
+
+fn own_demand(service: &ServiceName, load: &LoadMeter, now: Instant) -> Demand {
+    let cost = load.cost(now).unwrap_or_default();
+    Demand {
+        service: service.clone(),
+        request_rate: load.rate(now) as f32,
+        tokens: cost.tokens as f32,
+        held: cost.held as f32,
+    }
+}
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -130,7 +130,7 @@
         let (capacity, off) = (settings.capacity, settings.off.clone());
         drop(settings);
         let board = self.gateway.board.borrow();
-        let speed = board.speed(service, &off, now);
+        let speed = board.speed(service, &off);
         let busy = board.busy(service, speed, now);
         let current = engines_needed(busy, board.slots(service), capacity.safety);
         let mut fleets = fleets(&board, service, scaling);
@@ -228,7 +228,7 @@
 
 async fn send(gateway: Rc<Gateway>, order: EngineOrder, needed: f64) {
     let off = gateway.settings.borrow().off.clone();
-    let speed = gateway.board.borrow().speed(&order.service, &off, Instant::now());
+    let speed = gateway.board.borrow().speed(&order.service, &off);
     let fence = || gateway.board.borrow().lease.may_act(Instant::now());
     let outcome = gateway.duties.order_engines(fence, &order).await;
     let error = outcome.as_ref().err().map(ToString::to_string).unwrap_or_default();
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -146,6 +146,7 @@
         let now = cx.now();
         timer_max!(&mut self.timer, now + HEARTBEAT_PERIOD, [cx], tick());
         self.forget(now);
+        self.gateway.board.borrow_mut().average_costs(now);
         self.send(now);
         self.catch_up(now);
     }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -25,7 +25,7 @@
 pub use engine::{Candidate, choose_engine, predicted_wait};
 pub use kept::Kept;
 pub use mechanism::{Mechanism, SwitchedOff};
-pub use need::{Busy, LoadMeter, RequestCost, busy, engines_needed};
+pub use need::{Busy, LoadMeter, RequestCost, busy, engines_needed, mean_cost};
 pub use pace::{OrderPace, OrderState, PaceInput};
 pub use peak::NeedPeak;
 pub use quota::{PeerTotal, QuotaBook, QuotaShare, QuotaTerms, QuotaUsedUp};
--- a/src/gateway/decide/need.rs
+++ b/src/gateway/decide/need.rs
@@ -11,12 +11,13 @@
 use std::time::Instant;
 
 use super::EngineSpeed;
+use crate::gateway::peering::Demand;
 
 /// Time over which the rate of requests is smoothed, in seconds: bursts last a
 /// few seconds, and an engine takes as long to start.
 const RATE_SPAN: f64 = 3.0;
 /// Shortest time from which a rate is reckoned, in seconds.
-const SHORTEST_SPAN: f64 = 0.5;
+const SHORTEST_SPAN: f64 = 1.0;
 /// Silence, in mean times between requests, after which the load has ended: it
 /// comes by chance once in 10^8 times, and the rate would take seconds to fade.
 const ENDED_AFTER: f64 = 20.0;
@@ -112,16 +113,31 @@
         self.rate.get(now) / covered
     }
 
-    /// Returns what a request costs; `None` before the first one has ended.
+    /// Returns what a request costs; `None` before the first one. Until one has
+    /// ended, the time for which it holds a slot is that of the start values.
     pub fn cost(&self, now: Instant) -> Option<RequestCost> {
-        let mean = |sum: &Fading, count: &Fading| sum.get(now) / count.get(now);
-        (self.runs.get(now) > 0.0 && self.requests.get(now) > 0.0).then(|| RequestCost {
-            tokens: mean(&self.tokens, &self.requests),
-            held: mean(&self.held, &self.runs),
-        })
+        let mean = |sum: &Fading, count: &Fading| {
+            let count = count.get(now);
+            (count > 0.0).then(|| sum.get(now) / count)
+        };
+        let tokens = mean(&self.tokens, &self.requests)?;
+        let held = mean(&self.held, &self.runs).unwrap_or(EngineSpeed::default().held);
+        Some(RequestCost { tokens, held })
     }
 }
 
+/// Returns what a request costs on average over what all processes tell, by their
+/// rates; `None` without load. One of 91 processes sees one or two requests a second,
+/// and its own mean varies by a third from one look to the next.
+pub fn mean_cost(demand: &[Demand]) -> Option<RequestCost> {
+    let rate: f64 = demand.iter().map(|d| f64::from(d.request_rate)).sum();
+    let mean = |part: fn(&RequestCost) -> f64| {
+        let weighted = demand.iter().map(|d| f64::from(d.request_rate) * part(&d.cost()));
+        weighted.sum::<f64>() / rate
+    };
+    (rate > 0.0).then(|| RequestCost { tokens: mean(|c| c.tokens), held: mean(|c| c.held) })
+}
+
 /// What a load keeps busy, on average.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Busy {
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -9,7 +9,7 @@
 use crate::{
     control::LeaseClaim,
     gateway::{
-        decide::{Counts, EngineSpeed, SpeedModel, Window},
+        decide::{Counts, EngineSpeed, RequestCost, SpeedModel, Window},
         model::{CustomerName, Revision, ServiceName},
         net::Phase,
     },
@@ -50,6 +50,17 @@
     pub service: ServiceName,
     /// Requests a second.
     pub request_rate: f32,
+    /// Prompt tokens of a request that no cache holds, on average.
+    pub tokens: f32,
+    /// Seconds for which a request holds a slot, on average.
+    pub held: f32,
+}
+
+impl Demand {
+    /// Returns what one of its requests costs.
+    pub fn cost(&self) -> RequestCost {
+        RequestCost { tokens: f64::from(self.tokens), held: f64::from(self.held) }
+    }
 }
 
 /// How fast the upstreams of a service are, as one process has learnt.
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -75,7 +75,7 @@
 ) -> Option<Selected> {
     let shared = prompt.and_then(shared);
     let off = gateway.settings.borrow().off.clone();
-    let speed = gateway.board.borrow().speed(&admitted.service, &off, now);
+    let speed = gateway.board.borrow().speed(&admitted.service, &off);
     let Choice { id, candidate, candidates, holders } =
         choose(gateway, admitted, prompt, shared, tried, speed, now)?;
     let mut guard = gateway.board.borrow_mut();
--- a/tests/gateway_speed.rs
+++ b/tests/gateway_speed.rs
@@ -3,9 +3,12 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use tackhollow::gateway::decide::{
-    Busy, EngineSpeed, FirstToken, LoadMeter, NeedPeak, RequestCost, SpeedModel, busy,
-    engines_needed,
+use tackhollow::gateway::{
+    decide::{
+        Busy, EngineSpeed, FirstToken, LoadMeter, NeedPeak, RequestCost, SpeedModel, busy,
+        engines_needed, mean_cost,
+    },
+    peering::Demand,
 };
 
 /// Requests within which the speed must be found from the start value.
@@ -150,6 +153,34 @@
     assert!(meter.rate(now) > 10.0, "it is back");
 }
 
+#[test]
+fn a_request_costs_what_all_processes_tell_by_their_rates() {
+    struct Case {
+        name: &'static str,
+        /// Requests a second and tokens of each process.
+        told: &'static [(f32, f32)],
+        tokens: Option<f64>,
+    }
+    let cases = [
+        Case { name: "nobody has load", told: &[(0.0, 0.0), (0.0, 900.0)], tokens: None },
+        Case { name: "one has", told: &[(0.0, 0.0), (2.0, 900.0)], tokens: Some(900.0) },
+        Case { name: "by their rates", told: &[(1.0, 500.0), (3.0, 900.0)], tokens: Some(800.0) },
+    ];
+    for case in cases {
+        let demand: Vec<Demand> = case
+            .told
+            .iter()
+            .map(|(request_rate, tokens)| Demand {
+                service: "chat".to_owned(),
+                request_rate: *request_rate,
+                tokens: *tokens,
+                held: 1.0,
+            })
+            .collect();
+        assert_eq!(mean_cost(&demand).map(|c| c.tokens), case.tokens, "{}", case.name);
+    }
+}
+
 /// Before, a process that was killed and started again took a third of the rate for
 /// the whole after one second.
 #[test]
