Orders of engines are told to the next holder of the lease, and the need of late

The store fell silent for the holder at 17.5 s; at 19.5 s the next one took over in the middle of a wave. It knew no orders: it gave up six engines on demand that had been ordered 0.9 s before and expected reclaimable ones that had been refused since 13 s, and it took 13 engines to be needed where the holder before, over the last seconds, had seen 20. Cover was ordered at 25.7 s; from 24 s to 34 s two of three requests were late.

Change: the holder tells its orders by heartbeat and keeps them in the store; the next holder goes on from them. Every process follows the need.

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -21,7 +21,10 @@
     },
     model::{Configuration, Revision, ServiceName},
     net::Phase,
-    peering::{Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport},
+    peering::{
+        Demand, Heartbeat, LoadReport, OrderReport, PrefixReport, ProcessId, RecentChanges,
+        SpeedReport,
+    },
 };
 use crate::ids::{DataCentre, UpstreamId};
 
@@ -99,6 +102,8 @@
     pub needs: BTreeMap<ServiceName, f64>,
     /// The same as an earlier holder left it in the store.
     pub kept_needs: BTreeMap<ServiceName, f64>,
+    /// Orders of engines, as the holder of the lease tells, or left in the store.
+    pub orders: Vec<OrderReport>,
     /// True time.
     pub clock: TrueClock,
     /// Lease on the duties.
@@ -135,6 +140,7 @@
             retries: RetryBook::default(),
             usage: UsageBook::default(),
             needs: BTreeMap::new(),
+            orders: Vec::new(),
             kept_needs: BTreeMap::new(),
             clock,
             lease: LeaseView::default(),
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -18,6 +18,7 @@
             engines_needed, needed_at_start, plan_engines,
         },
         model::{Configuration, Scaling, ServiceName},
+        peering::OrderReport,
         telemetry::Event,
     },
     ids::{DataCentre, UpstreamId},
@@ -106,40 +107,69 @@
         reclaimable.any(|(_, pace)| pace.is_refused(now))
     }
 
+    /// Goes on from the orders of the holder before. Without them a new holder gave
+    /// up engines on demand that had just been ordered, and expected reclaimable ones
+    /// that were not to be had: eight seconds without cover in a wave of reclaims.
+    fn inherit(&mut self, now: Instant) {
+        if !self.ordered.is_empty() {
+            return;
+        }
+        for order in &self.gateway.board.borrow().orders {
+            let key = (order.service.clone(), order.data_centre.clone(), order.reclaimable);
+            self.ordered.insert(key, OrderPace::resumed(order.count, order.refused, now));
+        }
+    }
+
+    /// Tells the others the orders, for the holder after this one.
+    fn tell_orders(&self, now: Instant) {
+        let orders = self.ordered.iter().map(|((service, data_centre, reclaimable), pace)| {
+            let (service, data_centre) = (service.clone(), data_centre.clone());
+            let (count, refused) = (pace.count(), pace.is_refused(now));
+            OrderReport { service, data_centre, reclaimable: *reclaimable, count, refused }
+        });
+        self.gateway.board.borrow_mut().orders = orders.collect();
+    }
+
     fn plan(&mut self, now: Instant) {
         self.note_load(now);
+        let configuration = self.gateway.board.borrow().configuration.clone();
+        let services = configuration.iter().flat_map(|c| c.services.values());
+        let scaled: Vec<_> =
+            services.filter_map(|s| Some((&s.name, s.scaling.as_ref()?))).collect();
+        // Also without the lease, so that the next holder knows the need of late.
+        let needs: Vec<f64> = scaled.iter().map(|(name, _)| self.need(name, now)).collect();
         let board = self.gateway.board.borrow();
         if board.lease.may_act(now).is_none() || !board.upstreams_known {
             drop(board);
             self.ordered.clear();
             return;
         }
-        let Some(configuration) = board.configuration.clone() else {
-            return;
-        };
         drop(board);
-        for service in configuration.services.values() {
-            if let Some(scaling) = &service.scaling {
-                self.plan_service(&service.name, scaling, now);
-            }
+        self.inherit(now);
+        for ((name, scaling), need) in scaled.into_iter().zip(needs) {
+            self.plan_service(name, scaling, need, now);
         }
+        self.tell_orders(now);
     }
 
-    fn plan_service(&mut self, service: &ServiceName, scaling: &Scaling, now: Instant) {
+    /// Returns the engines that the load of a service has needed of late.
+    fn need(&mut self, service: &ServiceName, now: Instant) -> f64 {
+        let settings = self.gateway.settings.borrow();
+        let board = self.gateway.board.borrow();
+        let busy = board.busy(service, board.speed(service, &settings.off), now);
+        let current = engines_needed(busy, board.slots(service), settings.capacity.safety);
+        let peak = self.needs.entry(service.clone()).or_default().note(current, now);
+        if settings.off.is_on(Mechanism::NeedPeak) { peak } else { current }
+    }
+
+    fn plan_service(&mut self, service: &ServiceName, scaling: &Scaling, need: f64, now: Instant) {
         let settings = self.gateway.settings.borrow();
         let (capacity, off) = (settings.capacity, settings.off.clone());
         drop(settings);
-        let board = self.gateway.board.borrow();
-        let speed = board.speed(service, &off);
-        let busy = board.busy(service, speed, now);
-        let current = engines_needed(busy, board.slots(service), capacity.safety);
-        let mut fleets = fleets(&board, service, scaling);
-        drop(board);
+        let mut fleets = fleets(&self.gateway.board.borrow(), service, scaling);
         self.expect(&mut fleets, service, scaling.boot, now);
-        let peak = self.needs.entry(service.clone()).or_default().note(current, now);
-        let needed = if off.is_on(Mechanism::NeedPeak) { peak } else { current };
         let kept = self.kept_need(service, now);
-        let needed = needed.max(kept);
+        let needed = need.max(kept);
         self.gateway.board.borrow_mut().needs.insert(service.clone(), needed);
         let floor = self.floor(service, needed_at_start(scaling, &capacity.policy), now);
         let dry = self.is_dry(service, now);
--- a/src/gateway/controllers/kept.rs
+++ b/src/gateway/controllers/kept.rs
@@ -1,6 +1,6 @@
 //! What the holder of the lease keeps in the store for processes that start
-//! later: levels of quotas, counts of usage and the need of engines. Without it, a
-//! kill of all processes would leave nobody who knows them.
+//! later: levels of quotas, counts of usage, and need and orders of engines. Without it,
+//! a kill of all processes would leave nobody who knows them.
 
 use std::{
     rc::Rc,
@@ -8,7 +8,11 @@
 };
 
 use crate::{
-    gateway::{context::Gateway, decide::Kept, peering::WireError},
+    gateway::{
+        context::Gateway,
+        decide::{Kept, KeptCapacity},
+        peering::WireError,
+    },
     platform::{RowWrite, StoreRow, Table},
     telemetry::count,
 };
@@ -23,7 +27,8 @@
 pub async fn keep(gateway: Rc<Gateway>) {
     let kept = {
         let board = gateway.board.borrow();
-        Kept::of(&board.quotas, &board.usage, &board.needs)
+        let capacity = KeptCapacity { needs: board.needs.clone(), orders: board.orders.clone() };
+        Kept::of(&board.quotas, &board.usage, capacity)
     };
     let mut value = Vec::new();
     if let Err(e) = ciborium::into_writer(&kept, &mut value) {
@@ -45,6 +50,10 @@
     let kept: Kept = ciborium::from_reader(&row.value[..])?;
     let mut guard = gateway.board.borrow_mut();
     let board = &mut *guard;
-    board.kept_needs = kept.restore(&mut board.quotas, &mut board.usage, Instant::now());
+    let capacity = kept.restore(&mut board.quotas, &mut board.usage, Instant::now());
+    board.kept_needs = capacity.needs;
+    if board.orders.is_empty() {
+        board.orders = capacity.orders;
+    }
     Ok(())
 }
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -174,6 +174,9 @@
         for report in &heartbeat.speeds {
             board.speed_model(&report.service).adopt(report.speed(), f64::from(report.requests));
         }
+        if !heartbeat.orders.is_empty() && board.lease.may_act(now).is_none() {
+            board.orders.clone_from(&heartbeat.orders);
+        }
         for (window, counts) in &heartbeat.usage {
             board.usage.hear(&process, *window, counts);
         }
@@ -336,6 +339,10 @@
             usage: Vec::new(),
             demand: board.own_demand(now),
             speeds: board.own_speeds(),
+            orders: match board.lease.may_act(now) {
+                Some(_) => board.orders.clone(),
+                None => Vec::new(),
+            },
         }
     }
 }
--- a/src/gateway/decide/kept.rs
+++ b/src/gateway/decide/kept.rs
@@ -1,5 +1,5 @@
-//! Levels of quotas, counts of usage and the need of engines, which outlive the
-//! processes.
+//! Levels of quotas, counts of usage, and need and orders of engines, which outlive
+//! the processes.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -11,7 +11,7 @@
 use super::{Counts, QuotaBook, UsageBook, Window};
 use crate::gateway::{
     model::{CustomerName, ServiceName},
-    peering::ProcessId,
+    peering::{OrderReport, ProcessId},
 };
 
 /// Windows of usage that are kept: reports are due two windows after the end.
@@ -28,11 +28,23 @@
     /// Engines that the load of each service needed.
     #[serde(default)]
     needs: BTreeMap<ServiceName, f64>,
+    /// Orders of engines.
+    #[serde(default)]
+    orders: Vec<OrderReport>,
+}
+
+/// What is kept of the capacity of services.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct KeptCapacity {
+    /// Engines that the load of each service needed.
+    pub needs: BTreeMap<ServiceName, f64>,
+    /// Orders of engines.
+    pub orders: Vec<OrderReport>,
 }
 
 impl Kept {
     /// Takes what is to be kept.
-    pub fn of(quotas: &QuotaBook, usage: &UsageBook, needs: &BTreeMap<ServiceName, f64>) -> Self {
+    pub fn of(quotas: &QuotaBook, usage: &UsageBook, capacity: KeptCapacity) -> Self {
         let usage: Vec<_> = usage.of_all(KEPT_WINDOWS).collect();
         let customers: BTreeSet<&CustomerName> =
             usage.iter().flat_map(|(_, _, counts)| counts.keys()).collect();
@@ -45,22 +57,23 @@
             levels: quotas.levels(),
             usage: usage.iter().map(row).collect(),
             customers: customers.into_iter().cloned().collect(),
-            needs: needs.clone(),
+            needs: capacity.needs,
+            orders: capacity.orders,
         }
     }
 
-    /// Puts quotas and usage back, and returns the needs.
+    /// Puts quotas and usage back, and returns the rest.
     pub fn restore(
         self,
         quotas: &mut QuotaBook,
         usage: &mut UsageBook,
         now: Instant,
-    ) -> BTreeMap<ServiceName, f64> {
+    ) -> KeptCapacity {
         quotas.restore(&self.levels, now);
         for (window, process, counts) in self.usage {
             let counts = self.customers.iter().cloned().zip(counts).filter(|(_, n)| *n > 0);
             usage.hear(&process, window, &counts.collect());
         }
-        self.needs
+        KeptCapacity { needs: self.needs, orders: self.orders }
     }
 }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -23,7 +23,7 @@
 pub use capacity::{CapacityInput, CapacityPolicy, Fleet, Wish, needed_at_start, plan_engines};
 pub use clock::TrueClock;
 pub use engine::{Candidate, choose_engine, predicted_wait};
-pub use kept::Kept;
+pub use kept::{Kept, KeptCapacity};
 pub use mechanism::{Mechanism, SwitchedOff};
 pub use need::{Busy, LoadMeter, RequestCost, busy, engines_needed, mean_cost};
 pub use pace::{OrderPace, OrderState, PaceInput};
--- a/src/gateway/decide/pace.rs
+++ b/src/gateway/decide/pace.rs
@@ -70,6 +70,18 @@
         Self { count: serving, at: now, state: OrderState::Accepted, busy: false, fewer: None }
     }
 
+    /// Goes on from the last order of an earlier holder of the lease: what it
+    /// ordered may still start, and what was refused is not to be had yet.
+    pub fn resumed(count: u32, refused: bool, now: Instant) -> Self {
+        let state = if refused { OrderState::Refused } else { OrderState::Accepted };
+        Self { count, at: now, state, busy: false, fewer: None }
+    }
+
+    /// Returns how many were ordered last and accepted.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
     /// Returns whether the platform has said of late that it has none to give.
     pub fn is_refused(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.at);
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -63,6 +63,22 @@
     }
 }
 
+/// The last order of one kind of engine in one data centre, which the next holder of
+/// the lease goes on from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderReport {
+    /// Service.
+    pub service: ServiceName,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// Whether the engines are reclaimable.
+    pub reclaimable: bool,
+    /// How many were ordered last and accepted.
+    pub count: u32,
+    /// Whether the platform has said of late that it has none to give.
+    pub refused: bool,
+}
+
 /// How fast the upstreams of a service are, as one process has learnt.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SpeedReport {
@@ -135,6 +151,8 @@
     pub demand: Vec<Demand>,
     /// How fast it has learnt that upstreams are.
     pub speeds: Vec<SpeedReport>,
+    /// Its orders of engines, if it holds the lease.
+    pub orders: Vec<OrderReport>,
 }
 
 /// Why a datagram is not a heartbeat.
--- a/tests/gateway_capacity.rs
+++ b/tests/gateway_capacity.rs
@@ -244,6 +244,44 @@
     }
 }
 
+#[test]
+fn a_new_holder_goes_on_from_the_orders_of_the_one_before() {
+    struct Case {
+        name: &'static str,
+        pace: fn(Instant) -> OrderPace,
+        /// Of four ordered one serves.
+        starting: u32,
+        more_expected: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing was told",
+            pace: |now| OrderPace::new(1, now),
+            starting: 0,
+            more_expected: true,
+        },
+        Case {
+            name: "accepted",
+            pace: |now| OrderPace::resumed(4, false, now),
+            starting: 3,
+            more_expected: true,
+        },
+        Case {
+            name: "refused",
+            pace: |now| OrderPace::resumed(4, true, now),
+            starting: 0,
+            more_expected: false,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let pace = (case.pace)(now);
+        assert_eq!(pace.starting(1, ms(4_000), now), case.starting, "{}", case.name);
+        assert_eq!(pace.may_start(ms(4_000), now), case.more_expected, "{}", case.name);
+        assert!(!pace.may_start(ms(4_000), now + ms(8_000)), "{}: they did not start", case.name);
+    }
+}
+
 #[test]
 fn fewer_engines_are_ordered_after_a_while_only() {
     struct Case {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -9,7 +9,8 @@
 use proptest::prelude::*;
 use tackhollow::gateway::{
     board::{Board, StoreState},
-    decide::{Kept, QuotaBook, RetryBook, RetryTerms, TrueClock, UsageBook},
+    decide::{Kept, KeptCapacity, QuotaBook, RetryBook, RetryTerms, TrueClock, UsageBook},
+    peering::OrderReport,
     request::EventSplitter,
 };
 
@@ -81,11 +82,19 @@
     before.count("holder", 7, &customer());
     before.hear("alive", 7, &BTreeMap::from([(customer(), 5), ("kitchens".to_owned(), 2)]));
     before.hear("ended", 6, &BTreeMap::from([(customer(), 4)]));
-    let needs = BTreeMap::from([("chat".to_owned(), 7.5)]);
-    let kept = Kept::of(&QuotaBook::new(now), &before, &needs);
+    let order = OrderReport {
+        service: "chat".to_owned(),
+        data_centre: "a".to_owned(),
+        reclaimable: true,
+        count: 4,
+        refused: true,
+    };
+    let capacity =
+        KeptCapacity { needs: BTreeMap::from([("chat".to_owned(), 7.5)]), orders: vec![order] };
+    let kept = Kept::of(&QuotaBook::new(now), &before, capacity.clone());
     let mut after = UsageBook::default();
     after.hear("alive", 7, &BTreeMap::from([(customer(), 3)]));
-    assert_eq!(kept.restore(&mut QuotaBook::new(now), &mut after, now), needs);
+    assert_eq!(kept.restore(&mut QuotaBook::new(now), &mut after, now), capacity);
     after.hear("alive", 7, &BTreeMap::from([(customer(), 6)]));
     let seven = BTreeMap::from([(customer(), 7), ("kitchens".to_owned(), 2)]);
     assert_eq!(after.total(7), seven, "each process counts once, and rises");
