--- a/src/gateway/decide/need.rs
+++ b/src/gateway/decide/need.rs
@@ -16,7 +16,8 @@
 /// Time over which the rate of requests is smoothed, in seconds: bursts last a
 /// few seconds, and an engine takes as long to start.
 const RATE_SPAN: f64 = 3.0;
-/// Shortest time from which a rate is reckoned, in seconds.
+/// Shortest time from which a rate is reckoned, in seconds: in less, a few requests
+/// that come together look like a large load.
 const SHORTEST_SPAN: f64 = 1.0;
 /// Silence, in mean times between requests, after which the load has ended: it
 /// comes by chance once in 10^8 times, and the rate would take seconds to fade.
@@ -127,8 +128,9 @@
 }
 
 /// Returns what a request costs on average over what all processes tell, by their
-/// rates; `None` without load. One of 91 processes sees one or two requests a second,
-/// and its own mean varies by a third from one look to the next.
+/// rates; `None` without load. One of 91 processes sees one or two requests a second:
+/// by its own mean alone the need went from 30 to 18 engines in ten seconds, while a
+/// part of them was lost.
 pub fn mean_cost(demand: &[Demand]) -> Option<RequestCost> {
     let rate: f64 = demand.iter().map(|d| f64::from(d.request_rate)).sum();
     let mean = |part: fn(&RequestCost) -> f64| {
--- a/src/gateway/decide/pace.rs
+++ b/src/gateway/decide/pace.rs
@@ -9,8 +9,8 @@
 const HOLD_BEFORE_FEWER: Duration = Duration::from_secs(1);
 /// Pause after an order that was refused or got no answer.
 const PAUSE_AFTER_REFUSAL: Duration = Duration::from_millis(1_800);
-/// Time for which a refusal tells that the platform has none to give: two more
-/// orders would have been tried since.
+/// Time for which a refusal tells that the platform has none to give. As long as
+/// more are wished for, an order is tried every two seconds and tells anew.
 const REFUSAL_TELLS: Duration = Duration::from_secs(4);
 /// Time beyond the start of an engine after which those that do not serve are
 /// ordered anew.
