Orders of engines have a book of their own; the load of services a file of its own

Read as a newcomer: the controller of capacity kept paces by a tuple, and what is expected of orders and handed to the next holder stood between its calls, so that the player of loads had a second copy and the change of holder was tested only piece by piece. Now decide/orders.rs holds it without a network, the player uses it, and a test plays the change of holder in a wave: with nothing told the next holder wishes for no engines on demand and takes the platform to have reclaimable ones, told it keeps five.

The need of engines no longer depends on the heartbeat's type; a service's load is summed up without a copy of every process's report; the board's part for it is a file. No behaviour changes.

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -1,6 +1,7 @@
 //! The blackboard: what this process believes. Controllers write it, request
 //! tasks read it, all on one thread.
 
+mod demand;
 mod lease;
 mod store;
 mod upstream;
@@ -15,16 +16,13 @@
 
 use super::{
     decide::{
-        Busy, CacheBelief, Candidate, EngineSpeed, LoadMeter, Mechanism, QuotaBook, QuotaShare,
-        RequestCost, RetryBook, SpeedModel, Steadiness, SwitchedOff, TrueClock, UsageBook, busy,
-        mean_cost,
+        CacheBelief, Candidate, CapacityRecord, EngineSpeed, LoadMeter, Mechanism, QuotaBook,
+        QuotaShare, RequestCost, RetryBook, SpeedModel, Steadiness, SwitchedOff, TrueClock,
+        UsageBook,
     },
     model::{Configuration, Revision, ServiceName},
     net::Phase,
-    peering::{
-        Demand, Heartbeat, LoadReport, OrderReport, PrefixReport, ProcessId, RecentChanges,
-        SpeedReport,
-    },
+    peering::{Heartbeat, LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport},
 };
 use crate::ids::{DataCentre, UpstreamId};
 
@@ -98,12 +96,10 @@
     pub retries: RetryBook,
     /// Usage by window.
     pub usage: UsageBook,
-    /// Engines that the load of each service needs, as the holder of the lease sees it.
-    pub needs: BTreeMap<ServiceName, f64>,
-    /// The same as an earlier holder left it in the store.
+    /// Need and orders of engines as the holder of the lease tells them.
+    pub capacity: CapacityRecord,
+    /// Need of engines that an earlier holder left in the store.
     pub kept_needs: BTreeMap<ServiceName, f64>,
-    /// Orders of engines, as the holder of the lease tells, or left in the store.
-    pub orders: Vec<OrderReport>,
     /// True time.
     pub clock: TrueClock,
     /// Lease on the duties.
@@ -139,8 +135,7 @@
             quotas: QuotaBook::new(now),
             retries: RetryBook::default(),
             usage: UsageBook::default(),
-            needs: BTreeMap::new(),
-            orders: Vec::new(),
+            capacity: CapacityRecord::default(),
             kept_needs: BTreeMap::new(),
             clock,
             lease: LeaseView::default(),
@@ -275,41 +270,6 @@
         speeds.map(|(service, model)| SpeedReport::new(service, model)).collect()
     }
 
-    /// Returns the meter of the load that this process's callers bring.
-    pub fn load_meter(&mut self, service: &ServiceName, now: Instant) -> &mut LoadMeter {
-        self.loads.entry(service.clone()).or_insert_with(|| LoadMeter::new(now))
-    }
-
-    /// Returns the requests that this process's callers bring.
-    pub fn own_demand(&self, now: Instant) -> Vec<Demand> {
-        self.loads.iter().map(|(service, load)| own_demand(service, load, now)).collect()
-    }
-
-    /// Takes the mean over all processes of what a request costs.
-    pub fn average_costs(&mut self, now: Instant) {
-        let services = self.loads.keys();
-        let costs = services.filter_map(|s| Some((s.clone(), mean_cost(&self.demand(s, now))?)));
-        self.costs = costs.collect();
-    }
-
-    /// Returns the load that callers bring to a service through each process.
-    fn demand(&self, service: &str, now: Instant) -> Vec<Demand> {
-        let own = self.loads.get_key_value(service).map(|(s, l)| own_demand(s, l, now));
-        let others = self.heard(now).flat_map(|p| &p.last.demand);
-        own.into_iter().chain(others.filter(|d| d.service == service).cloned()).collect()
-    }
-
-    /// Returns the requests a second that all callers bring to a service.
-    pub fn total_demand(&self, service: &str, now: Instant) -> f64 {
-        self.demand(service, now).iter().map(|d| f64::from(d.request_rate)).sum()
-    }
-
-    /// Returns what the load of a service keeps busy, as far as is known.
-    pub fn busy(&self, service: &str, speed: EngineSpeed, now: Instant) -> Busy {
-        let cost = self.costs.get(service).copied().unwrap_or_default();
-        busy(self.total_demand(service, now), cost, speed)
-    }
-
     /// Returns how many requests an upstream of the service runs at once.
     pub fn slots(&self, service: &str) -> u32 {
         self.of_service(service).map(|v| v.upstream.slots).max().unwrap_or(1)
@@ -340,13 +300,3 @@
         self.heard(now).filter(serves)
     }
 }
-
-fn own_demand(service: &ServiceName, load: &LoadMeter, now: Instant) -> Demand {
-    let cost = load.cost(now).unwrap_or_default();
-    Demand {
-        service: service.clone(),
-        request_rate: load.rate(now) as f32,
-        tokens: cost.tokens as f32,
-        held: cost.held as f32,
-    }
-}
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -14,16 +14,15 @@
         board::Board,
         context::Gateway,
         decide::{
-            CapacityInput, Fleet, Mechanism, NeedPeak, OrderPace, OrderState, PaceInput, Wish,
-            engines_needed, needed_at_start, plan_engines,
+            CapacityInput, Fleet, Mechanism, NeedPeak, OrderBook, OrderKey, OrderState, PaceInput,
+            Wish, engines_needed, needed_at_start, plan_engines,
         },
         model::{Configuration, Scaling, ServiceName},
-        peering::OrderReport,
         telemetry::Event,
     },
     ids::{DataCentre, UpstreamId},
     platform::{EngineOrder, OrderOutcome, PlatformError},
-    telemetry::count,
+    telemetry,
 };
 
 /// Between looks at the load.
@@ -32,14 +31,12 @@
 /// then its rate is known and the engines' caches are warm.
 const START_FOR: Duration = Duration::from_secs(8);
 
-type Key = (ServiceName, DataCentre, bool);
-
 /// Controller of the number of engines.
 #[derive(Debug)]
 pub struct Capacity {
     gateway: Rc<Gateway>,
     timer: stakker::MaxTimerKey,
-    ordered: HashMap<Key, OrderPace>,
+    orders: OrderBook,
     loaded_since: HashMap<ServiceName, Instant>,
     needs: HashMap<ServiceName, NeedPeak>,
 }
@@ -58,7 +55,7 @@
         Some(Self {
             gateway,
             timer,
-            ordered: HashMap::new(),
+            orders: OrderBook::default(),
             loaded_since: HashMap::new(),
             needs: HashMap::new(),
         })
@@ -100,36 +97,6 @@
         kept.filter(|_| up < START_FOR).unwrap_or_default()
     }
 
-    /// Returns whether the platform has no reclaimable engines to give.
-    fn is_dry(&self, service: &ServiceName, now: Instant) -> bool {
-        let of_service = self.ordered.iter().filter(|((of, ..), _)| of == service);
-        let mut reclaimable = of_service.filter(|((_, _, reclaimable), _)| *reclaimable);
-        reclaimable.any(|(_, pace)| pace.is_refused(now))
-    }
-
-    /// Goes on from the orders of the holder before. Without them a new holder gave
-    /// up engines on demand that had just been ordered, and expected reclaimable ones
-    /// that were not to be had: eight seconds without cover in a wave of reclaims.
-    fn inherit(&mut self, now: Instant) {
-        if !self.ordered.is_empty() {
-            return;
-        }
-        for order in &self.gateway.board.borrow().orders {
-            let key = (order.service.clone(), order.data_centre.clone(), order.reclaimable);
-            self.ordered.insert(key, OrderPace::resumed(order.count, order.refused, now));
-        }
-    }
-
-    /// Tells the others the orders, for the holder after this one.
-    fn tell_orders(&self, now: Instant) {
-        let orders = self.ordered.iter().map(|((service, data_centre, reclaimable), pace)| {
-            let (service, data_centre) = (service.clone(), data_centre.clone());
-            let (count, refused) = (pace.count(), pace.is_refused(now));
-            OrderReport { service, data_centre, reclaimable: *reclaimable, count, refused }
-        });
-        self.gateway.board.borrow_mut().orders = orders.collect();
-    }
-
     fn plan(&mut self, now: Instant) {
         self.note_load(now);
         let configuration = self.gateway.board.borrow().configuration.clone();
@@ -141,15 +108,15 @@
         let board = self.gateway.board.borrow();
         if board.lease.may_act(now).is_none() || !board.upstreams_known {
             drop(board);
-            self.ordered.clear();
+            self.orders.clear();
             return;
         }
+        self.orders.resume(&board.capacity.orders, now);
         drop(board);
-        self.inherit(now);
         for ((name, scaling), need) in scaled.into_iter().zip(needs) {
             self.plan_service(name, scaling, need, now);
         }
-        self.tell_orders(now);
+        self.gateway.board.borrow_mut().capacity.orders = self.orders.reports(now);
     }
 
     /// Returns the engines that the load of a service has needed of late.
@@ -163,27 +130,14 @@
     }
 
     fn plan_service(&mut self, service: &ServiceName, scaling: &Scaling, need: f64, now: Instant) {
-        let settings = self.gateway.settings.borrow();
-        let (capacity, off) = (settings.capacity, settings.off.clone());
-        drop(settings);
-        let mut fleets = fleets(&self.gateway.board.borrow(), service, scaling);
-        self.expect(&mut fleets, service, scaling.boot, now);
         let kept = self.kept_need(service, now);
         let needed = need.max(kept);
-        self.gateway.board.borrow_mut().needs.insert(service.clone(), needed);
-        let floor = self.floor(service, needed_at_start(scaling, &capacity.policy), now);
-        let dry = self.is_dry(service, now);
-        let losses = if off.is_on(Mechanism::LossCover) { capacity.policy.losses } else { 0 };
-        let input = CapacityInput {
-            needed: needed.max(floor),
-            scaling,
-            fleets: &fleets,
-            losses,
-            before_load: !self.loaded_since.contains_key(service),
-        };
-        for (data_centre, wish) in plan_engines(&input, &capacity.policy) {
-            for (reclaimable, wished, serving) in kinds(wish, fleets[&data_centre]) {
-                let key = (service.clone(), data_centre.clone(), reclaimable);
+        self.gateway.board.borrow_mut().capacity.needs.insert(service.clone(), needed);
+        let dry = self.orders.is_dry(service, now);
+        for (data_centre, wish, fleet) in self.wishes(service, scaling, needed, now) {
+            for (reclaimable, wished, serving) in kinds(wish, fleet) {
+                let (service, data_centre) = (service.clone(), data_centre.clone());
+                let key = OrderKey { service, data_centre, reclaimable };
                 let input = PaceInput {
                     wished,
                     serving,
@@ -193,59 +147,53 @@
                     load_known: kept <= 0.0,
                     boot: scaling.boot,
                 };
-                let pace = self.ordered.entry(key.clone());
-                let pace = pace.or_insert_with(|| OrderPace::new(serving, now));
-                if let Some(count) = pace.next(&input, now) {
-                    self.order(key, count, needed, now);
+                if let Some(count) = self.orders.next(&key, &input, now) {
+                    spawn_local(send(self.gateway.clone(), key, count, needed));
                 }
             }
         }
     }
 
-    /// Adds what may be expected of earlier orders.
-    fn expect(
+    /// Returns what is wished for in each data centre, and what is there.
+    fn wishes(
         &self,
-        fleets: &mut BTreeMap<DataCentre, Fleet>,
         service: &ServiceName,
-        boot: Duration,
+        scaling: &Scaling,
+        needed: f64,
         now: Instant,
-    ) {
-        for (data_centre, fleet) in fleets {
-            let pace = |kind| self.ordered.get(&(service.clone(), data_centre.clone(), kind));
-            fleet.more_expected = pace(true).is_none_or(|p| p.may_start(boot, now));
-            fleet.on_demand_starting =
-                pace(false).map_or(0, |p| p.starting(fleet.on_demand, boot, now));
-        }
-    }
-
-    fn order(&mut self, key: Key, count: u32, needed: f64, now: Instant) {
-        if let Some(pace) = self.ordered.get_mut(&key) {
-            pace.sent(now);
-        }
-        let (service, data_centre, reclaimable) = key;
-        let order = EngineOrder { service, data_centre, reclaimable, count };
-        spawn_local(send(self.gateway.clone(), order, needed));
+    ) -> Vec<(DataCentre, Wish, Fleet)> {
+        let settings = self.gateway.settings.borrow();
+        let policy = &settings.capacity.policy;
+        let mut fleets = fleets(&self.gateway.board.borrow(), service, scaling);
+        self.orders.expect(service, &mut fleets, scaling.boot, now);
+        let input = CapacityInput {
+            needed: needed.max(self.floor(service, needed_at_start(scaling, policy), now)),
+            scaling,
+            fleets: &fleets,
+            losses: if settings.off.is_on(Mechanism::LossCover) { policy.losses } else { 0 },
+            before_load: !self.loaded_since.contains_key(service),
+        };
+        let wishes = plan_engines(&input, policy).into_iter();
+        wishes.map(|(name, wish)| (name.clone(), wish, fleets[&name])).collect()
     }
 
     /// Takes over what became of an order.
     pub fn ordered(
         &mut self,
         cx: CX![],
-        order: EngineOrder,
+        key: OrderKey,
+        count: u32,
         outcome: Result<OrderOutcome, PlatformError>,
     ) {
-        let key = (order.service, order.data_centre, order.reclaimable);
-        if let Some(pace) = self.ordered.get_mut(&key) {
-            let state = match outcome {
-                Ok(OrderOutcome::Accepted) => OrderState::Accepted,
-                Ok(OrderOutcome::NoneAvailable) => OrderState::Refused,
-                Err(_) => OrderState::Unknown,
-            };
-            pace.answered(order.count, state);
-            if state == OrderState::Refused {
-                // Others take as long to start as the refused ones would have.
-                self.plan(cx.now());
-            }
+        let state = match outcome {
+            Ok(OrderOutcome::Accepted) => OrderState::Accepted,
+            Ok(OrderOutcome::NoneAvailable) => OrderState::Refused,
+            Err(_) => OrderState::Unknown,
+        };
+        self.orders.answered(&key, count, state);
+        if state == OrderState::Refused {
+            // Others take as long to start as the refused ones would have.
+            self.plan(cx.now());
         }
     }
 }
@@ -256,7 +204,9 @@
     [(true, wish.reclaimable, fleet.reclaimable), (false, wish.on_demand, fleet.on_demand)]
 }
 
-async fn send(gateway: Rc<Gateway>, order: EngineOrder, needed: f64) {
+async fn send(gateway: Rc<Gateway>, key: OrderKey, count: u32, needed: f64) {
+    let OrderKey { service, data_centre, reclaimable } = key.clone();
+    let order = EngineOrder { service, data_centre, reclaimable, count };
     let off = gateway.settings.borrow().off.clone();
     let speed = gateway.board.borrow().speed(&order.service, &off);
     let fence = || gateway.board.borrow().lease.may_act(Instant::now());
@@ -278,8 +228,8 @@
         Ok(OrderOutcome::NoneAvailable) => "none_available",
         Err(_) => "failed",
     };
-    count(&gateway.metrics.orders, label);
-    gateway.tell(|c| call!([c.capacity], ordered(order, outcome)));
+    telemetry::count(&gateway.metrics.orders, label);
+    gateway.tell(|c| call!([c.capacity], ordered(key, count, outcome)));
 }
 
 fn fleets(board: &Board, service: &str, scaling: &Scaling) -> BTreeMap<DataCentre, Fleet> {
--- a/src/gateway/controllers/kept.rs
+++ b/src/gateway/controllers/kept.rs
@@ -8,11 +8,7 @@
 };
 
 use crate::{
-    gateway::{
-        context::Gateway,
-        decide::{Kept, KeptCapacity},
-        peering::WireError,
-    },
+    gateway::{context::Gateway, decide::Kept, peering::WireError},
     platform::{RowWrite, StoreRow, Table},
     telemetry::count,
 };
@@ -27,8 +23,7 @@
 pub async fn keep(gateway: Rc<Gateway>) {
     let kept = {
         let board = gateway.board.borrow();
-        let capacity = KeptCapacity { needs: board.needs.clone(), orders: board.orders.clone() };
-        Kept::of(&board.quotas, &board.usage, capacity)
+        Kept::of(&board.quotas, &board.usage, board.capacity.clone())
     };
     let mut value = Vec::new();
     if let Err(e) = ciborium::into_writer(&kept, &mut value) {
@@ -52,8 +47,9 @@
     let board = &mut *guard;
     let capacity = kept.restore(&mut board.quotas, &mut board.usage, Instant::now());
     board.kept_needs = capacity.needs;
-    if board.orders.is_empty() {
-        board.orders = capacity.orders;
+    // What a holder has told since is newer.
+    if board.capacity.orders.is_empty() {
+        board.capacity.orders = capacity.orders;
     }
     Ok(())
 }
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -175,7 +175,7 @@
             board.speed_model(&report.service).adopt(report.speed(), f64::from(report.requests));
         }
         if !heartbeat.orders.is_empty() && board.lease.may_act(now).is_none() {
-            board.orders.clone_from(&heartbeat.orders);
+            board.capacity.orders.clone_from(&heartbeat.orders);
         }
         for (window, counts) in &heartbeat.usage {
             board.usage.hear(&process, *window, counts);
@@ -340,7 +340,7 @@
             demand: board.own_demand(now),
             speeds: board.own_speeds(),
             orders: match board.lease.may_act(now) {
-                Some(_) => board.orders.clone(),
+                Some(_) => board.capacity.orders.clone(),
                 None => Vec::new(),
             },
         }
--- a/src/gateway/decide/kept.rs
+++ b/src/gateway/decide/kept.rs
@@ -8,10 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Counts, QuotaBook, UsageBook, Window};
+use super::{Counts, OrderReport, QuotaBook, UsageBook, Window};
 use crate::gateway::{
     model::{CustomerName, ServiceName},
-    peering::{OrderReport, ProcessId},
+    peering::ProcessId,
 };
 
 /// Windows of usage that are kept: reports are due two windows after the end.
@@ -25,18 +25,14 @@
     customers: Vec<CustomerName>,
     /// Window, process, and a count for each of `customers`.
     usage: Vec<(Window, ProcessId, Vec<u64>)>,
-    /// Engines that the load of each service needed.
     #[serde(default)]
-    needs: BTreeMap<ServiceName, f64>,
-    /// Orders of engines.
-    #[serde(default)]
-    orders: Vec<OrderReport>,
+    capacity: CapacityRecord,
 }
 
-/// What is kept of the capacity of services.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct KeptCapacity {
-    /// Engines that the load of each service needed.
+/// Need and orders of engines, as the next holder of the lease has to know them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CapacityRecord {
+    /// Engines that the load of each service needs.
     pub needs: BTreeMap<ServiceName, f64>,
     /// Orders of engines.
     pub orders: Vec<OrderReport>,
@@ -44,7 +40,7 @@
 
 impl Kept {
     /// Takes what is to be kept.
-    pub fn of(quotas: &QuotaBook, usage: &UsageBook, capacity: KeptCapacity) -> Self {
+    pub fn of(quotas: &QuotaBook, usage: &UsageBook, capacity: CapacityRecord) -> Self {
         let usage: Vec<_> = usage.of_all(KEPT_WINDOWS).collect();
         let customers: BTreeSet<&CustomerName> =
             usage.iter().flat_map(|(_, _, counts)| counts.keys()).collect();
@@ -57,8 +53,7 @@
             levels: quotas.levels(),
             usage: usage.iter().map(row).collect(),
             customers: customers.into_iter().cloned().collect(),
-            needs: capacity.needs,
-            orders: capacity.orders,
+            capacity,
         }
     }
 
@@ -68,12 +63,12 @@
         quotas: &mut QuotaBook,
         usage: &mut UsageBook,
         now: Instant,
-    ) -> KeptCapacity {
+    ) -> CapacityRecord {
         quotas.restore(&self.levels, now);
         for (window, process, counts) in self.usage {
             let counts = self.customers.iter().cloned().zip(counts).filter(|(_, n)| *n > 0);
             usage.hear(&process, window, &counts.collect());
         }
-        KeptCapacity { needs: self.needs, orders: self.orders }
+        self.capacity
     }
 }
--- a/src/gateway/decide/need.rs
+++ b/src/gateway/decide/need.rs
@@ -11,7 +11,6 @@
 use std::time::Instant;
 
 use super::EngineSpeed;
-use crate::gateway::peering::Demand;
 
 /// Time over which the rate of requests is smoothed, in seconds: bursts last a
 /// few seconds, and an engine takes as long to start.
@@ -114,6 +113,11 @@
         self.rate.get(now) / covered
     }
 
+    /// Returns the load as it is now.
+    pub fn load(&self, now: Instant) -> ServiceLoad {
+        ServiceLoad { rate: self.rate(now), cost: self.cost(now).unwrap_or_default() }
+    }
+
     /// Returns what a request costs; `None` before the first one. Until one has
     /// ended, the time for which it holds a slot is that of the start values.
     pub fn cost(&self, now: Instant) -> Option<RequestCost> {
@@ -127,17 +131,27 @@
     }
 }
 
-/// Returns what a request costs on average over what all processes tell, by their
+/// Requests that callers bring to one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceLoad {
+    /// Requests a second.
+    pub rate: f64,
+    /// What one of them costs.
+    pub cost: RequestCost,
+}
+
+/// Returns what a request costs on average over the loads of all processes, by their
 /// rates; `None` without load. One of 91 processes sees one or two requests a second:
 /// by its own mean alone the need went from 30 to 18 engines in ten seconds, while a
 /// part of them was lost.
-pub fn mean_cost(demand: &[Demand]) -> Option<RequestCost> {
-    let rate: f64 = demand.iter().map(|d| f64::from(d.request_rate)).sum();
-    let mean = |part: fn(&RequestCost) -> f64| {
-        let weighted = demand.iter().map(|d| f64::from(d.request_rate) * part(&d.cost()));
-        weighted.sum::<f64>() / rate
-    };
-    (rate > 0.0).then(|| RequestCost { tokens: mean(|c| c.tokens), held: mean(|c| c.held) })
+pub fn mean_cost(loads: impl Iterator<Item = ServiceLoad>) -> Option<RequestCost> {
+    let (mut rate, mut sum) = (0.0, RequestCost::default());
+    for load in loads {
+        rate += load.rate;
+        sum.tokens += load.rate * load.cost.tokens;
+        sum.held += load.rate * load.cost.held;
+    }
+    (rate > 0.0).then(|| RequestCost { tokens: sum.tokens / rate, held: sum.held / rate })
 }
 
 /// What a load keeps busy, on average.
@@ -149,8 +163,9 @@
     pub slots: f64,
 }
 
-/// Returns what `rate` requests a second at that cost keep busy.
-pub fn busy(rate: f64, cost: RequestCost, speed: EngineSpeed) -> Busy {
+/// Returns what a load keeps busy.
+pub fn busy(load: ServiceLoad, speed: EngineSpeed) -> Busy {
+    let ServiceLoad { rate, cost } = load;
     Busy { reading: rate * cost.tokens * speed.per_token, slots: rate * cost.held }
 }
 
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -9,7 +9,7 @@
 use crate::{
     control::LeaseClaim,
     gateway::{
-        decide::{Counts, EngineSpeed, RequestCost, SpeedModel, Window},
+        decide::{Counts, EngineSpeed, OrderReport, RequestCost, ServiceLoad, SpeedModel, Window},
         model::{CustomerName, Revision, ServiceName},
         net::Phase,
     },
@@ -57,26 +57,18 @@
 }
 
 impl Demand {
-    /// Returns what one of its requests costs.
-    pub fn cost(&self) -> RequestCost {
-        RequestCost { tokens: f64::from(self.tokens), held: f64::from(self.held) }
+    /// Tells the load of a service.
+    pub fn new(service: &ServiceName, load: ServiceLoad) -> Self {
+        let ServiceLoad { rate, cost } = load;
+        let (tokens, held) = (cost.tokens as f32, cost.held as f32);
+        Self { service: service.clone(), request_rate: rate as f32, tokens, held }
     }
-}
 
-/// The last order of one kind of engine in one data centre, which the next holder of
-/// the lease goes on from.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OrderReport {
-    /// Service.
-    pub service: ServiceName,
-    /// Data centre.
-    pub data_centre: DataCentre,
-    /// Whether the engines are reclaimable.
-    pub reclaimable: bool,
-    /// How many were ordered last and accepted.
-    pub count: u32,
-    /// Whether the platform has said of late that it has none to give.
-    pub refused: bool,
+    /// Returns the load that is told.
+    pub fn load(&self) -> ServiceLoad {
+        let cost = RequestCost { tokens: f64::from(self.tokens), held: f64::from(self.held) };
+        ServiceLoad { rate: f64::from(self.request_rate), cost }
+    }
 }
 
 /// How fast the upstreams of a service are, as one process has learnt.
--- a/src/gateway/peering/mod.rs
+++ b/src/gateway/peering/mod.rs
@@ -4,6 +4,6 @@
 mod snapshot;
 
 pub use heartbeat::{
-    Demand, Heartbeat, LoadReport, OrderReport, PrefixReport, ProcessId, SpeedReport, WireError,
+    Demand, Heartbeat, LoadReport, PrefixReport, ProcessId, SpeedReport, WireError,
 };
 pub use snapshot::{RecentChanges, UpstreamChange, UpstreamSnapshot};
--- a/tests/gateway_capacity.rs
+++ b/tests/gateway_capacity.rs
@@ -9,8 +9,8 @@
 use tackhollow::{
     gateway::{
         decide::{
-            CapacityInput, CapacityPolicy, Fleet, NeedPeak, OrderPace, OrderState, PaceInput,
-            plan_engines,
+            CapacityInput, CapacityPolicy, Fleet, NeedPeak, OrderBook, OrderKey, OrderPace,
+            OrderReport, OrderState, PaceInput, plan_engines,
         },
         model::Scaling,
     },
@@ -278,6 +278,61 @@
     }
 }
 
+/// A new holder plans in the middle of a wave as the one before would have.
+#[test]
+fn a_change_of_holder_gives_up_no_engines_and_expects_none_that_were_refused() {
+    let now = Instant::now();
+    let key = |data_centre: &str, reclaimable| OrderKey {
+        service: "chat".to_owned(),
+        data_centre: data_centre.to_owned(),
+        reclaimable,
+    };
+    let input = |wished, serving, reclaimable| PaceInput {
+        wished,
+        serving,
+        reclaimable,
+        dry: reclaimable,
+        idle: false,
+        load_known: true,
+        boot: ms(4_000),
+    };
+    let mut before = OrderBook::default();
+    for name in ["a", "b", "c", "d"] {
+        assert_eq!(before.next(&key(name, true), &input(4, 0, true), now), Some(4));
+        before.answered(&key(name, true), 4, OrderState::Refused);
+    }
+    assert_eq!(before.next(&key("b", false), &input(5, 0, false), now), Some(5));
+    before.answered(&key("b", false), 5, OrderState::Accepted);
+    struct Case {
+        name: &'static str,
+        told: Vec<OrderReport>,
+        /// Engines on demand wished for then.
+        wished: u32,
+        dry: bool,
+    }
+    let cases = [
+        Case { name: "nothing is told", told: Vec::new(), wished: 0, dry: false },
+        Case { name: "the orders are", told: before.reports(now), wished: 5, dry: true },
+    ];
+    for case in cases {
+        let mut after = OrderBook::default();
+        after.resume(&case.told, now);
+        assert_eq!(after.is_dry("chat", now), case.dry, "{}", case.name);
+        let mut fleets = fleets([0; 4]);
+        after.expect("chat", &mut fleets, ms(4_000), now);
+        let scaling = scaling(10);
+        let input = CapacityInput {
+            needed: 5.0,
+            scaling: &scaling,
+            fleets: &fleets,
+            losses: 1,
+            before_load: false,
+        };
+        let wished: u32 = plan_engines(&input, &POLICY).values().map(|w| w.on_demand).sum();
+        assert_eq!(wished, case.wished, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_new_holder_goes_on_from_the_orders_of_the_one_before() {
     struct Case {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -9,8 +9,10 @@
 use proptest::prelude::*;
 use tackhollow::gateway::{
     board::{Board, StoreState},
-    decide::{Kept, KeptCapacity, QuotaBook, RetryBook, RetryTerms, TrueClock, UsageBook},
-    peering::OrderReport,
+    decide::{
+        CapacityRecord, Kept, OrderKey, OrderReport, QuotaBook, RetryBook, RetryTerms, TrueClock,
+        UsageBook,
+    },
     request::EventSplitter,
 };
 
@@ -82,15 +84,11 @@
     before.count("holder", 7, &customer());
     before.hear("alive", 7, &BTreeMap::from([(customer(), 5), ("kitchens".to_owned(), 2)]));
     before.hear("ended", 6, &BTreeMap::from([(customer(), 4)]));
-    let order = OrderReport {
-        service: "chat".to_owned(),
-        data_centre: "a".to_owned(),
-        reclaimable: true,
-        count: 4,
-        refused: true,
-    };
-    let capacity =
-        KeptCapacity { needs: BTreeMap::from([("chat".to_owned(), 7.5)]), orders: vec![order] };
+    let (service, data_centre) = ("chat".to_owned(), "a".to_owned());
+    let key = OrderKey { service, data_centre, reclaimable: true };
+    let order = OrderReport { key, count: 4, refused: true };
+    let needs = BTreeMap::from([("chat".to_owned(), 7.5)]);
+    let capacity = CapacityRecord { needs, orders: vec![order] };
     let kept = Kept::of(&QuotaBook::new(now), &before, capacity.clone());
     let mut after = UsageBook::default();
     after.hear("alive", 7, &BTreeMap::from([(customer(), 3)]));
--- a/tests/gateway_speed.rs
+++ b/tests/gateway_speed.rs
@@ -3,12 +3,9 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use tackhollow::gateway::{
-    decide::{
-        Busy, EngineSpeed, FirstToken, LoadMeter, NeedPeak, RequestCost, SpeedModel, busy,
-        engines_needed, mean_cost,
-    },
-    peering::Demand,
+use tackhollow::gateway::decide::{
+    Busy, EngineSpeed, FirstToken, LoadMeter, NeedPeak, RequestCost, ServiceLoad, SpeedModel, busy,
+    engines_needed, mean_cost,
 };
 
 /// Requests within which the speed must be found from the start value.
@@ -132,7 +129,8 @@
         let now = load(&mut meter, start, 60, 100, calm);
         let need = |meter: &LoadMeter, now| {
             let cost = meter.cost(now).expect("requests have ended");
-            engines_needed(busy(meter.rate(now), cost, EngineSpeed::default()), 24, 0.0)
+            let load = ServiceLoad { rate: meter.rate(now), cost };
+            engines_needed(busy(load, EngineSpeed::default()), 24, 0.0)
         };
         let before = need(&meter, now);
         let now = load(&mut meter, now, case.seconds, case.rate, case.cost);
@@ -158,7 +156,7 @@
     struct Case {
         name: &'static str,
         /// Requests a second and tokens of each process.
-        told: &'static [(f32, f32)],
+        told: &'static [(f64, f64)],
         tokens: Option<f64>,
     }
     let cases = [
@@ -167,17 +165,12 @@
         Case { name: "by their rates", told: &[(1.0, 500.0), (3.0, 900.0)], tokens: Some(800.0) },
     ];
     for case in cases {
-        let demand: Vec<Demand> = case
-            .told
-            .iter()
-            .map(|(request_rate, tokens)| Demand {
-                service: "chat".to_owned(),
-                request_rate: *request_rate,
-                tokens: *tokens,
-                held: 1.0,
-            })
-            .collect();
-        assert_eq!(mean_cost(&demand).map(|c| c.tokens), case.tokens, "{}", case.name);
+        let load = |(rate, tokens): &(f64, f64)| ServiceLoad {
+            rate: *rate,
+            cost: RequestCost { tokens: *tokens, held: 1.0 },
+        };
+        let loads = case.told.iter().map(load);
+        assert_eq!(mean_cost(loads).map(|c| c.tokens), case.tokens, "{}", case.name);
     }
 }
 
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -6,7 +6,7 @@
 mod engine;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::BTreeMap,
     fs,
     time::{Duration, Instant},
 };
@@ -15,8 +15,8 @@
     gateway::{
         decide::{
             Candidate, CapacityInput, EngineSpeed, FirstToken, Fleet, LoadMeter, NeedPeak,
-            OrderPace, OrderState, PaceInput, SpeedModel, busy, choose_engine, engines_needed,
-            plan_engines,
+            OrderBook, OrderKey, OrderState, PaceInput, ServiceLoad, SpeedModel, busy,
+            choose_engine, engines_needed, plan_engines,
         },
         model::Scaling,
     },
@@ -34,6 +34,8 @@
 const PLAN_EVERY: f64 = 0.5;
 /// Time that an engine takes to start.
 const BOOT: Duration = Duration::from_secs(4);
+/// The service.
+const SERVICE: &str = "chat";
 /// Data centres.
 const PLACES: [&str; 4] = ["a", "b", "c", "d"];
 /// Price of a reclaimable engine against one on demand.
@@ -125,7 +127,7 @@
     model: SpeedModel,
     meter: LoadMeter,
     peak: NeedPeak,
-    paces: HashMap<(usize, bool), OrderPace>,
+    orders: OrderBook,
     outcome: Outcome,
 }
 
@@ -149,7 +151,7 @@
             model: SpeedModel::default(),
             meter: LoadMeter::new(started),
             peak: NeedPeak::default(),
-            paces: HashMap::new(),
+            orders: OrderBook::default(),
             outcome: Outcome::default(),
         }
     }
@@ -275,7 +277,7 @@
         let (now, speed, slots) = (self.instant(), self.speed(), self.scene.engines.slots);
         if self.policy == Policy::Learnt {
             let cost = self.meter.cost(now).unwrap_or_default();
-            let busy = busy(self.meter.rate(now), cost, speed);
+            let busy = busy(ServiceLoad { rate: self.meter.rate(now), cost }, speed);
             return self.peak.note(engines_needed(busy, slots, self.capacity.safety), now);
         }
         let running: usize = self.engines.iter().map(|e| e.jobs().min(slots as usize)).sum();
@@ -292,8 +294,9 @@
             reclaimable_price: RECLAIMABLE_PRICE,
             prices: PLACES.iter().map(|p| ((*p).to_owned(), 1.0)).collect(),
         };
-        let fleets: BTreeMap<DataCentre, Fleet> =
+        let mut fleets: BTreeMap<DataCentre, Fleet> =
             (0..PLACES.len()).map(|p| (PLACES[p].to_owned(), self.fleet(p))).collect();
+        self.orders.expect(SERVICE, &mut fleets, BOOT, self.instant());
         let input = CapacityInput {
             needed,
             scaling: &scaling,
@@ -311,13 +314,7 @@
         let serving = self.engines.iter().filter(|e| e.place == place && e.serves(self.now));
         let (reclaimable, on_demand): (Vec<_>, Vec<_>) = serving.partition(|e| e.reclaimable);
         let (reclaimable, on_demand) = (reclaimable.len() as u32, on_demand.len() as u32);
-        let (now, pace) = (self.instant(), |kind| self.paces.get(&(place, kind)));
-        Fleet {
-            reclaimable,
-            on_demand,
-            on_demand_starting: pace(false).map_or(0, |p| p.starting(on_demand, BOOT, now)),
-            more_expected: pace(true).is_none_or(|p| p.may_start(BOOT, now)),
-        }
+        Fleet { reclaimable, on_demand, ..Fleet::default() }
     }
 
     fn order(&mut self, place: usize, reclaimable: bool, wished: u32, scaling: &Scaling) {
@@ -325,8 +322,8 @@
         let serving = if reclaimable { fleet.reclaimable } else { fleet.on_demand };
         let lost = |(at, _): &(f64, usize)| (*at..*at + self.scene.dry).contains(&self.now);
         let dry = self.scene.losses.iter().any(lost);
-        let pace = self.paces.entry((place, reclaimable));
-        let pace = pace.or_insert_with(|| OrderPace::new(serving, now));
+        let (service, data_centre) = (SERVICE.to_owned(), PLACES[place].to_owned());
+        let key = OrderKey { service, data_centre, reclaimable };
         let input = PaceInput {
             wished,
             serving,
@@ -336,13 +333,12 @@
             load_known: true,
             boot: scaling.boot,
         };
-        let Some(count) = pace.next(&input, now) else {
+        let Some(count) = self.orders.next(&key, &input, now) else {
             return;
         };
-        pace.sent(now);
         let accepted = !(dry && reclaimable);
         let state = if accepted { OrderState::Accepted } else { OrderState::Refused };
-        pace.answered(count, state);
+        self.orders.answered(&key, count, state);
         if accepted {
             self.carry_out(place, reclaimable, count as usize);
         }
