Losses are seen as they come; reclaimable engines are kept for the need of twenty seconds

Engines ordered within the last seven seconds counted as expected, also after their data centre had been taken back: on 21.6 s, two seconds after a change of holder, a loss was answered with an order at 26.6 s. And in the calm before the wave the need fell from 26 to 15 and the reclaimable engines from 45 to 16 with it, whose caches were then cold.

Change: engines that go without having been given up are noticed, ordered anew at once and not expected from the order before; the age of an order is told with it. The reclaimable ones are kept for the largest need of 20 s, all for that of the time that an engine takes to start (4 s here, as before).

--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -14,8 +14,8 @@
         board::Board,
         context::Gateway,
         decide::{
-            CapacityInput, Fleet, Mechanism, NeedPeak, OrderBook, OrderKey, OrderState, PaceInput,
-            Wish, engines_needed, needed_at_start, plan_engines,
+            CapacityInput, Fleet, Mechanism, Need, NeedMeter, OrderBook, OrderKey, OrderState,
+            PaceInput, Wish, engines_needed, needed_at_start, plan_engines,
         },
         model::{Configuration, Scaling, ServiceName},
         telemetry::Event,
@@ -38,7 +38,7 @@
     timer: stakker::MaxTimerKey,
     orders: OrderBook,
     loaded_since: HashMap<ServiceName, Instant>,
-    needs: HashMap<ServiceName, NeedPeak>,
+    needs: HashMap<ServiceName, NeedMeter>,
 }
 
 /// Returns how many tokens the cache of an upstream holds.
@@ -104,7 +104,8 @@
         let scaled: Vec<_> =
             services.filter_map(|s| Some((&s.name, s.scaling.as_ref()?))).collect();
         // Also without the lease, so that the next holder knows the need of late.
-        let needs: Vec<f64> = scaled.iter().map(|(name, _)| self.need(name, now)).collect();
+        let needs: Vec<Need> =
+            scaled.iter().map(|(name, scaling)| self.need(name, scaling.boot, now)).collect();
         let board = self.gateway.board.borrow();
         if board.lease.may_act(now).is_none() || !board.upstreams_known {
             drop(board);
@@ -120,21 +121,26 @@
     }
 
     /// Returns the engines that the load of a service has needed of late.
-    fn need(&mut self, service: &ServiceName, now: Instant) -> f64 {
+    fn need(&mut self, service: &ServiceName, boot: Duration, now: Instant) -> Need {
         let settings = self.gateway.settings.borrow();
         let board = self.gateway.board.borrow();
         let busy = board.busy(service, board.speed(service, &settings.off), now);
         let current = engines_needed(busy, board.slots(service), settings.capacity.safety);
-        let peak = self.needs.entry(service.clone()).or_default().note(current, now);
-        if settings.off.is_on(Mechanism::NeedPeak) { peak } else { current }
+        let meter = self.needs.entry(service.clone()).or_insert_with(|| NeedMeter::new(boot));
+        let need = meter.note(current, now);
+        match settings.off.is_on(Mechanism::NeedPeak) {
+            true => need,
+            false => Need { engines: current, reclaimable: current },
+        }
     }
 
-    fn plan_service(&mut self, service: &ServiceName, scaling: &Scaling, need: f64, now: Instant) {
+    fn plan_service(&mut self, service: &ServiceName, scaling: &Scaling, need: Need, now: Instant) {
         let kept = self.kept_need(service, now);
-        let needed = need.max(kept);
+        let needed = need.engines.max(kept);
+        let need = Need { engines: needed, ..need };
         self.gateway.board.borrow_mut().capacity.needs.insert(service.clone(), needed);
         let dry = self.orders.is_dry(service, now);
-        for (data_centre, wish, fleet) in self.wishes(service, scaling, needed, now) {
+        for (data_centre, wish, fleet) in self.wishes(service, scaling, need, now) {
             for (reclaimable, wished, serving) in kinds(wish, fleet) {
                 let (service, data_centre) = (service.clone(), data_centre.clone());
                 let key = OrderKey { service, data_centre, reclaimable };
@@ -159,15 +165,16 @@
         &self,
         service: &ServiceName,
         scaling: &Scaling,
-        needed: f64,
+        need: Need,
         now: Instant,
     ) -> Vec<(DataCentre, Wish, Fleet)> {
         let settings = self.gateway.settings.borrow();
         let policy = &settings.capacity.policy;
         let mut fleets = fleets(&self.gateway.board.borrow(), service, scaling);
         self.orders.expect(service, &mut fleets, scaling.boot, now);
+        let floor = self.floor(service, needed_at_start(scaling, policy), now);
         let input = CapacityInput {
-            needed: needed.max(self.floor(service, needed_at_start(scaling, policy), now)),
+            need: Need { engines: need.engines.max(floor), ..need },
             scaling,
             fleets: &fleets,
             losses: if settings.off.is_on(Mechanism::LossCover) { policy.losses } else { 0 },
--- a/src/gateway/decide/capacity.rs
+++ b/src/gateway/decide/capacity.rs
@@ -14,6 +14,7 @@
 
 use std::collections::BTreeMap;
 
+use super::Need;
 use crate::{gateway::model::Scaling, ids::DataCentre};
 
 /// Data centres between which engines on demand are shared out at first.
@@ -43,8 +44,8 @@
 /// What the plan rests on.
 #[derive(Clone, Debug)]
 pub struct CapacityInput<'a> {
-    /// Engines that the load needs now.
-    pub needed: f64,
+    /// Engines that the load needs.
+    pub need: Need,
     /// Bounds and prices.
     pub scaling: &'a Scaling,
     /// Engines in each data centre.
@@ -94,10 +95,11 @@
     input: &CapacityInput<'_>,
     policy: &CapacityPolicy,
 ) -> BTreeMap<DataCentre, Wish> {
-    let needed = input.needed.max(policy.needed_floor);
+    let needed = input.need.engines.max(policy.needed_floor);
+    let kept_for = input.need.reclaimable.max(needed);
     let places = input.fleets.len();
     let left = places.saturating_sub(input.losses).max(1);
-    let each = (needed * policy.reclaimable_spare / left as f64).ceil() as u32;
+    let each = (kept_for * policy.reclaimable_spare / left as f64).ceil() as u32;
     let each = each.min(input.scaling.max);
     let most = input.scaling.max;
     let mut wishes: BTreeMap<DataCentre, Wish> =
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -29,7 +29,7 @@
 pub use need::{Busy, LoadMeter, RequestCost, ServiceLoad, busy, engines_needed, mean_cost};
 pub use orders::{OrderBook, OrderKey, OrderReport};
 pub use pace::{OrderPace, OrderState, PaceInput};
-pub use peak::NeedPeak;
+pub use peak::{Need, NeedMeter, NeedPeak};
 pub use quota::{PeerTotal, QuotaBook, QuotaShare, QuotaTerms, QuotaUsedUp};
 pub use retry::{RetryBook, RetryTerms};
 pub use speed::{EngineSpeed, FirstToken, SpeedModel};
--- a/src/gateway/decide/orders.rs
+++ b/src/gateway/decide/orders.rs
@@ -31,6 +31,8 @@
     pub count: u32,
     /// Whether the platform has said of late that it has none to give.
     pub refused: bool,
+    /// How long ago it was given, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// Orders of engines of all services.
@@ -54,7 +56,9 @@
             return;
         }
         let paces = reports.iter().map(|report| {
-            let pace = OrderPace::resumed(report.count, report.refused, now);
+            let age = Duration::from_millis(report.age_ms.into());
+            let at = now.checked_sub(age).unwrap_or(now);
+            let pace = OrderPace::resumed(report.count, report.refused, at);
             (report.key.clone(), pace)
         });
         self.paces = paces.collect();
@@ -66,6 +70,7 @@
             key: key.clone(),
             count: pace.count(),
             refused: pace.is_refused(now),
+            age_ms: now.saturating_duration_since(pace.at()).as_millis() as u32,
         };
         self.paces.iter().map(report).collect()
     }
--- a/src/gateway/decide/pace.rs
+++ b/src/gateway/decide/pace.rs
@@ -61,20 +61,37 @@
     at: Instant,
     state: OrderState,
     busy: bool,
+    /// Engines that served when it was last looked at.
+    served: u32,
+    /// Whether engines have gone since the last order that it did not give up.
+    lost: bool,
     fewer: Option<Fewer>,
 }
 
 impl OrderPace {
     /// Begins with the engines that serve.
     pub fn new(serving: u32, now: Instant) -> Self {
-        Self { count: serving, at: now, state: OrderState::Accepted, busy: false, fewer: None }
+        Self {
+            count: serving,
+            at: now,
+            state: OrderState::Accepted,
+            busy: false,
+            served: serving,
+            lost: false,
+            fewer: None,
+        }
     }
 
-    /// Goes on from the last order of an earlier holder of the lease: what it
-    /// ordered may still start, and what was refused is not to be had yet.
-    pub fn resumed(count: u32, refused: bool, now: Instant) -> Self {
+    /// Goes on from the last order of an earlier holder of the lease, given at `at`:
+    /// what it ordered may still start, and what was refused is not to be had yet.
+    pub fn resumed(count: u32, refused: bool, at: Instant) -> Self {
         let state = if refused { OrderState::Refused } else { OrderState::Accepted };
-        Self { count, at: now, state, busy: false, fewer: None }
+        Self { state, ..Self::new(count, at) }
+    }
+
+    /// Returns when the last order was given.
+    pub fn at(&self) -> Instant {
+        self.at
     }
 
     /// Returns how many were ordered last and accepted.
@@ -91,7 +108,8 @@
     /// Returns whether engines that were ordered may still start.
     pub fn may_start(&self, boot: Duration, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.at);
-        self.state != OrderState::Refused && (self.busy || age < boot + BOOT_SLACK)
+        let waits = self.busy || (!self.lost && age < boot + BOOT_SLACK);
+        self.state != OrderState::Refused && waits
     }
 
     /// Returns how many engines beyond those that serve may still start.
@@ -102,6 +120,7 @@
     /// Returns how many engines to order now; `None` for no order.
     pub fn next(&mut self, input: &PaceInput, now: Instant) -> Option<u32> {
         let age = now.saturating_duration_since(self.at);
+        self.look(input.serving);
         let accepted = self.state == OrderState::Accepted;
         if self.busy || (!accepted && age < PAUSE_AFTER_REFUSAL) {
             return None;
@@ -117,7 +136,15 @@
         }
         self.fewer = None;
         // The platform took engines back, or they do not start.
-        (serving < wished && age >= input.boot + BOOT_SLACK).then_some(wished)
+        let gone = self.lost || age >= input.boot + BOOT_SLACK;
+        (serving < wished && gone).then_some(wished)
+    }
+
+    /// Notices that engines have gone which were not given up: those that were
+    /// ordered before will not start in their place.
+    fn look(&mut self, serving: u32) {
+        self.lost |= serving < self.served && serving < self.count;
+        self.served = serving;
     }
 
     fn fewer(&mut self, input: &PaceInput, now: Instant) -> Option<u32> {
@@ -139,6 +166,7 @@
     /// Notes that an order was sent.
     pub fn sent(&mut self, now: Instant) {
         self.busy = true;
+        self.lost = false;
         self.at = now;
     }
 
--- a/tests/gateway_capacity.rs
+++ b/tests/gateway_capacity.rs
@@ -9,8 +9,8 @@
 use tackhollow::{
     gateway::{
         decide::{
-            CapacityInput, CapacityPolicy, Fleet, NeedPeak, OrderBook, OrderKey, OrderPace,
-            OrderReport, OrderState, PaceInput, plan_engines,
+            CapacityInput, CapacityPolicy, Fleet, Need, NeedMeter, NeedPeak, OrderBook, OrderKey,
+            OrderPace, OrderReport, OrderState, PaceInput, plan_engines,
         },
         model::Scaling,
     },
@@ -35,6 +35,11 @@
 const POLICY: CapacityPolicy =
     CapacityPolicy { losses: 1, reclaimable_spare: 1.0, needed_floor: 4.0, start_share: 0.15 };
 
+/// A steady need.
+fn need(engines: f64) -> Need {
+    Need { engines, reclaimable: engines }
+}
+
 fn fleets(reclaimable: [u32; 4]) -> BTreeMap<DataCentre, Fleet> {
     let names = ["a", "b", "c", "d"].into_iter().map(str::to_owned);
     names.zip(reclaimable.map(|reclaimable| Fleet { reclaimable, ..Fleet::default() })).collect()
@@ -85,7 +90,7 @@
     for case in cases {
         let fleets = fleets(case.reclaimable);
         let input = CapacityInput {
-            needed: case.needed,
+            need: need(case.needed),
             scaling: &scaling,
             fleets: &fleets,
             losses: case.losses,
@@ -118,7 +123,7 @@
         let mut fleets = fleets([0; 4]);
         fleets.values_mut().for_each(|f| f.more_expected = true);
         let input = CapacityInput {
-            needed: 12.0,
+            need: need(12.0),
             scaling: &scaling,
             fleets: &fleets,
             losses: case.losses,
@@ -177,7 +182,7 @@
         dearest.on_demand = case.on_demand;
         dearest.on_demand_starting = case.on_demand_starting;
         let input = CapacityInput {
-            needed: 5.0,
+            need: need(5.0),
             scaling: &scaling,
             fleets: &fleets,
             losses: 1,
@@ -197,7 +202,7 @@
     let mut fleets = fleets([4, 4, 4, 0]);
     fleets.get_mut("d").expect("a data centre").on_demand = 1;
     let input = CapacityInput {
-        needed: 4.0,
+        need: need(4.0),
         scaling: &scaling,
         fleets: &fleets,
         losses: 0,
@@ -278,6 +283,58 @@
     }
 }
 
+/// With the largest need of four seconds for both kinds, 45 reclaimable engines became
+/// 16 within ten seconds of a calm on one fleet, and the wave after it found too few.
+#[test]
+fn reclaimable_engines_are_kept_for_longer_than_others() {
+    let start = Instant::now();
+    let mut meter = NeedMeter::new(ms(4_000));
+    let needs = [12.0, 8.0, 6.0, 6.0, 6.0].iter().zip([0, 3_000, 6_000, 15_000, 22_000]);
+    let kept: Vec<Need> = needs.map(|(need, at)| meter.note(*need, start + ms(at))).collect();
+    let engines: Vec<f64> = kept.iter().map(|n| n.engines).collect();
+    let reclaimable: Vec<f64> = kept.iter().map(|n| n.reclaimable).collect();
+    assert_eq!(engines, [12.0, 12.0, 8.0, 6.0, 6.0]);
+    assert_eq!(reclaimable, [12.0, 12.0, 12.0, 12.0, 8.0]);
+}
+
+#[test]
+fn engines_that_go_after_an_order_are_ordered_anew_at_once_and_not_expected() {
+    struct Case {
+        name: &'static str,
+        /// Engines that serve two and three seconds after an order of four.
+        serving: [u32; 2],
+        ordered: Option<u32>,
+        expected: bool,
+    }
+    let cases = [
+        Case { name: "none have started yet", serving: [0, 0], ordered: None, expected: true },
+        Case { name: "some have", serving: [1, 2], ordered: None, expected: true },
+        Case { name: "some have gone", serving: [3, 1], ordered: Some(4), expected: false },
+        Case { name: "all have", serving: [4, 0], ordered: Some(4), expected: false },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut pace = OrderPace::new(0, now);
+        let input = |serving| PaceInput {
+            wished: 4,
+            serving,
+            reclaimable: true,
+            dry: false,
+            idle: false,
+            load_known: true,
+            boot: ms(4_000),
+        };
+        assert_eq!(pace.next(&input(0), now), Some(4), "{}", case.name);
+        pace.sent(now);
+        pace.answered(4, OrderState::Accepted);
+        let [before, after] = case.serving;
+        assert_eq!(pace.next(&input(before), now + ms(2_000)), None, "{}", case.name);
+        let later = now + ms(3_000);
+        assert_eq!(pace.next(&input(after), later), case.ordered, "{}", case.name);
+        assert_eq!(pace.may_start(ms(4_000), later), case.expected, "{}", case.name);
+    }
+}
+
 /// A new holder plans in the middle of a wave as the one before would have.
 #[test]
 fn a_change_of_holder_gives_up_no_engines_and_expects_none_that_were_refused() {
@@ -322,7 +379,7 @@
         after.expect("chat", &mut fleets, ms(4_000), now);
         let scaling = scaling(10);
         let input = CapacityInput {
-            needed: 5.0,
+            need: need(5.0),
             scaling: &scaling,
             fleets: &fleets,
             losses: 1,
@@ -414,7 +471,7 @@
     for case in cases {
         let now = Instant::now();
         let mut pace = OrderPace::new(10, now);
-        let mut peak = NeedPeak::default();
+        let mut peak = NeedPeak::new(ms(4_000));
         let mut ordered = None;
         for (i, need) in case.needs.iter().enumerate() {
             let now = now + ms(1_000 * i as u64);
@@ -459,7 +516,7 @@
     ) {
         let scaling = scaling(max);
         let fleets = fleets(reclaimable);
-        let input = CapacityInput { needed, scaling: &scaling, fleets: &fleets, losses: 1, before_load: false };
+        let input = CapacityInput { need: need(needed), scaling: &scaling, fleets: &fleets, losses: 1, before_load: false };
         for (name, wish) in plan_engines(&input, &POLICY) {
             let both = wish.reclaimable + wish.on_demand;
             let serving = fleets[&name].reclaimable.min(max);
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -86,7 +86,7 @@
     before.hear("ended", 6, &BTreeMap::from([(customer(), 4)]));
     let (service, data_centre) = ("chat".to_owned(), "a".to_owned());
     let key = OrderKey { service, data_centre, reclaimable: true };
-    let order = OrderReport { key, count: 4, refused: true };
+    let order = OrderReport { key, count: 4, refused: true, age_ms: 900 };
     let needs = BTreeMap::from([("chat".to_owned(), 7.5)]);
     let capacity = CapacityRecord { needs, orders: vec![order] };
     let kept = Kept::of(&QuotaBook::new(now), &before, capacity.clone());
--- a/tests/gateway_speed.rs
+++ b/tests/gateway_speed.rs
@@ -193,7 +193,7 @@
 fn the_largest_need_of_late_counts() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut peak = NeedPeak::default();
+    let mut peak = NeedPeak::new(Duration::from_secs(4));
     let seen: Vec<f64> = [(0, 8.0), (1_000, 5.0), (2_000, 6.0), (4_500, 3.0), (6_500, 3.0)]
         .into_iter()
         .map(|(ms, need)| peak.note(need, at(ms)))
--- a/tests/player/mod.rs
+++ b/tests/player/mod.rs
@@ -14,7 +14,7 @@
 use tackhollow::{
     gateway::{
         decide::{
-            Candidate, CapacityInput, EngineSpeed, FirstToken, Fleet, LoadMeter, NeedPeak,
+            Candidate, CapacityInput, EngineSpeed, FirstToken, Fleet, LoadMeter, Need, NeedMeter,
             OrderBook, OrderKey, OrderState, PaceInput, ServiceLoad, SpeedModel, busy,
             choose_engine, engines_needed, plan_engines,
         },
@@ -126,7 +126,7 @@
     engines: Vec<Engine>,
     model: SpeedModel,
     meter: LoadMeter,
-    peak: NeedPeak,
+    needs: NeedMeter,
     orders: OrderBook,
     outcome: Outcome,
 }
@@ -150,7 +150,7 @@
             engines,
             model: SpeedModel::default(),
             meter: LoadMeter::new(started),
-            peak: NeedPeak::default(),
+            needs: NeedMeter::new(BOOT),
             orders: OrderBook::default(),
             outcome: Outcome::default(),
         }
@@ -273,20 +273,20 @@
     }
 
     /// Returns the engines that the policy takes to be needed.
-    fn need(&mut self) -> f64 {
+    fn need(&mut self) -> Need {
         let (now, speed, slots) = (self.instant(), self.speed(), self.scene.engines.slots);
         if self.policy == Policy::Learnt {
             let cost = self.meter.cost(now).unwrap_or_default();
             let busy = busy(ServiceLoad { rate: self.meter.rate(now), cost }, speed);
-            return self.peak.note(engines_needed(busy, slots, self.capacity.safety), now);
+            return self.needs.note(engines_needed(busy, slots, self.capacity.safety), now);
         }
         let running: usize = self.engines.iter().map(|e| e.jobs().min(slots as usize)).sum();
         let reading = self.meter.rate(now) * self.scene.prompt * speed.per_token / 0.55;
-        self.peak.note(reading + running as f64 / (f64::from(slots) * 0.5), now)
+        self.needs.note(reading + running as f64 / (f64::from(slots) * 0.5), now)
     }
 
     fn plan(&mut self) {
-        let needed = self.need();
+        let need = self.need();
         let scaling = Scaling {
             min: 1,
             max: 10,
@@ -298,7 +298,7 @@
             (0..PLACES.len()).map(|p| (PLACES[p].to_owned(), self.fleet(p))).collect();
         self.orders.expect(SERVICE, &mut fleets, BOOT, self.instant());
         let input = CapacityInput {
-            needed,
+            need,
             scaling: &scaling,
             fleets: &fleets,
             losses: 1,
