--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -30,6 +30,8 @@
             "/behaviour" => self.behave(&body),
             "/state" => self.set_state(&body),
             "/remove" => self.remove(&body),
+            "/restart" => self.restart(&body),
+            "/entry" => self.write_entry(&body),
             "/store" => self.set_store(&body),
             "/forget" => self.forget(),
             "/seen" => return self.seen(),
@@ -102,6 +104,32 @@
         Some(())
     }
 
+    /// Starts an upstream again under its id. What it held and the requests that it
+    /// ran are lost; connections to it stay open in silence, as behind a cut.
+    /// `born` is when it started by its clock.
+    fn restart(&self, body: &Value) -> Option<()> {
+        let id = body["id"].as_str()?;
+        let row = {
+            let mut state = self.world.state.borrow_mut();
+            let engine = state.engines.get_mut(id)?;
+            engine.row["born"] = body["born"].clone();
+            engine.row["sequence"] = json!(0);
+            engine.behaviour = Behaviour::Serve;
+            engine.reading_until = Instant::now();
+            engine.cache.clear();
+            engine.row.to_string()
+        };
+        self.world.put("servers", id, Some(STANDARD.encode(row)));
+        Some(())
+    }
+
+    /// Writes a row as another writer would: `id`, `text`.
+    fn write_entry(&self, body: &Value) -> Option<()> {
+        let (id, text) = (body["id"].as_str()?, body["text"].as_str()?);
+        self.world.put("servers", id, Some(STANDARD.encode(text)));
+        Some(())
+    }
+
     fn set_store(&self, body: &Value) -> Option<()> {
         let mode: StoreMode = serde_json::from_value(body["mode"].clone()).ok()?;
         self.world.state.borrow_mut().store_mode = mode;
--- a/src/bin/tackhollow-emulator/world.rs
+++ b/src/bin/tackhollow-emulator/world.rs
@@ -9,6 +9,7 @@
 };
 
 use serde::{Deserialize, Serialize};
+use tackhollow::time::unix_millis;
 use tokio::sync::Notify;
 
 /// How the store answers.
@@ -179,5 +180,6 @@
     serde_json::json!({
         "service": service, "address": address, "zone": zone, "version": "v1", "slots": 64,
         "state": "ready", "coldRemainingMs": 0, "spot": spot, "sequence": 1,
+        "born": unix_millis(),
     })
 }
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -3,16 +3,19 @@
 
 mod demand;
 mod lease;
+mod lifetimes;
+mod loads;
 mod store;
 mod upstream;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
+use tokio::sync::watch::Receiver;
 
 use super::{
     decide::{
@@ -20,17 +23,19 @@
         QuotaShare, RequestCost, RetryBook, SpeedModel, Steadiness, SwitchedOff, TrueClock,
         UsageBook,
     },
-    model::{Configuration, Revision, ServiceName},
+    model::{Configuration, Lifetime, Revision, ServiceName, Upstream},
     net::Phase,
     peering::{Heartbeat, LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport},
 };
 use crate::ids::{DataCentre, UpstreamId};
 
+use lifetimes::Lifetimes;
+use loads::OthersLoad;
 use store::LAPSE_SEEN;
 
 pub use lease::{LeaseView, OwnLease};
 pub use store::{LAPSE_GRACE, StoreState};
-pub use upstream::{Load, UpstreamView};
+pub use upstream::{Described, Load, UpstreamView};
 
 /// Between heartbeats: load that is older misleads the choice of engines.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(150);
@@ -62,6 +67,8 @@
     pub last: Heartbeat,
     /// When.
     pub heard: Instant,
+    /// Whether its load is part of the sums.
+    counted: bool,
 }
 
 /// What this process believes.
@@ -110,6 +117,9 @@
     pub steadiness: Steadiness,
     /// Requests in progress.
     pub in_progress: usize,
+    /// Newest lifetimes of upstreams.
+    lifetimes: Lifetimes,
+    others_load: OthersLoad,
     loads: BTreeMap<ServiceName, LoadMeter>,
     /// What a request to each service costs on average, over all processes.
     costs: BTreeMap<ServiceName, RequestCost>,
@@ -142,6 +152,8 @@
             store: StoreState::Up,
             steadiness: Steadiness::default(),
             in_progress: 0,
+            lifetimes: Lifetimes::default(),
+            others_load: OthersLoad::default(),
             loads: BTreeMap::new(),
             costs: BTreeMap::new(),
             speeds: BTreeMap::new(),
@@ -229,18 +241,113 @@
         self.upstreams.values().filter(move |v| v.upstream.service == service)
     }
 
+    /// Takes over what an upstream says of itself.
+    pub fn describe(&mut self, upstream: Upstream, now: Instant) -> Described {
+        let id = upstream.id.clone();
+        let (described, lifetime) = match self.upstreams.get_mut(&id) {
+            Some(view) => (view.update(upstream, now), view.lifetime),
+            None => {
+                let view = UpstreamView::new(upstream, now);
+                let lifetime = view.lifetime;
+                self.upstreams.insert(id.clone(), view);
+                (Described::New, lifetime)
+            }
+        };
+        self.lifetimes.note(&id, lifetime);
+        described
+    }
+
+    /// Returns an upstream, if it is still in the lifetime that is meant.
+    pub fn in_lifetime(
+        &mut self,
+        id: &UpstreamId,
+        lifetime: Lifetime,
+    ) -> Option<&mut UpstreamView> {
+        self.upstreams.get_mut(id).filter(|v| v.lifetime == lifetime)
+    }
+
+    /// Returns how many tokens the cache of an engine holds; `None` for one that is
+    /// not known, or not in this lifetime.
+    pub fn cache_tokens(&self, cfg: &Configuration, lifetime: Lifetime) -> Option<u64> {
+        let view = self.upstreams.get(self.lifetimes.upstream(lifetime)?)?;
+        cfg.services.get(&view.upstream.service)?.engine.map(|e| e.cache_tokens)
+    }
+
+    /// Returns what tells of each newer lifetime of an upstream.
+    pub fn follow_lifetime(&self, id: &UpstreamId) -> Option<Receiver<Lifetime>> {
+        self.lifetimes.follow(id)
+    }
+
+    /// Forgets what belongs to upstreams that are gone and to earlier lifetimes.
+    pub fn forget_lifetimes(&mut self) {
+        let known: HashSet<Lifetime> = self.upstreams.values().map(|v| v.lifetime).collect();
+        self.cache.retain(|lifetime| known.contains(&lifetime));
+        self.lifetimes.retain(|id| self.upstreams.contains_key(id));
+    }
+
+    /// Takes over a heartbeat; returns when its process was heard before, if it was.
+    pub fn hear(
+        &mut self,
+        process: ProcessId,
+        heartbeat: Heartbeat,
+        now: Instant,
+    ) -> Option<Instant> {
+        if !self.peers.contains_key(&process) {
+            self.end_earlier_processes(&heartbeat.host);
+        }
+        self.others_load.add(&heartbeat.loads);
+        let view = PeerView { last: heartbeat, heard: now, counted: true };
+        let before = self.peers.insert(process, view)?;
+        if before.counted {
+            self.others_load.take_off(&before.last.loads);
+        }
+        Some(before.heard)
+    }
+
+    /// Forgets processes of a host on which a new one has started.
+    fn end_earlier_processes(&mut self, host: &str) {
+        let of_host = self.peers.iter().filter(|(_, p)| p.last.host == host);
+        let ended: Vec<ProcessId> = of_host.map(|(id, _)| id.clone()).collect();
+        ended.iter().for_each(|id| self.forget_peer(id));
+    }
+
+    /// Forgets another gateway.
+    pub fn forget_peer(&mut self, process: &ProcessId) {
+        if let Some(peer) = self.peers.remove(process).filter(|p| p.counted) {
+            self.others_load.take_off(&peer.last.loads);
+        }
+    }
+
+    /// Takes off the load of gateways that have fallen silent.
+    pub fn forget_silent_loads(&mut self, now: Instant) {
+        let silence = self.peer_silence();
+        for peer in self.peers.values_mut().filter(|p| p.counted) {
+            if now.saturating_duration_since(peer.heard) >= silence {
+                peer.counted = false;
+                self.others_load.take_off(&peer.last.loads);
+            }
+        }
+    }
+
+    /// Returns the load that the other processes put on an upstream, as last heard.
+    pub fn others_load(&self, view: &UpstreamView) -> Load {
+        self.others_load.on(view.lifetime)
+    }
+
     /// Describes an upstream as a candidate for a request that would have to
     /// read `missing_tokens` there.
     pub fn candidate(
+        &self,
         view: &UpstreamView,
         missing_tokens: u32,
         own_data_centre: &DataCentre,
         now: Instant,
         chance: f64,
     ) -> Candidate {
+        let others = self.others_load(view);
         Candidate {
-            running: f64::from(view.own.running + view.others.running),
-            pending_tokens: f64::from(view.own.pending_tokens + view.others.pending_tokens),
+            running: f64::from(view.own.running + others.running),
+            pending_tokens: f64::from(view.own.pending_tokens + others.pending_tokens),
             slots: view.upstream.slots,
             missing_tokens: f64::from(missing_tokens),
             failures: view.breaker.recent_failures(now),
@@ -277,21 +384,8 @@
 
     /// Returns the load that this process puts on upstreams.
     pub fn own_loads(&self) -> Vec<LoadReport> {
-        let loaded = self.upstreams.iter().filter(|(_, v)| v.own != Load::default());
-        loaded.map(|(id, v)| LoadReport(id.clone(), v.own.running, v.own.pending_tokens)).collect()
-    }
-
-    /// Sums up the load that the other processes put on upstreams.
-    pub fn sum_loads(&mut self, now: Instant) {
-        let mut sums: BTreeMap<UpstreamId, Load> = BTreeMap::new();
-        for LoadReport(id, running, pending) in self.heard(now).flat_map(|p| &p.last.loads) {
-            let sum = sums.entry(id.clone()).or_default();
-            sum.running += running;
-            sum.pending_tokens += pending;
-        }
-        for (id, view) in &mut self.upstreams {
-            view.others = sums.get(id).copied().unwrap_or_default();
-        }
+        let loaded = self.upstreams.values().filter(|v| v.own != Load::default());
+        loaded.map(|v| LoadReport(v.lifetime, v.own.running, v.own.pending_tokens)).collect()
     }
 
     /// Returns the gateways that callers may use, as heard of late.
--- a/src/gateway/board/upstream.rs
+++ b/src/gateway/board/upstream.rs
@@ -4,7 +4,7 @@
 
 use crate::gateway::{
     decide::Breaker,
-    model::{Upstream, UpstreamPhase},
+    model::{Lifetime, Upstream, UpstreamPhase},
 };
 
 /// Load on one upstream.
@@ -21,10 +21,10 @@
 pub struct UpstreamView {
     /// Its own description.
     pub upstream: Upstream,
+    /// Name of its lifetime.
+    pub lifetime: Lifetime,
     /// Load that this process puts on it.
     pub own: Load,
-    /// Load that the other processes put on it, as last heard.
-    pub others: Load,
     /// Its health as requests saw it.
     pub breaker: Breaker,
     /// Until when its row may be missing: that may be the store's fault.
@@ -33,6 +33,19 @@
     pub leaving_since: Option<Instant>,
 }
 
+/// What a newer description of an upstream changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Described {
+    /// It was not known.
+    New,
+    /// It has started again: nothing of before holds.
+    StartedAgain,
+    /// It takes work now, or no longer.
+    PhaseChanged,
+    /// Nothing that decides anything.
+    Same,
+}
+
 /// For how long an upstream that leaves gets requests that nobody else takes.
 /// It serves on for two seconds or more, and much of its work ends within one.
 const LAST_RESORT: Duration = Duration::from_millis(1_000);
@@ -41,9 +54,9 @@
     /// Creates the view of an upstream that was just heard of.
     pub fn new(upstream: Upstream, now: Instant) -> Self {
         Self {
+            lifetime: upstream.lifetime(),
             upstream,
             own: Load::default(),
-            others: Load::default(),
             breaker: Breaker::new(now),
             missing_until: None,
             leaving_since: None,
@@ -55,15 +68,21 @@
         self.upstream.phase == UpstreamPhase::Ready
     }
 
-    /// Takes over its newer description. Returns whether its phase changed.
-    pub fn update(&mut self, upstream: Upstream, now: Instant) -> bool {
+    /// Takes over its newer description. One that does not say when the upstream
+    /// started is of the lifetime that is known.
+    pub fn update(&mut self, mut upstream: Upstream, now: Instant) -> Described {
+        upstream.born = upstream.born.or(self.upstream.born);
+        if upstream.born != self.upstream.born {
+            *self = Self::new(upstream, now);
+            return Described::StartedAgain;
+        }
         let changed = self.upstream.phase != upstream.phase;
         if changed {
             self.leaving_since = (upstream.phase == UpstreamPhase::Draining).then_some(now);
         }
         self.upstream = upstream;
         self.missing_until = None;
-        changed
+        if changed { Described::PhaseChanged } else { Described::Same }
     }
 
     /// Returns whether it still takes requests that no other upstream takes.
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -17,10 +17,10 @@
             CapacityInput, Fleet, Mechanism, Need, NeedMeter, OrderBook, OrderKey, OrderState,
             PaceInput, Wish, engines_needed, needed_at_start, plan_engines,
         },
-        model::{Configuration, Scaling, ServiceName},
+        model::{Scaling, ServiceName},
         telemetry::Event,
     },
-    ids::{DataCentre, UpstreamId},
+    ids::DataCentre,
     platform::{EngineOrder, OrderOutcome, PlatformError},
     telemetry,
 };
@@ -41,12 +41,6 @@
     needs: HashMap<ServiceName, NeedMeter>,
 }
 
-/// Returns how many tokens the cache of an upstream holds.
-pub(super) fn cache_tokens(board: &Board, cfg: &Configuration, id: &UpstreamId) -> u64 {
-    let service = board.upstreams.get(id).and_then(|v| cfg.services.get(&v.upstream.service));
-    service.and_then(|s| s.engine).map_or(0, |e| e.cache_tokens)
-}
-
 impl Capacity {
     /// Starts the controller.
     pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -7,7 +7,7 @@
 //! Few processes read the store; the others take over what these tell.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -16,14 +16,15 @@
 
 use crate::{
     gateway::{
-        board::{LAPSE_GRACE, UpstreamView},
+        board::{Described, LAPSE_GRACE, UpstreamView},
         context::Gateway,
-        model::{Revision, Upstream, UpstreamPhase},
+        model::{Lifetime, Revision, Upstream, UpstreamPhase},
         peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
         telemetry::Event,
     },
     ids::UpstreamId,
     platform::{Change, Snapshot, StoreRow, decode_upstream},
+    telemetry::count,
 };
 
 /// Between looks at missing rows and idle connections.
@@ -34,23 +35,32 @@
 pub struct Directory {
     gateway: Rc<Gateway>,
     timer: stakker::MaxTimerKey,
+    /// Rows that name no upstream, each with the cause that was logged.
+    rejected: BTreeMap<UpstreamId, &'static str>,
 }
 
 impl Directory {
     /// Starts the controller.
     pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
         call!([cx], tick());
-        Some(Self { gateway, timer: stakker::MaxTimerKey::default() })
+        let timer = stakker::MaxTimerKey::default();
+        Some(Self { gateway, timer, rejected: BTreeMap::new() })
     }
 
     /// Takes over all rows as read from the store.
     pub fn snapshot(&mut self, cx: CX![], snapshot: Snapshot) {
         let upstreams = snapshot.rows.iter().filter_map(|r| self.decode(r)).collect();
+        let listed: BTreeSet<&UpstreamId> = snapshot.rows.iter().map(|r| &r.key).collect();
+        self.rejected.retain(|id, _| listed.contains(id));
         let last_change = snapshot.rows.iter().map(|r| r.revision).max().unwrap_or_default();
         let position = snapshot.revision;
         let missing = Vec::new();
         let snapshot = UpstreamSnapshot { position, last_change, upstreams, missing };
         self.replace(&snapshot, cx.now(), |id, now| self.missing(id, position, now));
+        // These rows are there, so no lapse excuses what they no longer name.
+        for id in self.rejected.keys() {
+            self.remove(id, position);
+        }
     }
 
     /// Takes over all upstreams as another gateway knows them. What is gone
@@ -122,12 +132,15 @@
             match change {
                 Change::Written(row) if row.revision > known => {
                     last_change = last_change.max(row.revision);
-                    if let Some(upstream) = self.decode(&row) {
-                        self.update(upstream, row.revision, now);
+                    match self.decode(&row) {
+                        Some(upstream) => self.update(upstream, row.revision, now),
+                        // Whoever wrote it, no upstream is named there any more.
+                        None => self.remove(&row.key, row.revision),
                     }
                 }
                 Change::Removed(id, revision) if revision > known => {
                     last_change = last_change.max(revision);
+                    self.rejected.remove(&id);
                     self.missing(&id, revision, now);
                 }
                 Change::Written(_) | Change::Removed(..) => {}
@@ -141,44 +154,49 @@
         timer_max!(&mut self.timer, now + PERIOD, [cx], tick());
         self.drop_missing(now);
         let mut board = self.gateway.board.borrow_mut();
-        let known: BTreeSet<UpstreamId> = board.upstreams.keys().cloned().collect();
-        board.cache.retain(|id| known.contains(id));
+        board.forget_lifetimes();
+        let known: HashSet<Lifetime> = board.upstreams.values().map(|v| v.lifetime).collect();
         let serving = board.upstreams.values().filter(|v| v.takes_work()).count();
         drop(board);
-        self.gateway.pool.sweep(now, |id| known.contains(id));
+        self.gateway.pool.sweep(now, |lifetime| known.contains(&lifetime));
         self.gateway.metrics.upstreams.set(serving as i64);
         self.gateway.metrics.connections.set(self.gateway.pool.open() as i64);
     }
 
-    fn decode(&self, row: &StoreRow) -> Option<Upstream> {
-        match decode_upstream(row.key.clone(), &row.value) {
-            Ok(upstream) => Some(upstream),
-            Err(e) => {
-                log::error!("the row of upstream {} is unusable: {e}", row.key);
-                None
+    /// Decodes a row. A row that names no upstream is told once for each reason.
+    fn decode(&mut self, row: &StoreRow) -> Option<Upstream> {
+        let error = match decode_upstream(row.key.clone(), &row.value) {
+            Ok(upstream) => {
+                self.rejected.remove(&row.key);
+                return Some(upstream);
             }
+            Err(e) => e,
+        };
+        let cause = error.cause();
+        count(&self.gateway.metrics.rejected_entries, cause);
+        if self.rejected.insert(row.key.clone(), cause) != Some(cause) {
+            self.gateway.log(&Event::EntryRejected {
+                entry: &row.key,
+                cause,
+                error: &error.to_string(),
+                revision: row.revision,
+            });
         }
+        None
     }
 
     fn update(&self, upstream: Upstream, revision: Revision, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
-        let id = upstream.id.clone();
-        let state = match upstream.phase {
-            UpstreamPhase::Ready => "ready",
-            UpstreamPhase::Draining => "draining",
-        };
         board.recent_changes.push(revision, UpstreamChange::Written(upstream.clone()), now);
-        let changed = match board.upstreams.get_mut(&id) {
-            Some(view) => view.update(upstream.clone(), now),
-            None => {
-                board.upstreams.insert(id, UpstreamView::new(upstream.clone(), now));
-                true
-            }
-        };
+        let described = board.describe(upstream.clone(), now);
         drop(board);
-        if changed {
-            self.log(&upstream, state, revision);
-        }
+        let state = match (described, upstream.phase) {
+            (Described::Same, _) => return,
+            (Described::StartedAgain, _) => "started_again",
+            (Described::New | Described::PhaseChanged, UpstreamPhase::Ready) => "ready",
+            (Described::New | Described::PhaseChanged, UpstreamPhase::Draining) => "draining",
+        };
+        self.log(&upstream, state, revision);
     }
 
     fn store_was_there(&self, now: Instant) -> bool {
@@ -253,8 +271,6 @@
         board.upstreams_last_change = board.upstreams_last_change.max(last_change);
         board.upstreams_known = true;
         board.recent_changes.advance(position);
-        let now = Instant::now();
-        board.sum_loads(now);
         drop(board);
         self.gateway.tell(|c| call!([c.capacity], fleet_changed()));
     }
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -114,17 +114,13 @@
             self.gateway.tell(|c| call!([c.duties], claimed(heard)));
         }
         let mut board = self.gateway.board.borrow_mut();
-        let host = heartbeat.host.clone();
-        // An earlier process of the same host is over.
-        board.peers.retain(|id, peer| *id == process || peer.last.host != host);
-        let known = board.peers.insert(process.clone(), PeerView { last: heartbeat, heard: now });
-        board.sum_loads(now);
+        let before = board.hear(process.clone(), heartbeat, now);
         let silence = board.peer_silence();
         drop(board);
-        if known.is_none() {
+        if before.is_none() {
             self.greet(from, now);
         }
-        if known.is_none_or(|k| now.saturating_duration_since(k.heard) >= silence) {
+        if before.is_none_or(|heard| now.saturating_duration_since(heard) >= silence) {
             self.gateway.log(&Event::Peer { process: &process, state: "heard" });
         }
     }
@@ -167,8 +163,10 @@
                 }
             }
             for prefix in &heartbeat.prefixes {
-                let capacity = super::capacity::cache_tokens(board, &configuration, &prefix.2);
-                board.cache.note(&prefix.2, prefix.0, prefix.1, capacity, now);
+                // An engine in a lifetime that is not known: its word changes nothing.
+                if let Some(capacity) = board.cache_tokens(&configuration, prefix.2) {
+                    board.cache.note(prefix.2, prefix.0, prefix.1, capacity, now);
+                }
             }
         }
         for report in &heartbeat.speeds {
@@ -241,8 +239,9 @@
         let gone: Vec<ProcessId> =
             board.peers.iter().filter(|(_, p)| old(p)).map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            board.peers.remove(id);
+            board.forget_peer(id);
         }
+        board.forget_silent_loads(now);
         let heard = board.heard(now).count();
         drop(board);
         for process in &gone {
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -1,6 +1,7 @@
 //! Tasks that read the platform's store and follow its changes.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -134,7 +135,7 @@
 /// Row by which gateways find each other.
 #[derive(Debug, Serialize, Deserialize)]
 struct MemberRow {
-    heartbeats: std::net::SocketAddr,
+    heartbeats: SocketAddr,
 }
 
 /// Takes over what earlier processes kept in the store. A process that cannot
@@ -155,6 +156,14 @@
     }
 }
 
+fn member_address(row: &StoreRow) -> Option<SocketAddr> {
+    let member: Result<MemberRow, _> = serde_json::from_slice(&row.value);
+    if let Err(e) = &member {
+        log::warn!("the row of gateway {} names no address: {e}", row.key);
+    }
+    member.ok().map(|m| m.heartbeats)
+}
+
 /// Writes this process's address to the store and reads those of the others,
 /// until both have succeeded once.
 pub async fn announce(gateway: Rc<Gateway>) {
@@ -171,11 +180,7 @@
     loop {
         let read = timeout(MEMBERS_WAIT, gateway.store.snapshot(Table::Members)).await;
         if let Ok(Ok(snapshot)) = read {
-            let rows = snapshot.rows.iter();
-            let addresses = rows
-                .filter_map(|row| serde_json::from_slice::<MemberRow>(&row.value).ok())
-                .map(|row| row.heartbeats)
-                .collect();
+            let addresses = snapshot.rows.iter().filter_map(member_address).collect();
             gateway.tell(|c| call!([c.peers], found(addresses)));
             return;
         }
--- a/src/gateway/decide/cache.rs
+++ b/src/gateway/decide/cache.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Instant};
 
-use crate::{ids::UpstreamId, prefix::Fingerprint};
+use crate::{gateway::model::Lifetime, prefix::Fingerprint};
 
 /// Share of an engine's cache that shared prefixes are believed to get; the
 /// rest holds running requests.
@@ -20,10 +20,11 @@
     tokens: u64,
 }
 
-/// Belief about the caches of all engines, from requests sent to them.
+/// Belief about the caches of all engines, from requests sent to them. An engine
+/// that starts again holds nothing, so the belief is by lifetime.
 #[derive(Clone, Debug, Default)]
 pub struct CacheBelief {
-    engines: HashMap<UpstreamId, Engine>,
+    engines: HashMap<Lifetime, Engine>,
 }
 
 impl CacheBelief {
@@ -31,7 +32,7 @@
     /// cache holds `capacity` tokens. The least recently used prefixes yield.
     pub fn note(
         &mut self,
-        engine: &UpstreamId,
+        engine: Lifetime,
         prefix: Fingerprint,
         tokens: u32,
         capacity: u64,
@@ -40,7 +41,7 @@
         if tokens == 0 {
             return;
         }
-        let known = self.engines.entry(engine.clone()).or_default();
+        let known = self.engines.entry(engine).or_default();
         match known.held.insert(prefix, Held { tokens, used: now }) {
             Some(before) => {
                 known.tokens = known.tokens - u64::from(before.tokens) + u64::from(tokens)
@@ -51,13 +52,13 @@
     }
 
     /// Returns whether the engine likely holds the prefix.
-    pub fn holds(&self, engine: &UpstreamId, prefix: Fingerprint) -> bool {
-        self.engines.get(engine).is_some_and(|e| e.held.contains_key(&prefix))
+    pub fn holds(&self, engine: Lifetime, prefix: Fingerprint) -> bool {
+        self.engines.get(&engine).is_some_and(|e| e.held.contains_key(&prefix))
     }
 
-    /// Forgets engines that are not `known`.
-    pub fn retain(&mut self, known: impl Fn(&UpstreamId) -> bool) {
-        self.engines.retain(|id, _| known(id));
+    /// Forgets engines, and lifetimes of engines, that are not `known`.
+    pub fn retain(&mut self, known: impl Fn(Lifetime) -> bool) {
+        self.engines.retain(|lifetime, _| known(*lifetime));
     }
 }
 
--- a/src/gateway/model/mod.rs
+++ b/src/gateway/model/mod.rs
@@ -6,7 +6,7 @@
 pub use configuration::{
     CallerLimits, Configuration, Customer, EngineKind, Quota, RequestKind, Route, Scaling, Service,
 };
-pub use upstream::{Upstream, UpstreamPhase};
+pub use upstream::{Lifetime, Upstream, UpstreamPhase};
 
 /// Name of a service.
 pub type ServiceName = String;
--- a/src/gateway/net/pool.rs
+++ b/src/gateway/net/pool.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 use super::{ConnectError, HttpConnection, connect};
-use crate::ids::UpstreamId;
+use crate::gateway::model::Lifetime;
 
 /// Longest time to open a connection to an upstream. Upstreams accept within
 /// some milliseconds; a longer silence is that of a host that is gone.
@@ -46,9 +46,10 @@
     open: usize,
 }
 
-type Shared = Rc<RefCell<HashMap<UpstreamId, Connections>>>;
+type Shared = Rc<RefCell<HashMap<Lifetime, Connections>>>;
 
-/// Kept connections by upstream.
+/// Kept connections by upstream. Those to an earlier lifetime, which may stay open
+/// in silence, are never used again.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     shared: Shared,
@@ -62,12 +63,12 @@
     /// Fails if `most` are in use, or the upstream cannot be reached.
     pub async fn acquire(
         &self,
-        id: &UpstreamId,
+        upstream: Lifetime,
         address: SocketAddr,
         most: usize,
     ) -> Result<Lease, PoolError> {
-        let kept = self.reserve(id, most)?;
-        let mut lease = Lease { id: id.clone(), shared: self.shared.clone(), connection: kept };
+        let kept = self.reserve(upstream, most)?;
+        let mut lease = Lease { upstream, shared: self.shared.clone(), connection: kept };
         if lease.connection.is_none() {
             lease.connection = Some(connect(address, CONNECT_TIMEOUT).await?);
         }
@@ -75,9 +76,13 @@
     }
 
     /// Counts a connection as in use and returns it if one is kept.
-    fn reserve(&self, id: &UpstreamId, most: usize) -> Result<Option<HttpConnection>, PoolError> {
+    fn reserve(
+        &self,
+        upstream: Lifetime,
+        most: usize,
+    ) -> Result<Option<HttpConnection>, PoolError> {
         let mut shared = self.shared.borrow_mut();
-        let of_upstream = shared.entry(id.clone()).or_default();
+        let of_upstream = shared.entry(upstream).or_default();
         of_upstream.prune(Instant::now());
         if let Some(idle) = of_upstream.idle.pop() {
             return Ok(Some(idle.connection));
@@ -91,10 +96,14 @@
 
     /// Closes connections that have been idle for too long, and those of
     /// upstreams that are not `known`.
-    pub fn sweep(&self, now: Instant, known: impl Fn(&UpstreamId) -> bool) {
+    pub fn sweep(&self, now: Instant, known: impl Fn(Lifetime) -> bool) {
         let mut shared = self.shared.borrow_mut();
-        for (id, of_upstream) in shared.iter_mut() {
-            of_upstream.prune(if known(id) { now } else { now + Duration::from_secs(3_600) });
+        for (upstream, of_upstream) in shared.iter_mut() {
+            of_upstream.prune(if known(*upstream) {
+                now
+            } else {
+                now + Duration::from_secs(3_600)
+            });
         }
         shared.retain(|_, of_upstream| of_upstream.open > 0);
     }
@@ -116,7 +125,7 @@
 /// A connection that one request uses. It is closed when dropped.
 #[derive(Debug)]
 pub struct Lease {
-    id: UpstreamId,
+    upstream: Lifetime,
     shared: Shared,
     connection: Option<HttpConnection>,
 }
@@ -136,7 +145,7 @@
             return;
         };
         let mut shared = self.shared.borrow_mut();
-        let of_upstream = shared.entry(self.id.clone()).or_default();
+        let of_upstream = shared.entry(self.upstream).or_default();
         of_upstream.idle.push(Idle { connection, until });
         // `drop` takes one off for the lease; the kept connection stays counted.
         of_upstream.open += 1;
@@ -145,7 +154,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if let Some(of_upstream) = self.shared.borrow_mut().get_mut(&self.id) {
+        if let Some(of_upstream) = self.shared.borrow_mut().get_mut(&self.upstream) {
             of_upstream.open = of_upstream.open.saturating_sub(1);
         }
     }
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -10,10 +10,10 @@
     control::LeaseClaim,
     gateway::{
         decide::{Counts, EngineSpeed, OrderReport, RequestCost, ServiceLoad, SpeedModel, Window},
-        model::{CustomerName, Revision, ServiceName},
+        model::{CustomerName, Lifetime, Revision, ServiceName},
         net::Phase,
     },
-    ids::{DataCentre, Incarnation, UpstreamId},
+    ids::{DataCentre, Incarnation},
     prefix::Fingerprint,
     time::UnixMillis,
 };
@@ -24,8 +24,8 @@
 /// Load that one process puts on an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport(
-    /// The upstream.
-    pub UpstreamId,
+    /// The upstream, in one lifetime.
+    pub Lifetime,
     /// Requests that it runs for this process.
     pub u32,
     /// Prompt tokens that it has yet to read for this process.
@@ -39,8 +39,8 @@
     pub Fingerprint,
     /// Tokens of the prefix.
     pub u32,
-    /// The engine.
-    pub UpstreamId,
+    /// The engine, in one lifetime.
+    pub Lifetime,
 );
 
 /// Load that callers bring to one process.
@@ -147,7 +147,7 @@
     pub orders: Vec<OrderReport>,
 }
 
-/// Why a datagram is not a heartbeat.
+/// Why bytes are not a message of another gateway.
 #[derive(Debug, Error)]
 pub enum WireError {
     /// It cannot be written.
@@ -156,8 +156,18 @@
     /// It cannot be read.
     #[error("{0}")]
     Decode(#[from] ciborium::de::Error<std::io::Error>),
+    /// It is no heartbeat, or cannot be written as one.
+    #[error("heartbeat: {0}")]
+    Heartbeat(#[from] postcard::Error),
+    /// Its sender is of another version of this program.
+    #[error("heartbeat of format {0:?}")]
+    Format(Option<u8>),
 }
 
+/// First byte of a heartbeat. To be raised with every change of [`Heartbeat`]: its
+/// fields are told by their places, so another version would misread them.
+const FORMAT: u8 = 1;
+
 impl Heartbeat {
     /// Returns the name of the sending process.
     pub fn process(&self) -> ProcessId {
@@ -169,15 +179,18 @@
         self.lease.is_some_and(|claim| !claim.given_up)
     }
 
-    /// Encodes the heartbeat as CBOR.
+    /// Encodes the heartbeat by places, without names of fields: it is sent some
+    /// thirty thousand times a second among 195 gateways. Half as large as with
+    /// names (913 and 481 bytes, `benches/hearing.rs`), and decoded in a fifth of the
+    /// time (14.0 and 2.8 us).
     ///
     /// # Errors
     ///
     /// Fails if a value cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, WireError> {
         let mut buf = Vec::with_capacity(512);
-        ciborium::into_writer(self, &mut buf)?;
-        Ok(buf)
+        buf.push(FORMAT);
+        Ok(postcard::to_extend(self, buf)?)
     }
 
     /// Decodes a heartbeat.
@@ -186,6 +199,9 @@
     ///
     /// Fails if the datagram is not a heartbeat.
     pub fn decode(datagram: &[u8]) -> Result<Self, WireError> {
-        Ok(ciborium::from_reader(datagram)?)
+        match datagram.split_first() {
+            Some((&FORMAT, heartbeat)) => Ok(postcard::from_bytes(heartbeat)?),
+            other => Err(WireError::Format(other.map(|(format, _)| *format))),
+        }
     }
 }
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -50,6 +50,9 @@
     }
 }
 
+/// Cause of an attempt's end: the upstream lost the request when it started again.
+pub const STARTED_AGAIN: &str = "upstream_started_again";
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptEnd {
@@ -73,7 +76,7 @@
     deadline: Instant,
 ) -> AttemptEnd {
     let most = selected.most_connections;
-    let acquired = gateway.pool.acquire(&selected.id, selected.address, most).await;
+    let acquired = gateway.pool.acquire(selected.lifetime, selected.address, most).await;
     let mut lease = match acquired {
         Ok(lease) => lease,
         Err(crate::gateway::net::PoolError::Full) => {
@@ -93,7 +96,11 @@
         priority: outgoing.head.prompt.is_some().then_some(admitted.priority),
         resume_after,
     });
-    let response = match lease.connection().send(request).await {
+    let sent = tokio::select! {
+        sent = lease.connection().send(request) => sent,
+        () = selected.in_flight.lifetime_end() => return AttemptEnd::Broken(STARTED_AGAIN),
+    };
+    let response = match sent {
         Ok(response) => response,
         Err(e) if e.unsent => return AttemptEnd::Unsent("connection_ended"),
         Err(_) => return AttemptEnd::Broken("no_answer"),
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -210,21 +210,21 @@
                 AttemptEnd::Unsent(cause) => {
                     self.runs -= 1;
                     if cause == "unreachable" {
-                        self.verdict(&selected.id, Verdict::Unreachable);
+                        self.verdict(&selected.id, selected.lifetime, Verdict::Unreachable);
                     }
                     self.not_run(&selected.id, cause);
                 }
                 AttemptEnd::NotExecuted(status) => {
                     self.runs -= 1;
                     if status == StatusCode::MISDIRECTED_REQUEST {
-                        self.verdict(&selected.id, Verdict::Unreachable);
+                        self.verdict(&selected.id, selected.lifetime, Verdict::Unreachable);
                     }
                     if !self.may_send_again(&selected.id, "not_executed") {
                         return Err(self.give_up());
                     }
                 }
                 AttemptEnd::Broken(cause) => {
-                    self.verdict(&selected.id, Verdict::Failed);
+                    self.verdict(&selected.id, selected.lifetime, Verdict::Failed);
                     if !self.may_run_again(&selected.id, cause) {
                         return Err(Refusal::Broken);
                     }
@@ -245,9 +245,13 @@
             return Ok(Some(Reply::Stream(response, lease, Box::new(selected))));
         }
         let (mut parts, body) = response.into_parts();
-        let read = Limited::new(body, MAX_WHOLE_ANSWER).collect().await;
-        let Ok(body) = read else {
-            self.verdict(&selected.id, Verdict::Failed);
+        let read = tokio::select! {
+            biased;
+            read = Limited::new(body, MAX_WHOLE_ANSWER).collect() => read.ok(),
+            () = selected.in_flight.lifetime_end() => None,
+        };
+        let Some(body) = read else {
+            self.verdict(&selected.id, selected.lifetime, Verdict::Failed);
             if self.may_run_again(&selected.id, "answer_incomplete") {
                 return Ok(None);
             }
@@ -258,12 +262,12 @@
             lease.give_back(platform::keep_alive(&parts.headers));
         }
         if parts.status.is_server_error() {
-            self.verdict(&selected.id, Verdict::Failed);
+            self.verdict(&selected.id, selected.lifetime, Verdict::Failed);
             if self.may_run_again(&selected.id, "upstream_failure") {
                 return Ok(None);
             }
         } else {
-            self.verdict(&selected.id, Verdict::Good);
+            self.verdict(&selected.id, selected.lifetime, Verdict::Good);
             self.note_first_token(&selected, now);
             self.note_held(&selected, now);
         }
--- a/src/gateway/request/in_flight.rs
+++ b/src/gateway/request/in_flight.rs
@@ -1,8 +1,13 @@
 //! Accounts of what is in progress; guards give back what they took.
 
-use std::rc::Rc;
+use std::{future::pending, rc::Rc};
 
-use crate::{gateway::context::Gateway, ids::UpstreamId};
+use tokio::sync::watch::Receiver;
+
+use crate::{
+    gateway::{context::Gateway, model::Lifetime},
+    ids::UpstreamId,
+};
 
 /// A request in progress in this process.
 #[derive(Debug)]
@@ -26,29 +31,56 @@
     }
 }
 
-/// A request that an upstream runs for this process.
+/// A request that one lifetime of an upstream runs for this process.
 #[derive(Debug)]
 pub struct InFlight {
     gateway: Rc<Gateway>,
     upstream: UpstreamId,
+    lifetime: Lifetime,
+    newest: Option<Receiver<Lifetime>>,
     pending_tokens: u32,
 }
 
 impl InFlight {
     /// Counts a request whose prompt has `pending_tokens` that the upstream
     /// has to read.
-    pub fn begin(gateway: &Rc<Gateway>, upstream: &UpstreamId, pending_tokens: u32) -> Self {
-        if let Some(view) = gateway.board.borrow_mut().upstreams.get_mut(upstream) {
+    pub fn begin(
+        gateway: &Rc<Gateway>,
+        upstream: &UpstreamId,
+        lifetime: Lifetime,
+        pending_tokens: u32,
+    ) -> Self {
+        let mut board = gateway.board.borrow_mut();
+        if let Some(view) = board.in_lifetime(upstream, lifetime) {
             view.own.running += 1;
             view.own.pending_tokens += pending_tokens;
         }
-        Self { gateway: gateway.clone(), upstream: upstream.clone(), pending_tokens }
+        let newest = board.follow_lifetime(upstream);
+        drop(board);
+        let (gateway, upstream) = (gateway.clone(), upstream.clone());
+        Self { gateway, upstream, lifetime, newest, pending_tokens }
+    }
+
+    /// Waits until the upstream is known to have started again: this request will
+    /// not be answered any more, also where its connection stays open in silence.
+    pub fn lifetime_end(&self) -> impl Future<Output = ()> + use<> {
+        let (newest, lifetime) = (self.newest.clone(), self.lifetime);
+        async move {
+            let Some(mut newest) = newest else {
+                return pending().await;
+            };
+            // An error says that nobody tells of lifetimes any more.
+            if newest.wait_for(|l| *l != lifetime).await.is_err() {
+                pending().await
+            }
+        }
     }
 
     /// Notes that the prompt was read.
     pub fn prompt_read(&mut self) {
         let tokens = std::mem::take(&mut self.pending_tokens);
-        if let Some(view) = self.gateway.board.borrow_mut().upstreams.get_mut(&self.upstream) {
+        let mut board = self.gateway.board.borrow_mut();
+        if let Some(view) = board.in_lifetime(&self.upstream, self.lifetime) {
             view.own.pending_tokens = view.own.pending_tokens.saturating_sub(tokens);
         }
     }
@@ -57,7 +89,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.prompt_read();
-        if let Some(view) = self.gateway.board.borrow_mut().upstreams.get_mut(&self.upstream) {
+        let mut board = self.gateway.board.borrow_mut();
+        if let Some(view) = board.in_lifetime(&self.upstream, self.lifetime) {
             view.own.running = view.own.running.saturating_sub(1);
         }
     }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -84,10 +84,10 @@
     async fn pass_on(&mut self, mut run: Run) -> Outcome {
         loop {
             let end = self.read(&mut run).await;
-            let id = run.selected.id.clone();
+            let (id, lifetime) = (run.selected.id.clone(), run.selected.lifetime);
             match end {
                 RunEnd::Complete => {
-                    self.forwarding.verdict(&id, Verdict::Good);
+                    self.forwarding.verdict(&id, lifetime, Verdict::Good);
                     self.forwarding.note_held(&run.selected, Instant::now());
                     if !run.closes {
                         run.lease.give_back(run.keep_alive);
@@ -101,7 +101,7 @@
                 }
                 RunEnd::Broken => {}
             }
-            self.forwarding.verdict(&id, Verdict::Failed);
+            self.forwarding.verdict(&id, lifetime, Verdict::Failed);
             // The run must be over before it goes on elsewhere.
             drop(run);
             let Some(next) = self.resume(&id).await else {
@@ -114,10 +114,13 @@
 
     async fn read(&mut self, run: &mut Run) -> RunEnd {
         let deadline = sleep_until(self.forwarding.deadline.into());
-        tokio::pin!(deadline);
+        let lifetime_end = run.selected.in_flight.lifetime_end();
+        tokio::pin!(deadline, lifetime_end);
         loop {
             let frame = tokio::select! {
+                biased;
                 frame = run.body.frame() => frame,
+                () = lifetime_end.as_mut() => return RunEnd::Broken,
                 () = self.tx.closed() => return RunEnd::CallerLeft,
                 () = deadline.as_mut() => return RunEnd::TimeOver,
             };
@@ -186,13 +189,13 @@
                 }
                 AttemptEnd::Answer(..) => return None,
                 AttemptEnd::Broken(cause) => {
-                    self.forwarding.verdict(&selected.id, Verdict::Failed);
+                    self.forwarding.verdict(&selected.id, selected.lifetime, Verdict::Failed);
                     if !self.forwarding.may_run_again(&selected.id, cause) {
                         return None;
                     }
                 }
                 AttemptEnd::Unsent(cause) => {
-                    self.forwarding.verdict(&selected.id, Verdict::Unreachable);
+                    self.forwarding.verdict(&selected.id, selected.lifetime, Verdict::Unreachable);
                     self.forwarding.not_run(&selected.id, cause);
                 }
                 AttemptEnd::NotExecuted(_) => {
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -13,10 +13,11 @@
     gateway::{
         context::Gateway,
         decide::{FirstToken, Verdict},
-        model::RequestKind,
+        model::{Lifetime, RequestKind},
         net::AnswerBody,
         telemetry::{Event, RequestLabels},
     },
+    ids::UpstreamId,
     platform::RequestHead,
     telemetry::{Labels, count},
 };
@@ -75,10 +76,10 @@
         });
     }
 
-    /// Notes how an upstream did.
-    pub fn verdict(&self, upstream: &str, verdict: Verdict) {
+    /// Notes how an upstream did in one lifetime. It says nothing of a later one.
+    pub fn verdict(&self, upstream: &UpstreamId, lifetime: Lifetime, verdict: Verdict) {
         let mut board = self.gateway.board.borrow_mut();
-        if let Some(view) = board.upstreams.get_mut(upstream) {
+        if let Some(view) = board.in_lifetime(upstream, lifetime) {
             view.breaker.record(verdict, Instant::now());
         }
     }
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -12,6 +12,7 @@
         board::{Board, UpstreamView},
         context::Gateway,
         decide::{Candidate, EngineSpeed, Mechanism, SwitchedOff, choose_engine, predicted_wait},
+        model::Lifetime,
         peering::PrefixReport,
     },
     ids::UpstreamId,
@@ -30,6 +31,8 @@
 pub struct Selected {
     /// The upstream.
     pub id: UpstreamId,
+    /// The lifetime of it that is meant.
+    pub lifetime: Lifetime,
     /// Its address.
     pub address: SocketAddr,
     /// Connections that this process may have to it.
@@ -82,11 +85,12 @@
     let board = &mut *guard;
     let view = board.upstreams.get(&id)?;
     let (address, revision) = (view.upstream.address, board.upstreams_position);
+    let lifetime = view.lifetime;
     let missing = candidate.missing_tokens as u32;
     if let Some(shared) = shared {
         let capacity = engine_cache(admitted);
-        board.cache.note(&id, shared.fingerprint, shared.tokens, capacity, now);
-        let report = PrefixReport(shared.fingerprint, shared.tokens, id.clone());
+        board.cache.note(lifetime, shared.fingerprint, shared.tokens, capacity, now);
+        let report = PrefixReport(shared.fingerprint, shared.tokens, lifetime);
         board.sent_prefixes.push(report);
     }
     // A request brings its load once, however often it is sent.
@@ -95,11 +99,12 @@
     }
     let processes = 1 + board.peers.len();
     drop(guard);
-    let in_flight = InFlight::begin(gateway, &id, missing);
+    let in_flight = InFlight::begin(gateway, &id, lifetime, missing);
     let most_connections = connection_share(admitted, processes);
     let predicted = predicted_wait(&candidate, speed);
     Some(Selected {
         id,
+        lifetime,
         address,
         most_connections,
         in_flight,
@@ -156,15 +161,14 @@
         .map(|view| {
             let at_home = home.is_some_and(|id| *id == view.upstream.id);
             let missing = missing_tokens(&board, view, prompt, shared, at_home);
-            let candidate = Board::candidate(view, missing, &own, now, fastrand::f64());
+            let candidate = board.candidate(view, missing, &own, now, fastrand::f64());
             let failures = if off.is_on(Mechanism::Failures) { candidate.failures } else { 0.0 };
             Candidate { failures, ..candidate }
         })
         .collect();
     let best = choose_engine(&candidates, speed)?;
-    let holds = |v: &&&UpstreamView| {
-        shared.is_some_and(|s| board.cache.holds(&v.upstream.id, s.fingerprint))
-    };
+    let holds =
+        |v: &&&UpstreamView| shared.is_some_and(|s| board.cache.holds(v.lifetime, s.fingerprint));
     Some(Choice {
         id: views[best].upstream.id.clone(),
         candidate: candidates[best],
@@ -197,7 +201,7 @@
 /// Returns where a prefix belongs that no engine holds yet, so that all
 /// processes send it to the same engine: the highest hash of both.
 fn home<'a>(board: &Board, views: &[&'a UpstreamView], shared: Shared) -> Option<&'a UpstreamId> {
-    if views.iter().any(|v| board.cache.holds(&v.upstream.id, shared.fingerprint)) {
+    if views.iter().any(|v| board.cache.holds(v.lifetime, shared.fingerprint)) {
         return None;
     }
     let score =
@@ -217,6 +221,6 @@
     let Some(shared) = shared else {
         return all;
     };
-    let held = at_home || board.cache.holds(&view.upstream.id, shared.fingerprint);
+    let held = at_home || board.cache.holds(view.lifetime, shared.fingerprint);
     if held { all.saturating_sub(shared.tokens) } else { all }
 }
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -75,6 +75,17 @@
         /// Revision of the store that says so.
         revision: u64,
     },
+    /// A row of the store names no upstream.
+    EntryRejected {
+        /// Key of the row.
+        entry: &'a str,
+        /// Why, in a word.
+        cause: &'a str,
+        /// Why.
+        error: &'a str,
+        /// Revision of the store at which it was written.
+        revision: u64,
+    },
     /// A gateway is heard of, or no longer.
     Peer {
         /// The process.
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -40,6 +40,8 @@
     pub failed_attempts: Family<Labels, Counter>,
     /// Calls to the platform by kind and outcome.
     pub platform_calls: Family<Labels, Counter>,
+    /// Rows of the store that name no upstream, by cause.
+    pub rejected_entries: Family<Labels, Counter>,
     /// Orders of engines by outcome.
     pub orders: Family<Labels, Counter>,
     /// Version of the configuration in force.
@@ -73,6 +75,7 @@
             first_byte: Family::new_with_constructor(histogram),
             failed_attempts: Family::default(),
             platform_calls: Family::default(),
+            rejected_entries: Family::default(),
             orders: Family::default(),
             configuration: Gauge::default(),
             upstreams: Gauge::default(),
@@ -91,6 +94,7 @@
         r.register("first_byte_seconds", "Time to the first byte", self.first_byte.clone());
         r.register("failed_attempts", "Failed attempts", self.failed_attempts.clone());
         r.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
+        r.register("rejected_entries", "Rows that name no upstream", self.rejected_entries.clone());
         r.register("engine_orders", "Orders of engines", self.orders.clone());
         r.register("configuration_version", "Configuration", self.configuration.clone());
         r.register("upstreams", "Upstreams that take work", self.upstreams.clone());
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -16,6 +16,10 @@
 /// See [`DEFAULT_HEADER_BYTES`].
 const DEFAULT_IDLE_MS: f64 = 15_000.0;
 
+/// Longest time in the document: a day bounds no request of a caller, and can be
+/// added to a clock.
+const LONGEST: Duration = Duration::from_secs(86_400);
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireConfiguration {
@@ -137,7 +141,11 @@
 }
 
 fn millis(ms: f64) -> Duration {
-    Duration::from_secs_f64(ms.max(0.0) / 1_000.0)
+    seconds(ms / 1_000.0)
+}
+
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s.clamp(0.0, LONGEST.as_secs_f64()))
 }
 
 fn route(wire: WireRoute) -> Route {
@@ -173,7 +181,7 @@
     let scaling = wire.scaling.map(|s| Scaling {
         min: s.min_replicas,
         max: s.max_replicas,
-        boot: Duration::from_secs_f64(s.boot_s.max(0.0)),
+        boot: seconds(s.boot_s),
         reclaimable_price: s.spot_price,
         prices: s.zone_prices,
     });
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -33,14 +33,6 @@
         /// Why it cannot be read.
         source: serde_json::Error,
     },
-    /// A value of a row is not base64.
-    #[error("row {key}: {source}")]
-    Encoding {
-        /// Key of the row.
-        key: String,
-        /// Why it cannot be read.
-        source: base64::DecodeError,
-    },
 }
 
 impl PlatformError {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -21,4 +21,4 @@
 };
 pub use lookup::{Lookup, decode_lookup, encode_addresses, is_ready_probe};
 pub use store::{Change, Feed, RowWrite, Snapshot, StoreClient, StoreRow, Table, WriteOutcome};
-pub use upstreams::decode_upstream;
+pub use upstreams::{EntryError, decode_upstream};
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -54,7 +54,7 @@
 pub struct StoreRow {
     /// Key.
     pub key: String,
-    /// Value.
+    /// Value; empty if it could not be decoded.
     pub value: Vec<u8>,
     /// Revision at which it was written.
     pub revision: Revision,
@@ -193,7 +193,7 @@
                 if first { page.row_version } else { snapshot.revision.min(page.row_version) };
             let more = page.more_pages;
             for row in page.rows {
-                snapshot.rows.push(decode_row(row)?);
+                snapshot.rows.push(decode_row(row));
             }
             match snapshot.rows.last() {
                 // The range includes its first key: the next page begins with
@@ -224,7 +224,7 @@
         for row in page.rows {
             let change = match row.tombstone {
                 true => Change::Removed(row.key, row.row_version),
-                false => Change::Written(decode_row(row)?),
+                false => Change::Written(decode_row(row)),
             };
             feed.changes.push(change);
         }
@@ -266,7 +266,7 @@
             return Ok(WriteOutcome::Done(page.row_version));
         }
         let current = page.rows.into_iter().filter(|r| !r.tombstone).map(decode_row);
-        Ok(WriteOutcome::Conflict(current.collect::<Result<_, _>>()?))
+        Ok(WriteOutcome::Conflict(current.collect()))
     }
 
     async fn call(
@@ -299,10 +299,12 @@
     serde_json::from_slice(&answer.body).map_err(PlatformError::malformed("rows"))
 }
 
-fn decode_row(row: WireRow) -> Result<StoreRow, PlatformError> {
-    let text = row.value.unwrap_or_default();
-    match STANDARD.decode(text) {
-        Ok(value) => Ok(StoreRow { key: row.key, value, revision: row.row_version }),
-        Err(source) => Err(PlatformError::Encoding { key: row.key, source }),
-    }
+/// Decodes a row. One whose value is not base64 is given without bytes, which no
+/// decoder takes for a message: it must not cost the rows beside it.
+fn decode_row(row: WireRow) -> StoreRow {
+    let value = STANDARD.decode(row.value.unwrap_or_default()).unwrap_or_else(|e| {
+        log::warn!("the value of row {} is not base64: {e}", row.key);
+        Vec::new()
+    });
+    StoreRow { key: row.key, value, revision: row.row_version }
 }
--- a/src/platform/upstreams.rs
+++ b/src/platform/upstreams.rs
@@ -1,52 +1,111 @@
 //! Rows in which upstreams describe themselves.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, num::NonZeroU32, time::Duration};
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::error::Category;
+use thiserror::Error;
 
-use super::PlatformError;
 use crate::{
     gateway::model::{Upstream, UpstreamPhase},
     ids::UpstreamId,
+    time::UnixMillis,
 };
 
 #[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct WireUpstream {
     service: String,
     address: SocketAddr,
-    #[serde(default)]
     zone: String,
-    #[serde(default)]
-    slots: u32,
-    #[serde(default)]
+    /// Of its software.
+    #[serde(rename = "version")]
+    _version: String,
+    slots: NonZeroU32,
     state: String,
+    #[serde(rename = "coldRemainingMs")]
+    _slow_for_ms: f64,
+    /// Orders that it has accepted.
+    #[serde(rename = "sequence")]
+    _orders: u64,
     #[serde(default)]
     spot: bool,
     /// Milliseconds from when the row was written.
+    #[serde(rename = "leaves_ms")]
     leaves_ms: Option<f64>,
+    #[serde(default, deserialize_with = "stated")]
+    born: Option<UnixMillis>,
+}
+
+/// Reads a field that may be absent, but not `null`.
+fn stated<'de, D: Deserializer<'de>>(value: D) -> Result<Option<UnixMillis>, D::Error> {
+    UnixMillis::deserialize(value).map(Some)
+}
+
+/// Why a row names no upstream. Others than upstreams may write such rows.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// The bytes are not JSON.
+    #[error("not readable: {0}")]
+    Unreadable(serde_json::Error),
+    /// A field is missing, or is of another type.
+    #[error("a field is missing or of another type: {0}")]
+    Field(serde_json::Error),
+    /// A state that is not published.
+    #[error("unknown state {0:?}")]
+    State(String),
+    /// A time that cannot be.
+    #[error("no time: {0} ms")]
+    Time(f64),
+}
+
+impl EntryError {
+    /// Returns a word for logs and metrics.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Self::Unreadable(_) => "unreadable",
+            Self::Field(_) => "field",
+            Self::State(_) => "state",
+            Self::Time(_) => "time",
+        }
+    }
+}
+
+impl From<serde_json::Error> for EntryError {
+    fn from(e: serde_json::Error) -> Self {
+        match e.classify() {
+            Category::Data => Self::Field(e),
+            Category::Io | Category::Syntax | Category::Eof => Self::Unreadable(e),
+        }
+    }
 }
 
 /// Decodes the row of the upstream `id`.
 ///
 /// # Errors
 ///
-/// Fails if the row does not have the published form.
-pub fn decode_upstream(id: UpstreamId, bytes: &[u8]) -> Result<Upstream, PlatformError> {
-    let wire: WireUpstream =
-        serde_json::from_slice(bytes).map_err(PlatformError::malformed("upstream"))?;
+/// Fails if the row does not have the published form. It then names no
+/// upstream, whatever stood there before.
+pub fn decode_upstream(id: UpstreamId, bytes: &[u8]) -> Result<Upstream, EntryError> {
+    let wire: WireUpstream = serde_json::from_slice(bytes)?;
     let phase = match wire.state.as_str() {
         "ready" => UpstreamPhase::Ready,
-        // Whatever else it says of itself, it should get no new work.
-        _ => UpstreamPhase::Draining,
+        "draining" => UpstreamPhase::Draining,
+        _ => return Err(EntryError::State(wire.state)),
+    };
+    let duration = |ms: f64| {
+        Duration::try_from_secs_f64(ms.max(0.0) / 1_000.0)
+            .map_err(|_unbounded| EntryError::Time(ms))
     };
     Ok(Upstream {
         id,
+        born: wire.born,
         service: wire.service,
         address: wire.address,
         data_centre: wire.zone,
-        slots: wire.slots,
+        slots: wire.slots.get(),
         phase,
         reclaimable: wire.spot,
-        leaves_in: wire.leaves_ms.map(|ms| Duration::from_secs_f64(ms.max(0.0) / 1_000.0)),
+        leaves_in: wire.leaves_ms.map(duration).transpose()?,
     })
 }
--- /dev/null
+++ b/tests/gateway_lifetimes.rs
@@ -0,0 +1,242 @@
+//! Upstreams that start again under their id: what is believed of them, and what
+//! becomes of the requests that they ran.
+
+mod support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use hyper::StatusCode;
+use support::{
+    gateways::{Call, Site},
+    wait_until,
+};
+use tackhollow::gateway::{
+    board::{Board, Described, Load},
+    decide::{TrueClock, Verdict},
+    model::{Lifetime, Upstream, UpstreamPhase},
+    net::Phase,
+    peering::{Heartbeat, LoadReport, RecentChanges},
+};
+
+const BORN: u64 = 1_700_000_000_000;
+
+fn upstream(born: Option<u64>) -> Upstream {
+    Upstream {
+        id: "i-1".to_owned(),
+        born,
+        service: "llm".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".to_owned(),
+        slots: 64,
+        phase: UpstreamPhase::Ready,
+        reclaimable: false,
+        leaves_in: None,
+    }
+}
+
+/// Returns a heartbeat of another gateway that puts this load on upstreams.
+fn heartbeat(host: &str, loads: Vec<LoadReport>) -> Heartbeat {
+    let address = ([127, 0, 0, 1], 1).into();
+    Heartbeat {
+        host: host.to_owned(),
+        incarnation: 1,
+        data_centre: "a".to_owned(),
+        callers: address,
+        peers: address,
+        heartbeats: address,
+        phase: Phase::Serving,
+        configuration: 1,
+        upstreams: 1,
+        recent: RecentChanges::default(),
+        store_answers: true,
+        store_steady: true,
+        up_ms: 1,
+        time: 1,
+        lease: None,
+        loads,
+        prefixes: Vec::new(),
+        admitted: Vec::new(),
+        usage: Vec::new(),
+        demand: Vec::new(),
+        speeds: Vec::new(),
+        orders: Vec::new(),
+    }
+}
+
+#[test]
+fn a_lifetime_is_known_by_id_and_start() {
+    struct Case {
+        name: &'static str,
+        said: Vec<Option<u64>>,
+        described: Described,
+    }
+    let cases = [
+        Case {
+            name: "says the same",
+            said: vec![Some(BORN), Some(BORN)],
+            described: Described::Same,
+        },
+        Case {
+            name: "started again",
+            said: vec![Some(BORN), Some(BORN + 900)],
+            described: Described::StartedAgain,
+        },
+        Case {
+            name: "its clock was set back meanwhile",
+            said: vec![Some(BORN), Some(BORN - 2_000)],
+            described: Described::StartedAgain,
+        },
+        Case {
+            name: "twice, the second time where the first one stood",
+            said: vec![Some(BORN), Some(BORN + 900), Some(BORN)],
+            described: Described::StartedAgain,
+        },
+        Case {
+            name: "does not say it this time",
+            said: vec![Some(BORN), None],
+            described: Described::Same,
+        },
+        Case {
+            name: "does not say it in between",
+            said: vec![Some(BORN), None, Some(BORN)],
+            described: Described::Same,
+        },
+        Case { name: "never says it", said: vec![None, None], described: Described::Same },
+        Case {
+            name: "says it for the first time",
+            said: vec![None, Some(BORN)],
+            described: Described::StartedAgain,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut board = Board::new(TrueClock::new(now, 0), now);
+        let mut last = Described::New;
+        for born in case.said {
+            last = board.describe(upstream(born), now);
+        }
+        assert_eq!(last, case.described, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_new_lifetime_clears_what_belonged_to_the_one_before() {
+    let now = Instant::now();
+    let mut board = Board::new(TrueClock::new(now, 0), now);
+    let (old, new) = (Lifetime::new("i-1", Some(BORN)), Lifetime::new("i-1", Some(BORN + 1)));
+    board.describe(upstream(Some(BORN)), now);
+    board.cache.note(old, 7, 1_000, 10_000, now);
+    let view = board.in_lifetime(&"i-1".to_owned(), old).expect("it is known");
+    view.own = Load { running: 3, pending_tokens: 900 };
+    view.breaker.record(Verdict::Unreachable, now);
+    let peer = heartbeat("b", vec![LoadReport(old, 5, 700)]);
+    board.hear(peer.process(), peer, now);
+    assert_eq!(board.others_load(&board.upstreams["i-1"]).running, 5);
+
+    board.describe(upstream(Some(BORN + 1)), now);
+    board.forget_lifetimes();
+    let view = &board.upstreams["i-1"];
+    assert_eq!(view.lifetime, new);
+    assert_eq!(view.own, Load::default());
+    assert!(!view.breaker.is_avoided(now) && view.breaker.recent_failures(now) == 0.0);
+    assert_eq!(board.others_load(view), Load::default(), "an old gateway's word");
+    assert!(!board.cache.holds(new, 7) && !board.cache.holds(old, 7));
+    assert!(board.in_lifetime(&"i-1".to_owned(), old).is_none(), "late verdicts find nothing");
+}
+
+#[test]
+fn loads_of_the_others_add_up_however_they_change() {
+    struct Step {
+        name: &'static str,
+        at_ms: u64,
+        host: &'static str,
+        running: u32,
+        sum: u32,
+    }
+    let steps = [
+        Step { name: "one", at_ms: 0, host: "b", running: 4, sum: 4 },
+        Step { name: "another", at_ms: 10, host: "c", running: 2, sum: 6 },
+        Step { name: "less than before", at_ms: 20, host: "b", running: 1, sum: 3 },
+        Step {
+            name: "after the silence of the others",
+            at_ms: 5_000,
+            host: "d",
+            running: 7,
+            sum: 7,
+        },
+        Step { name: "one is heard again", at_ms: 5_010, host: "b", running: 2, sum: 9 },
+        Step { name: "and once more", at_ms: 5_020, host: "b", running: 3, sum: 10 },
+    ];
+    let start = Instant::now();
+    let mut board = Board::new(TrueClock::new(start, 0), start);
+    board.describe(upstream(Some(BORN)), start);
+    let lifetime = Lifetime::new("i-1", Some(BORN));
+    for step in steps {
+        let now = start + Duration::from_millis(step.at_ms);
+        let beat = heartbeat(step.host, vec![LoadReport(lifetime, step.running, 0)]);
+        board.hear(beat.process(), beat, now);
+        board.forget_silent_loads(now);
+        assert_eq!(board.others_load(&board.upstreams["i-1"]).running, step.sum, "{}", step.name);
+    }
+    let mut again = heartbeat("b", vec![LoadReport(lifetime, 1, 0)]);
+    again.incarnation = 2;
+    let now = start + Duration::from_millis(5_030);
+    board.hear(again.process(), again, now);
+    assert_eq!(board.others_load(&board.upstreams["i-1"]).running, 8, "its process is a new one");
+}
+
+/// A request whose upstream started again in silence gets its end then, not at its
+/// deadline; only what may run twice is sent once more.
+#[test]
+fn requests_of_an_earlier_lifetime_end_at_once() {
+    struct Case {
+        name: &'static str,
+        method: &'static str,
+        path: &'static str,
+        status: StatusCode,
+        runs: usize,
+    }
+    let cases = [
+        Case {
+            name: "may run once only",
+            method: "POST",
+            path: "/confirm/x",
+            status: StatusCode::BAD_GATEWAY,
+            runs: 1,
+        },
+        Case {
+            name: "may be repeated",
+            method: "GET",
+            path: "/check/x",
+            status: StatusCode::OK,
+            runs: 2,
+        },
+    ];
+    for case in cases {
+        let site = Site::start(1, 0, 1);
+        site.behave(None, "silent");
+        let gateway = site.gateways[0].callers;
+        let call = Call::new(case.method, case.path, "r-1");
+        let calling = thread::spawn(move || (call.send(gateway), Instant::now()));
+        wait_until("the request runs", || site.runs("r-1").len() == 1);
+        site.behave(None, "serve");
+        let other = site.add_upstream("app");
+        wait_until("another upstream is known", || {
+            site.gateways[0].log().iter().any(|l| l["upstream"] == other.as_str())
+        });
+        let at = Instant::now();
+        site.restart_upstream("i-1", BORN);
+        let (answer, ended) = calling.join().expect("the caller ends");
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, case.status, "{}", case.name);
+        assert_eq!(site.runs("r-1").len(), case.runs, "{}", case.name);
+        let took = ended.saturating_duration_since(at);
+        assert!(took < Duration::from_millis(700), "{}: {took:?}", case.name);
+        let story = site.gateways[0].story("r-1");
+        let cause = story.iter().find(|l| l["event"] == "attempt_failed").map(|l| &l["cause"]);
+        assert_eq!(cause.expect("a cause"), "upstream_started_again", "{}", case.name);
+    }
+}
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -338,6 +338,16 @@
         self.control("/behaviour", &json!({ "id": id, "behaviour": behaviour }));
     }
 
+    /// Starts an upstream again under its id, at this time by its clock.
+    pub fn restart_upstream(&self, id: &str, born: u64) {
+        self.control("/restart", &json!({ "id": id, "born": born }));
+    }
+
+    /// Writes an upstream's row as another writer would.
+    pub fn write_entry(&self, id: &str, text: &str) {
+        self.control("/entry", &json!({ "id": id, "text": text }));
+    }
+
     /// Returns the logs of all gateways.
     pub fn logs(&self) -> Vec<PathBuf> {
         self.gateways.iter().map(|g| g.log.clone()).collect()
