The soak and the emulator start upstreams again under their ids

What an earlier start ran is lost in silence. Upstreams start again beside the other faults, drawn apart from them, so that the seeds of before play as they did.

--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -65,6 +65,7 @@
             row: row.clone(),
             reading_until: Instant::now(),
             cache: HashSet::new(),
+            starts: 1,
         };
         self.world.state.borrow_mut().engines.insert(id.clone(), engine);
         self.world.put("servers", &id, Some(STANDARD.encode(row.to_string())));
@@ -117,6 +118,7 @@
             engine.behaviour = Behaviour::Serve;
             engine.reading_until = Instant::now();
             engine.cache.clear();
+            engine.starts += 1;
             engine.row.to_string()
         };
         self.world.put("servers", id, Some(STANDARD.encode(row)));
--- a/src/bin/tackhollow-emulator/engine.rs
+++ b/src/bin/tackhollow-emulator/engine.rs
@@ -68,9 +68,23 @@
 struct Running {
     world: Rc<World>,
     index: usize,
+    upstream: String,
+    /// Start of the upstream that runs it.
+    start: u32,
     end: &'static str,
 }
 
+impl Running {
+    /// Never returns if the upstream has started again since: it knows nothing of
+    /// this run, and its connection stays open.
+    async fn survive(&mut self) {
+        if self.world.starts(&self.upstream) != self.start {
+            self.end = "lost";
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         self.world.end_run(self.index, self.end);
@@ -91,10 +105,12 @@
             body,
             end: "running",
         };
+        let start = self.world.starts(&self.id);
         let mut state = self.world.state.borrow_mut();
         state.runs.push(run);
         let index = state.runs.len() - 1;
-        Running { world: self.world.clone(), index, end: "aborted" }
+        let upstream = self.id.clone();
+        Running { world: self.world.clone(), index, upstream, start, end: "aborted" }
     }
 
     /// Returns how long the prompt takes to be read, behind earlier ones.
@@ -127,6 +143,7 @@
         }
         let streams = headers.contains_key("x-token-usage");
         sleep(self.read_prompt(headers)).await;
+        run.survive().await;
         let mut response = match behaviour {
             Behaviour::Fail => {
                 run.end = "failed";
@@ -188,6 +205,10 @@
             drop(tx.send(Err(BodyError::BrokenOff)).await);
             return;
         }
+        tokio::select! {
+            () = run.survive() => {}
+            () = tx.closed() => return,
+        }
         let event = Bytes::from(format!("id: {i}\ndata: token {i}\n\n"));
         if tx.send(Ok(event)).await.is_err() {
             return;
--- a/src/bin/tackhollow-emulator/world.rs
+++ b/src/bin/tackhollow-emulator/world.rs
@@ -100,6 +100,8 @@
     pub reading_until: Instant,
     /// Prompt parts that it holds.
     pub cache: HashSet<String>,
+    /// How often it has started. What an earlier start ran is lost in silence.
+    pub starts: u32,
 }
 
 /// State of the emulated platform.
@@ -162,6 +164,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns how often an upstream has started.
+    pub fn starts(&self, upstream: &str) -> u32 {
+        self.state.borrow().engines.get(upstream).map_or(0, |e| e.starts)
+    }
+
     /// Notes how a run ended.
     pub fn end_run(&self, index: usize, end: &'static str) {
         if let Some(run) = self.state.borrow_mut().runs.get_mut(index) {
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -43,18 +43,21 @@
 struct Case {
     seed: u64,
     why: &'static str,
+    /// Whether upstreams start again under their ids.
+    restarts: bool,
 }
 
-const CASES: [Case; 2] = [
-    Case { seed: 1, why: "a short run" },
-    Case { seed: 2002, why: "a signal right after a start ended the process" },
+const CASES: [Case; 3] = [
+    Case { seed: 1, why: "a short run", restarts: false },
+    Case { seed: 2002, why: "a signal right after a start ended the process", restarts: false },
+    Case { seed: 3, why: "upstreams that start again", restarts: true },
 ];
 
 #[test]
 fn promises_hold_under_faults() {
     for case in CASES {
         println!("seed {}: {}", case.seed, case.why);
-        soak(case.seed, Duration::from_secs(6));
+        soak(case.seed, Duration::from_secs(6), case.restarts);
     }
 }
 
@@ -69,7 +72,7 @@
     let first = number("SOAK_FIRST", 1);
     let seconds = Duration::from_secs(number("SOAK_SECONDS", 8));
     for seed in first..first + number("SOAK_COUNT", 50) {
-        soak(seed, seconds);
+        soak(seed, seconds, true);
     }
 }
 
@@ -159,12 +162,15 @@
     (site, links, upstreams)
 }
 
-fn soak(seed: u64, time: Duration) {
+fn soak(seed: u64, time: Duration, restarts: bool) {
     let (mut site, links, upstreams) = start();
     let addresses: Vec<_> = site.gateways.iter().map(|g| g.callers).collect();
     let addresses = Arc::new(Mutex::new(addresses));
     let callers = Callers::start(seed, CALLERS, &addresses);
     let mut faults = Faults::new(seed, &mut site, &links, &upstreams);
+    if restarts {
+        faults = faults.with_upstream_restarts(seed);
+    }
     faults.play(time);
     let counts = std::mem::take(&mut faults.counts);
     let sent = callers.finish();
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -4,6 +4,7 @@
 
 use nix::sys::signal::Signal;
 use serde_json::json;
+use tackhollow::time::unix_millis;
 
 use super::proxy::{Link, Proxy};
 use crate::support::gateways::{Site, configuration};
@@ -11,6 +12,9 @@
 /// Upstreams' behaviours that a fault sets for a while.
 const BEHAVIOURS: [&str; 5] = ["full", "fail", "lose", "break_midway", "crossed"];
 
+/// Told from the other draws of a seed.
+const RESTARTS: u64 = 0x7265_7374_6172_7473;
+
 /// What ends a fault.
 #[derive(Clone, Copy, Debug)]
 enum Mend {
@@ -37,6 +41,8 @@
     rng: fastrand::Rng,
     due: Vec<(Instant, Mend)>,
     version: u64,
+    /// Draws which upstreams start again under their ids; `None` if none do.
+    restarts: Option<fastrand::Rng>,
     /// How often each kind came.
     pub counts: std::collections::BTreeMap<&'static str, usize>,
 }
@@ -45,7 +51,14 @@
     pub fn new(seed: u64, site: &'a mut Site, links: &'a [Proxy], upstreams: &'a [String]) -> Self {
         let rng = fastrand::Rng::with_seed(seed);
         let counts = std::collections::BTreeMap::new();
-        Self { site, links, upstreams, rng, due: Vec::new(), version: 7, counts }
+        Self { site, links, upstreams, rng, due: Vec::new(), version: 7, restarts: None, counts }
+    }
+
+    /// Lets upstreams start again under their ids, beside the other faults and
+    /// without a change to which of those a seed draws.
+    pub fn with_upstream_restarts(mut self, seed: u64) -> Self {
+        self.restarts = Some(fastrand::Rng::with_seed(seed ^ RESTARTS));
+        self
     }
 
     /// Brings faults for a while, then mends all of them.
@@ -55,6 +68,7 @@
             std::thread::sleep(Duration::from_millis(self.rng.u64(40..400)));
             self.mend(Instant::now());
             self.next();
+            self.restart_upstream();
         }
         while !self.due.is_empty() {
             std::thread::sleep(Duration::from_millis(20));
@@ -86,6 +100,20 @@
         }
     }
 
+    /// Starts an upstream again now and then, by a clock that may have been set back.
+    fn restart_upstream(&mut self) {
+        let Some(rng) = &mut self.restarts else {
+            return;
+        };
+        if rng.u8(..4) > 0 {
+            return;
+        }
+        let upstream = &self.upstreams[rng.usize(..self.upstreams.len())];
+        let born = unix_millis() - rng.u64(..5_000);
+        self.site.restart_upstream(upstream, born);
+        *self.counts.entry("started_again").or_default() += 1;
+    }
+
     fn after(&mut self, most_ms: u64, mend: Mend) {
         let time = Duration::from_millis(self.rng.u64(100..most_ms));
         self.due.push((Instant::now() + time, mend));
