--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -56,9 +56,9 @@
         let position = snapshot.revision;
         let missing = Vec::new();
         let snapshot = UpstreamSnapshot { position, last_change, upstreams, missing };
-        self.replace(&snapshot, cx.now(), |id, now| self.missing(id, position, now));
+        let replaced = self.replace(&snapshot, cx.now(), |id, now| self.missing(id, position, now));
         // These rows are there, so no lapse excuses what they no longer name.
-        for id in self.rejected.keys() {
+        for id in self.rejected.keys().filter(|_| replaced) {
             self.remove(id, position);
         }
     }
@@ -67,8 +67,8 @@
     /// there is gone: that gateway has waited for rows that may come back.
     pub fn copy(&mut self, cx: CX![], snapshot: UpstreamSnapshot) {
         let position = snapshot.position;
-        self.replace(&snapshot, cx.now(), |id, _| self.remove(id, position));
-        for id in &snapshot.missing {
+        let replaced = self.replace(&snapshot, cx.now(), |id, _| self.remove(id, position));
+        for id in snapshot.missing.iter().filter(|_| replaced) {
             self.mark_missing(id, position, cx.now() + LAPSE_GRACE);
         }
     }
@@ -99,15 +99,16 @@
         self.advance(recent.position, last_change);
     }
 
+    /// Takes over a snapshot; returns whether it is as new as what is known.
     fn replace(
         &self,
         snapshot: &UpstreamSnapshot,
         now: Instant,
         absent: impl Fn(&UpstreamId, Instant),
-    ) {
+    ) -> bool {
         let position = snapshot.position;
         if position < self.gateway.board.borrow().upstreams_position {
-            return;
+            return false;
         }
         let listed: BTreeSet<&UpstreamId> = snapshot.upstreams.iter().map(|u| &u.id).collect();
         for upstream in &snapshot.upstreams {
@@ -120,6 +121,7 @@
         }
         self.gateway.board.borrow_mut().recent_changes.reset(position);
         self.advance(position, snapshot.last_change);
+        true
     }
 
     /// Takes over changes from the store's feed, which has come to `position`.
