A configuration comes from any gateway that has it, one at a time, or from the store

A gateway behind a link of 10 Mbit/s was at version 26 nine seconds after version 30, of 1,556 routes more, was acknowledged (its log). All gateways asked the same one of those that had it, and each asked anew every 0.4 s while an answer, given up after 0.8 s, was under way.

Change: any of those that have the newest version is asked, by one fetch at a time; where it does not answer, the store is read.

--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -1,6 +1,7 @@
 //! Heartbeats: what this process tells the others, and what it hears.
 
 use std::{
+    cell::Cell,
     collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
@@ -12,7 +13,7 @@
 use stakker::{CX, call, timer_max};
 use tokio::{net::UdpSocket, task::spawn_local, time::timeout};
 
-use super::Source;
+use super::{Source, watch::read_configuration};
 use crate::{
     control::HeardClaim,
     gateway::{
@@ -62,6 +63,9 @@
     configuration_behind: Option<Instant>,
     upstreams_behind: Option<Instant>,
     asked: Option<Instant>,
+    /// Whether a configuration is on its way here: a second one beside it would only
+    /// share the link.
+    fetching: Rc<Cell<bool>>,
 }
 
 impl Peers {
@@ -83,6 +87,7 @@
             configuration_behind: None,
             upstreams_behind: None,
             asked: None,
+            fetching: Rc::default(),
         })
     }
 
@@ -199,7 +204,10 @@
     /// Asks another gateway, and reads the store anew, if it stays ahead.
     fn catch_up(&mut self, now: Instant) {
         let board = self.gateway.board.borrow();
-        let newest_configuration = board.heard(now).max_by_key(|p| p.last.configuration);
+        // Any of those that have the newest: one alone cannot answer all at once.
+        let newest = board.heard(now).map(|p| p.last.configuration).max().unwrap_or_default();
+        let have_newest = board.heard(now).filter(|p| p.last.configuration == newest);
+        let newest_configuration = fastrand::choice(have_newest.collect::<Vec<_>>());
         let newest_upstreams = board.heard(now).max_by_key(|p| p.last.upstreams);
         let configuration_from = newest_configuration
             .filter(|p| p.last.configuration > board.configuration_version())
@@ -220,10 +228,15 @@
         if self.asked.is_some_and(|t| now.saturating_duration_since(t) < BEHIND_LIMIT) {
             return;
         }
-        if let Some(from) = configuration_from {
+        if let Some(from) = configuration_from.filter(|_| !self.fetching.get()) {
             // No wait here: a version that others apply must hold here, too.
             self.asked = Some(now);
-            spawn_local(fetch_configuration(self.gateway.clone(), from));
+            self.fetching.set(true);
+            let (gateway, fetching) = (self.gateway.clone(), self.fetching.clone());
+            spawn_local(async move {
+                fetch_configuration(gateway, from).await;
+                fetching.set(false);
+            });
             self.gateway.resync(Table::Operator).notify_waiters();
         }
         if let Some(from) = upstreams_from.filter(|_| late(self.upstreams_behind)) {
@@ -356,9 +369,15 @@
     fastrand::choose_multiple(addresses.iter().copied(), most)
 }
 
+/// Fetches the configuration from another gateway, or from the store if that one does
+/// not answer in time: a large document takes 0.3 s of a link of 10 Mbit/s for each that
+/// asks, so the few that have a new one first cannot answer all others.
 async fn fetch_configuration(gateway: Rc<Gateway>, from: SocketAddr) {
-    if let Some(document) = ask(from, "/peer/configuration").await {
-        gateway.tell(|c| call!([c.configuration], take(document, Source::Peer)));
+    match ask(from, "/peer/configuration").await {
+        Some(document) => {
+            gateway.tell(|c| call!([c.configuration], take(document, Source::Peer)));
+        }
+        None => read_configuration(&gateway).await,
     }
 }
 
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -55,6 +55,17 @@
     watch(&gateway, Table::Operator, Duration::ZERO, on_snapshot, on_feed).await;
 }
 
+/// Reads the configuration from the store once.
+pub(super) async fn read_configuration(gateway: &Gateway) {
+    let read = gateway.store.snapshot(Table::Operator).await;
+    note(gateway, "configuration", read.as_ref().err());
+    let rows = read.map(|s| s.rows).unwrap_or_default();
+    if let Some(row) = rows.into_iter().find(|row| row.key == CONFIGURATION_KEY) {
+        let document = row.value.into();
+        gateway.tell(|c| call!([c.configuration], take(document, Source::Store)));
+    }
+}
+
 /// Follows the upstreams.
 pub async fn watch_upstreams(gateway: Rc<Gateway>) {
     let on_snapshot = |gateway: &Gateway, snapshot: Snapshot| {
