Attempts are logged with a digest of what is asked for

Cause: the log cannot tell whether the request that broke off at each of many ends of engines was one and the same; callers give each sending another id. Change: digest (customer, method, host, path, body) in attempt and attempt_failed, and how long after the attempt's begin it failed. No decision rests on it.

--- a/src/gateway/model/mod.rs
+++ b/src/gateway/model/mod.rs
@@ -1,11 +1,13 @@
 //! What the gateway knows: configuration and upstreams, in the project's own words.
 
 mod configuration;
+mod digest;
 mod upstream;
 
 pub use configuration::{
     CallerLimits, Configuration, Customer, EngineKind, Quota, RequestKind, Route, Scaling, Service,
 };
+pub use digest::RequestDigest;
 pub use upstream::{Lifetime, Upstream, UpstreamPhase};
 
 /// Name of a service.
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -12,6 +12,7 @@
 use crate::{
     gateway::{
         context::Gateway,
+        model::RequestDigest,
         net::{Lease, RequestBody},
     },
     platform::{self, Attempt, RequestHead},
@@ -39,6 +40,15 @@
         Self { head, method: parts.method, uri, headers, body }
     }
 
+    /// Returns the digest of what `customer` asks for.
+    pub fn digest(&self, customer: Option<&str>) -> RequestDigest {
+        let target = self.uri.path_and_query().map_or("/", |p| p.as_str());
+        let customer = customer.unwrap_or_default();
+        let texts = [customer, self.method.as_str(), &self.head.host, target].map(str::as_bytes);
+        let [customer, method, host, target] = texts;
+        RequestDigest::of(&[customer, method, host, target, &self.body])
+    }
+
     fn request(&self, attempt: &Attempt<'_>) -> Request<RequestBody> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -26,7 +26,7 @@
     gateway::{
         context::Gateway,
         decide::{RetryTerms, Verdict},
-        model::RequestKind,
+        model::{RequestDigest, RequestKind},
         net::{AnswerBody, Lease, Phase, full_body},
         telemetry::Event,
     },
@@ -79,6 +79,8 @@
     pub gateway: Rc<Gateway>,
     /// What is sent.
     pub outgoing: Outgoing,
+    /// Digest of what is asked for.
+    pub digest: RequestDigest,
     /// Terms on which it was admitted.
     pub admitted: Admitted,
     /// When the answer must have ended.
@@ -86,6 +88,8 @@
     /// When the request came.
     pub(super) arrived: Instant,
     tried: Vec<UpstreamId>,
+    /// When the newest attempt began.
+    pub(super) tried_at: Instant,
     runs: u32,
     _in_progress: InProgress,
 }
@@ -130,13 +134,16 @@
         }
     };
     let outgoing = Outgoing::new(parts, head, body);
+    let digest = outgoing.digest(admitted.customer.as_deref());
     let mut forwarding = Forwarding {
         gateway: gateway.clone(),
         outgoing,
+        digest,
         admitted,
         deadline,
         arrived,
         tried: Vec::new(),
+        tried_at: arrived,
         runs: 0,
         _in_progress: in_progress,
     };
@@ -285,8 +292,10 @@
         let now = Instant::now();
         let selected = select(&self.gateway, &self.admitted, prompt, &self.tried, now)?;
         self.tried.push(selected.id.clone());
+        self.tried_at = now;
         self.gateway.log(&Event::Attempt {
             request: &self.outgoing.head.id,
+            digest: &self.digest.to_string(),
             route: &self.admitted.route.name,
             upstream: &selected.id,
             attempt: self.tried.len() as u32,
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -69,7 +69,9 @@
         count(&self.gateway.metrics.failed_attempts, cause);
         self.gateway.log(&Event::AttemptFailed {
             request: &self.outgoing.head.id,
+            digest: &self.digest.to_string(),
             upstream,
+            after_ms: self.tried_at.elapsed().as_millis() as u64,
             cause,
             may_have_run,
             next: if again { "again" } else { "give_up" },
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -164,6 +164,8 @@
     Attempt {
         /// Request.
         request: &'a str,
+        /// Digest, the same whenever the same is asked for.
+        digest: &'a str,
         /// Route.
         route: &'a str,
         /// Upstream.
@@ -193,8 +195,12 @@
     AttemptFailed {
         /// Request.
         request: &'a str,
+        /// Digest, the same whenever the same is asked for.
+        digest: &'a str,
         /// Upstream.
         upstream: &'a str,
+        /// Time since the attempt began, in milliseconds.
+        after_ms: u64,
         /// How.
         cause: &'a str,
         /// Whether the request may have run.
