One clock that goes on while the host is suspended; ends taken back; operators see and release

Two changes, since both touch the way of a request.

Cause: a suspended host's steady clock stands still, and with it the age of leases, heartbeats and deadlines as this process measures them; a holder would go on acting on a lease that has run out for all others. The old entry and control processes still use the steady clock.

Crashing requests. An upstream that runs a request to a good end after it was taken for ended (a cut that refuses connections) is no evidence any more, here and at the others. Only a refused connection is an end: one that is reset may be an overload.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,6 +15,7 @@
     telemetry::{Event, GatewayMetrics, Journal},
 };
 use crate::{
+    clock,
     ids::Incarnation,
     platform::{DutyClient, PlatformError, StoreClient, Table},
     settings::GatewaySettings,
@@ -70,7 +71,7 @@
             settings: RefCell::new(settings),
             process,
             incarnation,
-            started: Instant::now(),
+            started: clock::now(),
             board: RefCell::new(board),
             pool: Pool::default(),
             end_checks: EndChecks::default(),
@@ -110,7 +111,7 @@
         self.shutdown.phase() == Phase::Serving
             && board.configuration.is_some()
             && board.upstreams_known
-            && board.knows_crashes(Instant::now())
+            && board.knows_crashes(clock::now())
     }
 
     /// Returns what tells the watcher of a table to read it anew.
@@ -141,7 +142,7 @@
 
     /// Notes whether the store answered, and logs when that changes.
     pub fn note_store(&self, error: Option<&PlatformError>) {
-        let now = Instant::now();
+        let now = clock::now();
         self.board.borrow_mut().steadiness.note(error.is_none(), now);
         let state = self.board.borrow().store;
         match (state, error) {
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -10,6 +10,7 @@
 use tokio::task::spawn_local;
 
 use crate::{
+    clock,
     gateway::{
         board::Board,
         context::Gateway,
@@ -210,7 +211,7 @@
     let order = EngineOrder { service, data_centre, reclaimable, count };
     let off = gateway.settings.borrow().off.clone();
     let speed = gateway.board.borrow().speed(&order.service, &off);
-    let fence = || gateway.board.borrow().lease.may_act(Instant::now());
+    let fence = || gateway.board.borrow().lease.may_act(clock::now());
     let outcome = gateway.duties.order_engines(fence, &order).await;
     let error = outcome.as_ref().err().map(ToString::to_string).unwrap_or_default();
     gateway.log(&Event::Engines {
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -15,6 +15,7 @@
 use stakker::{CX, call, timer_max};
 
 use crate::{
+    clock,
     gateway::{
         board::{Described, LAPSE_GRACE, UpstreamView},
         context::Gateway,
@@ -228,7 +229,7 @@
         };
         view.missing_until = Some(until);
         let upstream = view.upstream.clone();
-        board.recent_changes.push(revision, UpstreamChange::Missing(id.clone()), Instant::now());
+        board.recent_changes.push(revision, UpstreamChange::Missing(id.clone()), clock::now());
         drop(board);
         self.log(&upstream, "missing", revision);
     }
@@ -238,7 +239,7 @@
         let Some(view) = board.upstreams.remove(id) else {
             return;
         };
-        board.recent_changes.push(revision, UpstreamChange::Gone(id.clone()), Instant::now());
+        board.recent_changes.push(revision, UpstreamChange::Gone(id.clone()), clock::now());
         drop(board);
         self.log(&view.upstream, "gone", revision);
     }
--- a/src/gateway/controllers/kept.rs
+++ b/src/gateway/controllers/kept.rs
@@ -2,12 +2,10 @@
 //! later: levels of quotas, counts of usage, and need and orders of engines. Without it,
 //! a kill of all processes would leave nobody who knows them.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use crate::{
+    clock,
     gateway::{context::Gateway, decide::Kept, peering::WireError},
     platform::{RowWrite, StoreRow, Table},
     telemetry::count,
@@ -25,7 +23,7 @@
 pub fn kept_row(gateway: &Gateway) -> Option<RowWrite> {
     let kept = {
         let mut board = gateway.board.borrow_mut();
-        let now = Instant::now();
+        let now = clock::now();
         let share = board.quota_share(now);
         let levels = board.quotas.levels(share, now);
         Kept::of(levels, &board.usage, board.capacity.clone())
@@ -57,7 +55,7 @@
     let kept: Kept = ciborium::from_reader(&row.value[..])?;
     let mut guard = gateway.board.borrow_mut();
     let board = &mut *guard;
-    let capacity = kept.restore(&mut board.quotas, &mut board.usage, Instant::now());
+    let capacity = kept.restore(&mut board.quotas, &mut board.usage, clock::now());
     board.kept_needs = capacity.needs;
     // What a holder has told since is newer.
     if board.capacity.orders.is_empty() {
--- a/src/gateway/controllers/usage_report.rs
+++ b/src/gateway/controllers/usage_report.rs
@@ -1,10 +1,11 @@
 //! One usage report: kept in the store first, then sent.
 
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 
 use stakker::call;
 
 use crate::{
+    clock,
     gateway::{
         context::Gateway,
         decide::{Counts, Window},
@@ -19,7 +20,7 @@
 pub(super) async fn report(gateway: Rc<Gateway>, window: Window, counts: Counts) {
     let sent = match kept_counts(&gateway, window, counts).await {
         Ok(counts) => {
-            let fence = || gateway.board.borrow().lease.may_act(Instant::now());
+            let fence = || gateway.board.borrow().lease.may_act(clock::now());
             let total = counts.values().sum();
             let sent = gateway.duties.report_usage(fence, window, &counts).await;
             let outcome = sent.as_ref().err().map_or("ok".to_owned(), ToString::to_string);
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -1,10 +1,6 @@
 //! Tasks that read the platform's store and follow its changes.
 
-use std::{
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use stakker::call;
@@ -16,6 +12,7 @@
     kept::{KEPT_KEY, QUARANTINE_KEY, restore},
 };
 use crate::{
+    clock,
     gateway::{context::Gateway, decide::Backoff, model::Revision},
     platform::{Change, Feed, PlatformError, RowWrite, Snapshot, StoreRow, Table},
     telemetry::count,
@@ -121,7 +118,7 @@
 }
 
 fn watches(gateway: &Gateway) -> bool {
-    gateway.board.borrow().watches_store(&gateway.process, Instant::now())
+    gateway.board.borrow().watches_store(&gateway.process, clock::now())
 }
 
 async fn wait_for_turn(gateway: &Gateway) {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -1,11 +1,6 @@
 //! Start of the gateway.
 
-use std::{
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use stakker::{Stakker, call};
 use thiserror::Error;
@@ -27,7 +22,7 @@
     request::{Door, DoorKind},
     telemetry::{Event, Journal},
 };
-use crate::{settings::GatewaySettings, time::unix_millis};
+use crate::{clock, settings::GatewaySettings, time::unix_millis};
 
 /// Largest heartbeat, in bytes.
 const DATAGRAM: usize = 64 << 10;
@@ -67,7 +62,7 @@
     let listen = settings.listen;
     let socket = bind_udp(listen.heartbeats).await?;
     let incarnation = fastrand::u64(1..);
-    let now = Instant::now();
+    let now = clock::now();
     let clock = TrueClock::new(now, unix_millis());
     let process = format!("{}.{incarnation:x}", settings.id);
     let journal = Journal::new(process, io::stdout());
@@ -82,7 +77,7 @@
         let door = Rc::new(Door { kind, gateway: gateway.clone() });
         spawn_local(serve(listener, door, gateway.shutdown.clone()));
     }
-    let mut stakker = Stakker::new(Instant::now());
+    let mut stakker = Stakker::new(clock::now());
     let controllers = Rc::new(Controllers::start(&mut stakker, &gateway, socket.clone()));
     gateway.set_controllers(controllers);
     spawn_local(receive(gateway.clone(), socket));
@@ -92,7 +87,7 @@
     spawn_local(announce(gateway.clone()));
     signals.spawn(&gateway);
     gateway.log(&Event::Started { version: env!("CARGO_PKG_VERSION") });
-    reactor::drive(stakker, gateway.wake.clone()).await;
+    reactor::drive(stakker, gateway.clone()).await;
     gateway.log(&Event::Leaving {
         phase: Phase::Closing,
         in_progress: gateway.board.borrow().in_progress,
--- a/src/gateway/decide/crashes/book.rs
+++ b/src/gateway/decide/crashes/book.rs
@@ -64,6 +64,8 @@
     copies: Copies,
     told_suspects: Told<RequestDigest>,
     told_cleared: Told<RequestDigest>,
+    /// Upstreams that were taken for ended and live: late reports of their ends are void.
+    told_alive: Told<Lifetime>,
     told_verdicts: Told<RequestDigest>,
 }
 
@@ -137,6 +139,13 @@
         }
     }
 
+    /// Notes that an upstream runs requests: it has not ended, whatever was seen.
+    pub fn note_alive(&mut self, lifetime: Lifetime, now: Instant) {
+        if !self.evidence.is_empty() && self.evidence.take_back(lifetime) {
+            self.told_alive.push(lifetime, now);
+        }
+    }
+
     /// Quarantines requests that explain the ends under them, and releases those of which
     /// it shows that they were sent on beside another.
     pub fn conclude(&mut self, time: UnixMillis, now: Instant) -> Vec<Change> {
@@ -216,8 +225,16 @@
                 self.told_cleared.push(digest, now);
             }
         }
-        for report in news.suspects.iter().filter(|r| !self.proven.contains(r.digest)) {
-            let is_new = self.evidence.add(report, now);
+        for lifetime in news.alive {
+            self.note_alive(lifetime, now);
+        }
+        let alive = self.told_alive.list(now);
+        for mut report in news.suspects {
+            report.ends.retain(|end| !alive.contains(end));
+            if self.proven.contains(report.digest) || report.ends.is_empty() {
+                continue;
+            }
+            let is_new = self.evidence.add(&report, now);
             if is_new && self.suspect_ends(report.digest) >= ENDS_TO_RELAY {
                 self.told_suspects.push(report.digest, now);
             }
@@ -257,6 +274,7 @@
         let news = CrashNews {
             suspects,
             cleared: self.told_cleared.list(now),
+            alive: self.told_alive.list(now),
             verdicts: self.quarantine.all().filter(|v| told.contains(&v.0)).collect(),
             copies: self.copies.own(|digest| self.matters(digest)),
             mark: self.quarantine.mark(),
--- a/src/gateway/decide/crashes/evidence.rs
+++ b/src/gateway/decide/crashes/evidence.rs
@@ -104,6 +104,24 @@
         is_new
     }
 
+    /// Takes back the end of an upstream that lives: a cut that refuses connections looks
+    /// like one. Returns whether it was taken for ended.
+    pub fn take_back(&mut self, end: Lifetime) -> bool {
+        let mut known = false;
+        self.suspects.retain(|_, suspect| {
+            let before = suspect.ends.len();
+            suspect.ends.retain(|e| *e != end);
+            known |= suspect.ends.len() < before;
+            !suspect.ends.is_empty()
+        });
+        known
+    }
+
+    /// Returns whether nothing is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
     /// Forgets a request; returns whether it was a suspect.
     pub fn clear(&mut self, digest: RequestDigest) -> bool {
         self.suspects.remove(&digest).is_some()
--- a/src/gateway/decide/crashes/news.rs
+++ b/src/gateway/decide/crashes/news.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CopyReport, SuspectReport, VerdictReport};
-use crate::gateway::model::RequestDigest;
+use crate::gateway::model::{Lifetime, RequestDigest};
 
 /// For how long news are told: until each gateway has heard them from several others.
 const TOLD: Duration = Duration::from_millis(2_500);
@@ -22,6 +22,8 @@
     pub suspects: Vec<SuspectReport>,
     /// Suspects that ran to a good end.
     pub cleared: Vec<RequestDigest>,
+    /// Lifetimes of upstreams that were taken for ended and live.
+    pub alive: Vec<Lifetime>,
     /// Verdicts that are new or changed.
     pub verdicts: Vec<VerdictReport>,
     /// Copies of suspects that the sender runs.
--- a/src/gateway/model/digest.rs
+++ b/src/gateway/model/digest.rs
@@ -1,9 +1,10 @@
 //! What stays the same when a request is sent again under another id.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use thiserror::Error;
 
 /// Digest of a request: customer, method, host, path with query, and body. Two
 /// requests that an upstream cannot tell apart have the same one.
@@ -39,3 +40,18 @@
         fmt::Display::fmt(self, f)
     }
 }
+
+/// A text is no digest: not 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("a digest has 32 hexadecimal digits")]
+pub struct ParseDigestError;
+
+impl FromStr for RequestDigest {
+    type Err = ParseDigestError;
+
+    fn from_str(text: &str) -> Result<Self, ParseDigestError> {
+        let digits = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits);
+        number.map(Self).ok_or(ParseDigestError)
+    }
+}
--- a/src/gateway/model/mod.rs
+++ b/src/gateway/model/mod.rs
@@ -7,7 +7,7 @@
 pub use configuration::{
     CallerLimits, Configuration, Customer, EngineKind, Quota, RequestKind, Route, Scaling, Service,
 };
-pub use digest::RequestDigest;
+pub use digest::{ParseDigestError, RequestDigest};
 pub use upstream::{Lifetime, Upstream, UpstreamPhase};
 
 /// Name of a service.
--- a/src/gateway/net/pool.rs
+++ b/src/gateway/net/pool.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 use super::{ConnectError, HttpConnection, connect};
+use crate::clock;
 use crate::gateway::model::Lifetime;
 
 /// Longest time to open a connection to an upstream. Upstreams accept within
@@ -110,7 +111,7 @@
     ) -> Result<Option<HttpConnection>, PoolError> {
         let mut shared = self.shared.borrow_mut();
         let of_upstream = shared.entry(upstream).or_default();
-        of_upstream.prune(Instant::now());
+        of_upstream.prune(clock::now());
         if let Some(idle) = of_upstream.idle.pop() {
             return Ok(Some(idle.connection));
         }
@@ -172,7 +173,7 @@
     /// time that the upstream named.
     pub fn give_back(mut self, keep_alive: Option<Duration>) {
         let keep = keep_alive.map_or(UNNAMED_IDLE, |t| t.saturating_sub(IDLE_MARGIN));
-        let until = Instant::now() + keep;
+        let until = clock::now() + keep;
         let Some(connection) = self.connection.take().filter(HttpConnection::is_open) else {
             return;
         };
--- a/src/gateway/reactor.rs
+++ b/src/gateway/reactor.rs
@@ -1,13 +1,13 @@
 //! Drives the controllers' `stakker` instance from a task of the runtime.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use stakker::Stakker;
 use tokio::{sync::Notify, time::sleep};
 
+use super::{context::Gateway, telemetry::Event};
+use crate::clock::{self, SuspensionWatch};
+
 /// Longest sleep; timers and messages wake earlier.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -25,13 +25,20 @@
 }
 
 /// Runs the controllers until they are told to stop.
-pub async fn drive(mut stakker: Stakker, wake: Wake) {
+///
+/// Each round looks whether the host was suspended: what was told or ordered on a lease or
+/// a deadline of before is then judged anew, as after a freeze of the process.
+pub async fn drive(mut stakker: Stakker, gateway: Rc<Gateway>) {
+    let mut watch = SuspensionWatch::default();
     while stakker.not_shutdown() {
-        stakker.run(Instant::now(), false);
-        let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, false);
+        if let Some(suspended) = watch.look() {
+            gateway.log(&Event::Suspended { for_ms: suspended.as_millis() as u64 });
+        }
+        stakker.run(clock::now(), false);
+        let wait = stakker.next_wait_max(clock::now(), MAX_WAIT, false);
         tokio::select! {
             () = sleep(wait) => {}
-            () = wake.notify.notified() => {}
+            () = gateway.wake.notify.notified() => {}
         }
     }
 }
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -10,6 +10,7 @@
 
 use super::{Admitted, select::Selected};
 use crate::{
+    clock,
     gateway::{
         context::Gateway,
         model::RequestDigest,
@@ -100,7 +101,7 @@
         return AttemptEnd::Unsent("connection_ended");
     }
     let request = outgoing.request(&Attempt {
-        time_left: deadline.saturating_duration_since(Instant::now()),
+        time_left: deadline.saturating_duration_since(clock::now()),
         upstream: &selected.id,
         customer: admitted.customer.as_deref(),
         priority: outgoing.head.prompt.is_some().then_some(admitted.priority),
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -1,21 +1,18 @@
 //! Runs that break off: whether the upstream ended, and what that says of the request.
 
 use std::{
-    cell::RefCell,
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
+    cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration,
 };
 
 use tokio::sync::OnceCell;
 
 use super::{Refusal, attempt::STARTED_AGAIN, forward::Forwarding, select::Selected};
 use crate::{
+    clock,
     gateway::{
         context::Gateway,
         decide::{Break, Permission, Verdict},
-        model::Lifetime,
+        model::{Lifetime, RequestDigest},
         net::{ConnectError, PoolError},
         telemetry::Event,
     },
@@ -46,7 +43,9 @@
                     lease.give_back(None);
                     false
                 }
-                Err(PoolError::Connect(ConnectError::Socket(_))) => true,
+                Err(PoolError::Connect(ConnectError::Socket(e))) => {
+                    e.kind() == ErrorKind::ConnectionRefused
+                }
                 Err(PoolError::Connect(_) | PoolError::Full) => false,
             }
         };
@@ -60,7 +59,7 @@
     /// Notes that an upstream has ended under the requests that broke off there, and
     /// tells the other gateways.
     pub fn upstream_ended(&self, upstream: &UpstreamId, lifetime: Lifetime) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut guard = self.board.borrow_mut();
         let board = &mut *guard;
         let breaks = board.breaks.take(lifetime);
@@ -79,6 +78,21 @@
     }
 }
 
+impl Gateway {
+    /// Releases a request that is held for crashes of upstreams, as an operator wishes;
+    /// returns whether it was.
+    pub fn release(&self, digest: RequestDigest) -> bool {
+        let now = clock::now();
+        let mut board = self.board.borrow_mut();
+        let time = board.clock.unix_millis(now);
+        let changes = board.crashes.release(digest, time, now);
+        drop(board);
+        self.note_verdicts(&changes, "operator");
+        self.tell(|c| stakker::call!([c.crashes], tell_now()));
+        !changes.is_empty()
+    }
+}
+
 impl Forwarding {
     /// Notes that a run broke off, and finds out whether its upstream ended.
     pub(super) async fn broke_off(&self, selected: &Selected, cause: &'static str) {
@@ -105,15 +119,16 @@
     fn note_break(&self, lifetime: Lifetime) {
         let customer = self.admitted.customer.clone().unwrap_or_default();
         let broken = Break { digest: self.digest, customer, lifetime };
-        self.gateway.board.borrow_mut().breaks.note(broken, Instant::now());
+        self.gateway.board.borrow_mut().breaks.note(broken, clock::now());
     }
 
     /// Notes that an upstream ran the request to a good end, which shows that it crashes
-    /// none.
-    pub(super) fn ran_to_good_end(&self) {
-        let now = Instant::now();
+    /// none, and that the upstream lives.
+    pub(super) fn ran_to_good_end(&self, lifetime: Lifetime) {
+        let now = clock::now();
         let mut board = self.gateway.board.borrow_mut();
         let time = board.clock.unix_millis(now);
+        board.crashes.note_alive(lifetime, now);
         let changes = board.crashes.completed(self.digest, time, now);
         drop(board);
         self.gateway.note_verdicts(&changes, "own");
@@ -126,7 +141,7 @@
     /// Fails with the refusal of a request that is not sent: it crashes upstreams, or a
     /// copy of it runs that may show that it does.
     pub(super) fn may_send(&self) -> Result<bool, Refusal> {
-        let now = Instant::now();
+        let now = clock::now();
         let board = self.gateway.board.borrow();
         let time = board.clock.unix_millis(now);
         let refusal = match board.crashes.permission(self.digest, time, now) {
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -12,7 +12,6 @@
     body::Incoming,
     header::{CONNECTION, HeaderValue},
 };
-use tokio::time::timeout_at;
 
 use super::{
     Admitted, Refusal, admit,
@@ -23,6 +22,7 @@
     select::{Selected, Wanted, select},
 };
 use crate::{
+    clock,
     gateway::{
         context::Gateway,
         decide::{RetryTerms, Verdict},
@@ -96,7 +96,7 @@
 
 /// Answers a caller's request.
 pub async fn forward(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let arrived = Instant::now();
+    let arrived = clock::now();
     let leaving = gateway.shutdown.phase() > Phase::Serving;
     let in_progress = InProgress::begin(&gateway);
     let mut response = answer(&gateway, request, arrived, in_progress).await;
@@ -125,7 +125,7 @@
     let patience = patience.saturating_sub(WAY_BACK).min(admitted.route.timeout);
     let deadline = arrived + patience;
     let limit = admitted.configuration.limits.body_bytes;
-    let read = timeout_at(deadline.into(), read_body(body, limit)).await;
+    let read = clock::timeout_at(deadline, read_body(body, limit)).await;
     let body = match read.unwrap_or(Err(Refusal::TimeOverNotRun)) {
         Ok(body) => body,
         Err(refusal) => {
@@ -148,7 +148,7 @@
         _in_progress: in_progress,
     };
     forwarding.count_request();
-    let tried = timeout_at(deadline.into(), forwarding.first_answer()).await;
+    let tried = clock::timeout_at(deadline, forwarding.first_answer()).await;
     match tried {
         Ok(Ok(Reply::Stream(response, lease, selected))) => {
             relay(forwarding, response, lease, *selected)
@@ -158,7 +158,7 @@
                 true => Outcome::Completed,
                 false => Outcome::UpstreamFailure,
             };
-            forwarding.answered(response.status(), outcome, Some(Instant::now()));
+            forwarding.answered(response.status(), outcome, Some(clock::now()));
             response
         }
         Ok(Err(refusal)) => forwarding.refused(refusal),
@@ -179,7 +179,7 @@
 
 fn give_back(gateway: &Gateway, admitted: &Admitted) {
     if let Some(customer) = &admitted.customer {
-        gateway.board.borrow_mut().quotas.give_back(customer, admitted.tokens, Instant::now());
+        gateway.board.borrow_mut().quotas.give_back(customer, admitted.tokens, clock::now());
     }
 }
 
@@ -265,7 +265,7 @@
             }
             return Err(Refusal::Broken);
         };
-        let now = Instant::now();
+        let now = clock::now();
         if !platform::closes(&parts.headers) {
             lease.give_back(platform::keep_alive(&parts.headers));
         }
@@ -280,7 +280,7 @@
             self.note_held(&selected, now);
         }
         if parts.status.is_success() {
-            self.ran_to_good_end();
+            self.ran_to_good_end(selected.lifetime);
         }
         self.count_usage(now);
         platform::strip_hop_headers(&mut parts.headers);
@@ -295,7 +295,7 @@
             return None;
         }
         let prompt = self.outgoing.head.prompt.as_ref();
-        let now = Instant::now();
+        let now = clock::now();
         let wanted = Wanted { digest: self.digest, prompt, tried: &self.tried, apart };
         let selected = select(&self.gateway, &self.admitted, &wanted, now)?;
         self.tried.push(selected.id.clone());
@@ -355,7 +355,7 @@
         let terms = self.retry_terms();
         let mut board = self.gateway.board.borrow_mut();
         let processes = 1 + board.peers.len();
-        board.retries.take(&self.admitted.service, terms, processes, Instant::now())
+        board.retries.take(&self.admitted.service, terms, processes, clock::now())
     }
 
     fn retry_terms(&self) -> RetryTerms {
@@ -370,7 +370,7 @@
     fn count_request(&self) {
         let terms = self.retry_terms();
         let mut board = self.gateway.board.borrow_mut();
-        board.retries.request(&self.admitted.service, terms, Instant::now());
+        board.retries.request(&self.admitted.service, terms, clock::now());
     }
 
     fn refused(&self, refusal: Refusal) -> Response<AnswerBody> {
--- a/src/gateway/request/in_flight.rs
+++ b/src/gateway/request/in_flight.rs
@@ -1,11 +1,12 @@
 //! Accounts of what is in progress; guards give back what they took.
 
-use std::{future::pending, rc::Rc, time::Instant};
+use std::{future::pending, rc::Rc};
 
 use stakker::call;
 use tokio::sync::watch::Receiver;
 
 use crate::{
+    clock,
     gateway::{
         context::Gateway,
         model::{Lifetime, RequestDigest},
@@ -56,7 +57,7 @@
         lifetime: Lifetime,
         pending_tokens: u32,
     ) -> Self {
-        let now = Instant::now();
+        let now = clock::now();
         let mut board = gateway.board.borrow_mut();
         if let Some(view) = board.in_lifetime(upstream, lifetime) {
             view.own.running += 1;
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -9,7 +9,6 @@
 use tokio::{
     sync::mpsc::{Sender, channel},
     task::spawn_local,
-    time::sleep_until,
 };
 
 use super::{
@@ -19,6 +18,7 @@
     select::Selected,
 };
 use crate::{
+    clock,
     gateway::{
         decide::Verdict,
         net::{AnswerBody, BodyError, Lease, channel_body},
@@ -88,8 +88,8 @@
             match end {
                 RunEnd::Complete => {
                     self.forwarding.verdict(&id, lifetime, Verdict::Good);
-                    self.forwarding.ran_to_good_end();
-                    self.forwarding.note_held(&run.selected, Instant::now());
+                    self.forwarding.ran_to_good_end(lifetime);
+                    self.forwarding.note_held(&run.selected, clock::now());
                     if !run.closes {
                         run.lease.give_back(run.keep_alive);
                     }
@@ -116,7 +116,7 @@
     }
 
     async fn read(&mut self, run: &mut Run) -> RunEnd {
-        let deadline = sleep_until(self.forwarding.deadline.into());
+        let deadline = clock::sleep_until(self.forwarding.deadline);
         let lifetime_end = run.selected.in_flight.lifetime_end();
         tokio::pin!(deadline, lifetime_end);
         loop {
@@ -152,7 +152,7 @@
     }
 
     fn begun(&mut self, run: &Run) {
-        let now = Instant::now();
+        let now = clock::now();
         self.first = Some(now);
         self.forwarding.count_usage(now);
         self.forwarding.note_first_token(&run.selected, now);
@@ -184,7 +184,7 @@
             let end = tokio::select! {
                 end = trying => end,
                 () = self.tx.closed() => return None,
-                () = sleep_until(self.forwarding.deadline.into()) => return None,
+                () = clock::sleep_until(self.forwarding.deadline) => return None,
             };
             match end {
                 AttemptEnd::Answer(response, lease) if response.status().is_success() => {
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -10,6 +10,7 @@
     select::Selected,
 };
 use crate::{
+    clock,
     gateway::{
         context::Gateway,
         decide::{FirstToken, Verdict},
@@ -30,7 +31,7 @@
     refusal: Refusal,
     arrived: Instant,
 ) -> Response<AnswerBody> {
-    let took_ms = arrived.elapsed().as_millis() as u64;
+    let took_ms = clock::now().saturating_duration_since(arrived).as_millis() as u64;
     gateway.log(&Event::Answered {
         request: &head.id,
         route: admitted.map_or("", |a| &a.route.name),
@@ -71,7 +72,7 @@
             request: &self.outgoing.head.id,
             digest: &self.digest.to_string(),
             upstream,
-            after_ms: self.tried_at.elapsed().as_millis() as u64,
+            after_ms: clock::now().saturating_duration_since(self.tried_at).as_millis() as u64,
             cause,
             may_have_run,
             next: if again { "again" } else { "give_up" },
@@ -82,7 +83,7 @@
     pub fn verdict(&self, upstream: &UpstreamId, lifetime: Lifetime, verdict: Verdict) {
         let mut board = self.gateway.board.borrow_mut();
         if let Some(view) = board.in_lifetime(upstream, lifetime) {
-            view.breaker.record(verdict, Instant::now());
+            view.breaker.record(verdict, clock::now());
         }
     }
 
@@ -118,7 +119,7 @@
 
     /// Logs and counts an answer that was passed on.
     pub fn answered(&self, status: StatusCode, outcome: Outcome, first: Option<Instant>) {
-        let took_ms = self.arrived.elapsed().as_millis() as u64;
+        let took_ms = clock::now().saturating_duration_since(self.arrived).as_millis() as u64;
         let to_first = first.map(|t| t.saturating_duration_since(self.arrived));
         self.gateway.log(&Event::Answered {
             request: &self.outgoing.head.id,
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -30,6 +30,11 @@
         /// Whether they could be used.
         usable: bool,
     },
+    /// The host was suspended: nothing ran meanwhile.
+    Suspended {
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// The process goes on with leaving.
     Leaving {
         /// How far it has got.
--- a/src/gateway/telemetry/journal.rs
+++ b/src/gateway/telemetry/journal.rs
@@ -17,6 +17,7 @@
 use serde::Serialize;
 
 use super::{Event, EventClass};
+use crate::clock;
 use crate::time::unix_millis;
 
 /// Lines that wait for the writer at most.
@@ -56,13 +57,13 @@
     pub fn new(process: String, out: impl Write + Send + 'static) -> Self {
         let (tx, rx) = sync_channel(QUEUE);
         thread::spawn(move || write_lines(&rx, out));
-        let span = Span { began: Instant::now(), lines: HashMap::new(), left_out: HashMap::new() };
+        let span = Span { began: clock::now(), lines: HashMap::new(), left_out: HashMap::new() };
         Self { process, tx, span: RefCell::new(span) }
     }
 
     /// Writes an event, or counts it if its class is over its budget.
     pub fn write(&self, event: &Event<'_>) {
-        self.turn_span(Instant::now());
+        self.turn_span(clock::now());
         let class = event.class();
         if !self.span.borrow_mut().admits(class) {
             return;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod caller;
 pub mod cli;
+pub mod clock;
 pub mod cloud;
 pub mod config;
 pub mod control;
--- a/tests/gateway_crash_book.rs
+++ b/tests/gateway_crash_book.rs
@@ -164,6 +164,26 @@
     assert_eq!(here.mark(), there.mark());
 }
 
+/// A cut that refuses connections looks like the end of an upstream.
+#[test]
+fn an_upstream_that_lives_has_not_ended() {
+    let now = Instant::now();
+    let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
+    for at in 0..3 {
+        end(&mut here, at, &[1], now);
+    }
+    let before = here.news(now).expect("news");
+    there.hear(&"here".to_owned(), 1, before.clone(), now);
+    there.note_alive(upstream(1), now);
+    there.hear(&"here".to_owned(), 2, before, now);
+    assert_eq!(there.ends(request(1)).len(), 2, "a late word of it is void");
+    here.hear(&"there".to_owned(), 1, there.news(now).expect("news"), now);
+    for book in [&mut here, &mut there] {
+        assert!(book.conclude(TIME, now + SETTLED).is_empty());
+        assert_eq!(book.permission(request(1), TIME, now + SETTLED), Permission::Apart);
+    }
+}
+
 #[test]
 fn what_is_quarantined_is_tried_again_rarely() {
     let now = Instant::now();
