--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -56,10 +56,10 @@
 /// hundred of them, a few heartbeats pass until most are.
 const ANNOUNCED_COUNT: Duration = Duration::from_secs(3);
 
-/// Longest wait for what earlier processes left in the store before requests are sent:
-/// the store answers within some ten milliseconds, and one that is silent must not
-/// keep callers waiting.
-const RECALL_WAIT: Duration = Duration::from_millis(400);
+/// Longest wait for the requests that crash upstreams before any is sent. The store tells
+/// them within some ten milliseconds, another gateway within two heartbeats; where neither
+/// answers, there is no configuration to serve with either.
+const RECALL_WAIT: Duration = Duration::from_secs(2);
 
 /// Another gateway as last heard.
 #[derive(Clone, Debug)]
@@ -106,7 +106,7 @@
     pub crashes: CrashBook,
     /// Runs that broke off at upstreams that may have ended.
     pub breaks: Breaks,
-    /// Whether the store was asked for what earlier processes left, and answered or not.
+    /// Whether the store or another gateway has told which requests crash upstreams.
     pub recall_ended: bool,
     /// Usage by window.
     pub usage: UsageBook,
--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -99,6 +99,19 @@
         self.gateway.note_verdicts(&changes, "own");
         self.send(HEARTBEAT_FAN_OUT, now);
         self.store(now);
+        self.recall_from_peer(now);
+    }
+
+    /// Asks any gateway for the verdicts while the store has not told them: this process
+    /// sends nothing before.
+    fn recall_from_peer(&mut self, now: Instant) {
+        let board = self.gateway.board.borrow();
+        let ask = !board.recall_ended;
+        let heard: Vec<SocketAddr> = board.heard(now).map(|p| p.last.peers).collect();
+        drop(board);
+        if let Some(from) = fastrand::choice(heard).filter(|_| ask) {
+            self.fetch(from, now);
+        }
     }
 
     /// Tells the others at once.
@@ -174,7 +187,10 @@
             if let Some(bytes) = ask(from, "/peer/quarantine").await {
                 match decode_verdicts(&bytes) {
                     Ok(verdicts) => {
-                        gateway.tell(|c| call!([c.crashes], take(verdicts, "peer")));
+                        gateway.tell(|c| {
+                            call!([c.crashes], take(verdicts, "peer"));
+                            call!([c.crashes], recall_ended());
+                        });
                     }
                     Err(e) => log::error!("{from} told its verdicts unreadably: {e}"),
                 }
@@ -202,7 +218,7 @@
         self.stored.revision = row.revision;
     }
 
-    /// Notes that the store was asked for what earlier processes left.
+    /// Notes that the store, or another gateway, has told the verdicts.
     pub fn recall_ended(&mut self, _: CX![]) {
         self.gateway.board.borrow_mut().recall_ended = true;
     }
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -152,6 +152,7 @@
 pub async fn recall(gateway: Rc<Gateway>) {
     let read = gateway.store.snapshot(Table::Duties).await;
     note(&gateway, "recall", read.as_ref().err());
+    let was_read = read.is_ok();
     for row in read.map(|s| s.rows).unwrap_or_default() {
         match row.key.as_str() {
             KEPT_KEY => {
@@ -164,7 +165,10 @@
             _ => {}
         }
     }
-    gateway.tell(|c| call!([c.crashes], recall_ended()));
+    // Otherwise another gateway is asked for the verdicts.
+    if was_read {
+        gateway.tell(|c| call!([c.crashes], recall_ended()));
+    }
 }
 
 fn member_address(row: &StoreRow) -> Option<SocketAddr> {
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -29,7 +29,10 @@
 
 use hyper::StatusCode;
 use serde_json::Value;
-use support::gateways::{Call, Site};
+use support::{
+    gateways::{Call, GatewayProc, Site},
+    wait_until,
+};
 
 /// Time after the third end of an upstream under a request until all gateways must
 /// have stopped sending it: the operators' bound of the smaller deployments.
@@ -116,3 +119,104 @@
         }
     }
 }
+
+/// Sends copies one after another at a gateway, until it refuses them for good.
+fn until_quarantined(site: &Site, gateway: usize, path: &'static str) {
+    let to = site.gateways[gateway].callers;
+    let mut n = 0;
+    wait_until("the request is quarantined", || {
+        n += 1;
+        crashing("GET", path, &format!("{path}-{n}")).send(to);
+        site.gateways[gateway].log().iter().any(|l| l["event"] == "verdict")
+    });
+}
+
+/// Returns how often what is asked for at `path` has run.
+fn runs(site: &Site, path: &str) -> usize {
+    runs_of(site, path).len()
+}
+
+#[test]
+fn what_is_refused_for_good_is_refused_at_once_and_truly() {
+    let site = Site::start(2, 0, 6);
+    until_quarantined(&site, 0, "/check/c1");
+    let other = &site.gateways[1];
+    wait_until("the other gateway knows", || other.metrics().contains("quarantined_requests 1"));
+    let before = runs(&site, "/check/c1");
+    let asked = Instant::now();
+    let answer = crashing("GET", "/check/c1", "refused").send(other.callers).expect("an answer");
+    assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.header("retry-after"), "", "it can never be served");
+    assert_eq!(runs(&site, "/check/c1"), before, "it has not run, as was said");
+
+    let mut same_path = crashing("GET", "/check/c1", "innocent");
+    same_path.body = "another body".to_owned();
+    let answer = same_path.send(other.callers).expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK, "nothing else is refused");
+}
+
+/// What must last is in the platform's store: all processes are killed at once, and those
+/// that start know the request before they send anything.
+#[test]
+fn verdicts_outlive_all_processes() {
+    struct Case {
+        name: &'static str,
+        /// Whether all processes are killed, or all but the last, while the store is away.
+        all: bool,
+    }
+    let cases = [
+        Case { name: "all are killed", all: true },
+        Case { name: "the store is away, and one lives on", all: false },
+    ];
+    for case in cases {
+        let mut site = Site::start(3, 0, 6);
+        until_quarantined(&site, 0, "/check/c1");
+        wait_until("all gateways know", || {
+            site.gateways.iter().all(|g| g.metrics().contains("quarantined_requests 1"))
+        });
+        wait_until("the store knows", || {
+            site.gateways.iter().any(|g| g.metrics().contains("cause=\"quarantine\""))
+        });
+        let killed = if case.all { 3 } else { 2 };
+        site.gateways[..killed].iter_mut().for_each(GatewayProc::kill);
+        if !case.all {
+            site.store("refusing");
+        }
+        let before = runs(&site, "/check/c1");
+        site.gateways[..killed].iter_mut().for_each(GatewayProc::restart);
+        let callers: Vec<SocketAddr> = site.gateways.iter().map(|g| g.callers).collect();
+        wait_until("all serve", || site.gateways.iter().all(GatewayProc::is_ready));
+        wait_until("the first gateway serves", || {
+            let innocent = Call::new("GET", "/check/innocent", "innocent").send(callers[0]);
+            innocent.is_some_and(|a| a.status == StatusCode::OK)
+        });
+        for (n, to) in callers.iter().enumerate() {
+            crashing("GET", "/check/c1", &format!("after-{n}")).send(*to);
+        }
+        assert_eq!(runs(&site, "/check/c1"), before, "{}", case.name);
+    }
+}
+
+#[test]
+fn operators_see_what_is_quarantined_and_release_it() {
+    let site = Site::start(2, 0, 6);
+    until_quarantined(&site, 0, "/check/c1");
+    let ask = |gateway: usize, method: &'static str, path: &str| {
+        Call::new(method, path, "operator").send(site.gateways[gateway].peers).expect("an answer")
+    };
+    let list = |gateway: usize| -> Value {
+        serde_json::from_str(&ask(gateway, "GET", "/quarantine").body).expect("a list")
+    };
+    wait_until("both list it", || (0..2).all(|g| list(g).as_array().is_some_and(|l| l.len() == 1)));
+    let held = &list(1)[0];
+    assert_eq!(held["customer"], "temple");
+    let path = format!("/quarantine/{}", held["digest"].as_str().expect("a digest"));
+    assert_eq!(ask(1, "DELETE", "/quarantine/nonsense").status, StatusCode::BAD_REQUEST);
+    assert_eq!(ask(1, "DELETE", &path).status, StatusCode::OK);
+    assert_eq!(ask(1, "DELETE", &path).status, StatusCode::NOT_FOUND, "it is released");
+    wait_until("both have released it", || (0..2).all(|g| list(g) == Value::Array(vec![])));
+    let before = runs(&site, "/check/c1");
+    crashing("GET", "/check/c1", "released").send(site.gateways[0].callers);
+    assert!(runs(&site, "/check/c1") > before, "it is sent again");
+}
