--- a/src/bin/tackhollow-trace/line.rs
+++ b/src/bin/tackhollow-trace/line.rs
@@ -30,6 +30,12 @@
         self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
     }
 
+    /// Returns a field as a list of texts; empty if it is absent.
+    pub fn texts(&self, name: &str) -> Vec<&str> {
+        let list = self.fields.get(name).and_then(Value::as_array);
+        list.into_iter().flatten().filter_map(Value::as_str).collect()
+    }
+
     /// Returns a field as a number; zero if it is absent.
     pub fn number(&self, name: &str) -> f64 {
         self.fields.get(name).and_then(Value::as_f64).unwrap_or_default()
--- a/src/bin/tackhollow-trace/story.rs
+++ b/src/bin/tackhollow-trace/story.rs
@@ -10,7 +10,8 @@
 use crate::line::Line;
 
 /// Events that tell of requests; all others tell of beliefs.
-const REQUEST_EVENTS: [&str; 4] = ["attempt", "attempt_failed", "quota_used_up", "answered"];
+const REQUEST_EVENTS: [&str; 5] =
+    ["attempt", "attempt_failed", "quota_used_up", "not_sent", "answered"];
 
 /// The story of a request.
 #[derive(Debug)]
@@ -32,8 +33,12 @@
         let upstreams: BTreeSet<&str> = own.iter().map(|l| l.text("upstream")).collect();
         let matters = |l: &&Line| {
             let belief = !REQUEST_EVENTS.contains(&l.event.as_str());
-            let about = l.event != "upstream" || upstreams.contains(l.text("upstream"));
-            belief && about && processes.contains(l.process.as_str()) && span.contains(&l.time_ms)
+            let of_upstream = matches!(l.event.as_str(), "upstream" | "upstream_ended");
+            let about = !of_upstream || upstreams.contains(l.text("upstream"));
+            // What ended an upstream may have been sent by another process.
+            let told_by = processes.contains(l.process.as_str())
+                || matches!(l.event.as_str(), "upstream_ended" | "verdict");
+            belief && about && told_by && span.contains(&l.time_ms)
         };
         let beliefs: Vec<&Line> = lines.iter().filter(matters).collect();
         let cause = cause(&own, &beliefs);
@@ -65,6 +70,7 @@
     match outcome {
         "completed" => late(end, attempt.copied()),
         "quota_used_up" => quota_used_up(own),
+        "crashes_upstreams" | "copy_runs" => not_sent(own),
         "unknown_key" | "no_route" => {
             let version = end.number("configuration");
             format!("{outcome} in configuration {version}, the newest known")
@@ -122,8 +128,42 @@
     )
 }
 
+/// Tells which request was not sent, and why.
+fn not_sent(own: &[&Line]) -> String {
+    let Some(line) = own.iter().rev().find(|l| l.event == "not_sent") else {
+        return "upstreams ended under the request; it has not run".to_owned();
+    };
+    let (digest, ends) = (line.text("digest"), line.number("ends"));
+    match line.text("state") {
+        "copy_runs" => format!(
+            "{ends} upstream(s) ended under request {digest}, of which a copy ran; this one has \
+             not run"
+        ),
+        _ => format!(
+            "request {digest} crashes upstreams ({ends} ends known here) and is quarantined; it \
+             has not run"
+        ),
+    }
+}
+
+/// Names the request that is held for the end of an upstream, if one is.
+fn culprit(upstream: &str, beliefs: &[&Line]) -> Option<String> {
+    let ended = |l: &&&Line| l.event == "upstream_ended" && l.text("upstream") == upstream;
+    let under: Vec<&str> = beliefs.iter().filter(ended).flat_map(|l| l.texts("under")).collect();
+    let held = |l: &&&Line| l.event == "verdict" && l.text("state") == "quarantined";
+    let mut verdicts = beliefs.iter().filter(held).map(|l| l.text("digest"));
+    verdicts.find(|digest| under.contains(digest)).map(str::to_owned)
+}
+
 /// Tells what was known of an upstream around the end.
 fn state_of(upstream: &str, beliefs: &[&Line]) -> String {
+    if let Some(digest) = culprit(upstream, beliefs) {
+        return format!("it ended under request {digest}, which is quarantined");
+    }
+    let ended = |l: &&Line| l.event == "upstream_ended" && l.text("upstream") == upstream;
+    if beliefs.iter().any(ended) {
+        return "it ended: nothing listens at its address any more".to_owned();
+    }
     let about = |l: &&&Line| l.event == "upstream" && l.text("upstream") == upstream;
     match beliefs.iter().rfind(about) {
         Some(line) => format!("the platform's store said {}", line.text("state")),
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -157,9 +157,20 @@
             }
             waits += 1;
         };
+        self.log_not_sent(refusal);
         Err(if self.has_run() { Refusal::Broken } else { refusal })
     }
 
+    fn log_not_sent(&self, refusal: Refusal) {
+        self.gateway.log(&Event::NotSent {
+            request: &self.outgoing.head.id,
+            digest: &self.digest.to_string(),
+            customer: self.admitted.customer.as_deref().unwrap_or_default(),
+            ends: self.gateway.board.borrow().crashes.ends(self.digest).len(),
+            state: refusal.cause(),
+        });
+    }
+
     fn permission(&self) -> Permission {
         let now = clock::now();
         let board = self.gateway.board.borrow();
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -185,6 +185,19 @@
         /// After which time the caller is asked to come back, in milliseconds.
         wait_ms: u64,
     },
+    /// A request is not sent, since upstreams ended under it.
+    NotSent {
+        /// Request.
+        request: &'a str,
+        /// Digest, the same whenever the same is asked for.
+        digest: &'a str,
+        /// Customer; empty for an open route.
+        customer: &'a str,
+        /// Ends under it that are known here.
+        ends: usize,
+        /// Whether it is quarantined, or a copy of it runs.
+        state: &'a str,
+    },
     /// A request is sent to an upstream.
     Attempt {
         /// Request.
@@ -266,7 +279,9 @@
     pub fn class(&self) -> EventClass {
         match self {
             Self::Attempt { .. } => EventClass::Request,
-            Self::AttemptFailed { .. } | Self::QuotaUsedUp { .. } => EventClass::Failure,
+            Self::AttemptFailed { .. } | Self::QuotaUsedUp { .. } | Self::NotSent { .. } => {
+                EventClass::Failure
+            }
             Self::Answered { status, .. } if *status < 400 => EventClass::Request,
             Self::Answered { .. } => EventClass::Failure,
             _ => EventClass::Belief,
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -23,6 +23,7 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
+    process::Command,
     thread,
     time::{Duration, Instant},
 };
@@ -39,6 +40,8 @@
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 /// Runs that are borne later than that.
 const RUNS_BORNE: usize = 3;
+/// Upstreams that may end under one request: as many as copies come at once.
+const ENDS_BORNE: usize = 9;
 /// Copies that come at once at each gateway.
 const AT_ONCE: usize = 3;
 /// For how long copies go on coming, and how often.
@@ -109,7 +112,8 @@
         let runs = runs_of(&site, case.path);
         let third = ends_of(&runs).get(2).copied().unwrap_or(u64::MAX);
         let known = third.saturating_add(KNOWN_WITHIN.as_millis() as u64);
-        println!("{}: {} runs, {} upstreams ended", case.name, runs.len(), ends_of(&runs).len());
+        let ends = ends_of(&runs).len();
+        assert!(ends <= ENDS_BORNE, "{}: {ends} upstreams ended", case.name);
         let late = runs.iter().filter(|r| r["began_ms"].as_u64() > Some(known)).count();
         assert!(late <= RUNS_BORNE, "{}: {late} of {} runs too late", case.name, runs.len());
         for gateway in &gateways {
@@ -220,3 +224,53 @@
     crashing("GET", "/check/c1", "released").send(site.gateways[0].callers);
     assert!(runs(&site, "/check/c1") > before, "it is sent again");
 }
+
+/// What on-call engineers do at night: from the id of a stream that broke off, and from
+/// that of a request that was refused, to the request that ended the upstream.
+#[test]
+fn the_trace_names_the_request_that_ended_an_upstream() {
+    let site = Site::start(2, 4, 0);
+    let gateways: Vec<SocketAddr> = site.gateways.iter().map(|g| g.callers).collect();
+    let innocent = (0..8).map(|n| {
+        let to = gateways[n % 2];
+        thread::spawn(move || Call::stream("/plan/x", &format!("innocent-{n}"), 600).send(to))
+    });
+    let innocent: Vec<_> = innocent.collect();
+    wait_until("innocents run at all upstreams", || {
+        site.seen()["runs"].to_string().matches("innocent").count() == 8
+    });
+    let mut n = 0;
+    wait_until("the request is quarantined", || {
+        n += 1;
+        crashing("POST", "/digest/c1", &format!("culprit-{n}")).send(gateways[1]);
+        site.gateways.iter().all(|g| g.log().iter().any(|l| l["event"] == "verdict"))
+    });
+    let answers: Vec<_> = innocent.into_iter().map(|t| t.join().expect("a caller")).collect();
+    let broken = answers.iter().position(|a| a.as_ref().is_some_and(|a| !a.complete));
+    let broken = format!("innocent-{}", broken.expect("some stream ran at an upstream that ended"));
+    crashing("POST", "/digest/c1", "refused").send(gateways[0]);
+    let list = Call::new("GET", "/quarantine", "operator").send(site.gateways[0].peers);
+    let list: Value = serde_json::from_str(&list.expect("a list").body).expect("a list");
+    let digest = list[0]["digest"].as_str().expect("a digest");
+    struct Case<'a> {
+        request: &'a str,
+        cause: String,
+    }
+    let cases = [
+        Case {
+            request: &broken,
+            cause: format!("it ended under request {digest}, which is quarantined"),
+        },
+        Case { request: "refused", cause: format!("cause: request {digest} crashes upstreams") },
+    ];
+    for case in cases {
+        wait_until(case.request, || trace(&site, case.request).contains(&case.cause));
+    }
+}
+
+/// Runs the trace tool over the logs of all gateways.
+fn trace(site: &Site, request: &str) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tackhollow-trace"));
+    let output = command.arg(request).args(site.logs()).output().expect("the tool runs");
+    String::from_utf8(output.stdout).expect("text")
+}
