The soak mixes requests that crash upstreams with its faults

A caller sends what crashes upstreams again and again, something new each four seconds; the check counts runs after all must know. Upstreams behind the soak's proxies accept connections while they are down, so that their ends show by their new starts only. A break at an upstream that runs a request to a good end since is no end.

--- a/src/gateway/decide/crashes/breaks.rs
+++ b/src/gateway/decide/crashes/breaks.rs
@@ -9,8 +9,8 @@
 
 /// For how long a break may turn out to have been the upstream's end: one that is
 /// started again at once accepts connections as before, and tells of its new start
-/// with its next heartbeat to the store.
-const UNDECIDED: Duration = Duration::from_secs(10);
+/// with its next heartbeats to the store, of which some come late.
+const UNDECIDED: Duration = Duration::from_secs(4);
 /// Breaks that are kept; the oldest yield.
 const MOST: usize = 512;
 
@@ -41,7 +41,7 @@
         self.breaks.push_back((now, broken));
     }
 
-    /// Takes the breaks at a lifetime that has ended.
+    /// Takes the breaks at a lifetime that has ended, or shows that it has not.
     pub fn take(&mut self, lifetime: Lifetime) -> Vec<Break> {
         let all = std::mem::take(&mut self.breaks);
         let (of_lifetime, others) = all.into_iter().partition(|(_, b)| b.lifetime == lifetime);
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -133,6 +133,8 @@
         let mut board = self.gateway.board.borrow_mut();
         let time = board.clock.unix_millis(now);
         board.crashes.note_alive(lifetime, now);
+        // Those broke off for another reason.
+        board.breaks.take(lifetime);
         let changes = board.crashes.completed(self.digest, time, now);
         drop(board);
         self.gateway.note_verdicts(&changes, "own");
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -22,7 +22,7 @@
     time::{Duration, Instant},
 };
 
-use callers::{Callers, Kind, Sent};
+use callers::{Callers, HostileCaller, Kind, Sent};
 use faults::Faults;
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use proxy::Proxy;
@@ -45,19 +45,27 @@
     why: &'static str,
     /// Whether upstreams start again under their ids.
     restarts: bool,
+    /// Whether a caller sends requests that crash upstreams.
+    crashing: bool,
 }
 
-const CASES: [Case; 3] = [
-    Case { seed: 1, why: "a short run", restarts: false },
-    Case { seed: 2002, why: "a signal right after a start ended the process", restarts: false },
-    Case { seed: 3, why: "upstreams that start again", restarts: true },
+const CASES: [Case; 4] = [
+    Case { seed: 1, why: "a short run", restarts: false, crashing: false },
+    Case {
+        seed: 2002,
+        why: "a signal right after a start ended the process",
+        restarts: false,
+        crashing: false,
+    },
+    Case { seed: 3, why: "upstreams that start again", restarts: true, crashing: false },
+    Case { seed: 4, why: "requests that crash upstreams", restarts: true, crashing: true },
 ];
 
 #[test]
 fn promises_hold_under_faults() {
     for case in CASES {
         println!("seed {}: {}", case.seed, case.why);
-        soak(case.seed, Duration::from_secs(6), case.restarts);
+        soak(case.seed, Duration::from_secs(6), case.restarts, case.crashing);
     }
 }
 
@@ -72,7 +80,7 @@
     let first = number("SOAK_FIRST", 1);
     let seconds = Duration::from_secs(number("SOAK_SECONDS", 8));
     for seed in first..first + number("SOAK_COUNT", 50) {
-        soak(seed, seconds, true);
+        soak(seed, seconds, true, true);
     }
 }
 
@@ -105,6 +113,13 @@
     let two = json!([run("c0-0", "/plan/x"), run("c0-0", "/plan/x")]);
     let falling = json!([{ "path": "/usage", "fence": 3 }, { "path": "/usage", "fence": 2 }]);
     let report = |n| json!({ "path": "/usage", "fence": 3, "body": { "windowNumber": 7, "counts": { "temple": n } } });
+    let crashed = |n: u64| {
+        json!({ "request": format!("hostile-{n}"), "target": "GET /check/crash-1", "upstream": "i-1",
+                "customer": "temple", "end": "crashed", "began_ms": n * 3_000, "ended_ms": n * 3_000 + 30 })
+    };
+    let mut crashing = vec![run("c0-0", "/plan/x")];
+    crashing.extend((0..8).map(crashed));
+    let crashing = Value::Array(crashing);
     let cases = [
         Broken { name: "ran twice", runs: two, ..right() },
         Broken { name: "ran and was refused", status: 503, ..right() },
@@ -120,6 +135,7 @@
         Broken { name: "another path", runs: json!([run("c0-0", "/check/x")]), ..right() },
         Broken { name: "a falling fencing number", duties: falling, ..right() },
         Broken { name: "two counts of a window", duties: json!([report(1), report(2)]), ..right() },
+        Broken { name: "a request that crashes upstreams is sent on", runs: crashing, ..right() },
     ];
     let check = |case: &Broken| {
         let mut headers = HeaderMap::new();
@@ -162,11 +178,12 @@
     (site, links, upstreams)
 }
 
-fn soak(seed: u64, time: Duration, restarts: bool) {
+fn soak(seed: u64, time: Duration, restarts: bool, crashing: bool) {
     let (mut site, links, upstreams) = start();
     let addresses: Vec<_> = site.gateways.iter().map(|g| g.callers).collect();
     let addresses = Arc::new(Mutex::new(addresses));
     let callers = Callers::start(seed, CALLERS, &addresses);
+    let hostile = crashing.then(|| HostileCaller::start(seed, &addresses));
     let mut faults = Faults::new(seed, &mut site, &links, &upstreams);
     if restarts {
         faults = faults.with_upstream_restarts(seed);
@@ -174,6 +191,7 @@
     faults.play(time);
     let counts = std::mem::take(&mut faults.counts);
     let sent = callers.finish();
+    hostile.into_iter().for_each(HostileCaller::finish);
     recovers(&site, seed);
     let broken = check::broken_promises(&sent, &site.seen());
     let answered = sent.iter().filter(|s| s.answer.as_ref().is_some_and(|a| a.complete)).count();
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -140,3 +140,50 @@
         self.answer.as_ref().is_some_and(|a| refused.contains(&a.status))
     }
 }
+
+/// Start of the ids of requests that crash upstreams.
+pub const HOSTILE: &str = "hostile-";
+/// Start of the last part of their paths.
+pub const CRASHING: &str = "crash-";
+/// For how long the same is asked for before something new that crashes upstreams is.
+const SAME_FOR: Duration = Duration::from_secs(4);
+
+/// A caller whose requests crash the upstreams that run them. It sends the same again and
+/// again, at all gateways, and something new now and then.
+pub struct HostileCaller {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl HostileCaller {
+    pub fn start(seed: u64, addresses: &Arc<Mutex<Vec<SocketAddr>>>) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (stopped, addresses) = (stop.clone(), addresses.clone());
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let thread = thread::spawn(move || {
+            let began = Instant::now();
+            for n in 0_u64.. {
+                if stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                let known = addresses.lock().expect("no panic").clone();
+                let what = began.elapsed().as_secs() / SAME_FOR.as_secs();
+                let path = format!("/{}/{CRASHING}{what}", ["digest", "check"][what as usize % 2]);
+                let id = format!("{HOSTILE}{n}");
+                let mut call = match what % 2 {
+                    0 => Call::stream(&path, &id, 40),
+                    _ => Call::new("GET", &path, &id),
+                };
+                call.body = "crash".to_owned();
+                call.leaving_after(PATIENCE).send(known[rng.usize(..known.len())]);
+                thread::sleep(Duration::from_millis(rng.u64(50..200)));
+            }
+        });
+        Self { stop, thread }
+    }
+
+    pub fn finish(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.thread.join().expect("the hostile caller");
+    }
+}
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -1,12 +1,20 @@
 //! The promises, checked from what callers and upstreams saw.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
 
 use hyper::StatusCode;
 use serde_json::Value;
 
-use super::callers::{Kind, Sent};
+use super::callers::{CRASHING, HOSTILE, Kind, Sent};
 
+/// Time after the third end of an upstream under a request until no gateway sends it any
+/// more: three seconds, and 2.5 for which a gateway may be paused.
+const KNOWN_WITHIN: Duration = Duration::from_millis(5_500);
+/// Runs that are borne later than that.
+const RUNS_BORNE: usize = 3;
 /// Start of the ids of calls that look whether the system has recovered.
 pub const AFTER: &str = "after-";
 
@@ -24,9 +32,36 @@
         broken.extend(check_runs(sent, &runs));
     }
     // What is left ran without a caller, but for the calls after the faults.
-    of_request.retain(|id, _| !id.starts_with(AFTER));
+    of_request.retain(|id, _| !id.starts_with(AFTER) && !id.starts_with(HOSTILE));
     broken.extend(of_request.keys().map(|id| format!("{id:?} ran and was not sent")));
     broken.extend(check_duties(seen));
+    broken.extend(check_crashing(&runs));
+    broken
+}
+
+/// Once all gateways must know it, a request under which three upstreams ended is sent
+/// three times more at most.
+fn check_crashing(runs: &[Value]) -> Vec<String> {
+    let mut of_target: BTreeMap<&str, Vec<&Value>> = BTreeMap::new();
+    for run in runs {
+        let target = run["target"].as_str().unwrap_or_default();
+        if target.contains(CRASHING) {
+            of_target.entry(target).or_default().push(run);
+        }
+    }
+    let mut broken = Vec::new();
+    for (target, runs) in of_target {
+        let crashed = runs.iter().filter(|r| r["end"] == "crashed");
+        let end = |r: &&Value| (r["ended_ms"].as_u64(), r["upstream"].to_string());
+        let ends: BTreeSet<_> = crashed.map(end).collect();
+        let third = ends.iter().nth(2).and_then(|(at, _)| *at);
+        let known = third.map(|at| at + KNOWN_WITHIN.as_millis() as u64);
+        let late = runs.iter().filter(|r| known.is_some() && r["began_ms"].as_u64() > known);
+        let late = late.count();
+        if late > RUNS_BORNE {
+            broken.push(format!("{target}: {late} of {} runs after it must be known", runs.len()));
+        }
+    }
     broken
 }
 
