Copies that come one after the other do not put the verdict off; three moves

Cause: each new end began the wait for the word of others anew, and a copy that waited for its end was sent right then, before the next look at the book. A caller that comes again at once ended an upstream each 0.45 s, without a verdict. Ruled out: lost messages (all three gateways logged every end), a tie with another request (it stood alone at each end). Change: each end settles by itself, and a copy that waited is judged before it is sent. Moves: the other gateways on the board, outcomes and operators' questions have files of their own.

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -5,6 +5,7 @@
 mod lease;
 mod lifetimes;
 mod loads;
+mod peers;
 mod store;
 mod upstream;
 
@@ -20,12 +21,11 @@
 use super::{
     decide::{
         Breaks, CacheBelief, Candidate, CapacityRecord, CrashBook, EngineSpeed, LoadMeter,
-        Mechanism, QuotaBook, QuotaShare, Reader, RequestCost, RetryBook, SpeedModel, Steadiness,
-        SwitchedOff, TrueClock, UsageBook, reads_store,
+        Mechanism, QuotaBook, RequestCost, RetryBook, SpeedModel, Steadiness, SwitchedOff,
+        TrueClock, UsageBook,
     },
     model::{Configuration, Lifetime, Revision, ServiceName, Upstream},
-    net::Phase,
-    peering::{Heartbeat, LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport},
+    peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport},
 };
 use crate::ids::{DataCentre, UpstreamId};
 
@@ -34,6 +34,7 @@
 use store::LAPSE_SEEN;
 
 pub use lease::{LeaseView, OwnLease};
+pub use peers::PeerView;
 pub use store::{LAPSE_GRACE, StoreState};
 pub use upstream::{Described, Load, UpstreamView};
 
@@ -42,36 +43,15 @@
 /// Gateways that get each heartbeat. With more, each gets every few, and the
 /// cost of a process does not grow with their number.
 pub const HEARTBEAT_FAN_OUT: usize = 24;
-/// Silence after which a gateway is no longer named to callers: five
-/// heartbeats, so that a few lost datagrams change nothing.
-const SHORTEST_SILENCE: Duration = Duration::from_millis(800);
-/// The same where each gateway is heard less often, in mean intervals.
-const SILENT_INTERVALS: f64 = 3.0;
 /// Silence after which a gateway is taken not to serve any more. Until then it
 /// counts as one that may be cut off and use its part of quotas.
 pub const PEER_FORGOTTEN: Duration = Duration::from_secs(12);
 
-/// Time after the start in which the hosts that have announced themselves in
-/// the store count as serving, whether they were heard or not: with some
-/// hundred of them, a few heartbeats pass until most are.
-const ANNOUNCED_COUNT: Duration = Duration::from_secs(3);
-
 /// Longest wait for the requests that crash upstreams before any is sent. The store tells
 /// them within some ten milliseconds, another gateway within two heartbeats; where neither
 /// answers, there is no configuration to serve with either.
 const RECALL_WAIT: Duration = Duration::from_secs(2);
 
-/// Another gateway as last heard.
-#[derive(Clone, Debug)]
-pub struct PeerView {
-    /// What it last told.
-    pub last: Heartbeat,
-    /// When.
-    pub heard: Instant,
-    /// Whether its load is part of the sums.
-    counted: bool,
-}
-
 /// What this process believes.
 #[derive(Debug)]
 pub struct Board {
@@ -182,49 +162,6 @@
         self.recall_ended || now.saturating_duration_since(self.started) >= RECALL_WAIT
     }
 
-    /// Returns the silence after which a gateway counts as gone.
-    pub fn peer_silence(&self) -> Duration {
-        let beats = self.peers.len() as f64 / HEARTBEAT_FAN_OUT as f64;
-        HEARTBEAT_PERIOD.mul_f64(beats * SILENT_INTERVALS).max(SHORTEST_SILENCE)
-    }
-
-    /// Returns the gateways that were heard of late.
-    pub fn heard(&self, now: Instant) -> impl Iterator<Item = &PeerView> {
-        let silence = self.peer_silence();
-        let recent = move |p: &&PeerView| now.saturating_duration_since(p.heard) < silence;
-        self.peers.values().filter(recent)
-    }
-
-    /// Returns which part of quotas this process may count on.
-    pub fn quota_share(&self, now: Instant) -> QuotaShare {
-        let heard = 1 + self.heard(now).count();
-        let young = now.saturating_duration_since(self.started) < ANNOUNCED_COUNT;
-        let announced = if young { self.announced } else { 0 };
-        QuotaShare { heard, members: announced.max(1 + self.peers.len()) }
-    }
-
-    /// Returns whether this process reads the store: the first few processes
-    /// that the store answers do, and tell the others. So does a process that has
-    /// no configuration to serve with.
-    pub fn watches_store(&self, process: &str, now: Instant) -> bool {
-        if self.configuration.is_none() {
-            return true;
-        }
-        let own = Reader { turned_away: matches!(self.store, StoreState::Away(_)), process };
-        let serving = self.peers.iter().filter(|(_, p)| p.last.phase == Phase::Serving);
-        let silence = self.peer_silence();
-        let heard = serving.filter(|(_, p)| now.saturating_duration_since(p.heard) < silence);
-        let others =
-            heard.map(|(process, p)| Reader { turned_away: !p.last.store_answers, process });
-        reads_store(own, others)
-    }
-
-    /// Returns whether some process knows that the store has answered all
-    /// along: then a row that is gone is gone for good.
-    pub fn store_was_there(&self, now: Instant) -> bool {
-        self.steadiness.is_steady(now) || self.heard(now).any(|p| p.last.store_steady)
-    }
-
     /// Returns until when a row that disappears may come back: it may have
     /// lapsed while the store was away.
     pub fn lapse_ends(&self, now: Instant) -> Option<Instant> {
@@ -237,12 +174,6 @@
         }
     }
 
-    /// Returns whether another gateway has a newer configuration.
-    pub fn configuration_is_behind(&self, now: Instant) -> bool {
-        let own = self.configuration_version();
-        self.heard(now).any(|p| p.last.configuration > own)
-    }
-
     /// Returns the upstreams of a service that take new work.
     pub fn serving<'a>(
         &'a self,
@@ -303,50 +234,6 @@
         self.lifetimes.retain(|id| self.upstreams.contains_key(id));
     }
 
-    /// Takes over a heartbeat; returns when its process was heard before, if it was.
-    pub fn hear(
-        &mut self,
-        process: ProcessId,
-        heartbeat: Heartbeat,
-        now: Instant,
-    ) -> Option<Instant> {
-        if !self.peers.contains_key(&process) {
-            self.end_earlier_processes(&heartbeat.host);
-        }
-        self.others_load.add(&heartbeat.loads);
-        let view = PeerView { last: heartbeat, heard: now, counted: true };
-        let before = self.peers.insert(process, view)?;
-        if before.counted {
-            self.others_load.take_off(&before.last.loads);
-        }
-        Some(before.heard)
-    }
-
-    /// Forgets processes of a host on which a new one has started.
-    fn end_earlier_processes(&mut self, host: &str) {
-        let of_host = self.peers.iter().filter(|(_, p)| p.last.host == host);
-        let ended: Vec<ProcessId> = of_host.map(|(id, _)| id.clone()).collect();
-        ended.iter().for_each(|id| self.forget_peer(id));
-    }
-
-    /// Forgets another gateway.
-    pub fn forget_peer(&mut self, process: &ProcessId) {
-        if let Some(peer) = self.peers.remove(process).filter(|p| p.counted) {
-            self.others_load.take_off(&peer.last.loads);
-        }
-    }
-
-    /// Takes off the load of gateways that have fallen silent.
-    pub fn forget_silent_loads(&mut self, now: Instant) {
-        let silence = self.peer_silence();
-        for peer in self.peers.values_mut().filter(|p| p.counted) {
-            if now.saturating_duration_since(peer.heard) >= silence {
-                peer.counted = false;
-                self.others_load.take_off(&peer.last.loads);
-            }
-        }
-    }
-
     /// Returns the load that the other processes put on an upstream, as last heard.
     pub fn others_load(&self, view: &UpstreamView) -> Load {
         self.others_load.on(view.lifetime)
@@ -406,10 +293,4 @@
         let loaded = self.upstreams.values().filter(|v| v.own != Load::default());
         loaded.map(|v| LoadReport(v.lifetime, v.own.running, v.own.pending_tokens)).collect()
     }
-
-    /// Returns the gateways that callers may use, as heard of late.
-    pub fn serving_peers(&self, now: Instant) -> impl Iterator<Item = &PeerView> {
-        let serves = |p: &&PeerView| p.last.phase == Phase::Serving && p.last.configuration > 0;
-        self.heard(now).filter(serves)
-    }
 }
--- a/src/gateway/decide/crashes/book.rs
+++ b/src/gateway/decide/crashes/book.rs
@@ -91,9 +91,13 @@
         if self.copies.is_running(digest) {
             return Permission::AfterCopy;
         }
-        if let Some(settled) = suspect.settles_at().filter(|at| ends >= needed && now < *at) {
+        if let Some(settled) = suspect.settles_at(needed).filter(|at| now < *at) {
             return Permission::Settles(settled);
         }
+        // The verdict follows with the next look at the book.
+        if self.is_culprit(digest, time, now) {
+            return Permission::Never;
+        }
         let isolated = ENDS_TO_ISOLATE.min(needed);
         if ends < isolated { Permission::Free } else { Permission::Apart }
     }
@@ -162,22 +166,22 @@
     /// it shows that they were sent on beside another.
     pub fn conclude(&mut self, time: UnixMillis, now: Instant) -> Vec<Change> {
         let mut changes = Vec::new();
-        for digest in self.evidence.settled(now) {
+        for digest in self.evidence.recent(now) {
             if self.quarantine.contains(digest) {
                 if self.evidence.is_companion(digest) {
                     changes.extend(self.release(digest, time, now));
                 }
-            } else if self.is_culprit(digest, time) {
+            } else if self.is_culprit(digest, time, now) {
                 changes.extend(self.hold(digest, time, now));
             }
         }
         changes
     }
 
-    fn is_culprit(&self, digest: RequestDigest, time: UnixMillis) -> bool {
+    fn is_culprit(&self, digest: RequestDigest, time: UnixMillis, now: Instant) -> bool {
         let held = |other| self.quarantine.contains(other);
         let needed = |customer: &CustomerName| self.needed(customer, time);
-        self.evidence.is_culprit(digest, &Known { held: &held, needed: &needed })
+        self.evidence.is_culprit(digest, &Known { held: &held, needed: &needed }, now)
     }
 
     /// Returns how many ends it takes to hold a request of a customer.
--- a/src/gateway/decide/crashes/evidence.rs
+++ b/src/gateway/decide/crashes/evidence.rs
@@ -55,24 +55,47 @@
     pub customer: CustomerName,
     /// Lifetimes that ended, each once however many processes saw it.
     pub ends: Vec<Lifetime>,
-    /// When the newest of them was noted here.
-    pub noted: Option<Instant>,
+    /// When each of them was noted here, the oldest first.
+    noted: Vec<Instant>,
     /// Number of its first end among all that were noted.
     order: u64,
 }
 
 impl Suspect {
-    /// Returns when all will have had the time to tell of its newest end.
-    pub fn settles_at(&self) -> Option<Instant> {
-        self.noted.map(|at| at + SETTLES_IN)
+    /// Returns when so many ends will have settled: all processes that saw them will have
+    /// had the time to tell of them. Later ends do not put that off: a caller that comes
+    /// again at once would otherwise end an upstream each time, before any verdict.
+    pub fn settles_at(&self, ends: usize) -> Option<Instant> {
+        self.noted.get(ends.checked_sub(1)?).map(|at| *at + SETTLES_IN)
     }
 
-    fn is_settled(&self, now: Instant) -> bool {
-        self.settles_at().is_none_or(|at| now >= at)
+    /// Returns how many ends have settled.
+    fn settled_ends(&self, now: Instant) -> usize {
+        self.noted.iter().filter(|at| now >= **at + SETTLES_IN).count()
     }
 
     fn is_recent(&self, now: Instant) -> bool {
-        self.noted.is_some_and(|at| now.saturating_duration_since(at) < LOOKED_AT_FOR)
+        let newest = self.noted.last();
+        newest.is_some_and(|at| now.saturating_duration_since(*at) < LOOKED_AT_FOR)
+    }
+
+    fn add(&mut self, end: Lifetime, now: Instant) -> bool {
+        let is_new = !self.ends.contains(&end) && self.ends.len() < MOST_ENDS;
+        if is_new {
+            self.ends.push(end);
+            self.noted.push(now);
+        }
+        is_new
+    }
+
+    /// Takes an end back; returns whether it was there.
+    fn take_back(&mut self, end: Lifetime) -> bool {
+        let Some(i) = self.ends.iter().position(|e| *e == end) else {
+            return false;
+        };
+        self.ends.remove(i);
+        self.noted.remove(i);
+        true
     }
 }
 
@@ -114,17 +137,8 @@
             order: self.noted,
             ..Suspect::default()
         });
-        let before = suspect.ends.len();
-        for end in &report.ends {
-            if !suspect.ends.contains(end) && suspect.ends.len() < MOST_ENDS {
-                suspect.ends.push(*end);
-            }
-        }
-        let is_new = suspect.ends.len() > before;
-        if is_new {
-            suspect.noted = Some(now);
-        }
-        is_new
+        let new = report.ends.iter().filter(|end| suspect.add(**end, now));
+        new.count() > 0
     }
 
     /// Takes back the end of an upstream that lives: a cut that refuses connections looks
@@ -132,9 +146,7 @@
     pub fn take_back(&mut self, end: Lifetime) -> bool {
         let mut known = false;
         self.suspects.retain(|_, suspect| {
-            let before = suspect.ends.len();
-            suspect.ends.retain(|e| *e != end);
-            known |= suspect.ends.len() < before;
+            known |= suspect.take_back(end);
             !suspect.ends.is_empty()
         });
         known
@@ -150,12 +162,10 @@
         self.suspects.remove(&digest).is_some()
     }
 
-    /// Returns the requests whose ends have settled of late: every process that saw the
-    /// newest of them has had the time to tell of it.
-    pub fn settled(&self, now: Instant) -> Vec<RequestDigest> {
-        let of_late = |s: &Suspect| s.is_settled(now) && s.is_recent(now);
-        let settled = self.suspects.iter().filter(|(_, s)| of_late(s));
-        settled.map(|(digest, _)| *digest).collect()
+    /// Returns the requests under which an upstream ended of late.
+    pub fn recent(&self, now: Instant) -> Vec<RequestDigest> {
+        let recent = self.suspects.iter().filter(|(_, s)| s.is_recent(now));
+        recent.map(|(digest, _)| *digest).collect()
     }
 
     /// Returns whether some other request stands at all ends of this one and at more: this
@@ -177,13 +187,13 @@
     }
 
     /// Returns whether a request explains the ends under it better than any other that
-    /// was running there.
-    pub fn is_culprit(&self, digest: RequestDigest, known: &Known<'_>) -> bool {
+    /// was running there, as far as these ends have settled.
+    pub fn is_culprit(&self, digest: RequestDigest, known: &Known<'_>, now: Instant) -> bool {
         let Some(suspect) = self.suspects.get(&digest) else {
             return false;
         };
         let (own, needed) = (suspect.ends.len(), (known.needed)(&suspect.customer));
-        if own < needed {
+        if suspect.settled_ends(now) < needed {
             return false;
         }
         let explains = |(other, s): (RequestDigest, &Suspect)| {
--- a/src/gateway/decide/crashes/mod.rs
+++ b/src/gateway/decide/crashes/mod.rs
@@ -19,4 +19,4 @@
 pub use copies::CopyReport;
 pub use evidence::SuspectReport;
 pub use news::CrashNews;
-pub use quarantine::{Verdict, VerdictReport};
+pub use quarantine::{CrashVerdict, VerdictReport};
--- a/src/gateway/decide/crashes/quarantine.rs
+++ b/src/gateway/decide/crashes/quarantine.rs
@@ -28,7 +28,7 @@
 
 /// What is known of a request that was held for crashes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Verdict {
+pub struct CrashVerdict {
     /// Whose it is; empty for an open route.
     pub customer: CustomerName,
     /// Odd while it is quarantined, even once it is released; rises with each change.
@@ -39,7 +39,7 @@
     pub trials: u32,
 }
 
-impl Verdict {
+impl CrashVerdict {
     /// Returns whether the request is sent to no upstream.
     pub fn is_quarantined(&self) -> bool {
         self.edition % 2 == 1
@@ -65,19 +65,19 @@
     /// The request.
     pub RequestDigest,
     /// What is known of it.
-    pub Verdict,
+    pub CrashVerdict,
 );
 
 /// Requests that are or were held for crashes.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    verdicts: BTreeMap<RequestDigest, Verdict>,
+    verdicts: BTreeMap<RequestDigest, CrashVerdict>,
 }
 
 impl Quarantine {
     /// Returns whether a request is sent to no upstream.
     pub fn contains(&self, digest: RequestDigest) -> bool {
-        self.verdicts.get(&digest).is_some_and(Verdict::is_quarantined)
+        self.verdicts.get(&digest).is_some_and(CrashVerdict::is_quarantined)
     }
 
     /// Returns whether a request that is quarantined may be tried again.
@@ -117,11 +117,11 @@
         held: bool,
     ) -> Option<VerdictReport> {
         let before = self.verdicts.get(&digest);
-        if before.is_some_and(Verdict::is_quarantined) == held {
+        if before.is_some_and(CrashVerdict::is_quarantined) == held {
             return None;
         }
         let edition = before.map_or(0, |v| v.edition) + 1;
-        let verdict = Verdict { customer: customer.clone(), edition, at_ms: time, trials: 0 };
+        let verdict = CrashVerdict { customer: customer.clone(), edition, at_ms: time, trials: 0 };
         let report = VerdictReport(digest, verdict);
         self.merge(report.clone());
         Some(report)
@@ -153,7 +153,7 @@
     fn of_customer(
         &self,
         customer: &CustomerName,
-    ) -> impl Iterator<Item = (&RequestDigest, &Verdict)> {
+    ) -> impl Iterator<Item = (&RequestDigest, &CrashVerdict)> {
         self.verdicts.iter().filter(move |(_, v)| v.customer == *customer)
     }
 
@@ -168,7 +168,7 @@
     /// Drops the oldest verdict of a customer, those on released requests first.
     fn drop_oldest(&mut self, customer: &CustomerName) {
         let age =
-            |(digest, v): &(&RequestDigest, &Verdict)| (v.is_quarantined(), v.at_ms, **digest);
+            |(digest, v): &(&RequestDigest, &CrashVerdict)| (v.is_quarantined(), v.at_ms, **digest);
         let oldest = self.of_customer(customer).min_by_key(age).map(|(digest, _)| *digest);
         if let Some(digest) = oldest {
             self.verdicts.remove(&digest);
@@ -183,7 +183,7 @@
     /// Returns how many requests of a customer were quarantined of late.
     pub fn record(&self, customer: &CustomerName, time: UnixMillis) -> usize {
         let since = time.saturating_sub(RECORD.as_millis() as u64);
-        let counts = |v: &&Verdict| v.customer == *customer && v.is_quarantined();
+        let counts = |v: &&CrashVerdict| v.customer == *customer && v.is_quarantined();
         self.verdicts.values().filter(counts).filter(|v| v.at_ms >= since).count()
     }
 
@@ -199,7 +199,7 @@
 
     /// Returns a number that is the same wherever the same verdicts are known; 0 for none.
     pub fn mark(&self) -> u64 {
-        let one = |(digest, v): (&RequestDigest, &Verdict)| {
+        let one = |(digest, v): (&RequestDigest, &CrashVerdict)| {
             let numbers = format!("{digest} {} {} {}", v.edition, v.trials, v.at_ms);
             crate::prefix::hash(numbers.as_bytes())
         };
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -29,8 +29,8 @@
 pub use capacity::{CapacityInput, CapacityPolicy, Fleet, Wish, needed_at_start, plan_engines};
 pub use clock::TrueClock;
 pub use crashes::{
-    Break, Breaks, Change, CopyReport, CrashBook, CrashNews, Permission, SuspectReport,
-    Verdict as CrashVerdict, VerdictReport,
+    Break, Breaks, Change, CopyReport, CrashBook, CrashNews, CrashVerdict, Permission,
+    SuspectReport, VerdictReport,
 };
 pub use engine::{Candidate, choose_engine, least_to_lose, predicted_wait};
 pub use kept::{CapacityRecord, Kept};
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -4,6 +4,7 @@
     cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration,
 };
 
+use stakker::call;
 use tokio::sync::OnceCell;
 
 use super::{Refusal, attempt::STARTED_AGAIN, forward::Forwarding, select::Selected};
@@ -78,11 +79,9 @@
         drop(guard);
         self.metrics.upstream_ends.inc();
         self.log(&Event::UpstreamEnded { upstream, under: &under });
-        self.tell(|c| stakker::call!([c.crashes], tell_now()));
+        self.tell(|c| call!([c.crashes], tell_now()));
     }
-}
 
-impl Gateway {
     /// Releases a request that is held for crashes of upstreams, as an operator wishes;
     /// returns whether it was.
     pub fn release(&self, digest: RequestDigest) -> bool {
@@ -92,7 +91,7 @@
         let changes = board.crashes.release(digest, time, now);
         drop(board);
         self.note_verdicts(&changes, "operator");
-        self.tell(|c| stakker::call!([c.crashes], tell_now()));
+        self.tell(|c| call!([c.crashes], tell_now()));
         !changes.is_empty()
     }
 }
--- a/src/gateway/request/doors.rs
+++ b/src/gateway/request/doors.rs
@@ -3,23 +3,20 @@
 use std::{net::SocketAddr, rc::Rc, time::Instant};
 
 use hyper::{
-    Method, Request, Response, StatusCode,
+    Request, Response, StatusCode,
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
-use serde::Serialize;
 
-use super::forward::forward;
+use super::{forward::forward, operators};
 use crate::{
     clock,
     gateway::{
         context::Gateway,
-        decide::VerdictReport,
         net::{AnswerBody, Phase, Service, full_body},
         peering::{UpstreamSnapshot, encode_verdicts},
     },
     platform::{decode_lookup, encode_addresses, is_ready_probe},
-    time::UnixMillis,
 };
 
 /// Seconds for which callers keep the addresses that they are told. A shorter
@@ -28,9 +25,6 @@
 /// Addresses that one answer names at most; callers use no more.
 const MOST_ADDRESSES: usize = 64;
 
-/// Path under which operators see and release requests that crash upstreams.
-const OPERATORS_QUARANTINE: &str = "/quarantine";
-
 /// Which address a request came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DoorKind {
@@ -64,13 +58,16 @@
     }
 }
 
-fn with_status(status: StatusCode, body: impl Into<bytes::Bytes>) -> Response<AnswerBody> {
+pub(super) fn with_status(
+    status: StatusCode,
+    body: impl Into<bytes::Bytes>,
+) -> Response<AnswerBody> {
     let mut response = Response::new(full_body(body));
     *response.status_mut() = status;
     response
 }
 
-fn with_type(body: impl Into<bytes::Bytes>, kind: &'static str) -> Response<AnswerBody> {
+pub(super) fn with_type(body: impl Into<bytes::Bytes>, kind: &'static str) -> Response<AnswerBody> {
     let mut response = Response::new(full_body(body));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
     response
@@ -113,8 +110,8 @@
 
 fn peers(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
     let path = request.uri().path();
-    if let Some(rest) = path.strip_prefix(OPERATORS_QUARANTINE) {
-        return operators_quarantine(gateway, request.method(), rest);
+    if let Some(rest) = path.strip_prefix(operators::QUARANTINE) {
+        return operators::quarantine(gateway, request.method(), rest);
     }
     match path {
         "/peer/configuration" => {
@@ -139,55 +136,6 @@
     }
 }
 
-/// Answers operators' questions about requests that are held for crashes of upstreams:
-/// `GET` lists them, `DELETE` with a digest releases one in the whole fleet.
-fn operators_quarantine(gateway: &Gateway, method: &Method, rest: &str) -> Response<AnswerBody> {
-    match (method, rest.strip_prefix('/')) {
-        (&Method::GET, None) if rest.is_empty() => list_quarantine(gateway),
-        (&Method::DELETE, Some(digest)) => match digest.parse() {
-            Ok(digest) if gateway.release(digest) => with_status(StatusCode::OK, "released\n"),
-            Ok(_) => with_status(StatusCode::NOT_FOUND, "it is not quarantined\n"),
-            Err(e) => with_status(StatusCode::BAD_REQUEST, format!("{e}\n")),
-        },
-        _ => with_status(StatusCode::NOT_FOUND, "no such question\n"),
-    }
-}
-
-/// A request that is held, as operators see it.
-#[derive(Serialize)]
-struct HeldRequest {
-    digest: String,
-    customer: String,
-    /// When it was quarantined, or tried since, in milliseconds of Unix time.
-    at_ms: UnixMillis,
-    /// How often it was tried since it was quarantined.
-    trials: u32,
-    /// Ends of upstreams under it that this process knows of.
-    ends: usize,
-}
-
-fn list_quarantine(gateway: &Gateway) -> Response<AnswerBody> {
-    let board = gateway.board.borrow();
-    let verdicts = board.crashes.verdicts();
-    let held = verdicts.into_iter().filter(|VerdictReport(_, v)| v.is_quarantined());
-    let list: Vec<HeldRequest> = held
-        .map(|VerdictReport(digest, verdict)| HeldRequest {
-            digest: digest.to_string(),
-            customer: verdict.customer,
-            at_ms: verdict.at_ms,
-            trials: verdict.trials,
-            ends: board.crashes.ends(digest).len(),
-        })
-        .collect();
-    match serde_json::to_vec(&list) {
-        Ok(json) => with_type(json, "application/json"),
-        Err(e) => {
-            log::error!("the quarantined requests cannot be listed: {e}");
-            with_status(StatusCode::INTERNAL_SERVER_ERROR, "unwritable\n")
-        }
-    }
-}
-
 fn quarantine(gateway: &Gateway) -> Response<AnswerBody> {
     match encode_verdicts(&gateway.board.borrow().crashes.verdicts()) {
         Ok(bytes) => with_type(bytes, "application/octet-stream"),
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -12,9 +12,9 @@
 };
 
 use super::{
-    EventSplitter,
+    EventSplitter, Outcome,
     attempt::{AttemptEnd, attempt},
-    forward::{Forwarding, Outcome},
+    forward::Forwarding,
     select::Selected,
 };
 use crate::{
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -4,11 +4,7 @@
 
 use hyper::{Response, StatusCode};
 
-use super::{
-    Admitted, Refusal,
-    forward::{Forwarding, Outcome},
-    select::Selected,
-};
+use super::{Admitted, Outcome, Refusal, forward::Forwarding, select::Selected};
 use crate::{
     clock,
     gateway::{
--- a/tests/gateway_crash_book.rs
+++ b/tests/gateway_crash_book.rs
@@ -228,6 +228,30 @@
     assert!(book.quarantined() <= 65, "{} verdicts", book.quarantined());
 }
 
+/// Callers come again as soon as they may, and each copy ends one more upstream. The
+/// verdict must not wait for a pause between them that never comes.
+#[test]
+fn copies_that_come_one_after_the_other_do_not_put_the_verdict_off() {
+    for gap_ms in [1, 50, 200, 399, 400, 401, 450, 1_000] {
+        let (mut book, mut now) = (CrashBook::default(), Instant::now());
+        let (mut at, start) = (0, now);
+        while now < start + Duration::from_secs(20) {
+            match book.permission(request(1), TIME, now) {
+                Permission::Settles(settled) => now = settled,
+                Permission::Never => break,
+                _ => {
+                    end(&mut book, at, &[1, 100 + at], now);
+                    at += 1;
+                    now += Duration::from_millis(gap_ms);
+                }
+            }
+        }
+        assert_eq!(at, 3, "copies each {gap_ms} ms: {at} upstreams ended");
+        book.conclude(TIME, now);
+        assert_eq!(book.quarantined(), 1, "copies each {gap_ms} ms");
+    }
+}
+
 /// A customer's own record decides how much is borne of its next requests.
 #[test]
 fn ever_new_crashing_requests_of_one_customer_cost_less_each_time() {
@@ -243,6 +267,7 @@
                 book.note_end(Break { digest, customer, lifetime: upstream(at) }, now);
             }
             at += 1;
+            assert!(at < 100, "request {n} is never held");
             now += SETTLED;
             book.conclude(TIME, now);
         }
@@ -482,6 +507,7 @@
         let mut told_at_once = vec![false; gateways];
         while !all_know(&books, start + STEP * beats) {
             beats += 1;
+            assert!(beats < 100, "{gateways} gateways never know");
             let now = start + STEP * beats;
             for from in 0..gateways {
                 let Some(news) = books[from].news(now) else {
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -72,6 +72,18 @@
     ends.into_iter().filter_map(|(at, _)| at).collect()
 }
 
+/// Returns what the gateways logged of ends of upstreams and what they concluded.
+fn crash_lines(site: &Site) -> String {
+    let of_interest = |l: &Value| {
+        let request = l["request"].as_str().is_some_and(|id| id.starts_with('/'));
+        request || l["event"] == "upstream_ended" || l["event"] == "verdict"
+    };
+    let lines = site.gateways.iter().flat_map(|g| g.log());
+    let mut lines: Vec<String> = lines.filter(of_interest).map(|l| l.to_string()).collect();
+    lines.sort_by_key(|l| l.split("time_ms\":").nth(1).map(str::to_owned));
+    lines.join("\n")
+}
+
 /// Sends copies at all gateways: some at once, then one after another for a while.
 fn send_copies(gateways: &[SocketAddr], method: &'static str, path: &'static str) {
     let at_once: Vec<_> = (0..AT_ONCE * gateways.len())
@@ -113,7 +125,8 @@
         let third = ends_of(&runs).get(2).copied().unwrap_or(u64::MAX);
         let known = third.saturating_add(KNOWN_WITHIN.as_millis() as u64);
         let ends = ends_of(&runs).len();
-        assert!(ends <= ENDS_BORNE, "{}: {ends} upstreams ended", case.name);
+        let told = || crash_lines(&site);
+        assert!(ends <= ENDS_BORNE, "{}: {ends} upstreams ended\n{}", case.name, told());
         let late = runs.iter().filter(|r| r["began_ms"].as_u64() > Some(known)).count();
         assert!(late <= RUNS_BORNE, "{}: {late} of {} runs too late", case.name, runs.len());
         for gateway in &gateways {
