--- /dev/null
+++ b/tests/gateway_crash_messages.rs
@@ -0,0 +1,91 @@
+//! Messages about requests that crash upstreams: they come back as they went, are told
+//! apart from heartbeats, and keep their bounds.
+
+use tackhollow::gateway::{
+    decide::{CrashBook, CrashNews, CrashVerdict, SuspectReport, VerdictReport},
+    model::{Lifetime, RequestDigest},
+    peering::{CrashNotice, Datagram, WireError, decode_verdicts, encode_verdicts},
+};
+
+fn request(n: u64) -> RequestDigest {
+    RequestDigest::of(&[&n.to_le_bytes()])
+}
+
+fn notice(suspects: u64) -> CrashNotice {
+    let suspect = |n| SuspectReport {
+        digest: request(n),
+        customer: "temple-fairs".to_owned(),
+        ends: vec![Lifetime::new(&format!("i-{n}"), Some(1_700_000_000_000))],
+    };
+    CrashNotice {
+        process: "frontend-bkk-bangna-1.7f3a91c2d07be2a3".to_owned(),
+        peers: ([10, 1, 0, 14], 8_229).into(),
+        number: 7,
+        news: CrashNews { suspects: (0..suspects).map(suspect).collect(), ..CrashNews::default() },
+    }
+}
+
+fn verdict(n: u64, customer: &str) -> VerdictReport {
+    let customer = customer.to_owned();
+    let at_ms = 1_700_000_000_000 + n;
+    VerdictReport(request(n), CrashVerdict { customer, edition: 1, at_ms, trials: 0 })
+}
+
+#[test]
+fn notices_come_back_as_they_went() {
+    struct Case {
+        name: &'static str,
+        suspects: u64,
+        /// Most bytes that it takes: one packet holds 1,400.
+        most: usize,
+    }
+    let cases = [
+        Case { name: "nothing but the sender", suspects: 0, most: 70 },
+        Case { name: "one end of an upstream at seven gateways", suspects: 10, most: 500 },
+        Case { name: "as much as is told at once", suspects: 64, most: 2_800 },
+    ];
+    for case in cases {
+        let notice = notice(case.suspects);
+        let bytes = notice.encode().expect(case.name);
+        println!("{}: {} bytes", case.name, bytes.len());
+        assert!(bytes.len() <= case.most, "{}: {} bytes", case.name, bytes.len());
+        let read = Datagram::decode(&bytes).expect(case.name);
+        assert_eq!(read, Datagram::Crashes(notice), "{}", case.name);
+    }
+}
+
+#[test]
+fn what_is_no_message_is_said_so() {
+    struct Case {
+        name: &'static str,
+        bytes: Vec<u8>,
+    }
+    let mut cut = notice(3).encode().expect("a notice");
+    cut.truncate(cut.len() / 2);
+    let cases = [
+        Case { name: "empty", bytes: vec![] },
+        Case { name: "another format", bytes: vec![200, 1, 2] },
+        Case { name: "cut off", bytes: cut },
+    ];
+    for case in cases {
+        assert!(Datagram::decode(&case.bytes).is_err(), "{}", case.name);
+        let verdicts: Result<_, WireError> = decode_verdicts(&case.bytes);
+        assert!(verdicts.is_err(), "{}", case.name);
+    }
+}
+
+/// As many verdicts as are kept fit into one row of the platform's store, in base64.
+#[test]
+fn all_verdicts_fit_into_a_row() {
+    const ROW_BYTES: usize = 65_536;
+    let mut book = CrashBook::default();
+    let now = std::time::Instant::now();
+    for n in 0..5_000 {
+        book.merge(vec![verdict(n, &format!("customer-{}", n % 100))], now);
+    }
+    let verdicts = book.verdicts();
+    let bytes = encode_verdicts(&verdicts).expect("verdicts");
+    println!("{} verdicts: {} bytes", verdicts.len(), bytes.len());
+    assert!(bytes.len().div_ceil(3) * 4 <= ROW_BYTES, "{} bytes", bytes.len());
+    assert_eq!(decode_verdicts(&bytes).expect("verdicts"), verdicts);
+}
