What others see run to good ends is held by nobody; a good end speaks for ten seconds

Cause: a gateway that had just started saw upstreams end under a request that all callers send, and none of the good ends at the others, who had no reason to tell of them. After three ends it quarantined the request for the whole fleet. Ruled out: ends that were none (upstreams had started again each time). Change: whoever hears of a suspect that ran to a good end in the last ten seconds says so, and releases what was quarantined against that. A good end no longer speaks for minutes: upstreams of a new version may not bear what those before did.

--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -165,8 +165,9 @@
         let now = cx.now();
         let mark = notice.news.mark;
         let mut board = self.gateway.board.borrow_mut();
+        let time = board.clock.unix_millis(now);
         let CrashNotice { process, peers, number, news } = notice;
-        let changes = board.crashes.hear(&process, number, news, now);
+        let changes = board.crashes.hear(&process, number, news, time, now);
         let own = board.crashes.mark();
         drop(board);
         self.gateway.note_verdicts(&changes, &process);
@@ -201,7 +202,10 @@
 
     /// Takes over verdicts.
     pub fn take(&mut self, cx: CX![], verdicts: Vec<VerdictReport>, source: &'static str) {
-        let changes = self.gateway.board.borrow_mut().crashes.merge(verdicts, cx.now());
+        let mut board = self.gateway.board.borrow_mut();
+        let time = board.clock.unix_millis(cx.now());
+        let changes = board.crashes.merge(verdicts, time, cx.now());
+        drop(board);
         self.gateway.note_verdicts(&changes, source);
     }
 
@@ -283,6 +287,6 @@
 /// Returns the mark of these verdicts.
 fn mark_of(verdicts: &[VerdictReport], now: Instant) -> u64 {
     let mut book = crate::gateway::decide::CrashBook::default();
-    book.merge(verdicts.to_vec(), now);
+    book.merge(verdicts.to_vec(), 0, now);
     book.mark()
 }
--- a/src/gateway/decide/crashes/book.rs
+++ b/src/gateway/decide/crashes/book.rs
@@ -150,7 +150,7 @@
     pub fn note_end(&mut self, broken: Break, now: Instant) {
         let Break { digest, customer, lifetime } = broken;
         let report = SuspectReport { digest, customer, ends: vec![lifetime] };
-        if !self.proven.contains(digest) && self.evidence.add(&report, now) {
+        if !self.proven.contains(digest, now) && self.evidence.add(&report, now) {
             self.told_suspects.push(digest, now);
         }
     }
@@ -212,7 +212,7 @@
         time: UnixMillis,
         now: Instant,
     ) -> Vec<Change> {
-        self.proven.note(digest);
+        self.proven.note(digest, now);
         let suspected = self.evidence.clear(digest);
         let released = self.release(digest, time, now);
         if suspected || !released.is_empty() {
@@ -242,11 +242,12 @@
         process: &ProcessId,
         number: u64,
         news: CrashNews,
+        time: UnixMillis,
         now: Instant,
     ) -> Vec<Change> {
         self.copies.hear(process, number, news.copies, now);
         for digest in news.cleared {
-            self.proven.note(digest);
+            self.proven.note(digest, now);
             if self.evidence.clear(digest) {
                 self.told_cleared.push(digest, now);
             }
@@ -257,7 +258,12 @@
         let alive = self.told_alive.list(now);
         for mut report in news.suspects {
             report.ends.retain(|end| !alive.contains(end));
-            if self.proven.contains(report.digest) || report.ends.is_empty() {
+            if self.proven.contains(report.digest, now) {
+                // The sender does not know: it may have started just now.
+                self.told_cleared.push(report.digest, now);
+                continue;
+            }
+            if report.ends.is_empty() {
                 continue;
             }
             let is_new = self.evidence.add(&report, now);
@@ -265,11 +271,25 @@
                 self.told_suspects.push(report.digest, now);
             }
         }
-        self.merge(news.verdicts, now)
+        self.merge(news.verdicts, time, now)
+    }
+
+    /// Releases requests that were quarantined just now and ran to a good end here of late:
+    /// whoever held them has not seen that.
+    fn release_proven(&mut self, held: &[Change], time: UnixMillis, now: Instant) -> Vec<Change> {
+        let held = held.iter().filter(|change| change.quarantined).map(|change| change.digest);
+        let proven: Vec<_> = held.filter(|digest| self.proven.contains(*digest, now)).collect();
+        proven.into_iter().flat_map(|digest| self.release(digest, time, now)).collect()
     }
 
-    /// Takes over verdicts of other processes, or of the platform's store.
-    pub fn merge(&mut self, verdicts: Vec<VerdictReport>, now: Instant) -> Vec<Change> {
+    /// Takes over verdicts of other processes, or of the platform's store, and releases
+    /// again what ran to a good end here.
+    pub fn merge(
+        &mut self,
+        verdicts: Vec<VerdictReport>,
+        time: UnixMillis,
+        now: Instant,
+    ) -> Vec<Change> {
         let mut changes = Vec::new();
         for report in verdicts {
             let (digest, customer) = (report.0, report.1.customer.clone());
@@ -285,6 +305,7 @@
                 changes.push(self.change(digest, customer));
             }
         }
+        changes.extend(self.release_proven(&changes, time, now));
         changes
     }
 
--- a/tests/gateway_crash_book.rs
+++ b/tests/gateway_crash_book.rs
@@ -102,7 +102,7 @@
     let mut book = CrashBook::default();
     for (n, news) in news.iter().enumerate() {
         for number in 1..3 {
-            book.hear(&format!("g-{n}"), number, news.clone(), now);
+            book.hear(&format!("g-{n}"), number, news.clone(), TIME, now);
         }
     }
     assert_eq!(book.ends(request(1)).len(), 1);
@@ -121,21 +121,21 @@
     assert_eq!(here.permission(request(1), TIME, now), Permission::AfterCopy, "at 8");
 
     let news = here.news(now).expect("an end and a copy");
-    there.hear(&"here".to_owned(), 2, news, now);
+    there.hear(&"here".to_owned(), 2, news, TIME, now);
     assert_eq!(there.permission(request(1), TIME, now), Permission::AfterCopy, "heard");
     here.end(request(1), upstream(8));
     let news = here.news(now).expect("the end is still told");
-    there.hear(&"here".to_owned(), 3, news.clone(), now);
+    there.hear(&"here".to_owned(), 3, news.clone(), TIME, now);
     assert_eq!(there.permission(request(1), TIME, now), Permission::Free, "the copy is over");
 
     let late = CrashNews { copies: vec![], ..news };
     there.begin(request(1), upstream(9), TIME, now);
-    there.hear(&"here".to_owned(), 1, late, now);
+    there.hear(&"here".to_owned(), 1, late, TIME, now);
     assert_eq!(there.permission(request(1), TIME, now), Permission::AfterCopy, "an own copy");
     there.end(request(1), upstream(9));
 
     let news = CrashNews { copies: here.copies_elsewhere(), ..CrashNews::default() };
-    there.hear(&"here".to_owned(), 4, news, now);
+    there.hear(&"here".to_owned(), 4, news, TIME, now);
     there.forget(Duration::ZERO, now + Duration::from_secs(1));
     assert_eq!(there.permission(request(1), TIME, now), Permission::Free, "a silent process");
 }
@@ -151,11 +151,11 @@
     assert!(matches!(unsettled, Permission::Settles(_)), "{unsettled:?}");
     let now = now + SETTLED;
     assert_eq!(here.conclude(TIME, now).len(), 1);
-    there.hear(&"here".to_owned(), 1, here.news(now).expect("news"), now);
+    there.hear(&"here".to_owned(), 1, here.news(now).expect("news"), TIME, now);
     assert_eq!(there.permission(request(1), TIME, now), Permission::Never);
     // A copy of it that began before ends well elsewhere.
     assert_eq!(there.completed(request(1), TIME, now).len(), 1);
-    here.hear(&"there".to_owned(), 1, there.news(now).expect("news"), now);
+    here.hear(&"there".to_owned(), 1, there.news(now).expect("news"), TIME, now);
     for book in [&mut here, &mut there] {
         assert_eq!(book.permission(request(1), TIME, now), Permission::Free);
         end(book, 9, &[1], now);
@@ -174,11 +174,11 @@
         end(&mut here, at, &[1], now);
     }
     let before = here.news(now).expect("news");
-    there.hear(&"here".to_owned(), 1, before.clone(), now);
+    there.hear(&"here".to_owned(), 1, before.clone(), TIME, now);
     there.note_alive(upstream(1), now);
-    there.hear(&"here".to_owned(), 2, before, now);
+    there.hear(&"here".to_owned(), 2, before, TIME, now);
     assert_eq!(there.ends(request(1)).len(), 2, "a late word of it is void");
-    here.hear(&"there".to_owned(), 1, there.news(now).expect("news"), now);
+    here.hear(&"there".to_owned(), 1, there.news(now).expect("news"), TIME, now);
     for book in [&mut here, &mut there] {
         assert!(book.conclude(TIME, now + SETTLED).is_empty());
         assert_eq!(book.permission(request(1), TIME, now + SETTLED), Permission::Apart);
@@ -252,6 +252,72 @@
     }
 }
 
+/// A gateway that has just started hears of an innocent's newest end, and of the culprit
+/// that stood beside it at the earlier ones, which nobody else tells of any more.
+#[test]
+fn the_cause_is_told_along_with_an_end() {
+    let start = Instant::now();
+    let mut old = CrashBook::default();
+    for at in 0..4 {
+        let under: &[u64] = if at < 2 { &[1, 2] } else { &[1] };
+        end(&mut old, at, under, start);
+    }
+    let mut now = start + SETTLED;
+    old.conclude(TIME, now);
+    now += Duration::from_secs(60);
+    end(&mut old, 9, &[2], now);
+    let news = old.news(now).expect("news");
+    let mut young = CrashBook::default();
+    young.hear(&"old".to_owned(), 1, news, TIME, now);
+    now += SETTLED;
+    let held: Vec<_> = young.conclude(TIME, now).iter().map(|c| c.digest).collect();
+    assert_eq!(held, [request(1)], "of the other's three ends two are explained");
+    assert_eq!(young.permission(request(2), TIME, now), Permission::Apart);
+}
+
+/// What is asked for all the time stands at every end of an upstream. A gateway that has
+/// just started, and sees nothing but the ends, must not hold it.
+#[test]
+fn what_others_see_run_to_good_ends_is_held_by_nobody() {
+    let mut now = Instant::now();
+    let (mut old, mut young) = (CrashBook::default(), CrashBook::default());
+    old.completed(request(1), TIME, now);
+    end(&mut young, 0, &[1], now);
+    old.hear(&"young".to_owned(), 1, young.news(now).expect("news"), TIME, now);
+    young.hear(&"old".to_owned(), 1, old.news(now).expect("an answer"), TIME, now);
+    assert!(young.ends(request(1)).is_empty(), "the other has cleared it");
+
+    // Cut off from the others meanwhile, it comes to a verdict all the same.
+    now += Duration::from_secs(20);
+    for at in 1..4 {
+        end(&mut young, at, &[1], now);
+    }
+    now += SETTLED;
+    assert_eq!(young.conclude(TIME, now).len(), 1);
+    old.completed(request(1), TIME, now);
+    let changes = old.hear(&"young".to_owned(), 2, young.news(now).expect("news"), TIME, now);
+    assert_eq!(changes.last().map(|c| c.quarantined), Some(false));
+    young.hear(&"old".to_owned(), 2, old.news(now).expect("news"), TIME, now);
+    for book in [&old, &young] {
+        assert_eq!(book.permission(request(1), TIME, now), Permission::Free);
+    }
+}
+
+/// A request that upstreams have borne crashes them since a new version of theirs.
+#[test]
+fn a_good_end_does_not_speak_for_a_request_for_ever() {
+    let mut now = Instant::now();
+    let mut book = CrashBook::default();
+    book.completed(request(1), TIME, now);
+    now += Duration::from_secs(15);
+    for at in 0..3 {
+        end(&mut book, at, &[1], now);
+    }
+    now += SETTLED;
+    book.conclude(TIME, now);
+    assert_eq!(book.permission(request(1), TIME, now), Permission::Never);
+}
+
 /// A customer's own record decides how much is borne of its next requests.
 #[test]
 fn ever_new_crashing_requests_of_one_customer_cost_less_each_time() {
@@ -438,7 +504,7 @@
         self.letters = later;
         for Letter { to, from, number, news, .. } in due {
             let process = format!("g-{from}");
-            self.books[to].hear(&process, number, news, now);
+            self.books[to].hear(&process, number, news, TIME, now);
         }
     }
 
@@ -451,7 +517,7 @@
     fn keep(&mut self) {
         let now = self.now();
         let verdicts = self.books[0].verdicts();
-        self.store.merge(verdicts, now);
+        self.store.merge(verdicts, TIME, now);
     }
 
     /// Starts a gateway anew: what it ran goes with it, and it knows what is stored.
@@ -459,7 +525,7 @@
         let now = self.now();
         self.runs.retain(|r| r.gateway != gateway);
         self.books[gateway] = CrashBook::default();
-        self.books[gateway].merge(self.store.verdicts(), now);
+        self.books[gateway].merge(self.store.verdicts(), TIME, now);
     }
 
     /// Returns whether some gateway sends a request to no upstream.
@@ -473,7 +539,7 @@
         let now = self.now();
         self.books[0].completed(request(digest), time, now);
         let verdicts = self.books[0].verdicts();
-        self.books.iter_mut().for_each(|book| drop(book.merge(verdicts.clone(), now)));
+        self.books.iter_mut().for_each(|book| drop(book.merge(verdicts.clone(), TIME, now)));
     }
 
     fn late_sends(&self) -> usize {
@@ -517,7 +583,7 @@
                 number += 1;
                 for to in rng.choose_multiple(0..gateways, most) {
                     if to != from && rng.f64() >= LOST {
-                        books[to].hear(&format!("g-{from}"), number, news.clone(), now);
+                        books[to].hear(&format!("g-{from}"), number, news.clone(), TIME, now);
                     }
                 }
             }
--- a/tests/gateway_crash_messages.rs
+++ b/tests/gateway_crash_messages.rs
@@ -81,7 +81,7 @@
     let mut book = CrashBook::default();
     let now = std::time::Instant::now();
     for n in 0..5_000 {
-        book.merge(vec![verdict(n, &format!("customer-{}", n % 100))], now);
+        book.merge(vec![verdict(n, &format!("customer-{}", n % 100))], 0, now);
     }
     let verdicts = book.verdicts();
     let bytes = encode_verdicts(&verdicts).expect("verdicts");
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -49,7 +49,7 @@
     crashing: bool,
 }
 
-const CASES: [Case; 4] = [
+const CASES: [Case; 5] = [
     Case { seed: 1, why: "a short run", restarts: false, crashing: false },
     Case {
         seed: 2002,
@@ -58,6 +58,7 @@
         crashing: false,
     },
     Case { seed: 3, why: "upstreams that start again", restarts: true, crashing: false },
+    Case { seed: 20_263_207, why: "what all ask for was held", restarts: true, crashing: true },
     Case { seed: 4, why: "requests that crash upstreams", restarts: true, crashing: true },
 ];
 
