A break at an upstream that accepts connections is no end of it

Cause: a break was kept for four seconds, and counted as the upstream's end if a new start followed. Change: a break is judged by the connection that is opened then, and a request that runs when a new start is told was lost with the earlier one.

--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -191,12 +191,8 @@
     fn update(&self, upstream: Upstream, revision: Revision, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
         board.recent_changes.push(revision, UpstreamChange::Written(upstream.clone()), now);
-        let before = board.upstreams.get(&upstream.id).map(|v| v.lifetime);
         let described = board.describe(upstream.clone(), now);
         drop(board);
-        if let Some(ended) = before.filter(|_| described == Described::StartedAgain) {
-            self.gateway.upstream_ended(&upstream.id, ended);
-        }
         let state = match (described, upstream.phase) {
             (Described::Same, _) => return,
             (Described::StartedAgain, _) => "started_again",
--- a/src/gateway/decide/crashes/breaks.rs
+++ b/src/gateway/decide/crashes/breaks.rs
@@ -1,4 +1,4 @@
-//! Runs that broke off at an upstream of which it is not known yet whether it ended.
+//! Runs that broke off at an upstream, while it is looked whether that has ended.
 
 use std::{
     collections::VecDeque,
@@ -7,10 +7,8 @@
 
 use crate::gateway::model::{CustomerName, Lifetime, RequestDigest};
 
-/// For how long a break may turn out to have been the upstream's end: one that is
-/// started again at once accepts connections as before, and tells of its new start
-/// with its next heartbeats to the store, of which some come late.
-const UNDECIDED: Duration = Duration::from_secs(4);
+/// For how long a look whether an upstream has ended may take.
+const UNDECIDED: Duration = Duration::from_secs(2);
 /// Breaks that are kept; the oldest yield.
 const MOST: usize = 512;
 
@@ -25,7 +23,7 @@
     pub lifetime: Lifetime,
 }
 
-/// Breaks that may have been ends of upstreams.
+/// Breaks that may have been ends of upstreams: those of one moment are judged together.
 #[derive(Debug, Default)]
 pub struct Breaks {
     breaks: VecDeque<(Instant, Break)>,
@@ -41,7 +39,7 @@
         self.breaks.push_back((now, broken));
     }
 
-    /// Takes the breaks at a lifetime that has ended, or shows that it has not.
+    /// Takes the breaks at a lifetime of which it is known now whether it has ended.
     pub fn take(&mut self, lifetime: Lifetime) -> Vec<Break> {
         if self.breaks.iter().all(|(_, b)| b.lifetime != lifetime) {
             return Vec::new();
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -111,6 +111,10 @@
         let (address, most) = (selected.address, selected.most_connections);
         if restarted || checks.has_ended(gateway, lifetime, address, most).await {
             gateway.upstream_ended(id, lifetime);
+        } else {
+            // It lives: these broke off for another reason. An upstream that spoils answers
+            // and is started again later has not ended under them.
+            gateway.board.borrow_mut().breaks.take(lifetime);
         }
     }
 
@@ -132,8 +136,6 @@
         let mut board = self.gateway.board.borrow_mut();
         let time = board.clock.unix_millis(now);
         board.crashes.note_alive(lifetime, now);
-        // Those broke off for another reason.
-        board.breaks.take(lifetime);
         let changes = board.crashes.completed(self.digest, time, now);
         drop(board);
         self.gateway.note_verdicts(&changes, "own");
