--- a/tests/gateway_lifetimes.rs
+++ b/tests/gateway_lifetimes.rs
@@ -235,8 +235,13 @@
         assert_eq!(site.runs("r-1").len(), case.runs, "{}", case.name);
         let took = ended.saturating_duration_since(at);
         assert!(took < Duration::from_millis(700), "{}: {took:?}", case.name);
-        let story = site.gateways[0].story("r-1");
-        let cause = story.iter().find(|l| l["event"] == "attempt_failed").map(|l| &l["cause"]);
-        assert_eq!(cause.expect("a cause"), "upstream_started_again", "{}", case.name);
+        // A thread of its own writes the log, after the answer at times.
+        let failed = || {
+            let story = site.gateways[0].story("r-1");
+            story.into_iter().find(|l| l["event"] == "attempt_failed")
+        };
+        wait_until("the failed attempt is logged", || failed().is_some());
+        let cause = failed().map(|l| l["cause"].clone()).expect("a cause");
+        assert_eq!(cause, "upstream_started_again", "{}", case.name);
     }
 }
