--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -87,7 +87,7 @@
     /// Runs that broke off at upstreams that may have ended.
     pub breaks: Breaks,
     /// Whether the store or another gateway has told which requests crash upstreams.
-    pub recall_ended: bool,
+    pub verdicts_known: bool,
     /// Usage by window.
     pub usage: UsageBook,
     /// Need and orders of engines as the holder of the lease tells them.
@@ -133,7 +133,7 @@
             retries: RetryBook::default(),
             crashes: CrashBook::default(),
             breaks: Breaks::default(),
-            recall_ended: false,
+            verdicts_known: false,
             usage: UsageBook::default(),
             capacity: CapacityRecord::default(),
             kept_needs: BTreeMap::new(),
@@ -159,7 +159,7 @@
     /// Returns whether this process may send requests: it knows those that crash
     /// upstreams, or has waited for long enough to learn of them.
     pub fn knows_crashes(&self, now: Instant) -> bool {
-        self.recall_ended || now.saturating_duration_since(self.started) >= RECALL_WAIT
+        self.verdicts_known || now.saturating_duration_since(self.started) >= RECALL_WAIT
     }
 
     /// Returns until when a row that disappears may come back: it may have
--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -106,7 +106,7 @@
     /// sends nothing before.
     fn recall_from_peer(&mut self, now: Instant) {
         let board = self.gateway.board.borrow();
-        let ask = !board.recall_ended;
+        let ask = !board.verdicts_known;
         let heard: Vec<SocketAddr> = board.heard(now).map(|p| p.last.peers).collect();
         drop(board);
         if let Some(from) = fastrand::choice(heard).filter(|_| ask) {
@@ -190,7 +190,7 @@
                     Ok(verdicts) => {
                         gateway.tell(|c| {
                             call!([c.crashes], take(verdicts, "peer"));
-                            call!([c.crashes], recall_ended());
+                            call!([c.crashes], verdicts_known());
                         });
                     }
                     Err(e) => log::error!("{from} told its verdicts unreadably: {e}"),
@@ -223,8 +223,8 @@
     }
 
     /// Notes that the store, or another gateway, has told the verdicts.
-    pub fn recall_ended(&mut self, _: CX![]) {
-        self.gateway.board.borrow_mut().recall_ended = true;
+    pub fn verdicts_known(&mut self, _: CX![]) {
+        self.gateway.board.borrow_mut().verdicts_known = true;
     }
 
     /// Writes the verdicts to the store if it has others, as the holder of the lease:
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -167,7 +167,7 @@
     }
     // Otherwise another gateway is asked for the verdicts.
     if was_read {
-        gateway.tell(|c| call!([c.crashes], recall_ended()));
+        gateway.tell(|c| call!([c.crashes], verdicts_known()));
     }
 }
 
--- a/src/gateway/decide/crashes/book.rs
+++ b/src/gateway/decide/crashes/book.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    Break, CopyReport, CrashNews, SuspectReport, VerdictReport,
+    Break, CrashNews, SuspectReport, VerdictReport,
     copies::Copies,
     evidence::{Evidence, Known, Suspect, ends_needed},
     news::Told,
@@ -373,9 +373,4 @@
     pub fn ends(&self, digest: RequestDigest) -> Vec<Lifetime> {
         self.suspect(digest).ends
     }
-
-    /// Returns the copies of which other processes have told, for reports.
-    pub fn copies_elsewhere(&self) -> Vec<CopyReport> {
-        self.copies.told().copied().collect()
-    }
 }
--- a/src/gateway/decide/crashes/evidence.rs
+++ b/src/gateway/decide/crashes/evidence.rs
@@ -21,8 +21,8 @@
 /// was sent on beside the culprit would be refused with it; with three, a second
 /// culprit that runs beside the first would have to end three upstreams by itself.
 const UNEXPLAINED_ENDS: usize = 2;
-/// Time after an end until all processes that saw it have told of it: a message that was
-/// lost is sent again within 150 ms, twice in this time. Each process sees but some of
+/// Time after an end until all processes that saw it have told of it: at once, and twice
+/// more with the next heartbeats, 150 ms apart. Each process sees but some of
 /// the requests under an end, so that one which concludes from what it saw alone holds
 /// an innocent that was sent on beside the culprit of another.
 const SETTLES_IN: Duration = Duration::from_millis(400);
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -20,8 +20,8 @@
     ids::UpstreamId,
 };
 
-/// Times that a request waits for the word of others on the ends under it; each end that
-/// comes meanwhile begins a wait anew.
+/// Times that a request waits for the word of others on the ends under it: a verdict on
+/// another request of its customer may bring a second wait, and none should bring more.
 const MOST_WAITS: u32 = 2;
 
 /// Looks whether upstreams have ended, one for each lifetime at a time: the requests
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs, reason = "each test file uses a part of it")]
 
 pub mod cluster;
+pub mod crashes;
 pub mod drafts;
 pub mod gateways;
 pub mod http;
