--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -60,7 +60,7 @@
     Hidden,
 }
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 8] = [
     Case { seed: 1, why: "a short run", restarts: false, crashing: Crashing::No },
     Case {
         seed: 2002,
@@ -81,6 +81,18 @@
         restarts: true,
         crashing: Crashing::Hidden,
     },
+    Case {
+        seed: 4_120_101,
+        why: "all engines ended at once, and what all ask for was refused for an hour",
+        restarts: true,
+        crashing: Crashing::Direct,
+    },
+    Case {
+        seed: 4_120_302,
+        why: "the same, with more ends by themselves",
+        restarts: true,
+        crashing: Crashing::Direct,
+    },
     Case {
         seed: 4,
         why: "requests that crash upstreams",
