The turn to try what is quarantined goes round

Cause: the holder of the lease alone tried, so that a caller which keeps a connection to another gateway was refused for as long as it did. Ruled out: a trial that failed (none was made). Change: the holder gives the turn to one process after the other, two seconds each three; turns never overlap, also when the lease goes over (gateway_crash_book). Result: a quarantined request that is asked for at one gateway of three is tried there once, and not again soon (gateway_crashing_requests).

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -22,7 +22,7 @@
     decide::{
         Breaks, CacheBelief, Candidate, CapacityRecord, CrashBook, EngineSpeed, LoadMeter,
         Mechanism, QuotaBook, RequestCost, RetryBook, SpeedModel, Steadiness, SwitchedOff,
-        TrueClock, UsageBook,
+        TrialTurn, TrueClock, UsageBook,
     },
     model::{Configuration, Lifetime, Revision, ServiceName, Upstream},
     peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport},
@@ -84,6 +84,8 @@
     pub retries: RetryBook,
     /// Requests that crash upstreams.
     pub crashes: CrashBook,
+    /// Whether this process may try requests that are quarantined.
+    pub trial_turn: TrialTurn,
     /// Runs that broke off at upstreams that may have ended.
     pub breaks: Breaks,
     /// Whether the store or another gateway has told which requests crash upstreams.
@@ -132,6 +134,7 @@
             quotas: QuotaBook::new(now),
             retries: RetryBook::default(),
             crashes: CrashBook::default(),
+            trial_turn: TrialTurn::default(),
             breaks: Breaks::default(),
             verdicts_known: false,
             usage: UsageBook::default(),
--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -99,6 +99,7 @@
         self.gateway.note_verdicts(&changes, "own");
         self.send(HEARTBEAT_FAN_OUT, now);
         self.store(now);
+        self.give_turn(now);
         self.recall_from_peer(now);
     }
 
@@ -138,19 +139,45 @@
         if only_mark && most == HEARTBEAT_FAN_OUT && !self.beats.is_multiple_of(MARK_EVERY) {
             return;
         }
-        self.number += 1;
-        let peers = self.gateway.settings.borrow().listen.peers;
-        let process = self.gateway.process.clone();
-        let notice = CrashNotice { process, peers, number: self.number, news };
-        match notice.encode() {
-            Ok(datagram) => self.send_to(&datagram, &sample(&heard, most)),
-            Err(e) => log::error!("what is known of crashes cannot be encoded: {e}"),
+        self.send_to(news, false, &sample(&heard, most));
+    }
+
+    /// Gives the next process its turn to try what is quarantined, as the holder of the
+    /// lease.
+    fn give_turn(&mut self, now: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
+        let gives = board.lease.may_act(now).is_some() && board.crashes.quarantined() > 0;
+        if !board.trial_turn.next_is_due(gives, now) {
+            return;
+        }
+        let mut all: Vec<Option<SocketAddr>> =
+            board.heard(now).map(|p| Some(p.last.heartbeats)).collect();
+        // This process has its turns, too.
+        all.push(None);
+        match fastrand::choice(all).flatten() {
+            None => board.trial_turn.take(now),
+            Some(address) => {
+                let news = board.crashes.news(now).unwrap_or_default();
+                drop(board);
+                self.send_to(news, true, &[address]);
+            }
         }
     }
 
-    fn send_to(&self, datagram: &[u8], addresses: &[SocketAddr]) {
+    fn send_to(&mut self, news: CrashNews, your_turn: bool, addresses: &[SocketAddr]) {
+        self.number += 1;
+        let peers = self.gateway.settings.borrow().listen.peers;
+        let process = self.gateway.process.clone();
+        let notice = CrashNotice { process, peers, number: self.number, your_turn, news };
+        let datagram = match notice.encode() {
+            Ok(datagram) => datagram,
+            Err(e) => {
+                log::error!("what is known of crashes cannot be encoded: {e}");
+                return;
+            }
+        };
         for address in addresses {
-            if let Err(e) = self.socket.try_send_to(datagram, *address) {
+            if let Err(e) = self.socket.try_send_to(&datagram, *address) {
                 // It is told again with the next heartbeats.
                 log::debug!("crashes to {address}: {e}");
             }
@@ -166,7 +193,10 @@
         let mark = notice.news.mark;
         let mut board = self.gateway.board.borrow_mut();
         let time = board.clock.unix_millis(now);
-        let CrashNotice { process, peers, number, news } = notice;
+        let CrashNotice { process, peers, number, your_turn, news } = notice;
+        if your_turn {
+            board.trial_turn.take(now);
+        }
         let changes = board.crashes.hear(&process, number, news, time, now);
         let own = board.crashes.mark();
         drop(board);
--- a/src/gateway/decide/crashes/mod.rs
+++ b/src/gateway/decide/crashes/mod.rs
@@ -13,6 +13,7 @@
 mod news;
 mod proven;
 mod quarantine;
+mod turn;
 
 pub use book::{Change, CrashBook, Permission};
 pub use breaks::{Break, Breaks};
@@ -20,3 +21,4 @@
 pub use evidence::SuspectReport;
 pub use news::CrashNews;
 pub use quarantine::{CrashVerdict, VerdictReport};
+pub use turn::TrialTurn;
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -30,7 +30,7 @@
 pub use clock::TrueClock;
 pub use crashes::{
     Break, Breaks, Change, CopyReport, CrashBook, CrashNews, CrashVerdict, Permission,
-    SuspectReport, VerdictReport,
+    SuspectReport, TrialTurn, VerdictReport,
 };
 pub use engine::{Candidate, choose_engine, least_to_lose, predicted_wait};
 pub use kept::{CapacityRecord, Kept};
--- a/src/gateway/peering/crash_notice.rs
+++ b/src/gateway/peering/crash_notice.rs
@@ -22,6 +22,8 @@
     pub peers: SocketAddr,
     /// Rises with each notice of the process.
     pub number: u64,
+    /// Whether the receiver, and nobody else, may try now what is quarantined.
+    pub your_turn: bool,
     /// What it tells.
     pub news: CrashNews,
 }
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -177,8 +177,7 @@
     fn permission(&self) -> Permission {
         let now = clock::now();
         let board = self.gateway.board.borrow();
-        // The holder of the lease is one in the whole fleet.
-        let may_try = board.lease.may_act(now).is_some();
+        let may_try = board.trial_turn.may_try(now);
         board.crashes.permission(self.digest, may_try, board.clock.unix_millis(now), now)
     }
 
--- a/tests/gateway_crash_book.rs
+++ b/tests/gateway_crash_book.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use support::crashes::{HOUR_MS, SETTLED, TIME, end, request, upstream};
-use tackhollow::gateway::decide::{Break, CopyReport, CrashBook, CrashNews, Permission};
+use tackhollow::gateway::decide::{Break, CopyReport, CrashBook, CrashNews, Permission, TrialTurn};
 
 #[test]
 fn what_explains_the_ends_is_never_sent_again() {
@@ -322,3 +322,45 @@
         assert_eq!(book.permission(request(1_000 + n), true, TIME, now), Permission::Free, "{n}");
     }
 }
+
+/// A culprit ends one upstream a trial: turns never overlap, also where the lease goes over
+/// and messages take their time. Each process has its turn, not the holder alone.
+#[test]
+fn one_process_at_a_time_may_try_what_is_quarantined() {
+    struct Case {
+        name: &'static str,
+        /// When the lease goes over from the first process to the second.
+        lease_goes_over_ms: u64,
+        /// How long a turn is under way to who gets it.
+        delay_ms: u64,
+    }
+    let cases = [
+        Case { name: "one holder", lease_goes_over_ms: u64::MAX, delay_ms: 5 },
+        Case { name: "slow links", lease_goes_over_ms: u64::MAX, delay_ms: 900 },
+        Case { name: "just after a turn", lease_goes_over_ms: 3_010, delay_ms: 5 },
+        Case { name: "just before a turn", lease_goes_over_ms: 5_990, delay_ms: 300 },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut turns = [TrialTurn::default(); 4];
+        let mut under_way: Vec<(u64, usize)> = Vec::new();
+        let (mut next, mut had) = (0, [false; 4]);
+        for ms in (0..60_000).step_by(10) {
+            let now = start + Duration::from_millis(ms);
+            let holder = usize::from(ms >= case.lease_goes_over_ms);
+            for (n, turn) in turns.iter_mut().enumerate().take(2) {
+                if turn.next_is_due(n == holder, now) {
+                    under_way.push((ms + case.delay_ms, next % 4));
+                    next += 1;
+                }
+            }
+            for (_, to) in under_way.extract_if(.., |(at, _)| *at <= ms) {
+                turns[to].take(now);
+            }
+            let may: Vec<usize> = (0..4).filter(|n| turns[*n].may_try(now)).collect();
+            assert!(may.len() <= 1, "{}: {may:?} at {ms} ms", case.name);
+            may.iter().for_each(|n| had[*n] = true);
+        }
+        assert_eq!(had, [true; 4], "{}: each has its turn", case.name);
+    }
+}
--- a/tests/gateway_crash_messages.rs
+++ b/tests/gateway_crash_messages.rs
@@ -21,6 +21,7 @@
         process: "frontend-bkk-bangna-1.7f3a91c2d07be2a3".to_owned(),
         peers: ([10, 1, 0, 14], 8_229).into(),
         number: 7,
+        your_turn: false,
         news: CrashNews { suspects: (0..suspects).map(suspect).collect(), ..CrashNews::default() },
     }
 }
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -215,6 +215,34 @@
     }
 }
 
+/// A caller that keeps to one gateway is not refused for good: each gateway has its turn to
+/// try, and one copy runs then, also if it crashes its upstream once more.
+#[test]
+fn what_is_quarantined_is_tried_once_at_whichever_gateway_is_asked() {
+    let site = Site::start(3, 0, 6);
+    until_quarantined(&site, 0, "/check/c1");
+    for gateway in &site.gateways {
+        wait_until("all gateways know", || gateway.metrics().contains("quarantined_requests 1"));
+    }
+    let before = runs(&site, "/check/c1");
+    let callers = site.gateways[2].callers;
+    let mut n = 0;
+    wait_until("it is tried", || {
+        n += 1;
+        crashing("GET", "/check/c1", &format!("again-{n}")).send(callers);
+        runs(&site, "/check/c1") > before
+    });
+    let until = Instant::now() + Duration::from_secs(8);
+    while Instant::now() < until {
+        for gateway in &site.gateways {
+            n += 1;
+            crashing("GET", "/check/c1", &format!("again-{n}")).send(gateway.callers);
+        }
+        thread::sleep(PAUSE);
+    }
+    assert_eq!(runs(&site, "/check/c1"), before + 1, "one trial, and no second one soon");
+}
+
 #[test]
 fn operators_see_what_is_quarantined_and_release_it() {
     let site = Site::start(2, 0, 6);
