Calls to the store that fail are logged with the time since they began; attempts say whether the upstream leaves

What the logs of the incident could not tell: when a call that brought no answer had begun, for which table, and whether an attempt went to an upstream that was known to leave. Calls that wait for changes are counted by table. The emulated store can fall silent: calls on their way are then never answered, as on connections that nobody reads any more. No change of logic.

--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -155,7 +155,9 @@
 
     fn set_store(&self, body: &Value) -> Option<()> {
         let mode: StoreMode = serde_json::from_value(body["mode"].clone()).ok()?;
-        self.world.state.borrow_mut().store_mode = mode;
+        let mut state = self.world.state.borrow_mut();
+        state.store_mode = mode;
+        state.silences += u64::from(mode == StoreMode::Silent);
         Some(())
     }
 
@@ -176,6 +178,7 @@
             "runs": state.runs,
             "duties": state.duties,
             "store_calls": state.store_calls,
+            "now_ms": self.world.now_ms(),
         });
         answer(StatusCode::OK, &body)
     }
--- a/src/bin/tackhollow-emulator/store.rs
+++ b/src/bin/tackhollow-emulator/store.rs
@@ -20,13 +20,15 @@
 
 impl Service for Store {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let mode = {
+        let (mode, silences) = {
             let mut state = self.world.state.borrow_mut();
             state.store_calls += 1;
-            state.store_mode
+            (state.store_mode, state.silences)
         };
-        if mode == StoreMode::Refusing {
-            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        match mode {
+            StoreMode::Refusing => return empty(StatusCode::SERVICE_UNAVAILABLE),
+            StoreMode::Silent => std::future::pending().await,
+            StoreMode::Up | StoreMode::Losing => {}
         }
         let path = request.uri().path().to_owned();
         let response = match path.as_str() {
@@ -35,7 +37,7 @@
             "/rows-feed" => self.feed(&request).await,
             _ => empty(StatusCode::NOT_FOUND),
         };
-        if mode == StoreMode::Losing {
+        if mode == StoreMode::Losing || self.world.state.borrow().silences > silences {
             std::future::pending::<()>().await;
         }
         response
--- a/src/bin/tackhollow-emulator/world.rs
+++ b/src/bin/tackhollow-emulator/world.rs
@@ -26,6 +26,8 @@
     Refusing,
     /// Does what is asked and does not answer.
     Losing,
+    /// Does nothing and answers nobody, nor calls that are on their way.
+    Silent,
 }
 
 /// How an upstream answers.
@@ -130,6 +132,8 @@
 pub struct State {
     /// How the store answers.
     pub store_mode: StoreMode,
+    /// How often the store has fallen silent. Calls from before are never answered.
+    pub silences: u64,
     /// Version of the store.
     pub version: u64,
     /// Rows by table and key.
@@ -167,6 +171,7 @@
     pub fn new(crashing: UnboundedSender<String>) -> Rc<Self> {
         let state = State {
             store_mode: StoreMode::default(),
+            silences: 0,
             version: 0,
             rows: BTreeMap::new(),
             history: Vec::new(),
--- a/src/gateway/controllers/watch.rs
+++ b/src/gateway/controllers/watch.rs
@@ -1,6 +1,10 @@
 //! Tasks that read the platform's store and follow its changes.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 use stakker::call;
@@ -13,7 +17,7 @@
 };
 use crate::{
     clock,
-    gateway::{context::Gateway, decide::Backoff, model::Revision},
+    gateway::{context::Gateway, decide::Backoff, model::Revision, telemetry::Event},
     platform::{Change, Feed, PlatformError, RowWrite, Snapshot, StoreRow, Table},
     telemetry::count,
 };
@@ -54,8 +58,9 @@
 
 /// Reads the configuration from the store once.
 pub(super) async fn read_configuration(gateway: &Gateway) {
+    let began = clock::now();
     let read = gateway.store.snapshot(Table::Operator).await;
-    note(gateway, "configuration", read.as_ref().err());
+    note(gateway, "configuration", began, read.as_ref().err());
     let rows = read.map(|s| s.rows).unwrap_or_default();
     if let Some(row) = rows.into_iter().find(|row| row.key == CONFIGURATION_KEY) {
         let document = row.value.into();
@@ -95,11 +100,12 @@
         on_snapshot(gateway, snapshot);
         while watches(gateway) {
             let behind = gateway.resync(table).notified();
+            let began = clock::now();
             let fed = tokio::select! {
                 fed = gateway.store.feed(table, known, FEED_WAIT) => fed,
                 () = behind => break,
             };
-            note(gateway, "feed", fed.as_ref().err());
+            note(gateway, feed_name(table), began, fed.as_ref().err());
             match fed {
                 Ok(feed) => {
                     backoff.answered();
@@ -130,14 +136,28 @@
 /// Reads a table. A store that has lost its history may answer from an older
 /// state than what is known; such an answer is of no use.
 async fn read(gateway: &Gateway, table: Table, known: Revision) -> Option<Snapshot> {
+    let began = clock::now();
     let read = gateway.store.snapshot(table).await;
-    note(gateway, "snapshot", read.as_ref().err());
+    note(gateway, "snapshot", began, read.as_ref().err());
     read.ok().filter(|snapshot| snapshot.revision >= known)
 }
 
-fn note(gateway: &Gateway, call: &str, error: Option<&PlatformError>) {
+/// Returns the name, for metrics and logs, of calls that wait for changes of a table.
+fn feed_name(table: Table) -> &'static str {
+    match table {
+        Table::Upstreams => "feed_upstreams",
+        Table::Operator | Table::Members | Table::Duties => "feed_configuration",
+    }
+}
+
+/// Notes how a call that began at `began` ended.
+fn note(gateway: &Gateway, call: &str, began: Instant, error: Option<&PlatformError>) {
     let outcome = if error.is_some() { "failed" } else { "ok" };
     count(&gateway.metrics.platform_calls, &format!("{call}_{outcome}"));
+    if let Some(error) = error {
+        let after_ms = clock::now().saturating_duration_since(began).as_millis() as u64;
+        gateway.log(&Event::StoreCallFailed { call, after_ms, error: &error.to_string() });
+    }
     gateway.note_store(error);
 }
 
@@ -150,8 +170,9 @@
 /// Takes over what earlier processes kept in the store. A process that cannot
 /// read it starts with empty quotas.
 pub async fn recall(gateway: Rc<Gateway>) {
+    let began = clock::now();
     let read = gateway.store.snapshot(Table::Duties).await;
-    note(&gateway, "recall", read.as_ref().err());
+    note(&gateway, "recall", began, read.as_ref().err());
     let was_read = read.is_ok();
     for row in read.map(|s| s.rows).unwrap_or_default() {
         match row.key.as_str() {
@@ -189,16 +210,21 @@
     let value = serde_json::to_vec(&MemberRow { heartbeats }).expect("an address always encodes");
     let row = RowWrite { table: Table::Members, key: host, value, expected: None };
     let mut backoff = Backoff::default();
-    while let Err(e) = gateway.store.write(std::slice::from_ref(&row)).await {
-        note(&gateway, "announce", Some(&e));
+    loop {
+        let began = clock::now();
+        let written = gateway.store.write(std::slice::from_ref(&row)).await;
+        note(&gateway, "announce", began, written.as_ref().err());
+        if written.is_ok() {
+            break;
+        }
         sleep(backoff.failed(fastrand::f64())).await;
     }
-    note(&gateway, "announce", None);
     backoff.answered();
     loop {
+        let began = clock::now();
         let read = timeout(MEMBERS_WAIT, gateway.store.snapshot(Table::Members)).await;
         let read = read.unwrap_or(Err(PlatformError::Timeout));
-        note(&gateway, "members", read.as_ref().err());
+        note(&gateway, "members", began, read.as_ref().err());
         if let Ok(snapshot) = read {
             let addresses = snapshot.rows.iter().filter_map(member_address).collect();
             gateway.tell(|c| call!([c.peers], found(addresses)));
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -287,6 +287,7 @@
             missing_tokens: selected.candidate.missing_tokens,
             configuration: self.admitted.configuration.version,
             upstreams: selected.revision,
+            leaving: selected.leaving,
         });
         Some(selected)
     }
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -54,6 +54,8 @@
     pub holders: usize,
     /// Revision of the list of upstreams.
     pub revision: u64,
+    /// Whether it is known to leave.
+    pub leaving: bool,
 }
 
 /// The shared part of a prompt: what other requests are about, too.
@@ -100,7 +102,7 @@
     let board = &mut *guard;
     let view = board.upstreams.get(&id)?;
     let (address, revision) = (view.upstream.address, board.upstreams_position);
-    let lifetime = view.lifetime;
+    let (lifetime, leaving) = (view.lifetime, !view.takes_work());
     let missing = candidate.missing_tokens as u32;
     if let Some(shared) = shared {
         let capacity = engine_cache(admitted);
@@ -129,6 +131,7 @@
         candidates,
         holders,
         revision,
+        leaving,
     })
 }
 
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -56,6 +56,15 @@
         /// Why.
         error: &'a str,
     },
+    /// A call to the platform's store brought no answer that can be used.
+    StoreCallFailed {
+        /// What was called.
+        call: &'a str,
+        /// Time since the call began, in milliseconds.
+        after_ms: u64,
+        /// Why.
+        error: &'a str,
+    },
     /// A configuration is in force.
     Configuration {
         /// Its version.
@@ -228,6 +237,8 @@
         configuration: u64,
         /// Revision of the list of upstreams.
         upstreams: u64,
+        /// Whether the upstream is known to leave.
+        leaving: bool,
     },
     /// An attempt failed.
     AttemptFailed {
