--- /dev/null
+++ b/tests/gateway_freshness.rs
@@ -0,0 +1,144 @@
+//! Confirmed changes after an outage of the store.
+//!
+//! What users saw: a configuration that had been confirmed was not in force 2.3 s later,
+//! and callers with new keys got 401 for 1.7 s more; a request reached an upstream more
+//! than two seconds after it had said that it leaves. Both were seconds after the store
+//! had come back.
+//!
+//! Order of events: the gateways that read the store for all are answered together, so
+//! their next calls begin together. The store falls silent; the calls end by timeout and
+//! begin again, still together, a moment before the store is back. The operator's change
+//! is confirmed at once.
+
+mod support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+use support::{
+    gateways::{Call, Site, configuration},
+    wait_until,
+};
+
+/// Time after its confirmation within which a change must hold: the operators' bound of
+/// the smaller deployments, for configurations and for upstreams that leave.
+const BOUND: Duration = Duration::from_secs(2);
+/// Gateways of a site.
+const GATEWAYS: usize = 4;
+
+/// What happens to the store before the change.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    name: &'static str,
+    /// How the store answers meanwhile.
+    mode: &'static str,
+    /// For how long. Calls that wait last 1 to 6 s, so that some lengths end just after
+    /// calls have begun again.
+    lasts: Duration,
+}
+
+const OUTAGES: [Outage; 6] = [
+    Outage { name: "connections fall silent", mode: "silent", lasts: Duration::ZERO },
+    Outage { name: "a second of silence", mode: "silent", lasts: Duration::from_millis(1_000) },
+    Outage { name: "silence", mode: "silent", lasts: Duration::from_millis(3_000) },
+    Outage { name: "a longer silence", mode: "silent", lasts: Duration::from_millis(6_400) },
+    Outage { name: "answers lost", mode: "losing", lasts: Duration::from_millis(6_400) },
+    Outage { name: "all refused", mode: "refusing", lasts: Duration::from_millis(3_000) },
+];
+
+/// Time in which calls that wait begin anew after a change.
+const SETTLED: Duration = Duration::from_millis(300);
+
+fn play(site: &Site, outage: Outage) {
+    thread::sleep(SETTLED);
+    site.store(outage.mode);
+    thread::sleep(outage.lasts);
+    site.store("up");
+}
+
+fn versions(site: &Site) -> Vec<u64> {
+    let newest = |log: &[Value]| {
+        let lines = log.iter().filter(|l| l["event"] == "configuration");
+        lines.filter_map(|l| l["version"].as_u64()).max().unwrap_or_default()
+    };
+    site.gateways.iter().map(|g| newest(&g.log())).collect()
+}
+
+#[test]
+fn a_confirmed_configuration_is_in_force_in_time_after_an_outage() {
+    let site = Site::start(GATEWAYS, 1, 1);
+    let mut version = 7;
+    let mut late = Vec::new();
+    for outage in OUTAGES {
+        version += 1;
+        site.configure(&configuration(version));
+        wait_until("all gateways have it", || versions(&site).iter().all(|v| *v == version));
+        play(&site, outage);
+        version += 1;
+        site.configure(&configuration(version));
+        let confirmed = Instant::now();
+        wait_until("all gateways have it", || versions(&site).iter().all(|v| *v == version));
+        let after = confirmed.elapsed();
+        if after > BOUND {
+            late.push(format!("{}: after {after:?}", outage.name));
+        }
+    }
+    assert!(late.is_empty(), "{late:#?}");
+}
+
+/// Sends calls at all gateways for a while.
+fn send_calls(site: &Site, name: &str, time: Duration) {
+    let until = Instant::now() + time;
+    for n in 0.. {
+        if Instant::now() >= until {
+            return;
+        }
+        let to = site.gateways[n % site.gateways.len()].callers;
+        Call::new("GET", "/check/x", &format!("{name}-{n}")).send(to);
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Starts a plain upstream and waits until all gateways know it.
+fn add_upstream(site: &Site) -> String {
+    let id = site.add_upstream("app");
+    let known = |l: &Value| l["event"] == "upstream" && l["upstream"] == id.as_str();
+    wait_until("all know the upstream", || site.gateways.iter().all(|g| g.log().iter().any(known)));
+    id
+}
+
+/// Returns when the newest run at an upstream began, in milliseconds.
+fn last_run(site: &Site, upstream: &str) -> u64 {
+    let seen = site.seen();
+    let runs = seen["runs"].as_array().cloned().unwrap_or_default();
+    let there = runs.iter().filter(|r| r["upstream"] == upstream);
+    there.filter_map(|r| r["began_ms"].as_u64()).max().unwrap_or_default()
+}
+
+#[test]
+fn an_upstream_that_said_that_it_leaves_gets_nothing_after_an_outage() {
+    let site = Site::start(GATEWAYS, 1, 0);
+    let mut late = Vec::new();
+    for (n, outage) in OUTAGES.into_iter().enumerate() {
+        // All gateways use it first, so that they have connections to it and prefer it.
+        let leaving = add_upstream(&site);
+        send_calls(&site, &format!("before-{n}"), SETTLED);
+        let staying = add_upstream(&site);
+        play(&site, outage);
+        site.control("/state", &json!({ "id": leaving, "state": "draining" }));
+        let said = site.seen()["now_ms"].as_u64().expect("a time");
+        send_calls(&site, &format!("after-{n}"), 3 * BOUND);
+        let after = Duration::from_millis(last_run(&site, &leaving).saturating_sub(said));
+        if after > BOUND {
+            late.push(format!("{}: reached after {after:?}", outage.name));
+        }
+        assert!(last_run(&site, &staying) > said, "{}: the other one is used", outage.name);
+        for id in [leaving, staying] {
+            site.control("/remove", &json!({ "id": id }));
+        }
+    }
+    assert!(late.is_empty(), "{late:#?}");
+}
