Upstreams are read as the configuration is: by the age of what is known

Cause: as with the configuration, calls that wait for changes of the list of upstreams stood for what their readers knew. All three began again together 0.6 s before a silent store was back and were never answered.

Change: the list is read in turns by the store's clock and by whoever's knowledge is old; changes that are told by heartbeat carry the moment of the store up to which there were no others, and what is complete there makes it as new here. The old watcher, its flag and the wish to read anew are gone.

Why it holds: as for the configuration; the model of readers is one for both.

--- a/src/gateway/board/knowledge.rs
+++ b/src/gateway/board/knowledge.rs
@@ -14,7 +14,7 @@
     pub fn knowledge(&self, followed: Followed) -> Option<Knowledge> {
         match followed {
             Followed::Configuration => self.configuration_knowledge,
-            Followed::Upstreams => None,
+            Followed::Upstreams => self.upstreams_knowledge,
         }
     }
 
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -66,15 +66,13 @@
     pub store_clock: StoreClock,
     /// Upstreams by id.
     pub upstreams: BTreeMap<UpstreamId, UpstreamView>,
-    /// Revision of the store up to which all changes of upstreams are known.
-    pub upstreams_position: Revision,
+    /// Up to where the upstreams are known; `None` if they were never read.
+    pub upstreams_knowledge: Option<Knowledge>,
     /// Revision of the newest change of an upstream that is known. Another
     /// gateway that knows a change beyond our position is ahead of us.
     pub upstreams_last_change: Revision,
     /// Changes of late, for other gateways.
     pub recent_changes: RecentChanges,
-    /// Whether the upstreams were read at least once.
-    pub upstreams_known: bool,
     /// Other gateways.
     pub peers: BTreeMap<ProcessId, PeerView>,
     /// Hosts that had announced themselves in the store when this one started.
@@ -130,10 +128,9 @@
             configuration_knowledge: None,
             store_clock: StoreClock::default(),
             upstreams: BTreeMap::new(),
-            upstreams_position: 0,
+            upstreams_knowledge: None,
             upstreams_last_change: 0,
             recent_changes: RecentChanges::default(),
-            upstreams_known: false,
             peers: BTreeMap::new(),
             announced: 0,
             cache: CacheBelief::default(),
@@ -166,6 +163,11 @@
         self.configuration.as_ref().map_or(0, |c| c.version)
     }
 
+    /// Returns the revision of the store up to which all changes of upstreams are known.
+    pub fn upstreams_position(&self) -> Revision {
+        self.upstreams_knowledge.map_or(0, |k| k.position)
+    }
+
     /// Returns whether this process may send requests: it knows those that crash
     /// upstreams, or has waited for long enough to learn of them.
     pub fn knows_crashes(&self, now: Instant) -> bool {
--- a/src/gateway/board/peers.rs
+++ b/src/gateway/board/peers.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use super::{Board, HEARTBEAT_FAN_OUT, HEARTBEAT_PERIOD, StoreState};
+use super::{Board, HEARTBEAT_FAN_OUT, HEARTBEAT_PERIOD};
 use crate::gateway::{
-    decide::{QuotaShare, Reader, rank},
+    decide::QuotaShare,
     net::Phase,
     peering::{Heartbeat, ProcessId},
 };
@@ -52,22 +52,6 @@
         QuotaShare { heard, members: announced.max(1 + self.peers.len()) }
     }
 
-    /// Returns whether this process reads the store: the first few processes
-    /// that the store answers do, and tell the others. So does a process that has
-    /// no configuration to serve with.
-    pub fn watches_store(&self, process: &str, now: Instant) -> bool {
-        if self.configuration.is_none() {
-            return true;
-        }
-        let own = Reader { turned_away: matches!(self.store, StoreState::Away(_)), process };
-        let serving = self.peers.iter().filter(|(_, p)| p.last.phase == Phase::Serving);
-        let silence = self.peer_silence();
-        let heard = serving.filter(|(_, p)| now.saturating_duration_since(p.heard) < silence);
-        let others =
-            heard.map(|(process, p)| Reader { turned_away: !p.last.store_answers, process });
-        rank(own, others).is_some()
-    }
-
     /// Returns whether some process knows that the store has answered all
     /// along: then a row that is gone is gone for good.
     pub fn store_was_there(&self, now: Instant) -> bool {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -2,8 +2,6 @@
 
 use std::{cell::RefCell, rc::Rc, time::Instant};
 
-use tokio::sync::Notify;
-
 use super::{
     board::{Board, StoreState},
     controllers::Controllers,
@@ -17,7 +15,7 @@
 use crate::{
     clock,
     ids::Incarnation,
-    platform::{DutyClient, PlatformError, StoreClient, Table},
+    platform::{DutyClient, PlatformError, StoreClient},
     settings::GatewaySettings,
 };
 
@@ -51,8 +49,6 @@
     /// Wakes the controllers after a message to one of them.
     pub wake: Wake,
     controllers: RefCell<Option<Rc<Controllers>>>,
-    configuration_resync: Notify,
-    upstreams_resync: Notify,
 }
 
 impl Gateway {
@@ -82,8 +78,6 @@
             metrics: GatewayMetrics::new(),
             wake: Wake::default(),
             controllers: RefCell::new(None),
-            configuration_resync: Notify::new(),
-            upstreams_resync: Notify::new(),
         }
     }
 
@@ -110,18 +104,10 @@
         let board = self.board.borrow();
         self.shutdown.phase() == Phase::Serving
             && board.configuration.is_some()
-            && board.upstreams_known
+            && board.upstreams_knowledge.is_some()
             && board.knows_crashes(clock::now())
     }
 
-    /// Returns what tells the watcher of a table to read it anew.
-    pub fn resync(&self, table: Table) -> &Notify {
-        match table {
-            Table::Upstreams => &self.upstreams_resync,
-            Table::Operator | Table::Members | Table::Duties => &self.configuration_resync,
-        }
-    }
-
     /// Logs and counts verdicts on requests that crash upstreams; `source` says who
     /// came to them.
     pub fn note_verdicts(&self, changes: &[Change], source: &str) {
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -102,7 +102,7 @@
         let needs: Vec<Need> =
             scaled.iter().map(|(name, scaling)| self.need(name, scaling.boot, now)).collect();
         let board = self.gateway.board.borrow();
-        if board.lease.may_act(now).is_none() || !board.upstreams_known {
+        if board.lease.may_act(now).is_none() || board.upstreams_knowledge.is_none() {
             drop(board);
             self.orders.clear();
             return;
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -4,7 +4,8 @@
 //! away shortly before: then leases of upstreams that live may have lapsed, and
 //! the upstream has some time to appear again.
 //!
-//! Few processes read the store; the others take over what these tell.
+//! Few processes read the store; the others take over what these tell, and up to where
+//! it is known.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashSet},
@@ -19,12 +20,13 @@
     gateway::{
         board::{Described, LAPSE_GRACE, UpstreamView},
         context::Gateway,
+        decide::Knowledge,
         model::{Lifetime, Revision, Upstream, UpstreamPhase},
         peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
         telemetry::Event,
     },
     ids::UpstreamId,
-    platform::{Change, Snapshot, StoreRow, decode_upstream},
+    platform::{Change, Feed, Snapshot, StoreRow, decode_upstream},
     telemetry::count,
 };
 
@@ -56,7 +58,8 @@
         let last_change = snapshot.rows.iter().map(|r| r.revision).max().unwrap_or_default();
         let position = snapshot.revision;
         let missing = Vec::new();
-        let snapshot = UpstreamSnapshot { position, last_change, upstreams, missing };
+        let knowledge = Knowledge { position, as_of: snapshot.as_of };
+        let snapshot = UpstreamSnapshot { knowledge, last_change, upstreams, missing };
         let replaced = self.replace(&snapshot, cx.now(), |id, now| self.missing(id, position, now));
         // These rows are there, so no lapse excuses what they no longer name.
         for id in self.rejected.keys().filter(|_| replaced) {
@@ -67,7 +70,7 @@
     /// Takes over all upstreams as another gateway knows them. What is gone
     /// there is gone: that gateway has waited for rows that may come back.
     pub fn copy(&mut self, cx: CX![], snapshot: UpstreamSnapshot) {
-        let position = snapshot.position;
+        let position = snapshot.knowledge.position;
         let replaced = self.replace(&snapshot, cx.now(), |id, _| self.remove(id, position));
         for id in snapshot.missing.iter().filter(|_| replaced) {
             self.mark_missing(id, position, cx.now() + LAPSE_GRACE);
@@ -75,11 +78,14 @@
     }
 
     /// Takes over changes that another gateway told, if none are lacking
-    /// before them.
+    /// before them. Without any, what is known is still as new as it is there.
     pub fn follow(&mut self, cx: CX![], recent: RecentChanges) {
         let now = cx.now();
-        let known = self.gateway.board.borrow().upstreams_position;
-        if recent.after > known || recent.position <= known {
+        let Some(known) = self.gateway.board.borrow().upstreams_knowledge else {
+            return;
+        };
+        let known = known.position;
+        if recent.after > known {
             return;
         }
         let mut last_change = 0;
@@ -97,7 +103,7 @@
                 UpstreamChange::Gone(id) => self.remove(&id, revision),
             }
         }
-        self.advance(recent.position, last_change);
+        self.advance(recent.knowledge, last_change);
     }
 
     /// Takes over a snapshot; returns whether it is as new as what is known.
@@ -107,8 +113,8 @@
         now: Instant,
         absent: impl Fn(&UpstreamId, Instant),
     ) -> bool {
-        let position = snapshot.position;
-        if position < self.gateway.board.borrow().upstreams_position {
+        let position = snapshot.knowledge.position;
+        if position < self.gateway.board.borrow().upstreams_position() {
             return false;
         }
         let listed: BTreeSet<&UpstreamId> = snapshot.upstreams.iter().map(|u| &u.id).collect();
@@ -120,18 +126,18 @@
         for id in known.iter().filter(|id| !listed.contains(id)) {
             absent(id, now);
         }
-        self.gateway.board.borrow_mut().recent_changes.reset(position);
-        self.advance(position, snapshot.last_change);
+        self.gateway.board.borrow_mut().recent_changes.reset(snapshot.knowledge);
+        self.advance(snapshot.knowledge, snapshot.last_change);
         true
     }
 
-    /// Takes over changes from the store's feed, which has come to `position`.
-    /// Those that another gateway told earlier are passed over.
-    pub fn changes(&mut self, cx: CX![], changes: Vec<Change>, position: Revision) {
+    /// Takes over changes from the store's feed. Those that another gateway told earlier
+    /// are passed over.
+    pub fn changes(&mut self, cx: CX![], feed: Feed) {
         let now = cx.now();
-        let known = self.gateway.board.borrow().upstreams_position;
+        let known = self.gateway.board.borrow().upstreams_position();
         let mut last_change = 0;
-        for change in changes {
+        for change in feed.changes {
             match change {
                 Change::Written(row) if row.revision > known => {
                     last_change = last_change.max(row.revision);
@@ -149,7 +155,8 @@
                 Change::Written(_) | Change::Removed(..) => {}
             }
         }
-        self.advance(position, last_change);
+        let knowledge = Knowledge { position: feed.revision, as_of: feed.as_of };
+        self.advance(knowledge, last_change);
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -261,20 +268,21 @@
         let ids: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
         let gone: Vec<UpstreamView> =
             ids.iter().filter_map(|id| board.upstreams.remove(id)).collect();
-        let revision = board.upstreams_position;
+        let revision = board.upstreams_position();
         drop(board);
         for view in &gone {
             self.log(&view.upstream, "gone", revision);
         }
     }
 
-    fn advance(&self, position: Revision, last_change: Revision) {
+    fn advance(&self, knowledge: Knowledge, last_change: Revision) {
         let mut board = self.gateway.board.borrow_mut();
-        board.upstreams_position = board.upstreams_position.max(position);
+        board.upstreams_knowledge.get_or_insert(knowledge).advance(knowledge);
         board.upstreams_last_change = board.upstreams_last_change.max(last_change);
-        board.upstreams_known = true;
-        board.recent_changes.advance(position);
+        board.recent_changes.advance(knowledge);
         drop(board);
-        self.gateway.tell(|c| call!([c.capacity], fleet_changed()));
+        if last_change > 0 {
+            self.gateway.tell(|c| call!([c.capacity], fleet_changed()));
+        }
     }
 }
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -6,12 +6,12 @@
 mod crashes;
 mod directory;
 mod duties;
+mod joining;
 mod kept;
 mod leaving;
 mod peers;
 mod reading;
 mod usage_report;
-mod watch;
 
 use std::rc::Rc;
 
@@ -25,10 +25,10 @@
 pub use crashes::Crashes;
 pub use directory::Directory;
 pub use duties::Duties;
+pub use joining::{announce, recall};
 pub use leaving::Leaving;
 pub use peers::Peers;
 pub use reading::follow;
-pub use watch::{announce, recall, watch_upstreams};
 
 /// The controllers, to which messages are handed.
 pub struct Controllers {
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -25,7 +25,6 @@
         peering::{Heartbeat, ProcessId, UpstreamSnapshot},
         telemetry::Event,
     },
-    platform::Table,
 };
 
 /// Every how many heartbeats addresses that are silent are tried.
@@ -208,7 +207,7 @@
         if heartbeat.configuration > board.configuration_version() {
             self.configuration_behind.get_or_insert(now);
         }
-        if heartbeat.upstreams > board.upstreams_position {
+        if heartbeat.upstreams > board.upstreams_position() {
             self.upstreams_behind.get_or_insert(now);
         }
     }
@@ -225,7 +224,7 @@
             .filter(|p| p.last.configuration > board.configuration_version())
             .map(|p| p.last.peers);
         let upstreams_from = newest_upstreams
-            .filter(|p| p.last.upstreams > board.upstreams_position)
+            .filter(|p| p.last.upstreams > board.upstreams_position())
             .map(|p| p.last.peers);
         drop(board);
         if configuration_from.is_none() {
@@ -253,7 +252,6 @@
         if let Some(from) = upstreams_from.filter(|_| late(self.upstreams_behind)) {
             self.asked = Some(now);
             spawn_local(fetch_upstreams(self.gateway.clone(), from));
-            self.gateway.resync(Table::Upstreams).notify_waiters();
         }
     }
 
--- a/src/gateway/controllers/reading.rs
+++ b/src/gateway/controllers/reading.rs
@@ -1,20 +1,26 @@
 //! Reads of the store's tables: calls that wait for changes, begun on time whatever has
 //! become of those before.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use stakker::call;
 use tokio::{task::spawn_local, time::sleep};
 
-use super::{Source, watch::note};
+use super::Source;
 use crate::{
     clock,
     gateway::{
         context::Gateway,
         decide::{Backoff, Knowledge, StoreMillis, Turn},
         model::{Followed, Revision},
+        telemetry::Event,
     },
     platform::{Change, Feed, PlatformError, Snapshot, StoreRow, Table},
+    telemetry::count,
 };
 
 /// What the answer to a call may take beyond its wait before the next call begins. The
@@ -125,8 +131,7 @@
         match self.followed {
             Followed::Configuration => take_configuration_changes(&self.gateway, feed),
             Followed::Upstreams => {
-                let Feed { changes, revision, .. } = feed;
-                self.gateway.tell(|c| call!([c.directory], changes(changes, revision)));
+                self.gateway.tell(|c| call!([c.directory], changes(feed)));
             }
         }
         if changed { Outcome::Changed } else { Outcome::Unchanged }
@@ -202,3 +207,14 @@
         gateway.tell(|c| call!([c.configuration], take(document, Source::Store)));
     }
 }
+
+/// Notes how a call that began at `began` ended.
+pub(super) fn note(gateway: &Gateway, call: &str, began: Instant, error: Option<&PlatformError>) {
+    let outcome = if error.is_some() { "failed" } else { "ok" };
+    count(&gateway.metrics.platform_calls, &format!("{call}_{outcome}"));
+    if let Some(error) = error {
+        let after_ms = clock::now().saturating_duration_since(began).as_millis() as u64;
+        gateway.log(&Event::StoreCallFailed { call, after_ms, error: &error.to_string() });
+    }
+    gateway.note_store(error);
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,7 +14,7 @@
 use super::{
     board::Board,
     context::Gateway,
-    controllers::{Controllers, announce, follow, recall, watch_upstreams},
+    controllers::{Controllers, announce, follow, recall},
     decide::TrueClock,
     model::Followed,
     net::{Phase, serve},
@@ -82,8 +82,9 @@
     let controllers = Rc::new(Controllers::start(&mut stakker, &gateway, socket.clone()));
     gateway.set_controllers(controllers);
     spawn_local(receive(gateway.clone(), socket));
-    spawn_local(follow(gateway.clone(), Followed::Configuration));
-    spawn_local(watch_upstreams(gateway.clone()));
+    for followed in Followed::ALL {
+        spawn_local(follow(gateway.clone(), followed));
+    }
     spawn_local(recall(gateway.clone()));
     spawn_local(announce(gateway.clone()));
     signals.spawn(&gateway);
--- a/src/gateway/peering/snapshot.rs
+++ b/src/gateway/peering/snapshot.rs
@@ -9,15 +9,18 @@
 
 use super::WireError;
 use crate::{
-    gateway::model::{Revision, Upstream},
+    gateway::{
+        decide::Knowledge,
+        model::{Revision, Upstream},
+    },
     ids::UpstreamId,
 };
 
 /// The upstreams that a gateway knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamSnapshot {
-    /// Revision of the store up to which all changes are in it.
-    pub position: Revision,
+    /// Up to where the store is in it.
+    pub knowledge: Knowledge,
     /// Revision of the newest change.
     pub last_change: Revision,
     /// The upstreams.
@@ -64,8 +67,8 @@
 pub struct RecentChanges {
     /// Revision after which the changes begin.
     pub after: Revision,
-    /// Revision up to which they go.
-    pub position: Revision,
+    /// Up to where they go.
+    pub knowledge: Knowledge,
     /// The changes, in order, each with its revision.
     pub changes: Vec<(Revision, UpstreamChange)>,
     /// When each change was noted here.
@@ -79,13 +82,13 @@
 
 impl RecentChanges {
     /// Begins anew after a snapshot.
-    pub fn reset(&mut self, position: Revision) {
-        *self = Self { after: position, position, ..Self::default() };
+    pub fn reset(&mut self, knowledge: Knowledge) {
+        *self = Self { after: knowledge.position, knowledge, ..Self::default() };
     }
 
     /// Adds a change.
     pub fn push(&mut self, revision: Revision, change: UpstreamChange, now: Instant) {
-        self.position = self.position.max(revision);
+        self.knowledge.position = self.knowledge.position.max(revision);
         self.changes.push((revision, change));
         self.noted.push_back(now);
         if self.changes.len() > MOST_RECENT {
@@ -107,8 +110,8 @@
         }
     }
 
-    /// Notes that there are no further changes up to `position`.
-    pub fn advance(&mut self, position: Revision) {
-        self.position = self.position.max(position);
+    /// Notes that there are no further changes up to there.
+    pub fn advance(&mut self, knowledge: Knowledge) {
+        self.knowledge.advance(knowledge);
     }
 }
--- a/src/gateway/request/doors.rs
+++ b/src/gateway/request/doors.rs
@@ -150,7 +150,7 @@
     let board = gateway.board.borrow();
     let missing = board.upstreams.iter().filter(|(_, v)| v.missing_until.is_some());
     let snapshot = UpstreamSnapshot {
-        position: board.upstreams_position,
+        knowledge: board.upstreams_knowledge.unwrap_or_default(),
         last_change: board.upstreams_last_change,
         upstreams: board.upstreams.values().map(|v| v.upstream.clone()).collect(),
         missing: missing.map(|(id, _)| id.clone()).collect(),
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -101,7 +101,7 @@
     let mut guard = gateway.board.borrow_mut();
     let board = &mut *guard;
     let view = board.upstreams.get(&id)?;
-    let (address, revision) = (view.upstream.address, board.upstreams_position);
+    let (address, revision) = (view.upstream.address, board.upstreams_position());
     let (lifetime, leaving) = (view.lifetime, !view.takes_work());
     let missing = candidate.missing_tokens as u32;
     if let Some(shared) = shared {
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -6,10 +6,14 @@
 use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
 use tackhollow::{
     gateway::{
-        Gateway, board::Board, controllers::Directory, decide::TrueClock,
-        peering::UpstreamSnapshot, telemetry::Journal,
+        Gateway,
+        board::Board,
+        controllers::Directory,
+        decide::{Knowledge, TrueClock},
+        peering::UpstreamSnapshot,
+        telemetry::Journal,
     },
-    platform::{Change, Snapshot, StoreRow},
+    platform::{Change, Feed, Snapshot, StoreRow},
     settings::GatewaySettings,
 };
 
@@ -57,12 +61,13 @@
 
     fn changes(&mut self, rows: Vec<StoreRow>, position: u64) {
         let changes = rows.into_iter().map(Change::Written).collect::<Vec<_>>();
-        call!([self.directory], changes(changes, position));
+        let feed = Feed { changes, revision: position, as_of: position };
+        call!([self.directory], changes(feed));
         self.run();
     }
 
     fn snapshot(&mut self, rows: Vec<StoreRow>, revision: u64) {
-        call!([self.directory], snapshot(Snapshot { rows, revision, as_of: 0 }));
+        call!([self.directory], snapshot(Snapshot { rows, revision, as_of: revision }));
         self.run();
     }
 
@@ -121,7 +126,7 @@
         let upstreams: Vec<_> =
             bench.gateway.board.borrow().upstreams.values().map(|v| v.upstream.clone()).collect();
         let snapshot = UpstreamSnapshot {
-            position,
+            knowledge: Knowledge { position, as_of: position },
             last_change: 4,
             upstreams,
             missing: vec!["i-1".to_owned()],
--- a/tests/gateway_freshness.rs
+++ b/tests/gateway_freshness.rs
@@ -18,6 +18,15 @@
 //! Evidence: the calls of all three readers ended without an answer within 90 ms, 5.5 s
 //! after a moment at which the store was still silent and 0.7 s before it was back; no
 //! gateway had a newer configuration until the next calls, which brought all versions.
+//!
+//! Cause, of the upstream that leaves: the same, in the calls for the list of upstreams,
+//! which have phases of their own. It shows by chance: calls must have begun again just
+//! before the store is back, and an upstream leave within the seconds after.
+//!
+//! Evidence: the fault came in one of 13 plays of days with a silent store and upstreams
+//! that leave soon after. There the calls of all three readers for upstreams began 0.6 s
+//! before the store was back and ended 5.5 s later; the leaving, confirmed meanwhile, was
+//! known 1.96 s after it, and 41 requests came too late.
 
 mod support;
 
