A leaving upstream is the last resort for a second from when it may have said so

Requests may have reached an upstream for longer than the operators' two seconds after it said that it leaves.

Cause: the second in which a leaving upstream takes what nobody else takes began when this process learnt of the leaving; learnt a second late, it ended after two. Change: it begins when the store was last seen without the leaving. Why it holds: whatever the age of the knowledge, the second ends one second after the earliest moment at which it may have been said (tests/gateway_leaving, which failed before).

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -25,7 +25,7 @@
         LoadMeter, Mechanism, QuotaBook, RequestCost, RetryBook, SpeedModel, Steadiness,
         StoreClock, SwitchedOff, TrialTurn, TrueClock, UsageBook,
     },
-    model::{Configuration, Lifetime, Revision, ServiceName, Upstream},
+    model::{Configuration, Followed, Lifetime, Revision, ServiceName, Upstream},
     peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport},
 };
 use crate::ids::{DataCentre, UpstreamId};
@@ -205,8 +205,10 @@
     /// Takes over what an upstream says of itself.
     pub fn describe(&mut self, upstream: Upstream, now: Instant) -> Described {
         let id = upstream.id.clone();
+        let age = self.age(Followed::Upstreams, now).unwrap_or_default();
+        let seen = now.checked_sub(age).unwrap_or(now);
         let (described, lifetime) = match self.upstreams.get_mut(&id) {
-            Some(view) => (view.update(upstream, now), view.lifetime),
+            Some(view) => (view.update(upstream, seen, now), view.lifetime),
             None => {
                 let view = UpstreamView::new(upstream, now);
                 let lifetime = view.lifetime;
--- a/src/gateway/board/upstream.rs
+++ b/src/gateway/board/upstream.rs
@@ -29,7 +29,7 @@
     pub breaker: Breaker,
     /// Until when its row may be missing: that may be the store's fault.
     pub missing_until: Option<Instant>,
-    /// Since when it is known to leave.
+    /// Since when it may have said that it leaves, if it has.
     pub leaving_since: Option<Instant>,
 }
 
@@ -46,8 +46,9 @@
     Same,
 }
 
-/// For how long an upstream that leaves gets requests that nobody else takes.
-/// It serves on for two seconds or more, and much of its work ends within one.
+/// For how long an upstream that leaves gets requests that nobody else takes, from when it
+/// may have said so. It serves on for two seconds or more, and much of its work ends
+/// within one.
 const LAST_RESORT: Duration = Duration::from_millis(1_000);
 
 impl UpstreamView {
@@ -69,8 +70,9 @@
     }
 
     /// Takes over its newer description. One that does not say when the upstream
-    /// started is of the lifetime that is known.
-    pub fn update(&mut self, mut upstream: Upstream, now: Instant) -> Described {
+    /// started is of the lifetime that is known. `seen` is when the store was last seen
+    /// without it: from then on it may hold, however late it is learnt.
+    pub fn update(&mut self, mut upstream: Upstream, seen: Instant, now: Instant) -> Described {
         upstream.born = upstream.born.or(self.upstream.born);
         if upstream.born != self.upstream.born {
             *self = Self::new(upstream, now);
@@ -78,7 +80,7 @@
         }
         let changed = self.upstream.phase != upstream.phase;
         if changed {
-            self.leaving_since = (upstream.phase == UpstreamPhase::Draining).then_some(now);
+            self.leaving_since = (upstream.phase == UpstreamPhase::Draining).then_some(seen);
         }
         self.upstream = upstream;
         self.missing_until = None;
--- a/tests/gateway_choice.rs
+++ b/tests/gateway_choice.rs
@@ -236,9 +236,9 @@
     };
     let mut view = UpstreamView::new(upstream(UpstreamPhase::Ready), now);
     assert!(view.takes_work() && !view.is_last_resort(now));
-    let changed = view.update(upstream(UpstreamPhase::Draining), now + ms(100));
+    let changed = view.update(upstream(UpstreamPhase::Draining), now + ms(100), now + ms(100));
     assert_eq!(changed, Described::PhaseChanged);
-    let again = view.update(upstream(UpstreamPhase::Draining), now + ms(900));
+    let again = view.update(upstream(UpstreamPhase::Draining), now + ms(900), now + ms(900));
     assert_eq!(again, Described::Same, "told once more");
     assert!(!view.takes_work() && view.is_last_resort(now + ms(1_000)));
     assert!(!view.is_last_resort(now + ms(1_200)), "it may be gone soon");
--- /dev/null
+++ b/tests/gateway_leaving.rs
@@ -0,0 +1,67 @@
+//! Upstreams that leave: until when they still get requests.
+//!
+//! What users saw: a request reached an upstream more than two seconds after it had said
+//! that it leaves. The main cause is in `gateway_freshness`; these faults, found beside it,
+//! add to it.
+//!
+//! Cause: an upstream that has begun to leave gets requests that nobody else takes for one
+//! second. The second began when this process learnt of the leaving, and a process that
+//! learnt it a second late sent until two seconds after.
+//!
+//! Evidence: the cases below, which failed by as much as the knowledge was old.
+
+use std::time::{Duration, Instant};
+
+use tackhollow::gateway::{
+    board::Board,
+    decide::{Knowledge, TrueClock},
+    model::{Upstream, UpstreamPhase},
+};
+
+fn upstream(phase: UpstreamPhase) -> Upstream {
+    Upstream {
+        id: "i-1".to_owned(),
+        born: Some(1),
+        service: "app".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".to_owned(),
+        slots: 6,
+        phase,
+        reclaimable: false,
+        leaves_in: None,
+    }
+}
+
+/// Returns what is known once the leaving is learnt `learnt` after the store was last seen.
+fn board(start: Instant, learnt: Duration) -> Board {
+    let mut board = Board::new(TrueClock::new(start, 0), start);
+    board.store_clock.note(5_000, start);
+    board.upstreams_knowledge = Some(Knowledge { position: 3, as_of: 5_000 });
+    board.describe(upstream(UpstreamPhase::Ready), start);
+    board.describe(upstream(UpstreamPhase::Draining), start + learnt);
+    board
+}
+
+#[test]
+fn a_leaving_upstream_is_the_last_resort_for_a_second_from_when_it_may_have_said_so() {
+    struct Case {
+        name: &'static str,
+        learnt: Duration,
+        at: Duration,
+        taken: bool,
+    }
+    let ms = Duration::from_millis;
+    let cases = [
+        Case { name: "learnt at once", learnt: ms(10), at: ms(900), taken: true },
+        Case { name: "learnt at once, over", learnt: ms(10), at: ms(1_000), taken: false },
+        Case { name: "learnt late", learnt: ms(700), at: ms(900), taken: true },
+        Case { name: "learnt late, over", learnt: ms(700), at: ms(1_100), taken: false },
+        Case { name: "learnt too late", learnt: ms(2_500), at: ms(2_500), taken: false },
+    ];
+    let start = Instant::now();
+    for case in cases {
+        let board = board(start, case.learnt);
+        let taken = board.upstreams["i-1"].is_last_resort(start + case.at);
+        assert_eq!(taken, case.taken, "{}", case.name);
+    }
+}
