--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -52,11 +52,14 @@
 
     /// Takes over all rows as read from the store.
     pub fn snapshot(&mut self, cx: CX![], snapshot: Snapshot) {
-        let upstreams = snapshot.rows.iter().filter_map(|r| self.decode(r)).collect();
+        let upstreams: Vec<Upstream> =
+            snapshot.rows.iter().filter_map(|r| self.decode(r)).collect();
         let listed: BTreeSet<&UpstreamId> = snapshot.rows.iter().map(|r| &r.key).collect();
         self.rejected.retain(|id, _| listed.contains(id));
-        let last_change = snapshot.rows.iter().map(|r| r.revision).max().unwrap_or_default();
         let position = snapshot.revision;
+        let written = snapshot.rows.iter().map(|r| r.revision).max().unwrap_or_default();
+        // A removal has no row, and others would not hear that they lack it.
+        let last_change = if self.names_all_known(&upstreams) { written } else { position };
         let missing = Vec::new();
         let knowledge = Knowledge { position, as_of: snapshot.as_of };
         let snapshot = UpstreamSnapshot { knowledge, last_change, upstreams, missing };
@@ -67,6 +70,11 @@
         }
     }
 
+    fn names_all_known(&self, upstreams: &[Upstream]) -> bool {
+        let named: BTreeSet<&UpstreamId> = upstreams.iter().map(|u| &u.id).collect();
+        self.gateway.board.borrow().upstreams.keys().all(|id| named.contains(id))
+    }
+
     /// Takes over all upstreams as another gateway knows them. What is gone
     /// there is gone: that gateway has waited for rows that may come back.
     pub fn copy(&mut self, cx: CX![], snapshot: UpstreamSnapshot) {
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -137,3 +137,31 @@
         assert_eq!(marked, missing, "at {position}");
     }
 }
+
+/// A removal that shows in a snapshot has no revision of its own, so others that know the
+/// upstream would never hear that they lack a change.
+#[test]
+fn a_removal_that_a_snapshot_shows_is_told() {
+    struct Case {
+        name: &'static str,
+        rows: Vec<StoreRow>,
+        newest_change: u64,
+    }
+    let both = vec![good("i-1", 4), good("i-2", 5)];
+    let cases = [
+        Case { name: "a row is gone", rows: vec![good("i-1", 4)], newest_change: 9 },
+        Case {
+            name: "a row is unusable",
+            rows: vec![good("i-1", 4), bad("i-2", 5)],
+            newest_change: 9,
+        },
+        Case { name: "nothing changed", rows: both, newest_change: 5 },
+    ];
+    for case in cases {
+        let mut bench = Bench::new();
+        bench.changes(vec![good("i-1", 4), good("i-2", 5)], 6);
+        bench.snapshot(case.rows, 9);
+        let told = bench.gateway.board.borrow().upstreams_last_change;
+        assert_eq!(told, case.newest_change, "{}", case.name);
+    }
+}
