Whether an upstream still takes a request is looked up where the bytes leave

A request may have reached an upstream later than its leaving was known. Cause: the upstream was looked up when it was chosen; a connection that had to be opened may take 0.6 s until the first byte, and what was learnt meanwhile did not count. Change: it is looked up again right before the request is written. Where it has left, is gone or has started again, nothing is sent and another is chosen. The resumption of a stream took each attempt that was not sent for an upstream that cannot be reached; it uses the same rule as the first attempt now. Why it holds: the check and the write stand in one step, with no wait between (attempt.rs); the decision is tested in gateway_leaving.

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -229,6 +229,13 @@
         self.upstreams.get_mut(id).filter(|v| v.lifetime == lifetime)
     }
 
+    /// Returns whether a request may go out to an upstream that was chosen in the lifetime
+    /// that is meant: it may have begun to leave since, while a connection was opened.
+    pub fn may_be_sent_to(&self, id: &UpstreamId, lifetime: Lifetime, now: Instant) -> bool {
+        let view = self.upstreams.get(id).filter(|v| v.lifetime == lifetime);
+        view.is_some_and(|v| v.takes_work() || v.is_last_resort(now))
+    }
+
     /// Returns how many tokens the cache of an engine holds; `None` for one that is
     /// not known, or not in this lifetime.
     pub fn cache_tokens(&self, cfg: &Configuration, lifetime: Lifetime) -> Option<u64> {
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -14,7 +14,7 @@
     gateway::{
         context::Gateway,
         model::RequestDigest,
-        net::{Lease, RequestBody},
+        net::{Lease, PoolError, RequestBody},
     },
     platform::{self, Attempt, RequestHead},
 };
@@ -64,6 +64,9 @@
 /// Cause of an attempt's end: the upstream lost the request when it started again.
 pub const STARTED_AGAIN: &str = "upstream_started_again";
 
+/// Cause of an attempt's end: no connection could be opened.
+pub const UNREACHABLE: &str = "unreachable";
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum AttemptEnd {
@@ -90,16 +93,19 @@
     let acquired = gateway.pool.acquire(selected.lifetime, selected.address, most).await;
     let mut lease = match acquired {
         Ok(lease) => lease,
-        Err(crate::gateway::net::PoolError::Full) => {
-            return AttemptEnd::Unsent("no_connection_free");
-        }
-        Err(crate::gateway::net::PoolError::Connect(_)) => {
-            return AttemptEnd::Unsent("unreachable");
+        Err(PoolError::Full) => return AttemptEnd::Unsent("no_connection_free"),
+        Err(PoolError::Connect(_)) => {
+            return AttemptEnd::Unsent(UNREACHABLE);
         }
     };
     if lease.connection().ready().await.is_err() {
         return AttemptEnd::Unsent("connection_ended");
     }
+    // Here, where the bytes leave: opening the connection may have taken long.
+    let (id, lifetime) = (&selected.id, selected.lifetime);
+    if !gateway.board.borrow().may_be_sent_to(id, lifetime, clock::now()) {
+        return AttemptEnd::Unsent("upstream_left");
+    }
     let request = outgoing.request(&Attempt {
         time_left: deadline.saturating_duration_since(clock::now()),
         upstream: &selected.id,
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Admitted, Outcome, Refusal, admit,
-    attempt::{AttemptEnd, Outgoing, attempt},
+    attempt::{AttemptEnd, Outgoing, UNREACHABLE, attempt},
     in_flight::InProgress,
     relay::relay,
     report::refuse,
@@ -189,10 +189,7 @@
                 }
                 AttemptEnd::Unsent(cause) => {
                     self.runs -= 1;
-                    if cause == "unreachable" {
-                        self.verdict(&selected.id, selected.lifetime, Verdict::Unreachable);
-                    }
-                    self.not_run(&selected.id, cause);
+                    self.unsent(&selected, cause);
                 }
                 AttemptEnd::NotExecuted(status) => {
                     self.runs -= 1;
@@ -320,8 +317,11 @@
     }
 
     /// Notes that nothing reached the upstream.
-    pub fn not_run(&mut self, upstream: &str, cause: &'static str) {
-        self.log_failed(upstream, cause, false, true);
+    pub(super) fn unsent(&mut self, selected: &Selected, cause: &'static str) {
+        if cause == UNREACHABLE {
+            self.verdict(&selected.id, selected.lifetime, Verdict::Unreachable);
+        }
+        self.log_failed(&selected.id, cause, false, true);
     }
 
     fn take_retry(&self) -> bool {
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -199,8 +199,7 @@
                     }
                 }
                 AttemptEnd::Unsent(cause) => {
-                    self.forwarding.verdict(&selected.id, selected.lifetime, Verdict::Unreachable);
-                    self.forwarding.not_run(&selected.id, cause);
+                    self.forwarding.unsent(&selected, cause);
                 }
                 AttemptEnd::NotExecuted(_) => {
                     if !self.forwarding.may_send_again(&selected.id, "not_executed") {
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -18,6 +18,8 @@
     model::{Upstream, UpstreamPhase},
 };
 
+const SECOND: Duration = Duration::from_secs(1);
+
 fn upstream(phase: UpstreamPhase) -> Upstream {
     Upstream {
         id: "i-1".to_owned(),
@@ -65,3 +67,40 @@
         assert_eq!(taken, case.taken, "{}", case.name);
     }
 }
+
+/// Between the choice of an upstream and the first byte to it a connection may have to be
+/// opened; what is learnt meanwhile counts.
+#[test]
+fn a_request_is_sent_only_where_the_upstream_still_takes_it() {
+    struct Case {
+        name: &'static str,
+        /// What it says of itself meanwhile, and how long ago; `None` if it is gone.
+        learnt: Option<(Upstream, Duration)>,
+        taken: bool,
+    }
+    let ready = || upstream(UpstreamPhase::Ready);
+    let leaving = || upstream(UpstreamPhase::Draining);
+    let again = Upstream { born: Some(2), ..ready() };
+    let cases = [
+        Case { name: "the same", learnt: Some((ready(), Duration::ZERO)), taken: true },
+        Case { name: "it leaves", learnt: Some((leaving(), Duration::ZERO)), taken: true },
+        Case { name: "it left a second ago", learnt: Some((leaving(), SECOND)), taken: false },
+        Case { name: "it is gone", learnt: None, taken: false },
+        Case { name: "it started again", learnt: Some((again, Duration::ZERO)), taken: false },
+    ];
+    let start = Instant::now();
+    for case in cases {
+        let mut board = Board::new(TrueClock::new(start, 0), start);
+        board.describe(upstream(UpstreamPhase::Ready), start);
+        let chosen = board.upstreams["i-1"].lifetime;
+        let now = start + 3 * SECOND;
+        match case.learnt {
+            Some((said, ago)) => {
+                board.describe(said, now - ago);
+            }
+            None => board.upstreams.clear(),
+        }
+        let taken = board.may_be_sent_to(&"i-1".to_owned(), chosen, now);
+        assert_eq!(taken, case.taken, "{}", case.name);
+    }
+}
