A gateway that cannot know whether it is up to date refuses nothing for good

Callers whose keys had just been added got 401 for 1.7 s after the outage, from gateways that had not read the configuration for eleven seconds.

Cause: a final 401, 403 or 404 asked whether another gateway is ahead, not whether anybody knows the newest configuration at all. Change: where the configuration is 1.5 s old or older, what it does not allow gets 503 and a time to come back; what it allows is served, by the key, route and quota that are known. Serving errs towards the older word: a key that was taken away is served, for as long as nobody can read the store. Sight: one log line when knowledge grows old and when it is new again, its age as a gauge, in attempts and in answers; tackhollow-trace names it. Why it holds: the age decides, not an outcome or a flag (gateway_freshness, trace).

--- a/src/bin/tackhollow-trace/story.rs
+++ b/src/bin/tackhollow-trace/story.rs
@@ -73,9 +73,17 @@
         "crashes_upstreams" | "copy_runs" => not_sent(own),
         "unknown_key" | "no_route" => {
             let version = end.number("configuration");
-            format!("{outcome} in configuration {version}, the newest known")
+            let age = end.number("configuration_age_ms");
+            format!("{outcome} in configuration {version}, known to be the newest {age} ms before")
         }
         "no_configuration" => "the process had no configuration yet, or an old one".to_owned(),
+        "configuration_old" => {
+            let (version, age) = (end.number("configuration"), end.number("configuration_age_ms"));
+            format!(
+                "configuration {version} does not allow it, and was last known to be the newest \
+                 {age} ms before: the store answered nobody who is heard; it has not run"
+            )
+        }
         "leaving" => "the process was being stopped; another should have been used".to_owned(),
         "upstream_failure" => format!("upstream {upstream} answered with a failure of its own"),
         "caller_left" => "the caller left before the answer ended".to_owned(),
--- a/src/gateway/board/knowledge.rs
+++ b/src/gateway/board/knowledge.rs
@@ -4,7 +4,7 @@
 
 use super::{Board, StoreState};
 use crate::gateway::{
-    decide::{Knowledge, Reader, Turn, turn},
+    decide::{Knowledge, OLD, Reader, Turn, turn},
     model::Followed,
     net::Phase,
 };
@@ -24,6 +24,11 @@
         self.store_clock.age(self.knowledge(followed)?.as_of, now)
     }
 
+    /// Returns whether there may be something newer that every gateway should know by now.
+    pub fn is_old(&self, followed: Followed, now: Instant) -> bool {
+        self.age(followed, now).is_none_or(|age| age >= OLD)
+    }
+
     /// Returns what this process does now about what is followed; `None` if it knows nothing of it
     /// and has to read it whole.
     pub fn read_turn(&self, process: &str, followed: Followed, now: Instant) -> Option<Turn> {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -6,6 +6,7 @@
     board::{Board, StoreState},
     controllers::Controllers,
     decide::Change,
+    model::Followed,
     net::{Phase, Pool, Shutdown},
     peering::ProcessId,
     reactor::Wake,
@@ -99,6 +100,11 @@
         self.wake.wake();
     }
 
+    /// Returns how old what is known of something is, in milliseconds, for the log.
+    pub fn age_ms(&self, of: Followed, now: Instant) -> Option<u64> {
+        self.board.borrow().age(of, now).map(|age| age.as_millis() as u64)
+    }
+
     /// Returns whether callers should use this process.
     pub fn is_ready(&self) -> bool {
         let board = self.board.borrow();
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -1,5 +1,6 @@
 //! Controllers: `stakker` actors that keep the board.
 
+mod ages;
 mod asking;
 mod capacity;
 mod configuration;
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -13,6 +13,7 @@
 
 use super::{
     Source,
+    ages::Ages,
     asking::{ask, sample},
     reading::read_configuration,
 };
@@ -60,6 +61,7 @@
     configuration_behind: Option<Instant>,
     upstreams_behind: Option<Instant>,
     asked: Option<Instant>,
+    ages: Ages,
     /// Whether a configuration is on its way here: a second one beside it would only
     /// share the link.
     fetching: Rc<Cell<bool>>,
@@ -84,6 +86,7 @@
             configuration_behind: None,
             upstreams_behind: None,
             asked: None,
+            ages: Ages::default(),
             fetching: Rc::default(),
         })
     }
@@ -145,6 +148,7 @@
         let now = cx.now();
         timer_max!(&mut self.timer, now + HEARTBEAT_PERIOD, [cx], tick());
         self.forget(now);
+        self.ages.look(&self.gateway, now);
         self.gateway.board.borrow_mut().average_costs(now);
         self.send(now);
         self.catch_up(now);
--- a/src/gateway/decide/knowledge.rs
+++ b/src/gateway/decide/knowledge.rs
@@ -6,6 +6,10 @@
 
 use crate::gateway::model::Revision;
 
+/// Age at which knowledge counts as old: neither readers nor others have been answered for
+/// twice the time in which somebody always is.
+pub const OLD: Duration = Duration::from_millis(1_500);
+
 /// A moment by the store's steady clock, in milliseconds.
 pub type StoreMillis = u64;
 
--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -8,7 +8,7 @@
         board::Board,
         context::Gateway,
         decide::QuotaUsedUp,
-        model::{Configuration, Customer, CustomerName, Route, ServiceName},
+        model::{Configuration, Customer, CustomerName, Followed, Route, ServiceName},
         telemetry::Event,
     },
     platform::RequestHead,
@@ -42,9 +42,15 @@
         return Err(Refusal::NoConfiguration);
     }
     let configuration = board.configuration.clone().ok_or(Refusal::NoConfiguration)?;
-    // A refusal for good needs the newest configuration that anybody knows.
+    // A refusal for good needs the newest configuration: keys and routes may have been
+    // added that this process cannot know of. What it knows is served meanwhile.
     let behind = board.configuration_is_behind(now);
-    let for_good = |refusal| if behind { Refusal::NoConfiguration } else { refusal };
+    let old = board.is_old(Followed::Configuration, now);
+    let for_good = |refusal| match (behind, old) {
+        (true, _) => Refusal::NoConfiguration,
+        (false, true) => Refusal::ConfigurationOld,
+        (false, false) => refusal,
+    };
     let route = configuration.route(&head.host, &head.path);
     let route = route.ok_or_else(|| for_good(Refusal::NoRoute))?.clone();
     let customer = customer(&configuration, &route, head.key.as_deref()).map_err(for_good)?;
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -26,7 +26,7 @@
     gateway::{
         context::Gateway,
         decide::{RetryTerms, Verdict},
-        model::{RequestDigest, RequestKind},
+        model::{Followed, RequestDigest, RequestKind},
         net::{AnswerBody, Lease, Phase, full_body},
         telemetry::Event,
     },
@@ -284,6 +284,7 @@
             missing_tokens: selected.candidate.missing_tokens,
             configuration: self.admitted.configuration.version,
             upstreams: selected.revision,
+            upstreams_age_ms: self.gateway.age_ms(Followed::Upstreams, now),
             leaving: selected.leaving,
         });
         Some(selected)
--- a/src/gateway/request/refusal.rs
+++ b/src/gateway/request/refusal.rs
@@ -13,6 +13,9 @@
 /// Time after which a caller is asked to come back to a process that has no
 /// configuration yet or is leaving: others can serve it at once.
 const SOON: Duration = Duration::from_millis(200);
+/// Time after which a configuration that is old is likely to be renewed, if the store
+/// answers by then.
+const FRESH: Duration = Duration::from_millis(1_000);
 /// Time after which room at upstreams is likely again.
 const ROOM: Duration = Duration::from_millis(600);
 
@@ -22,6 +25,9 @@
     /// This process knows no configuration yet, or knows that it has an old one.
     #[error("no configuration yet")]
     NoConfiguration,
+    /// The configuration here allows it not, and may be older than the newest one.
+    #[error("the configuration here may be old")]
+    ConfigurationOld,
     /// No route matches.
     #[error("no such route")]
     NoRoute,
@@ -66,6 +72,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoConfiguration
+            | Self::ConfigurationOld
             | Self::CrashesUpstreams
             | Self::CopyRuns(_)
             | Self::NoRoom
@@ -85,6 +92,7 @@
     pub fn cause(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::ConfigurationOld => "configuration_old",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
@@ -103,6 +111,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoConfiguration | Self::Leaving => Some(SOON),
+            Self::ConfigurationOld => Some(FRESH),
             Self::NoRoom | Self::TimeOverNotRun => Some(ROOM),
             Self::QuotaUsedUp(wait) | Self::CopyRuns(wait) => Some(wait),
             _ => None,
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -10,7 +10,7 @@
     gateway::{
         context::Gateway,
         decide::{FirstToken, Verdict},
-        model::{Lifetime, RequestKind},
+        model::{Followed, Lifetime, RequestKind},
         net::AnswerBody,
         telemetry::{Event, RequestLabels},
     },
@@ -37,6 +37,7 @@
         took_ms,
         first_ms: took_ms,
         configuration: gateway.board.borrow().configuration_version(),
+        configuration_age_ms: gateway.age_ms(Followed::Configuration, clock::now()),
     });
     let class = admitted.map_or_else(|| "unknown".to_owned(), class);
     let labels = RequestLabels { class, outcome: refusal.cause().to_owned() };
@@ -126,6 +127,7 @@
             took_ms,
             first_ms: to_first.map_or(took_ms, |t| t.as_millis() as u64),
             configuration: self.admitted.configuration.version,
+            configuration_age_ms: self.gateway.age_ms(Followed::Configuration, clock::now()),
         });
         let class = class(&self.admitted);
         if let Some(time) = to_first {
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -65,6 +65,24 @@
         /// Why.
         error: &'a str,
     },
+    /// What is known of the store has grown old: there may be something newer.
+    KnowledgeOld {
+        /// What it is knowledge of.
+        of: &'a str,
+        /// Its age, in milliseconds.
+        age_ms: u64,
+        /// Revision up to which it is known.
+        position: u64,
+    },
+    /// What is known of the store is new again.
+    KnowledgeFresh {
+        /// What it is knowledge of.
+        of: &'a str,
+        /// For how long it was old, in milliseconds.
+        after_ms: u64,
+        /// Revision up to which it is known.
+        position: u64,
+    },
     /// A configuration is in force.
     Configuration {
         /// Its version.
@@ -237,6 +255,8 @@
         configuration: u64,
         /// Revision of the list of upstreams.
         upstreams: u64,
+        /// Age of the list, in milliseconds.
+        upstreams_age_ms: Option<u64>,
         /// Whether the upstream is known to leave.
         leaving: bool,
     },
@@ -275,6 +295,8 @@
         first_ms: u64,
         /// Version of the configuration that decided.
         configuration: u64,
+        /// Its age at the end, in milliseconds.
+        configuration_age_ms: Option<u64>,
     },
     /// Lines that were left out to keep the volume bounded.
     LeftOut {
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of the gateway.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -46,6 +48,8 @@
     pub orders: Family<Labels, Counter>,
     /// Version of the configuration in force.
     pub configuration: Gauge,
+    /// Age of what is known of the store, by what it is knowledge of, in seconds.
+    pub knowledge_age: Family<Labels, Gauge<f64, AtomicU64>>,
     /// Upstreams that take work.
     pub upstreams: Gauge,
     /// Gateways that are heard.
@@ -82,6 +86,7 @@
             rejected_entries: Family::default(),
             orders: Family::default(),
             configuration: Gauge::default(),
+            knowledge_age: Family::default(),
             upstreams: Gauge::default(),
             peers: Gauge::default(),
             lease: Gauge::default(),
@@ -103,6 +108,7 @@
         r.register("rejected_entries", "Rows that name no upstream", self.rejected_entries.clone());
         r.register("engine_orders", "Orders of engines", self.orders.clone());
         r.register("configuration_version", "Configuration", self.configuration.clone());
+        r.register("knowledge_age_seconds", "Age of knowledge", self.knowledge_age.clone());
         r.register("upstreams", "Upstreams that take work", self.upstreams.clone());
         r.register("peers", "Gateways that are heard", self.peers.clone());
         r.register("lease_fence", "Fencing number of the lease", self.lease.clone());
--- a/tests/gateway_freshness.rs
+++ b/tests/gateway_freshness.rs
@@ -35,6 +35,7 @@
     time::{Duration, Instant},
 };
 
+use hyper::StatusCode;
 use serde_json::{Value, json};
 use support::{
     gateways::{Call, Site, configuration},
@@ -160,3 +161,60 @@
     }
     assert!(late.is_empty(), "{late:#?}");
 }
+
+/// Callers whose keys had just been added got 401 from gateways that could not know of them.
+/// A refusal for good is for those alone who know that they are up to date.
+#[test]
+fn nobody_is_refused_for_good_on_old_knowledge() {
+    struct Case {
+        name: &'static str,
+        call: Call,
+        status: StatusCode,
+    }
+    let cases = [
+        Case {
+            name: "a key that is not known",
+            call: Call::new("GET", "/check/x", "key").header("x-key", "added-key"),
+            status: StatusCode::UNAUTHORIZED,
+        },
+        Case {
+            name: "a route that is not known",
+            call: Call::new("GET", "/added/x", "route"),
+            status: StatusCode::NOT_FOUND,
+        },
+    ];
+    let site = Site::start(2, 1, 1);
+    let answers = |case: &Case| -> Vec<_> {
+        site.gateways.iter().map(|g| case.call.send(g.callers).expect("an answer")).collect()
+    };
+    for case in &cases {
+        assert!(answers(case).iter().all(|a| a.status == case.status), "{}: known", case.name);
+    }
+    site.store("silent");
+    for case in &cases {
+        let name = case.name;
+        wait_until("nobody refuses it for good", || {
+            answers(case).iter().all(|a| a.status == StatusCode::SERVICE_UNAVAILABLE)
+        });
+        let told = answers(case).iter().all(|a| !a.header("retry-after").is_empty());
+        assert!(told, "{name}: callers are told when to come back");
+    }
+    let known = Call::new("GET", "/check/x", "known").send(site.gateways[0].callers);
+    assert_eq!(known.map(|a| a.status), Some(StatusCode::OK), "what is known is served");
+    for gateway in &site.gateways {
+        let said = |event: &str| gateway.log().iter().any(|l| l["event"] == event);
+        assert!(said("knowledge_old"), "the log says so");
+        assert!(gateway.metrics().contains("knowledge_age_seconds"), "a metric says so");
+    }
+    site.store("up");
+    for case in &cases {
+        wait_until("it is refused for good again", || {
+            answers(case).iter().all(|a| a.status == case.status)
+        });
+    }
+    for gateway in &site.gateways {
+        wait_until("the log says that it is fresh", || {
+            gateway.log().iter().any(|l| l["event"] == "knowledge_fresh")
+        });
+    }
+}
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -5,6 +5,7 @@
 
 use std::{fs, process::Command, thread, time::Duration};
 
+use hyper::StatusCode;
 use serde_json::json;
 use support::{
     gateways::{Call, Site},
@@ -101,6 +102,23 @@
     assert!(!story.contains("kitchens"), "what befell others is no part of it: {story}");
 }
 
+#[test]
+fn old_knowledge_is_named_as_the_cause() {
+    let site = Site::start(2, 1, 1);
+    site.store("silent");
+    let call = |id: &str| Call::new("POST", "/confirm/x", id).header("x-key", "added");
+    let mut n = 0;
+    let mut refused = String::new();
+    wait_until("the gateway knows that it may be behind", || {
+        n += 1;
+        refused = format!("refused-{n}");
+        let answer = call(&refused).send(site.gateways[0].callers).expect("an answer");
+        answer.status == StatusCode::SERVICE_UNAVAILABLE
+    });
+    let cause = "cause: configuration 7 does not allow it, and was last known to be the newest";
+    wait_until("the story is whole", || trace(&site, &refused).contains(cause));
+}
+
 #[test]
 fn what_the_store_said_of_the_upstream_is_part_of_the_story() {
     let site = Site::start(1, 1, 0);
