A fetch of the configuration that hangs holds up no other

The list of upstreams was asked of the same one of the newest gateways each time, reachable or not. Change: the wait for the store holds up no fetch, and goes out on a new connection; the list is asked of any of those that have the newest.

--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -15,7 +15,7 @@
     Source,
     ages::Ages,
     asking::{ask, sample},
-    reading::read_configuration,
+    reading::read_once,
 };
 use crate::{
     control::HeardClaim,
@@ -23,6 +23,7 @@
         board::{HEARTBEAT_FAN_OUT, HEARTBEAT_PERIOD, PEER_FORGOTTEN, PeerView, StoreState},
         context::Gateway,
         decide::{Counts, PeerTotal, Window, beats_a_report},
+        model::Followed,
         peering::{Heartbeat, ProcessId, UpstreamSnapshot},
         telemetry::Event,
     },
@@ -219,11 +220,14 @@
     /// Asks another gateway, and reads the store anew, if it stays ahead.
     fn catch_up(&mut self, now: Instant) {
         let board = self.gateway.board.borrow();
-        // Any of those that have the newest: one alone cannot answer all at once.
+        // Any of those that have the newest: one alone cannot answer all at once, and may
+        // be cut off.
         let newest = board.heard(now).map(|p| p.last.configuration).max().unwrap_or_default();
         let have_newest = board.heard(now).filter(|p| p.last.configuration == newest);
         let newest_configuration = fastrand::choice(have_newest.collect::<Vec<_>>());
-        let newest_upstreams = board.heard(now).max_by_key(|p| p.last.upstreams);
+        let newest = board.heard(now).map(|p| p.last.upstreams).max().unwrap_or_default();
+        let have_newest = board.heard(now).filter(|p| p.last.upstreams == newest);
+        let newest_upstreams = fastrand::choice(have_newest.collect::<Vec<_>>());
         let configuration_from = newest_configuration
             .filter(|p| p.last.configuration > board.configuration_version())
             .map(|p| p.last.peers);
@@ -249,8 +253,12 @@
             self.fetching.set(true);
             let (gateway, fetching) = (self.gateway.clone(), self.fetching.clone());
             spawn_local(async move {
-                fetch_configuration(gateway, from).await;
+                let fetched = fetch_configuration(&gateway, from).await;
+                // Others may have it meanwhile, so the next fetch does not wait for the store.
                 fetching.set(false);
+                if !fetched {
+                    read_once(gateway, Followed::Configuration).await;
+                }
             });
         }
         if let Some(from) = upstreams_from.filter(|_| late(self.upstreams_behind)) {
@@ -379,16 +387,15 @@
     }
 }
 
-/// Fetches the configuration from another gateway, or from the store if that one does
-/// not answer in time: a large document takes 0.3 s of a link of 10 Mbit/s for each that
-/// asks, so the few that have a new one first cannot answer all others.
-async fn fetch_configuration(gateway: Rc<Gateway>, from: SocketAddr) {
-    match ask(from, "/peer/configuration").await {
-        Some(document) => {
-            gateway.tell(|c| call!([c.configuration], take(document, Source::Peer)));
-        }
-        None => read_configuration(&gateway).await,
-    }
+/// Fetches the configuration from another gateway; returns whether that one answered in
+/// time. A large document takes long on a slow link, so the few that have a new one first
+/// cannot answer all others.
+async fn fetch_configuration(gateway: &Gateway, from: SocketAddr) -> bool {
+    let Some(document) = ask(from, "/peer/configuration").await else {
+        return false;
+    };
+    gateway.tell(|c| call!([c.configuration], take(document, Source::Peer)));
+    true
 }
 
 async fn fetch_upstreams(gateway: Rc<Gateway>, from: SocketAddr) {
--- a/src/gateway/controllers/reading.rs
+++ b/src/gateway/controllers/reading.rs
@@ -172,14 +172,10 @@
     }
 }
 
-/// Reads the configuration from the store once.
-pub(super) async fn read_configuration(gateway: &Gateway) {
-    let began = clock::now();
-    let read = gateway.store.snapshot(Table::Operator).await;
-    note(gateway, "configuration", began, read.as_ref().err());
-    if let Ok(snapshot) = read {
-        take_configuration(gateway, snapshot);
-    }
+/// Asks the store once for what has changed.
+pub(super) async fn read_once(gateway: Rc<Gateway>, followed: Followed) {
+    let reader = Rc::new(TableReader { gateway, followed, known: Cell::default() });
+    reader.read(Duration::ZERO).await;
 }
 
 fn take_configuration(gateway: &Gateway, snapshot: Snapshot) {
