The soak checks that changes confirmed right after the faults are known in time

Nothing of the project's own checked these promises under faults: the soak checked answers, runs, duties and crashing requests. Now, in the second after the faults, it confirms a configuration and lets an upstream say that it leaves; three seconds after the last fault every gateway has the one, and the other gets nothing more. In a case of its own, and in seeds by hand, the store falls silent, open connections included, beside the other faults, without a change to what earlier seeds draw. The test is split in two that run beside each other.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -12,6 +12,8 @@
 mod check;
 #[path = "soak/faults.rs"]
 mod faults;
+#[path = "soak/freshness.rs"]
+mod freshness;
 #[path = "soak/proxy.rs"]
 mod proxy;
 
@@ -47,6 +49,8 @@
     restarts: bool,
     /// Whether a caller sends requests that crash upstreams.
     crashing: Crashing,
+    /// Whether the store falls silent.
+    silences: bool,
 }
 
 /// Whether a caller sends requests that crash upstreams.
@@ -60,52 +64,80 @@
     Hidden,
 }
 
-const CASES: [Case; 8] = [
-    Case { seed: 1, why: "a short run", restarts: false, crashing: Crashing::No },
+const CASES: [Case; 9] = [
+    Case { seed: 1, why: "a short run", restarts: false, crashing: Crashing::No, silences: false },
     Case {
         seed: 2002,
         why: "a signal right after a start ended the process",
         restarts: false,
         crashing: Crashing::No,
+        silences: false,
+    },
+    Case {
+        seed: 3,
+        why: "upstreams that start again",
+        restarts: true,
+        crashing: Crashing::No,
+        silences: false,
     },
-    Case { seed: 3, why: "upstreams that start again", restarts: true, crashing: Crashing::No },
     Case {
         seed: 20_263_207,
         why: "what all ask for was held",
         restarts: true,
         crashing: Crashing::Hidden,
+        silences: false,
     },
     Case {
         seed: 20_262_212,
         why: "breaks before a new start counted as the upstream's end",
         restarts: true,
         crashing: Crashing::Hidden,
+        silences: false,
     },
     Case {
         seed: 4_120_101,
         why: "all engines ended at once, and what all ask for was refused for an hour",
         restarts: true,
         crashing: Crashing::Direct,
+        silences: false,
     },
     Case {
         seed: 4_120_302,
         why: "the same, with more ends by themselves",
         restarts: true,
         crashing: Crashing::Direct,
+        silences: false,
     },
     Case {
         seed: 4,
         why: "requests that crash upstreams",
         restarts: true,
         crashing: Crashing::Direct,
+        silences: false,
+    },
+    Case {
+        seed: 5,
+        why: "a store that falls silent",
+        restarts: true,
+        crashing: Crashing::No,
+        silences: true,
     },
 ];
 
 #[test]
 fn promises_hold_under_faults() {
-    for case in CASES {
+    play(|case| case.crashing == Crashing::No);
+}
+
+#[test]
+fn promises_hold_under_faults_and_crashing_requests() {
+    play(|case| case.crashing != Crashing::No);
+}
+
+fn play(chosen: impl Fn(&Case) -> bool) {
+    for case in CASES.iter().filter(|c| chosen(c)) {
         println!("seed {}: {}", case.seed, case.why);
-        soak(case.seed, Duration::from_secs(6), case.restarts, case.crashing);
+        soak(case, Duration::from_secs(6));
     }
 }
 
@@ -121,7 +153,8 @@
     let seconds = Duration::from_secs(number("SOAK_SECONDS", 8));
     let hidden = if number("SOAK_HIDDEN", 0) > 0 { Crashing::Hidden } else { Crashing::Direct };
     for seed in first..first + number("SOAK_COUNT", 50) {
-        soak(seed, seconds, true, hidden);
+        let why = "drawn";
+        soak(&Case { seed, why, restarts: true, crashing: hidden, silences: true }, seconds);
     }
 }
 
@@ -224,7 +257,8 @@
     (site, links, upstreams)
 }
 
-fn soak(seed: u64, time: Duration, restarts: bool, crashing: Crashing) {
+fn soak(case: &Case, time: Duration) {
+    let Case { seed, restarts, crashing, silences, .. } = *case;
     let (mut site, links, upstreams) = start(crashing == Crashing::Direct);
     let addresses: Vec<_> = site.gateways.iter().map(|g| g.callers).collect();
     let addresses = Arc::new(Mutex::new(addresses));
@@ -234,8 +268,14 @@
     if restarts {
         faults = faults.with_upstream_restarts(seed);
     }
+    if silences {
+        faults = faults.with_silences(seed);
+    }
     faults.play(time);
-    let counts = std::mem::take(&mut faults.counts);
+    let (counts, version) = (std::mem::take(&mut faults.counts), faults.next_version());
+    let (_, engines, _) = SIZES;
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let late = freshness::changes_known_late(&site, &mut rng, version, &upstreams[engines]);
     let sent = callers.finish();
     hostile.into_iter().for_each(HostileCaller::finish);
     recovers(&site, seed);
@@ -243,6 +283,7 @@
     let answered = sent.iter().filter(|s| s.answer.as_ref().is_some_and(|a| a.complete)).count();
     println!("seed {seed}: {} requests, {answered} answered, faults {counts:?}", sent.len());
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+    assert!(late.is_empty(), "seed {seed}: known too late: {late:#?}");
     assert!(answered > 0, "seed {seed}: nothing was served");
 }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -12,8 +12,9 @@
 /// Upstreams' behaviours that a fault sets for a while.
 const BEHAVIOURS: [&str; 5] = ["full", "fail", "lose", "break_midway", "crossed"];
 
-/// Told from the other draws of a seed.
+/// Tell draws from the other draws of a seed.
 const RESTARTS: u64 = 0x7265_7374_6172_7473;
+const SILENCES: u64 = 0x7369_6c65_6e63_6573;
 
 /// What ends a fault.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +44,8 @@
     version: u64,
     /// Draws which upstreams start again under their ids; `None` if none do.
     restarts: Option<fastrand::Rng>,
+    /// Draws when the store falls silent for all; `None` if it does not.
+    silences: Option<fastrand::Rng>,
     /// How often each kind came.
     pub counts: std::collections::BTreeMap<&'static str, usize>,
 }
@@ -51,7 +54,8 @@
     pub fn new(seed: u64, site: &'a mut Site, links: &'a [Proxy], upstreams: &'a [String]) -> Self {
         let rng = fastrand::Rng::with_seed(seed);
         let counts = std::collections::BTreeMap::new();
-        Self { site, links, upstreams, rng, due: Vec::new(), version: 7, restarts: None, counts }
+        let (due, version) = (Vec::new(), 7);
+        Self { site, links, upstreams, rng, due, version, restarts: None, silences: None, counts }
     }
 
     /// Lets upstreams start again under their ids, beside the other faults and
@@ -61,6 +65,18 @@
         self
     }
 
+    /// Lets the store fall silent now and then, open connections included, beside the
+    /// other faults and without a change to which of those a seed draws.
+    pub fn with_silences(mut self, seed: u64) -> Self {
+        self.silences = Some(fastrand::Rng::with_seed(seed ^ SILENCES));
+        self
+    }
+
+    /// Returns a version that is newer than all that were written.
+    pub fn next_version(&self) -> u64 {
+        self.version + 1
+    }
+
     /// Brings faults for a while, then mends all of them.
     pub fn play(&mut self, time: Duration) {
         let until = Instant::now() + time;
@@ -69,6 +85,7 @@
             self.mend(Instant::now());
             self.next();
             self.restart_upstream();
+            self.silence_store();
         }
         while !self.due.is_empty() {
             std::thread::sleep(Duration::from_millis(20));
@@ -114,6 +131,21 @@
         *self.counts.entry("started_again").or_default() += 1;
     }
 
+    /// Lets the store fall silent now and then, for nothing but the connections that are
+    /// open or for up to two and a half seconds.
+    fn silence_store(&mut self) {
+        let Some(rng) = &mut self.silences else {
+            return;
+        };
+        if rng.u8(..6) > 0 {
+            return;
+        }
+        let lasts = Duration::from_millis(if rng.bool() { rng.u64(..2_500) } else { 0 });
+        self.site.store("silent");
+        self.due.push((Instant::now() + lasts, Mend::Store));
+        *self.counts.entry("store_falls_silent").or_default() += 1;
+    }
+
     fn after(&mut self, most_ms: u64, mend: Mend) {
         let time = Duration::from_millis(self.rng.u64(100..most_ms));
         self.due.push((Instant::now() + time, mend));
