--- a/src/gateway/board/loads.rs
+++ b/src/gateway/board/loads.rs
@@ -8,9 +8,8 @@
 /// Sums of the load that the other processes put on upstreams, by lifetime: what
 /// they say of an earlier lifetime is not load on the present one.
 ///
-/// The sums follow each report, which takes 2 us at 195 processes. To add up all
-/// reports anew each time took 104 us (`benches/hearing.rs`): at 160 reports a second
-/// a seventh of a host of 0.12 cores.
+/// The sums follow each report, so that hearing one costs the same whatever the number
+/// of processes.
 #[derive(Clone, Debug, Default)]
 pub struct OthersLoad {
     sums: HashMap<Lifetime, Load>,
--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -28,7 +28,7 @@
 };
 
 /// Gateways that are told at once of what is new. The others hear it from them within a
-/// few heartbeats; 128 datagrams of 100 bytes take 10 ms on the slowest links.
+/// few heartbeats.
 const AT_ONCE: usize = 128;
 /// Pause between two messages that are sent at once, so that twenty requests that break
 /// off together make one.
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -156,8 +156,7 @@
     /// Returns whether the lease is of more use to another process: the store
     /// answers others and not this one, or it has lapsed here. A store that is
     /// silent is not known to be away until a call has timed out, so the age of
-    /// the renewal decides; with three gateways another then holds the lease
-    /// after 2 s in place of 6 s.
+    /// the renewal decides.
     fn should_give_up(&self, now: Instant) -> bool {
         let board = self.gateway.board.borrow();
         let Some(own) = board.lease.own.filter(|own| !own.given_up) else {
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -3,6 +3,7 @@
 mod ages;
 mod asking;
 mod capacity;
+mod catching_up;
 mod configuration;
 mod crashes;
 mod directory;
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -1,7 +1,6 @@
 //! Heartbeats: what this process tells the others, and what it hears.
 
 use std::{
-    cell::Cell,
     collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
@@ -9,14 +8,9 @@
 };
 
 use stakker::{CX, call, timer_max};
-use tokio::{net::UdpSocket, task::spawn_local};
+use tokio::net::UdpSocket;
 
-use super::{
-    Source,
-    ages::Ages,
-    asking::{ask, sample},
-    reading::read_once,
-};
+use super::{ages::Ages, asking::sample, catching_up::CatchUp};
 use crate::{
     control::HeardClaim,
     gateway::{
@@ -24,7 +18,7 @@
         context::Gateway,
         decide::{Counts, PeerTotal, Window, beats_a_report},
         model::Followed,
-        peering::{Heartbeat, ProcessId, UpstreamSnapshot},
+        peering::{Heartbeat, ProcessId},
         telemetry::Event,
     },
 };
@@ -34,8 +28,8 @@
 /// Heartbeats that a process sends to every address it knows when it starts:
 /// quotas wait until the others are heard, and a datagram may be lost.
 const FIRST_BEATS: u32 = 4;
-/// Gateways that get each of the first heartbeats: 128 datagrams of about a
-/// kilobyte take a tenth of a second on the slowest links, of 10 Mbit/s.
+/// Gateways that get each of the first heartbeats: more would hold up whatever else
+/// leaves a slow link at the start.
 const FIRST_FAN_OUT: usize = 128;
 /// Every how many heartbeats usage is told to those that do not report it.
 const USAGE_EVERY: u32 = 4;
@@ -44,12 +38,10 @@
 const CHANGES_TOLD: Duration = Duration::from_millis(2_500);
 /// Windows of usage that are told: reports are due two windows after the end.
 const USAGE_WINDOWS: usize = 4;
-/// How long another gateway may be ahead before this one asks it and reads
-/// the store anew: feeds need some tens of milliseconds.
-const BEHIND_LIMIT: Duration = Duration::from_millis(400);
 /// From which difference of age another process counts as older than this one:
 /// the time in which processes that were killed together come back.
 const OLDER_BY_MS: u64 = 1_500;
+
 /// Controller of the other gateways.
 #[derive(Debug)]
 pub struct Peers {
@@ -59,13 +51,8 @@
     addresses: BTreeSet<SocketAddr>,
     beats: u32,
     first_beats: u32,
-    configuration_behind: Option<Instant>,
-    upstreams_behind: Option<Instant>,
-    asked: Option<Instant>,
     ages: Ages,
-    /// Whether a configuration is on its way here: a second one beside it would only
-    /// share the link.
-    fetching: Rc<Cell<bool>>,
+    catch_up: [CatchUp; Followed::ALL.len()],
 }
 
 impl Peers {
@@ -77,6 +64,7 @@
         let seeds = settings.seeds.iter().map(|ip| SocketAddr::new(*ip, port));
         let addresses = seeds.filter(|a| *a != settings.listen.heartbeats).collect();
         drop(settings);
+        let catch_up = Followed::ALL.map(|of| CatchUp::new(gateway.clone(), of));
         Some(Self {
             gateway,
             socket,
@@ -84,11 +72,8 @@
             addresses,
             beats: 0,
             first_beats: FIRST_BEATS,
-            configuration_behind: None,
-            upstreams_behind: None,
-            asked: None,
             ages: Ages::default(),
-            fetching: Rc::default(),
+            catch_up,
         })
     }
 
@@ -112,7 +97,6 @@
         self.addresses.insert(from);
         let recent = std::mem::take(&mut heartbeat.recent);
         self.gateway.tell(|c| call!([c.directory], follow(recent)));
-        self.follow(&heartbeat, now);
         self.take_knowledge(&heartbeat, now);
         self.take_accounts(&heartbeat, now);
         let process = heartbeat.process();
@@ -152,7 +136,7 @@
         self.ages.look(&self.gateway, now);
         self.gateway.board.borrow_mut().average_costs(now);
         self.send(now);
-        self.catch_up(now);
+        self.catch_up.iter_mut().for_each(|c| c.look(now));
     }
 
     fn take_accounts(&self, heartbeat: &Heartbeat, now: Instant) {
@@ -206,67 +190,6 @@
         }
     }
 
-    /// Notes since when another gateway is ahead.
-    fn follow(&mut self, heartbeat: &Heartbeat, now: Instant) {
-        let board = self.gateway.board.borrow();
-        if heartbeat.configuration > board.configuration_version() {
-            self.configuration_behind.get_or_insert(now);
-        }
-        if heartbeat.upstreams > board.upstreams_position() {
-            self.upstreams_behind.get_or_insert(now);
-        }
-    }
-
-    /// Asks another gateway, and reads the store anew, if it stays ahead.
-    fn catch_up(&mut self, now: Instant) {
-        let board = self.gateway.board.borrow();
-        // Any of those that have the newest: one alone cannot answer all at once, and may
-        // be cut off.
-        let newest = board.heard(now).map(|p| p.last.configuration).max().unwrap_or_default();
-        let have_newest = board.heard(now).filter(|p| p.last.configuration == newest);
-        let newest_configuration = fastrand::choice(have_newest.collect::<Vec<_>>());
-        let newest = board.heard(now).map(|p| p.last.upstreams).max().unwrap_or_default();
-        let have_newest = board.heard(now).filter(|p| p.last.upstreams == newest);
-        let newest_upstreams = fastrand::choice(have_newest.collect::<Vec<_>>());
-        let configuration_from = newest_configuration
-            .filter(|p| p.last.configuration > board.configuration_version())
-            .map(|p| p.last.peers);
-        let upstreams_from = newest_upstreams
-            .filter(|p| p.last.upstreams > board.upstreams_position())
-            .map(|p| p.last.peers);
-        drop(board);
-        if configuration_from.is_none() {
-            self.configuration_behind = None;
-        }
-        if upstreams_from.is_none() {
-            self.upstreams_behind = None;
-        }
-        let late = |since: Option<Instant>| {
-            since.is_some_and(|t| now.saturating_duration_since(t) >= BEHIND_LIMIT)
-        };
-        if self.asked.is_some_and(|t| now.saturating_duration_since(t) < BEHIND_LIMIT) {
-            return;
-        }
-        if let Some(from) = configuration_from.filter(|_| !self.fetching.get()) {
-            // No wait here: a version that others apply must hold here, too.
-            self.asked = Some(now);
-            self.fetching.set(true);
-            let (gateway, fetching) = (self.gateway.clone(), self.fetching.clone());
-            spawn_local(async move {
-                let fetched = fetch_configuration(&gateway, from).await;
-                // Others may have it meanwhile, so the next fetch does not wait for the store.
-                fetching.set(false);
-                if !fetched {
-                    read_once(gateway, Followed::Configuration).await;
-                }
-            });
-        }
-        if let Some(from) = upstreams_from.filter(|_| late(self.upstreams_behind)) {
-            self.asked = Some(now);
-            spawn_local(fetch_upstreams(self.gateway.clone(), from));
-        }
-    }
-
     fn forget(&mut self, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
         let old = |p: &PeerView| now.saturating_duration_since(p.heard) >= PEER_FORGOTTEN;
@@ -386,24 +309,3 @@
         }
     }
 }
-
-/// Fetches the configuration from another gateway; returns whether that one answered in
-/// time. A large document takes long on a slow link, so the few that have a new one first
-/// cannot answer all others.
-async fn fetch_configuration(gateway: &Gateway, from: SocketAddr) -> bool {
-    let Some(document) = ask(from, "/peer/configuration").await else {
-        return false;
-    };
-    gateway.tell(|c| call!([c.configuration], take(document, Source::Peer)));
-    true
-}
-
-async fn fetch_upstreams(gateway: Rc<Gateway>, from: SocketAddr) {
-    let Some(bytes) = ask(from, "/peer/upstreams").await else {
-        return;
-    };
-    match UpstreamSnapshot::decode(&bytes) {
-        Ok(snapshot) => gateway.tell(|c| call!([c.directory], copy(snapshot))),
-        Err(e) => log::error!("{from} told its upstreams unreadably: {e}"),
-    }
-}
--- a/src/gateway/decide/capacity.rs
+++ b/src/gateway/decide/capacity.rs
@@ -64,9 +64,7 @@
     pub losses: usize,
     /// Reclaimable engines as a multiple of those that must remain after the losses.
     /// Spare ones cost little, keep prompt caches warm while the need falls, and
-    /// stand in for engines that crash: with 1.5 in place of 1 the mean worth of ten
-    /// days of trouble rises from 0.606 to 0.646 on one deployment, and from 0.551 to
-    /// 0.555 on another.
+    /// stand in for engines that crash.
     pub reclaimable_spare: f64,
     /// Engines needed at least.
     pub needed_floor: f64,
--- a/src/gateway/decide/crashes/evidence.rs
+++ b/src/gateway/decide/crashes/evidence.rs
@@ -13,16 +13,16 @@
 /// ordinary crash; two come together when a request is sent on in a wave of crashes.
 const ENDS_OF_CULPRIT: usize = 3;
 /// Verdicts of late for which a customer's next suspect is held one end sooner. Who sends
-/// ever new requests that crash upstreams would otherwise take three with each: with this
-/// ten of them cost 16 upstreams in place of 30. An innocent request of the same customer
-/// that stands at an ordinary crash is then refused for an hour in place of tried again.
+/// ever new requests that crash upstreams would otherwise take three with each. An
+/// innocent request of the same customer that stands at an ordinary crash may then be
+/// refused in place of tried again.
 const VERDICTS_FOR_ONE_END: usize = 2;
 /// Ends among them that no other request explains as well. With fewer, a request that
 /// was sent on beside the culprit would be refused with it; with three, a second
 /// culprit that runs beside the first would have to end three upstreams by itself.
 const UNEXPLAINED_ENDS: usize = 2;
 /// Time after an end until all processes that saw it have told of it: at once, and twice
-/// more with the next heartbeats, 150 ms apart. Each process sees but some of
+/// more with the next heartbeats. Each process sees but some of
 /// the requests under an end, so that one which concludes from what it saw alone holds
 /// an innocent that was sent on beside the culprit of another.
 const SETTLES_IN: Duration = Duration::from_millis(400);
--- a/src/gateway/decide/engine.rs
+++ b/src/gateway/decide/engine.rs
@@ -8,15 +8,11 @@
 const REMOTE_COST: f64 = 0.002;
 /// How much each second of reading counts beyond the time until the request's own
 /// first token: meanwhile the others at the engine get their tokens late, and what
-/// another engine holds is read once more. With 3 in place of 0, a third fewer
-/// shared prompt tokens are read again on a fleet of 18 engines, and the mean worth of
-/// five days of trouble rises from 0.541 to 0.558 (three seeds); with 6 it is the same.
+/// another engine holds is read once more.
 const READING_WEIGHT: f64 = 3.0;
-/// What a new connection costs, in seconds: it opens in 1 to 7 ms, and an engine
-/// accepts one after the other from all processes. Above [`JITTER`], so that of
-/// upstreams that do equally well the one to which a connection is kept is taken.
-/// With it, 19 gateways open 814 connections for 2,600 requests in place of 1,060 (one
-/// day each).
+/// What a new connection costs, in seconds: an engine accepts one after the other from
+/// all processes. Above [`JITTER`], so that of upstreams that do equally well the one to
+/// which a connection is kept is taken.
 const CONNECTING_COST: f64 = 0.005;
 /// Largest part of the cost that is left to chance, in seconds, so that
 /// processes with the same view do not all choose the same upstream.
@@ -56,10 +52,9 @@
     first + ahead * speed.held / slots
 }
 
-/// A recent failure counts as long as a request holds its slot: that much of a caller's
-/// time goes with the next one. The mean worth of ten days is the same as with 0.4 s,
-/// found on engines that hold a slot for as long, to 0.01 on three deployments; a plain
-/// service that takes 60 ms is no longer passed over for the price of six requests.
+/// Returns what a request costs there, in seconds. A recent failure counts as long as a
+/// request holds its slot: that much of a caller's time goes with the next one. A fixed
+/// time would pass over a quick service for the price of many requests.
 fn cost(c: &Candidate, speed: EngineSpeed) -> f64 {
     let remote = if c.remote { REMOTE_COST } else { 0.0 };
     let connecting = if c.connected { 0.0 } else { CONNECTING_COST };
--- a/src/gateway/decide/need.rs
+++ b/src/gateway/decide/need.rs
@@ -4,9 +4,7 @@
 //! a loss, caches are cold and requests run longer beside each other, and a need
 //! taken from that state orders engines for as long as the disturbance lasts. So
 //! the rate of requests is followed at once, and what one request costs only
-//! slowly. Taken from the state, the need of a steady rate rose from 6 to 23 engines
-//! within ten seconds of the loss of a data centre; taken from the load, the mean
-//! worth of five days rose from 0.457 to 0.504.
+//! slowly.
 
 use std::time::Instant;
 
@@ -18,8 +16,8 @@
 /// Shortest time from which a rate is reckoned, in seconds: in less, a few requests
 /// that come together look like a large load.
 const SHORTEST_SPAN: f64 = 1.0;
-/// Silence, in mean times between requests, after which the load has ended: it
-/// comes by chance once in 10^8 times, and the rate would take seconds to fade.
+/// Silence, in mean times between requests, after which the load has ended: it hardly
+/// comes by chance, and the rate would take seconds to fade.
 const ENDED_AFTER: f64 = 20.0;
 /// Time over which the cost of a request is smoothed, in seconds: longer than
 /// the waves in which the platform takes engines back.
@@ -141,9 +139,8 @@
 }
 
 /// Returns what a request costs on average over the loads of all processes, by their
-/// rates; `None` without load. One of 91 processes sees one or two requests a second:
-/// by its own mean alone the need went from 30 to 18 engines in ten seconds, while a
-/// part of them was lost.
+/// rates; `None` without load. One of many processes sees too few requests for a mean
+/// of its own to hold while upstreams are lost.
 pub fn mean_cost(loads: impl Iterator<Item = ServiceLoad>) -> Option<RequestCost> {
     let (mut rate, mut sum) = (0.0, RequestCost::default());
     for load in loads {
--- a/src/gateway/decide/quota.rs
+++ b/src/gateway/decide/quota.rs
@@ -233,9 +233,8 @@
     /// Returns the levels as of now, to be kept for processes that start later. What
     /// the others admit is taken off as it is heard, and the refill comes with this
     /// process's own requests: without it a holder that sees few of a customer's
-    /// requests kept a debt of a fifth of a second for customers far within their
-    /// quotas, and after a power loss of 77 processes a third of the first 1.5 s was
-    /// refused.
+    /// requests would keep a debt for a customer far within its quota, who would be
+    /// refused after a loss of all processes.
     pub fn levels(&mut self, share: QuotaShare, now: Instant) -> BTreeMap<CustomerName, f64> {
         let terms = self.terms;
         let level = |(customer, bucket): (&CustomerName, &mut Bucket)| {
--- a/src/gateway/decide/reading.rs
+++ b/src/gateway/decide/reading.rs
@@ -17,8 +17,8 @@
 const PERIOD: Duration = Duration::from_millis(1_500);
 /// Shortest wait of a call.
 const SHORTEST_WAIT: Duration = Duration::from_millis(150);
-/// Age of knowledge at which gateways that are no readers call, too. Between the calls
-/// of the readers, and until their news is heard, it grows to some 0.7 s.
+/// Age of knowledge at which gateways that are no readers call, too: older than it grows
+/// between the calls of the readers, until their news is heard.
 const STALE: Duration = Duration::from_millis(800);
 /// Time in which one gateway of those whose knowledge has grown old calls.
 const STAND_IN_PERIOD: Duration = Duration::from_millis(400);
--- a/src/gateway/decide/speed.rs
+++ b/src/gateway/decide/speed.rs
@@ -3,14 +3,13 @@
 //! The time to the first token is taken to be a fixed part, a part for each
 //! prompt token that has to be read first, and a part for each request that
 //! runs beside it. The three are fitted to the requests of late, so that no
-//! deployment's engines stand in the code. With 50,000 tokens/s taken for granted,
-//! engines that read 157,000 cost 0.024 of a day's worth, the mean of ten days,
-//! through others ordered for nothing.
+//! deployment's engines stand in the code: engines that are faster than is taken for
+//! granted would have others ordered beside them for nothing.
 
 use std::time::Duration;
 
 /// Tokens a second that are assumed before anything is known: the middle, on a
-/// logarithmic scale, of what engines of all sizes reach, 5,000 to 500,000.
+/// logarithmic scale, of what engines of all sizes reach.
 const START_TOKENS_PER_SECOND: f64 = 50_000.0;
 /// Fixed part that is assumed before anything is known: a few steps of an engine
 /// and the way there.
--- a/src/gateway/model/upstream.rs
+++ b/src/gateway/model/upstream.rs
@@ -15,9 +15,8 @@
 /// of its start. An upstream that starts again keeps its id, but holds and
 /// knows nothing of before; what is believed of it belongs to a lifetime.
 ///
-/// 32 bits, as it stands in each heartbeat for each loaded upstream: of 12,000
-/// upstreams, two share a name in 2 of 100 fleets, and are then taken for as
-/// loaded as both together.
+/// Short, as it stands in each heartbeat for each loaded upstream. Should two upstreams
+/// share a name, they are taken for as loaded as both together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Lifetime(u32);
 
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -186,9 +186,8 @@
         self.lease.is_some_and(|claim| !claim.given_up)
     }
 
-    /// Encodes the heartbeat by places, without names of fields: 195 gateways send some
-    /// thirty thousand a second. With names it takes 953 bytes in place of 484, and
-    /// 13.7 us to decode in place of 2.0 (`benches/hearing.rs`).
+    /// Encodes the heartbeat by places, without names of fields: with many gateways most
+    /// of what they send and hear is heartbeats.
     ///
     /// # Errors
     ///
--- a/src/gateway/telemetry/journal.rs
+++ b/src/gateway/telemetry/journal.rs
@@ -22,8 +22,8 @@
 
 /// Lines that wait for the writer at most.
 const QUEUE: usize = 4_096;
-/// Lines of a class in a second at most. At 45,000 requests a second over
-/// 1,500 processes, each answers thirty: two lines a request fit twice over.
+/// Lines of a class in a second at most: two lines for each request of a busy process
+/// fit twice over.
 const LINES_PER_SECOND: [(EventClass, u32); 3] =
     [(EventClass::Failure, 200), (EventClass::Request, 120), (EventClass::Belief, 200)];
 /// Length of the span in which lines are counted.
