--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 pub mod crashes;
+pub mod directory;
 pub mod drafts;
 pub mod gateways;
 pub mod http;
