A row that lapsed is excused however late the list is read

Callers may have found fewer upstreams than there were after an outage: rows that lapse while the store is away are back within two seconds, and count as gone only after that. Cause: the excuse held for rows that are missed within 0.7 s after any call of this process found the store back. The list is read in turns now, up to 1.5 s after another call; a row that had lapsed then counted as gone for good, in the whole fleet. Change: as long as the list was last known to be the newest before the return, a row that it lacks is excused, until two seconds after the return.

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -175,17 +175,27 @@
     }
 
     /// Returns until when a row that disappears may come back: it may have
-    /// lapsed while the store was away.
+    /// lapsed while the store was away. It may have done so long before it shows: the list
+    /// is not read the moment that some other call finds the store back.
     pub fn lapse_ends(&self, now: Instant) -> Option<Instant> {
+        let seen = self.upstreams_seen(now);
         match self.store {
             _ if self.store_was_there(now) => None,
             StoreState::Up => None,
             StoreState::Away(_) => Some(now + LAPSE_GRACE),
-            StoreState::Returned(at) if now < at + LAPSE_SEEN => Some(at + LAPSE_GRACE),
+            StoreState::Returned(at) if now < at + LAPSE_SEEN || seen <= at => {
+                Some(at + LAPSE_GRACE)
+            }
             StoreState::Returned(_) => None,
         }
     }
 
+    /// Returns when the list of upstreams was last known to be the newest.
+    fn upstreams_seen(&self, now: Instant) -> Instant {
+        let age = self.age(Followed::Upstreams, now).unwrap_or_default();
+        now.checked_sub(age).unwrap_or(now)
+    }
+
     /// Returns the upstreams of a service that take new work.
     pub fn serving<'a>(
         &'a self,
@@ -205,8 +215,7 @@
     /// Takes over what an upstream says of itself.
     pub fn describe(&mut self, upstream: Upstream, now: Instant) -> Described {
         let id = upstream.id.clone();
-        let age = self.age(Followed::Upstreams, now).unwrap_or_default();
-        let seen = now.checked_sub(age).unwrap_or(now);
+        let seen = self.upstreams_seen(now);
         let (described, lifetime) = match self.upstreams.get_mut(&id) {
             Some(view) => (view.update(upstream, seen, now), view.lifetime),
             None => {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -10,8 +10,8 @@
 use tackhollow::gateway::{
     board::{Board, StoreState},
     decide::{
-        CapacityRecord, Kept, OrderKey, OrderReport, QuotaBook, RetryBook, RetryTerms, TrueClock,
-        UsageBook, beats_a_report,
+        CapacityRecord, Kept, Knowledge, OrderKey, OrderReport, QuotaBook, RetryBook, RetryTerms,
+        TrueClock, UsageBook, beats_a_report,
     },
     request::EventSplitter,
 };
@@ -182,6 +182,34 @@
     }
 }
 
+/// The store was found back by another call a second ago; the list, which is read next, lacks
+/// a row. Rows that lapsed meanwhile counted as gone, since the first 0.7 s were over.
+#[test]
+fn a_row_that_lapsed_is_excused_however_late_the_list_is_read() {
+    struct Case {
+        name: &'static str,
+        /// When the list was last known to be the newest, before now.
+        seen_ago: u64,
+        excused: bool,
+    }
+    let cases = [
+        Case { name: "before the outage", seen_ago: 9_000, excused: true },
+        Case { name: "just before the return", seen_ago: 1_010, excused: true },
+        Case { name: "after the return", seen_ago: 500, excused: false },
+    ];
+    let start = Instant::now();
+    let now = start + ms(10_000);
+    for case in cases {
+        let mut board = Board::new(TrueClock::new(start, 0), start);
+        board.store = StoreState::Returned(now - ms(1_000));
+        board.store_clock.note(60_000, now);
+        board.upstreams_knowledge = Some(Knowledge { position: 1, as_of: 60_000 - case.seen_ago });
+        let until = board.lapse_ends(now);
+        assert_eq!(until.is_some(), case.excused, "{}", case.name);
+        assert!(until.is_none_or(|t| t <= now + ms(1_000)), "{}: from the return", case.name);
+    }
+}
+
 // Time.
 
 #[test]
