--- a/src/gateway/board/knowledge.rs
+++ b/src/gateway/board/knowledge.rs
@@ -10,7 +10,7 @@
 };
 
 impl Board {
-    /// Returns up to where what is followed is known; `None` if the store was never read.
+    /// Returns up to where something is known; `None` if the store was never read.
     pub fn knowledge(&self, followed: Followed) -> Option<Knowledge> {
         match followed {
             Followed::Configuration => self.configuration_knowledge,
@@ -18,8 +18,8 @@
         }
     }
 
-    /// Returns how old the knowledge of what is followed is: when the store was last seen to have
-    /// nothing newer, by whichever gateway.
+    /// Returns how old knowledge is: the time since any gateway last saw that the store has
+    /// nothing newer.
     pub fn age(&self, followed: Followed, now: Instant) -> Option<Duration> {
         self.store_clock.age(self.knowledge(followed)?.as_of, now)
     }
@@ -29,8 +29,7 @@
         self.age(followed, now).is_none_or(|age| age >= OLD)
     }
 
-    /// Returns what this process does now about what is followed; `None` if it knows nothing of it
-    /// and has to read it whole.
+    /// Returns what this process does now; `None` if it knows nothing and has to read all.
     pub fn read_turn(&self, process: &str, followed: Followed, now: Instant) -> Option<Turn> {
         let age = self.age(followed, now)?;
         let store_now = self.store_clock.now(now)?;
--- a/src/gateway/controllers/ages.rs
+++ b/src/gateway/controllers/ages.rs
@@ -2,9 +2,11 @@
 
 use std::time::Instant;
 
-use crate::{
-    gateway::{context::Gateway, decide::OLD, model::Followed, telemetry::Event},
-    telemetry::Labels,
+use crate::gateway::{
+    context::Gateway,
+    decide::OLD,
+    model::Followed,
+    telemetry::{Event, KnowledgeLabels},
 };
 
 /// Since when what is followed is old.
@@ -23,7 +25,7 @@
             };
             let position = board.knowledge(followed).map_or(0, |k| k.position);
             drop(board);
-            let (of, labels) = (followed.name(), Labels { cause: followed.name().to_owned() });
+            let (of, labels) = (followed.name(), KnowledgeLabels::new(followed));
             gateway.metrics.knowledge_age.get_or_create(&labels).set(age.as_secs_f64());
             match *old {
                 None if age >= OLD => {
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -89,13 +89,11 @@
     /// before them. Without any, what is known is still as new as it is there.
     pub fn follow(&mut self, cx: CX![], recent: RecentChanges) {
         let now = cx.now();
-        let Some(known) = self.gateway.board.borrow().upstreams_knowledge else {
+        let knowledge = self.gateway.board.borrow().upstreams_knowledge;
+        let Some(known) = knowledge.map(|k| k.position).filter(|known| recent.after <= *known)
+        else {
             return;
         };
-        let known = known.position;
-        if recent.after > known {
-            return;
-        }
         let mut last_change = 0;
         for (revision, change) in recent.changes.into_iter().filter(|(r, _)| *r > known) {
             last_change = revision;
--- a/src/gateway/controllers/reading.rs
+++ b/src/gateway/controllers/reading.rs
@@ -26,17 +26,16 @@
 /// What the answer to a call may take beyond its wait before the next call begins. The
 /// late one still counts when it comes.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
-
 /// Time in which the controllers take over a table that was read for the first time.
 const TAKEN_OVER: Duration = Duration::from_millis(20);
-/// See [`TableReader::group_pause`].
+/// Pause after changes of upstreams: they come in groups, and each call is paid for.
 const GROUP_PAUSE: Duration = Duration::from_millis(60);
 /// Key of the configuration's row.
 const CONFIGURATION_KEY: &str = "config";
 
-/// What a call brought.
+/// How a call was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Outcome {
+enum Answered {
     /// Changes, or the whole table.
     Changed,
     /// There were none.
@@ -60,8 +59,8 @@
     loop {
         match reader.turn() {
             None => match reader.snapshot().await {
-                Outcome::Failed => sleep(backoff.failed(fastrand::f64())).await,
-                Outcome::Changed | Outcome::Unchanged => {
+                Answered::Failed => sleep(backoff.failed(fastrand::f64())).await,
+                Answered::Changed | Answered::Unchanged => {
                     backoff.answered();
                     sleep(TAKEN_OVER).await;
                 }
@@ -84,8 +83,7 @@
         }
     }
 
-    /// Returns the pause after changes: those of upstreams come in groups, and each call
-    /// is paid for.
+    /// Returns the pause between changes and the next call.
     fn group_pause(&self) -> Duration {
         match self.followed {
             Followed::Configuration => Duration::ZERO,
@@ -103,7 +101,7 @@
         let next = clock::now() + wait;
         let call = spawn_local(self.clone().read(wait));
         match clock::timeout_at(next + ANSWER_TIME, call).await {
-            Ok(Ok(Outcome::Changed)) => sleep(self.group_pause()).await,
+            Ok(Ok(Answered::Changed)) => sleep(self.group_pause()).await,
             Ok(_) => clock::sleep_until(next).await,
             // Not answered in time: the next call begins on a connection of its own.
             Err(_) => {}
@@ -111,7 +109,7 @@
     }
 
     /// Asks for what has changed.
-    async fn read(self: Rc<Self>, wait: Duration) -> Outcome {
+    async fn read(self: Rc<Self>, wait: Duration) -> Answered {
         let known = self.gateway.board.borrow().knowledge(self.followed);
         let after = self.known.get().max(known.map_or(0, |k| k.position));
         let began = clock::now();
@@ -120,21 +118,16 @@
         match fed {
             Ok(feed) => self.take(feed),
             Err(PlatformError::HistoryLost) => self.snapshot().await,
-            Err(_) => Outcome::Failed,
+            Err(_) => Answered::Failed,
         }
     }
 
-    fn take(&self, feed: Feed) -> Outcome {
+    fn take(&self, feed: Feed) -> Answered {
         let changed = !feed.changes.is_empty();
         self.note_clock(feed.as_of);
         self.known.set(self.known.get().max(feed.revision));
-        match self.followed {
-            Followed::Configuration => take_configuration_changes(&self.gateway, feed),
-            Followed::Upstreams => {
-                self.gateway.tell(|c| call!([c.directory], changes(feed)));
-            }
-        }
-        if changed { Outcome::Changed } else { Outcome::Unchanged }
+        self.hand_over_changes(feed);
+        if changed { Answered::Changed } else { Answered::Unchanged }
     }
 
     fn note_clock(&self, reading: StoreMillis) {
@@ -143,7 +136,7 @@
 
     /// Reads the whole table. A store that has lost its history may answer from an older
     /// state than what is known; such an answer is of no use.
-    async fn snapshot(&self) -> Outcome {
+    async fn snapshot(&self) -> Answered {
         let began = clock::now();
         let read = self.gateway.store.snapshot(self.table()).await;
         note(&self.gateway, "snapshot", began, read.as_ref().err());
@@ -151,15 +144,26 @@
             Ok(snapshot) if snapshot.revision >= self.known.get() => {
                 self.known.set(snapshot.revision);
                 self.note_clock(snapshot.as_of);
-                match self.followed {
-                    Followed::Configuration => take_configuration(&self.gateway, snapshot),
-                    Followed::Upstreams => {
-                        self.gateway.tell(|c| call!([c.directory], snapshot(snapshot)));
-                    }
-                }
-                Outcome::Changed
+                self.hand_over_all(snapshot);
+                Answered::Changed
+            }
+            Ok(_) | Err(_) => Answered::Failed,
+        }
+    }
+
+    fn hand_over_changes(&self, feed: Feed) {
+        match self.followed {
+            Followed::Configuration => take_configuration_changes(&self.gateway, feed),
+            Followed::Upstreams => self.gateway.tell(|c| call!([c.directory], changes(feed))),
+        }
+    }
+
+    fn hand_over_all(&self, snapshot: Snapshot) {
+        match self.followed {
+            Followed::Configuration => take_configuration(&self.gateway, snapshot),
+            Followed::Upstreams => {
+                self.gateway.tell(|c| call!([c.directory], snapshot(snapshot)));
             }
-            Ok(_) | Err(_) => Outcome::Failed,
         }
     }
 }
@@ -180,28 +184,26 @@
 
 fn take_configuration(gateway: &Gateway, snapshot: Snapshot) {
     let Snapshot { rows, revision, as_of } = snapshot;
-    rows.into_iter().for_each(|row| take_row(gateway, row));
-    let knowledge = Knowledge { position: revision, as_of };
-    gateway.tell(|c| call!([c.configuration], known(knowledge)));
+    take_rows(gateway, rows, Knowledge { position: revision, as_of });
 }
 
 fn take_configuration_changes(gateway: &Gateway, feed: Feed) {
     let Feed { changes, revision, as_of } = feed;
-    for change in changes {
-        // The operator removes no configuration.
-        if let Change::Written(row) = change {
-            take_row(gateway, row);
-        }
-    }
-    let knowledge = Knowledge { position: revision, as_of };
-    gateway.tell(|c| call!([c.configuration], known(knowledge)));
+    // The operator removes no configuration.
+    let written = changes.into_iter().filter_map(|change| match change {
+        Change::Written(row) => Some(row),
+        Change::Removed(..) => None,
+    });
+    take_rows(gateway, written, Knowledge { position: revision, as_of });
 }
 
-fn take_row(gateway: &Gateway, row: StoreRow) {
-    if row.key == CONFIGURATION_KEY {
+/// Hands over the configuration, and then up to where it is known.
+fn take_rows(gateway: &Gateway, rows: impl IntoIterator<Item = StoreRow>, known: Knowledge) {
+    for row in rows.into_iter().filter(|row| row.key == CONFIGURATION_KEY) {
         let document = row.value.into();
         gateway.tell(|c| call!([c.configuration], take(document, Source::Store)));
     }
+    gateway.tell(|c| call!([c.configuration], known(known)));
 }
 
 /// Notes how a call that began at `began` ended.
--- a/src/gateway/decide/knowledge.rs
+++ b/src/gateway/decide/knowledge.rs
@@ -6,8 +6,8 @@
 
 use crate::gateway::model::Revision;
 
-/// Age at which knowledge counts as old: neither readers nor others have been answered for
-/// twice the time in which somebody always is.
+/// Age at which knowledge counts as old: readers, and others in their place, have had time
+/// for several calls each, and none was answered.
 pub const OLD: Duration = Duration::from_millis(1_500);
 
 /// A moment by the store's steady clock, in milliseconds.
--- a/src/gateway/decide/reading.rs
+++ b/src/gateway/decide/reading.rs
@@ -13,7 +13,8 @@
 /// Gateways that read the store for all. Each call is paid for; three leave one when two
 /// are cut off.
 pub const READERS: usize = 3;
-/// Between calls of one reader. With three, some call has begun within half a second.
+/// Between calls of one reader. Some call has then begun within a third of it, which leaves
+/// time for the news to go round within a second.
 const PERIOD: Duration = Duration::from_millis(1_500);
 /// Shortest wait of a call.
 const SHORTEST_WAIT: Duration = Duration::from_millis(150);
@@ -58,7 +59,7 @@
     candidates.get(turn).is_some_and(|c| c.process == own.process)
 }
 
-/// What a gateway does about a table.
+/// What a gateway does about what it follows in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
     /// It calls and waits for changes, until its next turn.
@@ -69,7 +70,7 @@
     Later(Duration),
 }
 
-/// Returns what a gateway does that knows the table as of `age` ago.
+/// Returns what a gateway does whose knowledge is `age` old.
 pub fn turn<'a, I: Iterator<Item = Reader<'a>>>(
     own: Reader<'a>,
     others: impl Fn() -> I,
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -94,9 +94,7 @@
     let mut lease = match acquired {
         Ok(lease) => lease,
         Err(PoolError::Full) => return AttemptEnd::Unsent("no_connection_free"),
-        Err(PoolError::Connect(_)) => {
-            return AttemptEnd::Unsent(UNREACHABLE);
-        }
+        Err(PoolError::Connect(_)) => return AttemptEnd::Unsent(UNREACHABLE),
     };
     if lease.connection().ready().await.is_err() {
         return AttemptEnd::Unsent("connection_ended");
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -13,7 +13,7 @@
     registry::Registry,
 };
 
-use crate::telemetry::Labels;
+use crate::{gateway::model::Followed, telemetry::Labels};
 
 /// First bucket of latency histograms, in seconds.
 const FIRST_BUCKET: f64 = 0.004;
@@ -30,6 +30,20 @@
     pub outcome: String,
 }
 
+/// Label of what knowledge is of.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KnowledgeLabels {
+    /// See [`Followed`].
+    pub of: String,
+}
+
+impl KnowledgeLabels {
+    /// Returns the label of what is followed.
+    pub fn new(followed: Followed) -> Self {
+        Self { of: followed.name().to_owned() }
+    }
+}
+
 /// Metrics of a gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -49,7 +63,7 @@
     /// Version of the configuration in force.
     pub configuration: Gauge,
     /// Age of what is known of the store, by what it is knowledge of, in seconds.
-    pub knowledge_age: Family<Labels, Gauge<f64, AtomicU64>>,
+    pub knowledge_age: Family<KnowledgeLabels, Gauge<f64, AtomicU64>>,
     /// Upstreams that take work.
     pub upstreams: Gauge,
     /// Gateways that are heard.
--- a/src/gateway/telemetry/mod.rs
+++ b/src/gateway/telemetry/mod.rs
@@ -6,4 +6,4 @@
 
 pub use event::{Event, EventClass};
 pub use journal::Journal;
-pub use metrics::{GatewayMetrics, RequestLabels};
+pub use metrics::{GatewayMetrics, KnowledgeLabels, RequestLabels};
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod headers;
 mod lookup;
 mod store;
+mod store_wire;
 mod upstreams;
 
 pub use configuration::decode_configuration;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,12 +2,13 @@
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
-use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use serde::{Deserialize, Serialize};
 
-use super::PlatformError;
+use super::{
+    PlatformError,
+    store_wire::{decode_row, rows, transaction},
+};
 use crate::gateway::{
     decide::StoreMillis,
     model::Revision,
@@ -40,7 +41,7 @@
 }
 
 impl Table {
-    fn wire_name(self) -> &'static str {
+    pub(super) fn wire_name(self) -> &'static str {
         match self {
             Self::Operator => "op",
             Self::Upstreams => "servers",
@@ -115,54 +116,6 @@
     Conflict(Vec<StoreRow>),
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireRow {
-    key: String,
-    #[serde(default)]
-    value: Option<String>,
-    row_version: Revision,
-    #[serde(default)]
-    tombstone: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireRows {
-    #[serde(default)]
-    rows: Vec<WireRow>,
-    #[serde(default)]
-    more_pages: bool,
-    #[serde(default)]
-    row_version: Revision,
-    now_ms: StoreMillis,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
-struct WireExpected<'a> {
-    table: &'a str,
-    part: &'a str,
-    key: &'a str,
-    row_version: Revision,
-}
-
-#[derive(Serialize)]
-struct WireWrite<'a> {
-    table: &'a str,
-    part: &'a str,
-    key: &'a str,
-    value: String,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
-struct WireTxn<'a> {
-    expected_revision: Vec<WireExpected<'a>>,
-    writes: Vec<WireWrite<'a>>,
-    remove: [(); 0],
-}
-
 /// Client of the store.
 #[derive(Debug)]
 pub struct StoreClient {
@@ -250,29 +203,8 @@
     /// After [`PlatformError::Http`] and [`PlatformError::Timeout`] the write
     /// may have been done, or may still be; after other errors it is not.
     pub async fn write(&self, writes: &[RowWrite]) -> Result<WriteOutcome, PlatformError> {
-        let expected = |w: &RowWrite| w.expected;
-        let txn = WireTxn {
-            expected_revision: writes
-                .iter()
-                .filter_map(|w| {
-                    let row_version = expected(w)?;
-                    let table = w.table.wire_name();
-                    Some(WireExpected { table, part: "", key: &w.key, row_version })
-                })
-                .collect(),
-            writes: writes
-                .iter()
-                .map(|w| WireWrite {
-                    table: w.table.wire_name(),
-                    part: "",
-                    key: &w.key,
-                    value: STANDARD.encode(&w.value),
-                })
-                .collect(),
-            remove: [],
-        };
-        let body = serde_json::to_vec(&txn).map_err(PlatformError::malformed("transaction"))?;
-        let answer = self.call(Method::POST, "/rows-tx", body.into(), CALL_TIMEOUT).await?;
+        let body = transaction(writes)?;
+        let answer = self.call(Method::POST, "/rows-tx", body, CALL_TIMEOUT).await?;
         let page = rows(&answer)?;
         if answer.status != StatusCode::PRECONDITION_FAILED {
             return Ok(WriteOutcome::Done(page.row_version));
@@ -322,17 +254,3 @@
         }
     }
 }
-
-fn rows(answer: &Answer) -> Result<WireRows, PlatformError> {
-    serde_json::from_slice(&answer.body).map_err(PlatformError::malformed("rows"))
-}
-
-/// Decodes a row. One whose value is not base64 is given without bytes, which no
-/// decoder takes for a message: it must not cost the rows beside it.
-fn decode_row(row: WireRow) -> StoreRow {
-    let value = STANDARD.decode(row.value.unwrap_or_default()).unwrap_or_else(|e| {
-        log::warn!("the value of row {} is not base64: {e}", row.key);
-        Vec::new()
-    });
-    StoreRow { key: row.key, value, revision: row.row_version }
-}
--- /dev/null
+++ b/src/platform/store_wire.rs
@@ -0,0 +1,94 @@
+//! Messages of the platform's store, as it spells them.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::{PlatformError, RowWrite, StoreRow};
+use crate::gateway::{decide::StoreMillis, model::Revision, net::Answer};
+
+/// A row, or that it was removed.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct WireRow {
+    pub(super) key: String,
+    #[serde(default)]
+    value: Option<String>,
+    pub(super) row_version: Revision,
+    #[serde(default)]
+    pub(super) tombstone: bool,
+}
+
+/// An answer about rows: a page of them, the newest revision of the store, and its clock.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct WireRows {
+    #[serde(default)]
+    pub(super) rows: Vec<WireRow>,
+    #[serde(default)]
+    pub(super) more_pages: bool,
+    #[serde(default)]
+    pub(super) row_version: Revision,
+    pub(super) now_ms: StoreMillis,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireExpected<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    row_version: Revision,
+}
+
+#[derive(Serialize)]
+struct WireWrite<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    value: String,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTxn<'a> {
+    expected_revision: Vec<WireExpected<'a>>,
+    writes: Vec<WireWrite<'a>>,
+    remove: [(); 0],
+}
+
+/// Encodes a transaction that writes rows, all or none.
+pub(super) fn transaction(writes: &[RowWrite]) -> Result<Bytes, PlatformError> {
+    let txn = WireTxn {
+        expected_revision: writes.iter().filter_map(expected).collect(),
+        writes: writes.iter().map(write).collect(),
+        remove: [],
+    };
+    let body = serde_json::to_vec(&txn).map_err(PlatformError::malformed("transaction"))?;
+    Ok(body.into())
+}
+
+fn expected(write: &RowWrite) -> Option<WireExpected<'_>> {
+    let row_version = write.expected?;
+    Some(WireExpected { table: write.table.wire_name(), part: "", key: &write.key, row_version })
+}
+
+fn write(write: &RowWrite) -> WireWrite<'_> {
+    let value = STANDARD.encode(&write.value);
+    WireWrite { table: write.table.wire_name(), part: "", key: &write.key, value }
+}
+
+/// Decodes an answer about rows.
+pub(super) fn rows(answer: &Answer) -> Result<WireRows, PlatformError> {
+    serde_json::from_slice(&answer.body).map_err(PlatformError::malformed("rows"))
+}
+
+/// Decodes a row. One whose value is not base64 is given without bytes, which no
+/// decoder takes for a message: it must not cost the rows beside it.
+pub(super) fn decode_row(row: WireRow) -> StoreRow {
+    let value = STANDARD.decode(row.value.unwrap_or_default()).unwrap_or_else(|e| {
+        log::warn!("the value of row {} is not base64: {e}", row.key);
+        Vec::new()
+    });
+    StoreRow { key: row.key, value, revision: row.row_version }
+}
