A connection to the store is kept for a second after an answer

After connections to the store fell silent, nobody may have reported usage or ordered engines for some seconds: the holder of the lease gave it up after 1.6 s, and the next one read and wrote the lease on connections that had been kept since its start. A kept connection counted as one that works, however long ago it was answered on; whoever used it waited 2.5 s. Change: one that was not answered on for a second is closed, not used; a new one is open within milliseconds. Opening connections to the store costs no call.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,10 @@
 //! The platform's metadata store: rows with versions, and feeds of changes.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
@@ -9,10 +13,13 @@
     PlatformError,
     store_wire::{decode_row, rows, transaction},
 };
-use crate::gateway::{
-    decide::StoreMillis,
-    model::Revision,
-    net::{Answer, HttpConnection, connect, json_request},
+use crate::{
+    clock,
+    gateway::{
+        decide::StoreMillis,
+        model::Revision,
+        net::{Answer, HttpConnection, connect, json_request},
+    },
 };
 
 /// Longest time to open a connection to the store.
@@ -26,6 +33,9 @@
 const PAGE_ROWS: usize = 500;
 /// Idle connections that are kept.
 const IDLE_KEPT: usize = 3;
+/// For how long a connection is kept after an answer. One that has fallen silent since
+/// would cost whoever uses it [`CALL_TIMEOUT`], and a new one is open at once.
+const KEPT_FOR: Duration = Duration::from_millis(1_000);
 
 /// A table of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -116,11 +126,18 @@
     Conflict(Vec<StoreRow>),
 }
 
+/// A connection between calls.
+#[derive(Debug)]
+struct Kept {
+    connection: HttpConnection,
+    answered: Instant,
+}
+
 /// Client of the store.
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
-    idle: RefCell<Vec<HttpConnection>>,
+    idle: RefCell<Vec<Kept>>,
 }
 
 impl StoreClient {
@@ -220,8 +237,7 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Answer, PlatformError> {
-        let kept = self.idle.borrow_mut().pop().filter(HttpConnection::is_open);
-        let connection = match kept {
+        let connection = match self.take_kept() {
             Some(connection) => connection,
             None => connect(self.address, CONNECT_TIMEOUT).await?,
         };
@@ -239,18 +255,28 @@
         let request = json_request(method, path, &self.address.to_string(), body);
         let called = tokio::time::timeout(limit, connection.call(request)).await;
         let answer = called.map_err(|_elapsed| PlatformError::Timeout)??;
-        if connection.is_open() {
-            let mut idle = self.idle.borrow_mut();
-            idle.push(connection);
-            // The one that was answered last is the least likely to be dead.
-            if idle.len() > IDLE_KEPT {
-                idle.remove(0);
-            }
-        }
+        self.keep(connection);
         match answer.status.as_u16() {
             200 | 412 => Ok(answer),
             410 => Err(PlatformError::HistoryLost),
             status => Err(PlatformError::Refused(status)),
         }
     }
+
+    /// Returns the connection that was answered on last, if that was of late.
+    fn take_kept(&self) -> Option<HttpConnection> {
+        let now = clock::now();
+        let of_late = |k: &Kept| now.saturating_duration_since(k.answered) < KEPT_FOR;
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|kept| kept.connection.is_open() && of_late(kept));
+        idle.pop().map(|kept| kept.connection)
+    }
+
+    fn keep(&self, connection: HttpConnection) {
+        let mut idle = self.idle.borrow_mut();
+        idle.push(Kept { connection, answered: clock::now() });
+        if idle.len() > IDLE_KEPT {
+            idle.remove(0);
+        }
+    }
 }
