tackhollow gateways: how gateways do, what is not well first

`tackhollow status` asks the old entry processes only, so whoever was on call had to read logs and metrics of each gateway.

--- a/src/bin/tackhollow/cli.rs
+++ b/src/bin/tackhollow/cli.rs
@@ -30,6 +30,8 @@
   wait --in-force N     until version N is in force on every entry host known
     --timeout SECONDS   give up after this long (30)
   entries               addresses that callers are given
+  gateways ADDR[,ADDR]  gateways and what they hear of the others, what is not well
+                        first; ADDR: listen.peers of their settings
 
 Options:
   --entry ADDR[,ADDR]   entry hosts to ask (or TACKHOLLOW_ENTRY)
@@ -63,18 +65,42 @@
 pub enum Command {
     Help,
     Version,
-    Apply { file: PathBuf, dry_run: bool, expect: Option<u64> },
-    Diff { file: PathBuf },
-    Get { key: Option<String> },
-    Remove { key: String },
+    Apply {
+        file: PathBuf,
+        dry_run: bool,
+        expect: Option<u64>,
+    },
+    Diff {
+        file: PathBuf,
+    },
+    Get {
+        key: Option<String>,
+    },
+    Remove {
+        key: String,
+    },
     History(Filter),
     Audit(Filter),
     Status,
-    Explain { id: String },
-    Drain { target: String, reason: String },
-    Undrain { target: String },
-    Wait { version: u64, timeout: Duration },
+    Explain {
+        id: String,
+    },
+    Drain {
+        target: String,
+        reason: String,
+    },
+    Undrain {
+        target: String,
+    },
+    Wait {
+        version: u64,
+        timeout: Duration,
+    },
     Entries,
+    /// The gateways at these addresses, which need no entry host and no key.
+    Gateways {
+        addresses: Vec<SocketAddr>,
+    },
 }
 
 /// Which changes to show.
@@ -123,7 +149,8 @@
 pub fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Args, CliError> {
     let raw = read(args)?;
     let command = command(&raw)?;
-    let needs_entry = !matches!(command, Command::Help | Command::Version);
+    let needs_entry =
+        !matches!(command, Command::Help | Command::Version | Command::Gateways { .. });
     let entries = if needs_entry { entries(&raw)? } else { Vec::new() };
     let key = if needs_entry { key(&raw)? } else { String::new() };
     let output = match raw.output.as_deref() {
@@ -191,6 +218,7 @@
             timeout: Duration::from_secs(raw.timeout.unwrap_or(30)),
         },
         "entries" => Command::Entries,
+        "gateways" => Command::Gateways { addresses: addresses(&word("ADDR")?, "gateways ADDR")? },
         _ => return Err(CliError::Missing("a known command")),
     })
 }
@@ -198,8 +226,12 @@
 fn entries(raw: &Raw) -> Result<Vec<SocketAddr>, CliError> {
     let text = raw.entry.clone().or_else(|| env::var("TACKHOLLOW_ENTRY").ok());
     let text = text.ok_or(CliError::Missing("--entry ADDR, or TACKHOLLOW_ENTRY"))?;
+    addresses(&text, "--entry")
+}
+
+fn addresses(text: &str, option: &'static str) -> Result<Vec<SocketAddr>, CliError> {
     let parsed: Result<Vec<SocketAddr>, _> = text.split(',').map(|a| a.trim().parse()).collect();
-    parsed.or(Err(CliError::Value { option: "--entry", expected: "IP numbers with ports" }))
+    parsed.or(Err(CliError::Value { option, expected: "IP numbers with ports" }))
 }
 
 fn key(raw: &Raw) -> Result<String, CliError> {
--- a/src/bin/tackhollow/commands.rs
+++ b/src/bin/tackhollow/commands.rs
@@ -16,6 +16,7 @@
 use super::{
     api::Api,
     cli::{Args, Command, Filter, Output},
+    gateways::gateways,
     output::table,
 };
 
@@ -43,6 +44,7 @@
         Command::Undrain { target } => remove(&api, out, &format!("drain/{target}")),
         Command::Wait { version, timeout } => wait(&api, out, &args.entries, *version, *timeout),
         Command::Entries => entries(&api, out),
+        Command::Gateways { addresses } => gateways(addresses, out),
     }
 }
 
--- a/src/bin/tackhollow/main.rs
+++ b/src/bin/tackhollow/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod cli;
 mod commands;
+mod gateways;
 mod output;
 
 use std::{env, process::ExitCode};
--- a/src/gateway/request/doors.rs
+++ b/src/gateway/request/doors.rs
@@ -8,7 +8,7 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 
-use super::{forward::forward, operators};
+use super::{forward::forward, operators, status};
 use crate::{
     clock,
     gateway::{
@@ -122,6 +122,7 @@
             }
         }
         "/peer/upstreams" => upstreams(gateway),
+        status::STATUS => status::status(gateway),
         "/peer/quarantine" => quarantine(gateway),
         "/metrics" => match gateway.metrics.text() {
             Ok(text) => {
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod report;
 mod select;
+mod status;
 
 pub use admit::{Admitted, admit};
 pub use crash::EndChecks;
--- /dev/null
+++ b/src/gateway/request/status.rs
@@ -0,0 +1,108 @@
+//! What a gateway tells operators of itself and of the others that it hears.
+
+use std::time::{Duration, Instant};
+
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use super::doors::{with_status, with_type};
+use crate::{
+    clock,
+    gateway::{
+        board::{PeerView, StoreState},
+        context::Gateway,
+        model::{Followed, Revision},
+        net::{AnswerBody, Phase},
+    },
+};
+
+/// Path under which operators ask how a gateway does.
+pub(super) const STATUS: &str = "/status";
+
+/// How a gateway does.
+#[derive(Serialize)]
+struct GatewayStatus {
+    process: String,
+    phase: Phase,
+    /// Whether callers should use it.
+    ready: bool,
+    /// Version of the configuration in force; 0 for none.
+    configuration: u64,
+    /// Milliseconds since it was known to be the newest; `null` if it never was.
+    configuration_age_ms: Option<u64>,
+    /// Upstreams that take work.
+    upstreams: usize,
+    /// Revision of the store up to which they are known.
+    upstreams_position: Revision,
+    /// Milliseconds since that was known to be the newest; `null` if it never was.
+    upstreams_age_ms: Option<u64>,
+    /// Whether the store answers this process, as far as it knows.
+    store_answers: bool,
+    /// Fencing number of its lease on the duties; 0 for none.
+    lease_fence: u64,
+    in_progress: usize,
+    /// Requests that are held, since upstreams end under them.
+    quarantined: usize,
+    /// The other gateways, as last heard.
+    others: Vec<OtherStatus>,
+}
+
+/// Another gateway as last heard.
+#[derive(Serialize)]
+struct OtherStatus {
+    process: String,
+    phase: Phase,
+    configuration: u64,
+    store_answers: bool,
+    holds_lease: bool,
+    /// Milliseconds since it was heard.
+    heard_ms: u64,
+    /// Whether that is too long ago for it to be named to callers.
+    silent: bool,
+}
+
+/// Answers with the state of this process and of the others that it hears.
+pub(super) fn status(gateway: &Gateway) -> Response<AnswerBody> {
+    match serde_json::to_vec(&describe(gateway, clock::now())) {
+        Ok(json) => with_type(json, "application/json"),
+        Err(e) => {
+            log::error!("the status cannot be told: {e}");
+            with_status(StatusCode::INTERNAL_SERVER_ERROR, "unwritable\n")
+        }
+    }
+}
+
+fn describe(gateway: &Gateway, now: Instant) -> GatewayStatus {
+    let ready = gateway.is_ready();
+    let board = gateway.board.borrow();
+    let silence = board.peer_silence();
+    let others = board.peers.iter();
+    GatewayStatus {
+        process: gateway.process.clone(),
+        phase: gateway.shutdown.phase(),
+        ready,
+        configuration: board.configuration_version(),
+        configuration_age_ms: gateway.age_ms(Followed::Configuration, now),
+        upstreams: board.upstreams.values().filter(|v| v.takes_work()).count(),
+        upstreams_position: board.upstreams_position(),
+        upstreams_age_ms: gateway.age_ms(Followed::Upstreams, now),
+        store_answers: !matches!(board.store, StoreState::Away(_)),
+        lease_fence: board.lease.may_act(now).unwrap_or_default(),
+        in_progress: board.in_progress,
+        quarantined: board.crashes.quarantined(),
+        others: others.map(|(process, peer)| other(process, peer, silence, now)).collect(),
+    }
+}
+
+fn other(process: &str, peer: &PeerView, silence: Duration, now: Instant) -> OtherStatus {
+    let heard = now.saturating_duration_since(peer.heard);
+    OtherStatus {
+        process: process.to_owned(),
+        phase: peer.last.phase,
+        configuration: peer.last.configuration,
+        store_answers: peer.last.store_answers,
+        holds_lease: peer.last.holds_lease(),
+        heard_ms: heard.as_millis() as u64,
+        silent: heard >= silence,
+    }
+}
