--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -25,8 +25,8 @@
 use super::{
     decide::{
         Breaks, CacheBelief, Candidate, CapacityRecord, CrashBook, EngineSpeed, Knowledge,
-        LoadMeter, Mechanism, QuotaBook, RequestCost, RetryBook, RolloutBook, SpeedModel,
-        Steadiness, StoreClock, SwitchedOff, TrialTurn, TrueClock, UsageBook,
+        LimitBook, LoadMeter, Mechanism, QuotaBook, RequestCost, RetryBook, RolloutBook,
+        SpeedModel, Steadiness, StoreClock, SwitchedOff, TrialTurn, TrueClock, UsageBook,
     },
     model::{Configuration, Followed, Lifetime, Revision, ServiceName, Upstream},
     peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport, UpstreamSnapshot},
@@ -94,6 +94,8 @@
     pub sent_prefixes: Vec<PrefixReport>,
     /// Quotas of customers.
     pub quotas: QuotaBook,
+    /// Rate limits that upstreams name.
+    pub limits: LimitBook,
     /// Roll-outs of versions.
     pub rollouts: RolloutBook,
     /// Budget of second attempts.
@@ -152,6 +154,7 @@
             cache: CacheBelief::default(),
             sent_prefixes: Vec::new(),
             quotas: QuotaBook::new(now),
+            limits: LimitBook::default(),
             rollouts: RolloutBook::default(),
             retries: RetryBook::default(),
             crashes: CrashBook::default(),
@@ -315,6 +318,7 @@
     pub fn forget_lifetimes(&mut self) {
         let known: HashSet<Lifetime> = self.upstreams.values().map(|v| v.lifetime).collect();
         self.cache.retain(|lifetime| known.contains(&lifetime));
+        self.limits.retain(|lifetime| known.contains(&lifetime));
         self.lifetimes.retain(|id| self.upstreams.contains_key(id));
     }
 
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -8,7 +8,7 @@
 };
 use std::{rc::Rc, time::Instant};
 
-use super::{Admitted, select::Selected};
+use super::{Admitted, select::Selected, signals::note_signals};
 use crate::{
     clock,
     gateway::{
@@ -121,6 +121,7 @@
         Err(_) => return AttemptEnd::Broken("no_answer"),
     };
     let (status, headers) = (response.status(), response.headers());
+    note_signals(gateway, outgoing, selected, status, headers);
     if !platform::same_request(headers, &outgoing.head.id) {
         return AttemptEnd::Broken("answer_of_another_request");
     }
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod report;
 mod select;
+mod signals;
 mod status;
 
 pub use admit::{Admitted, admit};
--- /dev/null
+++ b/src/gateway/request/signals.rs
@@ -0,0 +1,64 @@
+//! What upstreams say of themselves in the heads of their answers.
+
+use hyper::{HeaderMap, StatusCode};
+
+use super::{attempt::Outgoing, select::Selected};
+use crate::{
+    clock,
+    gateway::{context::Gateway, decide::LimitNotice, telemetry::Event},
+    platform::{self, SignalError},
+};
+
+/// Takes over what the upstream says of itself in the head of an answer, whatever comes of
+/// the request.
+pub(super) fn note_signals(
+    gateway: &Gateway,
+    outgoing: &Outgoing,
+    selected: &Selected,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    // Another upstream may answer at the address of one that is gone.
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let request = &outgoing.head.id;
+    if platform::same_request(headers, request) {
+        let noted = note_rate_limit(gateway, request, selected, headers);
+        reject_bad(gateway, request, selected, noted);
+    }
+}
+
+fn note_rate_limit(
+    gateway: &Gateway,
+    request: &str,
+    selected: &Selected,
+    headers: &HeaderMap,
+) -> Result<(), SignalError> {
+    let rate = platform::decode_rate_limit(headers)?;
+    // Without a signature it may be the answer of something on the way.
+    if rate.is_none() && !platform::is_signed(headers) {
+        return Ok(());
+    }
+    let mut board = gateway.board.borrow_mut();
+    let at = board.store_time(clock::now());
+    let changed = board.limits.learn(selected.lifetime, LimitNotice { rate, at });
+    gateway.metrics.rate_limited.set(board.limits.limited() as i64);
+    drop(board);
+    if changed {
+        gateway.log(&Event::RateLimit { upstream: &selected.id, rate, request });
+    }
+    Ok(())
+}
+
+fn reject_bad(
+    gateway: &Gateway,
+    request: &str,
+    selected: &Selected,
+    noted: Result<(), SignalError>,
+) {
+    if let Err(e) = noted {
+        let error = e.to_string();
+        gateway.log(&Event::SignalRejected { upstream: &selected.id, request, error: &error });
+    }
+}
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -107,6 +107,24 @@
         /// Revision of the store that says so.
         revision: u64,
     },
+    /// The rate limit of an upstream has begun, changed or ended.
+    RateLimit {
+        /// The upstream.
+        upstream: &'a str,
+        /// Requests a second that it takes from all gateways together; `null` for no limit.
+        rate: Option<f64>,
+        /// The request whose answer said so; empty if another gateway told it.
+        request: &'a str,
+    },
+    /// An upstream says something of itself in an answer that cannot be used.
+    SignalRejected {
+        /// The upstream.
+        upstream: &'a str,
+        /// The request whose answer it was.
+        request: &'a str,
+        /// Why.
+        error: &'a str,
+    },
     /// An upstream ended while it ran requests of this process.
     UpstreamEnded {
         /// The upstream.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -184,9 +184,14 @@
     headers.get(REQUEST_ID).is_none_or(|v| v.as_bytes() == id.as_bytes())
 }
 
+/// Returns whether an answer bears its upstream's signature.
+pub fn is_signed(headers: &HeaderMap) -> bool {
+    headers.contains_key(SEAL)
+}
+
 /// Returns whether an answer claims success without the upstream's signature.
 pub fn seal_missing(status: StatusCode, headers: &HeaderMap) -> bool {
-    status.is_success() && !headers.contains_key(SEAL)
+    status.is_success() && !is_signed(headers)
 }
 
 /// Returns the seconds for which the upstream keeps an idle connection open,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod headers;
 mod lookup;
 mod rollouts;
+mod signals;
 mod store;
 mod store_wire;
 mod upstreams;
@@ -18,13 +19,14 @@
 pub use duties::{DutyClient, EngineOrder, OrderOutcome};
 pub use error::PlatformError;
 pub use headers::{
-    Attempt, Prompt, RequestHead, closes, decode_head, is_not_executed, keep_alive, same_request,
-    seal_missing, stamp_attempt, strip_hop_headers,
+    Attempt, Prompt, RequestHead, closes, decode_head, is_not_executed, is_signed, keep_alive,
+    same_request, seal_missing, stamp_attempt, strip_hop_headers,
 };
 pub use lookup::{Lookup, decode_lookup, encode_addresses, is_ready_probe};
 pub use rollouts::{
     RolloutDocument, RolloutState, decode_rollout, decode_rollout_status, encode_rollout_status,
     rollout_key, rollout_service,
 };
+pub use signals::{SignalError, decode_rate_limit};
 pub use store::{Change, Feed, RowWrite, Snapshot, StoreClient, StoreRow, Table, WriteOutcome};
 pub use upstreams::{EntryError, decode_upstream};
