Failing test: an upstream gets more than the rate that it names

Callers of four gateways, one or all of two plain upstreams or engines naming a limit in every answer; the emulator counts what reaches them and the test judges any four seconds as the rule does.

--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -1,13 +1,13 @@
 //! Control of the emulator by tests and the demo.
 
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use serde_json::{Value, json};
 use tackhollow::gateway::net::{AnswerBody, Service};
 use tokio::task::spawn_local;
@@ -32,6 +32,7 @@
             "/configuration" => self.configure(&body),
             "/engine" => return self.start_engine(&body).await,
             "/behaviour" => self.behave(&body),
+            "/signals" => self.signal(&body),
             "/state" => self.set_state(&body),
             "/remove" => self.remove(&body),
             "/restart" => self.restart(&body),
@@ -74,6 +75,7 @@
             behaviour: Behaviour::Serve,
             work: Duration::from_millis(body["workMs"].as_u64().unwrap_or_default()),
             only_path: String::new(),
+            signals: HeaderMap::new(),
             row: row.clone(),
             reading_until: Instant::now(),
             cache: HashSet::new(),
@@ -103,6 +105,15 @@
         Some(())
     }
 
+    /// Sets the headers that an upstream adds to all its answers: `id`, `headers` by name.
+    fn signal(&self, body: &Value) -> Option<()> {
+        let headers: HashMap<String, String> =
+            serde_json::from_value(body["headers"].clone()).ok()?;
+        let signals = HeaderMap::try_from(&headers).ok()?;
+        self.world.state.borrow_mut().engines.get_mut(body["id"].as_str()?)?.signals = signals;
+        Some(())
+    }
+
     /// Writes an order to roll out a version as the operator would, or withdraws it:
     /// `service`, `order`. The upstreams follow what is written of it.
     fn roll_out(&self, body: &Value) -> Option<()> {
@@ -199,6 +210,7 @@
     fn seen(&self) -> Response<AnswerBody> {
         let state = self.world.state.borrow();
         let body = json!({
+            "arrivals": state.arrivals,
             "runs": state.runs,
             "duties": state.duties,
             "store_calls": state.store_calls,
--- a/src/bin/tackhollow-emulator/engine.rs
+++ b/src/bin/tackhollow-emulator/engine.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header::HeaderValue,
+};
 use tackhollow::gateway::net::{AnswerBody, BodyError, Service, channel_body, full_body};
 use tokio::{
     sync::mpsc::{Sender, channel},
@@ -61,16 +63,32 @@
         let Some(behaviour) = behaviour else {
             return empty(StatusCode::MISDIRECTED_REQUEST);
         };
+        let arrival = self.world.arrived(&self.id, header(&headers, "x-request-id"));
+        let mut response = self.take(behaviour, &parts.method, &parts.uri, &headers, body).await;
+        self.world.sign(arrival, &self.id, &mut response);
+        response
+    }
+}
+
+impl EngineDoor {
+    async fn take(
+        &self,
+        behaviour: Behaviour,
+        method: &Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        body: Incoming,
+    ) -> Response<AnswerBody> {
         if behaviour == Behaviour::Full {
             let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
             response.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
             return response;
         }
         let body = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
-        let target = format!("{} {}", parts.method, parts.uri);
-        let run = self.begin(&headers, target, body.len());
+        let target = format!("{method} {uri}");
+        let run = self.begin(headers, target, body.len());
         let crashes = body.starts_with(CRASHING);
-        self.respond(behaviour, &headers, run, crashes).await
+        self.respond(behaviour, headers, run, crashes).await
     }
 }
 
--- a/src/bin/tackhollow-emulator/world.rs
+++ b/src/bin/tackhollow-emulator/world.rs
@@ -8,8 +8,9 @@
     time::{Duration, Instant},
 };
 
+use hyper::{HeaderMap, Response};
 use serde::{Deserialize, Serialize};
-use tackhollow::time::unix_millis;
+use tackhollow::{gateway::net::AnswerBody, time::unix_millis};
 use tokio::{
     sync::{Notify, mpsc::UnboundedSender},
     task::AbortHandle,
@@ -111,6 +112,19 @@
     }
 }
 
+/// A request that reached an upstream, whether it ran or not.
+#[derive(Clone, Debug, Serialize)]
+pub struct Arrival {
+    /// Identifier of the request.
+    pub request: String,
+    /// The upstream.
+    pub upstream: String,
+    /// When, by the store's clock, in milliseconds.
+    pub at_ms: u64,
+    /// Status with which the upstream answered; 0 until then.
+    pub status: u16,
+}
+
 /// An upstream.
 #[derive(Debug)]
 pub struct Engine {
@@ -120,6 +134,8 @@
     pub work: Duration,
     /// What the paths of requests begin with that it answers so; the others it serves.
     pub only_path: String,
+    /// Headers that it adds to all its answers.
+    pub signals: HeaderMap,
     /// Its row, without the sequence.
     pub row: serde_json::Value,
     /// Until when it reads prompts that were sent earlier.
@@ -156,6 +172,8 @@
     pub engines: BTreeMap<String, Engine>,
     /// For how long an upstream that has crashed is down.
     pub down: Duration,
+    /// Requests that reached upstreams.
+    pub arrivals: Vec<Arrival>,
     /// Requests that upstreams ran.
     pub runs: Vec<Run>,
     /// Calls to the API: path, holder, fencing number, body.
@@ -188,6 +206,7 @@
             forgotten: 0,
             engines: BTreeMap::new(),
             down: DOWN,
+            arrivals: Vec::new(),
             runs: Vec::new(),
             duties: Vec::new(),
             store_calls: 0,
@@ -242,6 +261,27 @@
         Some(address)
     }
 
+    /// Notes that a request has reached an upstream; returns its place among the arrivals.
+    pub fn arrived(&self, upstream: &str, request: String) -> usize {
+        let arrival =
+            Arrival { request, upstream: upstream.to_owned(), at_ms: self.now_ms(), status: 0 };
+        let mut state = self.state.borrow_mut();
+        state.arrivals.push(arrival);
+        state.arrivals.len() - 1
+    }
+
+    /// Adds what an upstream says of itself to the answer to an arrival.
+    pub fn sign(&self, arrival: usize, upstream: &str, response: &mut Response<AnswerBody>) {
+        let mut state = self.state.borrow_mut();
+        if let Some(arrival) = state.arrivals.get_mut(arrival) {
+            arrival.status = response.status().as_u16();
+        }
+        if let Some(engine) = state.engines.get(upstream) {
+            let signals = engine.signals.iter().map(|(name, value)| (name.clone(), value.clone()));
+            response.headers_mut().extend(signals);
+        }
+    }
+
     /// Notes how a run ended.
     pub fn end_run(&self, index: usize, end: &'static str) {
         let now_ms = self.now_ms();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod gateways;
 pub mod http;
 pub mod proc;
+pub mod signals;
 
 use std::{
     thread,
--- /dev/null
+++ b/tests/support/signals.rs
@@ -0,0 +1,63 @@
+//! What upstreams ask for in their answers, and whether they got it.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::gateways::Site;
+
+/// Span over which an upstream counts requests against its limit.
+const SPAN: Duration = Duration::from_secs(4);
+/// Share of the limit that is borne, and requests beyond it.
+const BORNE: (f64, f64) = (1.5, 5.0);
+/// Time from the first answer that names a limit until it holds.
+pub const HOLDS_AFTER: Duration = Duration::from_secs(3);
+
+/// A request that reached an upstream.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Duration,
+    pub status: u16,
+}
+
+impl Site {
+    /// Lets an upstream add headers to all its answers.
+    pub fn signal(&self, id: &str, headers: &[(&str, &str)]) {
+        let headers: serde_json::Map<String, Value> =
+            headers.iter().map(|(name, value)| ((*name).to_owned(), json!(value))).collect();
+        self.control("/signals", &json!({ "id": id, "headers": headers }));
+    }
+
+    /// Returns the emulator's clock.
+    pub fn emulator_now(&self) -> Duration {
+        Duration::from_millis(self.seen()["now_ms"].as_u64().unwrap_or_default())
+    }
+}
+
+/// Returns what has reached an upstream, the earliest first.
+pub fn arrivals(seen: &Value, upstream: &str) -> Vec<Arrival> {
+    let all = seen["arrivals"].as_array().cloned().unwrap_or_default();
+    let of_upstream = all.iter().filter(|a| a["upstream"] == upstream);
+    let mut found: Vec<Arrival> = of_upstream
+        .map(|a| Arrival {
+            at: Duration::from_millis(a["at_ms"].as_u64().unwrap_or_default()),
+            status: a["status"].as_u64().unwrap_or_default() as u16,
+        })
+        .collect();
+    found.sort_by_key(|a| a.at);
+    found
+}
+
+/// Returns the most requests of any span in which a limit is counted, between two moments.
+pub fn most_in_a_span(arrivals: &[Arrival], from: Duration, until: Duration) -> usize {
+    let counted: Vec<Duration> =
+        arrivals.iter().map(|a| a.at).filter(|at| (from..until).contains(at)).collect();
+    let in_span =
+        |end: &Duration| counted.iter().filter(|at| **at <= *end && *end - **at < SPAN).count();
+    counted.iter().map(in_span).max().unwrap_or_default()
+}
+
+/// Returns how many requests an upstream that takes `rate` a second bears in a span.
+pub fn borne(rate: f64) -> usize {
+    (BORNE.0 * rate * SPAN.as_secs_f64() + BORNE.1) as usize
+}
