--- a/src/gateway/request/signals.rs
+++ b/src/gateway/request/signals.rs
@@ -23,12 +23,33 @@
         return;
     }
     let request = &outgoing.head.id;
+    if platform::says_leaving(headers) {
+        gateway.log(&Event::SaidLeaving { upstream: &selected.id, request });
+    }
+    let rested = note_rest(gateway, request, selected, status, headers);
+    reject_bad(gateway, request, selected, rested);
     if platform::same_request(headers, request) {
         let noted = note_rate_limit(gateway, request, selected, headers);
         reject_bad(gateway, request, selected, noted);
     }
 }
 
+fn note_rest(
+    gateway: &Gateway,
+    request: &str,
+    selected: &Selected,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<(), SignalError> {
+    let time = gateway.board.borrow().clock.unix_millis(clock::now());
+    let Some(rest) = platform::decode_rest(status, headers, time)? else {
+        return Ok(());
+    };
+    let for_ms = rest.as_millis() as u64;
+    gateway.log(&Event::Rest { upstream: &selected.id, for_ms, request });
+    Ok(())
+}
+
 fn note_rate_limit(
     gateway: &Gateway,
     request: &str,
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -116,6 +116,22 @@
         /// The request whose answer said so; empty if another gateway told it.
         request: &'a str,
     },
+    /// An upstream said in an answer that it leaves.
+    SaidLeaving {
+        /// The upstream.
+        upstream: &'a str,
+        /// The request whose answer said so; empty if another gateway told it.
+        request: &'a str,
+    },
+    /// An upstream turned a request away and asked for rest.
+    Rest {
+        /// The upstream.
+        upstream: &'a str,
+        /// For how long it wants no requests from this process, in milliseconds.
+        for_ms: u64,
+        /// The request whose answer said so.
+        request: &'a str,
+    },
     /// An upstream says something of itself in an answer that cannot be used.
     SignalRejected {
         /// The upstream.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -27,6 +27,6 @@
     RolloutDocument, RolloutState, decode_rollout, decode_rollout_status, encode_rollout_status,
     rollout_key, rollout_service,
 };
-pub use signals::{SignalError, decode_rate_limit};
+pub use signals::{SignalError, decode_rate_limit, decode_rest, says_leaving};
 pub use store::{Change, Feed, RowWrite, Snapshot, StoreClient, StoreRow, Table, WriteOutcome};
 pub use upstreams::{EntryError, decode_upstream};
