--- a/tests/support/signals.rs
+++ b/tests/support/signals.rs
@@ -61,3 +61,17 @@
 pub fn borne(rate: f64) -> usize {
     (BORNE.0 * rate * SPAN.as_secs_f64() + BORNE.1) as usize
 }
+
+/// Time from an answer that asks for rest until it holds.
+const REST_HOLDS_AFTER: Duration = Duration::from_millis(500);
+
+/// Returns the most requests that reached an upstream during one of the rests that it asked
+/// for by turning requests away.
+pub fn most_during_a_rest(arrivals: &[Arrival], rest: Duration) -> usize {
+    let during = |asked: &Arrival| {
+        let span = asked.at + REST_HOLDS_AFTER..asked.at + rest;
+        arrivals.iter().filter(|a| span.contains(&a.at)).count()
+    };
+    let asked = arrivals.iter().filter(|a| a.status == 503);
+    asked.map(during).max().unwrap_or_default()
+}
