An upstream that says in an answer that it leaves gets no new requests

What callers and upstreams saw: requests reached an upstream 3.0 s and 10.7 s after an answer had told the gateway that sent them that the upstream leaves (DRAIN; bound 2 s). The store was away, so its row said ready until it was back.

Cause: that an upstream leaves was known from its row alone; the field of its answers that says so was read by nobody. Class: a statement of an upstream in an answer that is dropped (as for limits, the first matter, and rests).

Change: the word of an upstream holds for the rest of its lifetime, whatever rows say, also one that was missing and is back; gateways tell each other (format 6) while the row does not say so. It counts as leaving wherever a row's draining does: choice, the check where the bytes leave, last resort (a second from when it was said), need of engines, evidence of crashes, roll-outs. Every head of an answer is read, whatever comes of the request; 421 is another upstream's.

--- a/benches/hearing.rs
+++ b/benches/hearing.rs
@@ -65,6 +65,7 @@
         lease: None,
         loads: (0..LOADED).map(|n| LoadReport(engine_of(n), 1 + n as u32, 900)).collect(),
         outcomes: Vec::new(),
+        leaving: Vec::new(),
         limits: Vec::new(),
         prefixes: vec![PrefixReport(0x9abc_def0_1234_5678, 13_300, engine_of(0))],
         admitted: customers.map(|c| (c, 123_456)).collect(),
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -4,6 +4,7 @@
 mod demand;
 mod knowledge;
 mod lease;
+mod leaving;
 mod lifetimes;
 mod limits;
 mod loads;
@@ -26,8 +27,9 @@
 use super::{
     decide::{
         Breaks, CacheBelief, Candidate, CapacityRecord, CrashBook, EngineSpeed, Knowledge,
-        LimitBook, LoadMeter, Mechanism, QuotaBook, RequestCost, RetryBook, RolloutBook,
-        SpeedModel, Steadiness, StoreClock, SwitchedOff, TrialTurn, TrueClock, UsageBook,
+        LeavingBook, LimitBook, LoadMeter, Mechanism, QuotaBook, RequestCost, RetryBook,
+        RolloutBook, SpeedModel, Steadiness, StoreClock, SwitchedOff, TrialTurn, TrueClock,
+        UsageBook,
     },
     model::{Configuration, Followed, Lifetime, Revision, ServiceName, Upstream},
     peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport, UpstreamSnapshot},
@@ -95,6 +97,8 @@
     pub sent_prefixes: Vec<PrefixReport>,
     /// Quotas of customers.
     pub quotas: QuotaBook,
+    /// Upstreams that said in their answers that they leave.
+    pub leaving: LeavingBook,
     /// Rate limits that upstreams name.
     pub limits: LimitBook,
     /// Roll-outs of versions.
@@ -155,6 +159,7 @@
             cache: CacheBelief::default(),
             sent_prefixes: Vec::new(),
             quotas: QuotaBook::new(now),
+            leaving: LeavingBook::default(),
             limits: LimitBook::default(),
             rollouts: RolloutBook::default(),
             retries: RetryBook::default(),
@@ -284,6 +289,9 @@
             }
         };
         self.lifetimes.note(&id, lifetime);
+        if let Some(view) = self.upstreams.get_mut(&id) {
+            view.said_leaving = self.leaving.since(lifetime);
+        }
         described
     }
 
@@ -324,6 +332,7 @@
     pub fn forget_lifetimes(&mut self, now: Instant) {
         let known: HashSet<Lifetime> = self.upstreams.values().map(|v| v.lifetime).collect();
         self.cache.retain(|lifetime| known.contains(&lifetime));
+        self.leaving.retain(|lifetime| known.contains(&lifetime), now);
         self.limits.retain(|lifetime| known.contains(&lifetime), now);
         self.lifetimes.retain(|id| self.upstreams.contains_key(id));
     }
--- a/src/gateway/board/upstream.rs
+++ b/src/gateway/board/upstream.rs
@@ -35,6 +35,8 @@
     pub missing_until: Option<Instant>,
     /// Since when it may have said that it leaves, if it has.
     pub leaving_since: Option<Instant>,
+    /// Since when its own answers say that it leaves, if they do.
+    pub said_leaving: Option<Instant>,
 }
 
 /// What a newer description of an upstream changed.
@@ -67,12 +69,13 @@
             outcomes: OutcomeMeter::new(now),
             missing_until: None,
             leaving_since: None,
+            said_leaving: None,
         }
     }
 
     /// Returns whether it takes new work.
     pub fn takes_work(&self) -> bool {
-        self.upstream.phase == UpstreamPhase::Ready
+        self.upstream.phase == UpstreamPhase::Ready && self.said_leaving.is_none()
     }
 
     /// Takes over its newer description. One that does not say when the upstream
@@ -95,7 +98,7 @@
 
     /// Returns whether it still takes requests that no other upstream takes.
     pub fn is_last_resort(&self, now: Instant) -> bool {
-        let recent = |t: Instant| now.saturating_duration_since(t) < LAST_RESORT;
-        self.leaving_since.is_some_and(recent)
+        let since = [self.leaving_since, self.said_leaving].into_iter().flatten().min();
+        since.is_some_and(|t| now.saturating_duration_since(t) < LAST_RESORT)
     }
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -132,6 +132,14 @@
         }
     }
 
+    /// Logs that an upstream said that it leaves; `request` is the one whose answer said so,
+    /// empty if another gateway tells it.
+    pub fn note_leaving(&self, upstream: Lifetime, request: &str) {
+        let board = self.board.borrow();
+        self.log(&Event::SaidLeaving { upstream: board.upstream_name(upstream), request });
+        self.metrics.said_leaving.inc();
+    }
+
     /// Logs and counts changes of the rate limits of upstreams; `request` is the one whose
     /// answer told them, empty if another gateway did.
     pub fn note_limits(&self, changes: &[(Lifetime, LimitNotice)], request: &str) {
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -114,7 +114,9 @@
         let before = board.hear(process.clone(), heartbeat, sent);
         let silence = board.peer_silence();
         let limits = board.hear_limits(&process, now);
+        let leaving = board.hear_leaving(&process, now);
         drop(board);
+        leaving.iter().for_each(|upstream| self.gateway.note_leaving(*upstream, ""));
         self.gateway.note_limits(&limits, "");
         if before.is_none_or(|heard| now.saturating_duration_since(heard) >= silence) {
             self.gateway.log(&Event::Peer { process: &process, state: "heard" });
--- a/src/gateway/controllers/telling.rs
+++ b/src/gateway/controllers/telling.rs
@@ -249,6 +249,7 @@
             lease: board.lease.claim(now),
             loads: board.own_loads(),
             outcomes: board.own_outcomes(now),
+            leaving: board.leaving_reports(now),
             limits: board.limits.reports(now),
             prefixes: Vec::new(),
             admitted: board.quotas.own_totals().map(|(c, n)| (c.clone(), n)).collect(),
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod kept;
 mod knowledge;
+mod leaving;
 mod mechanism;
 mod need;
 mod orders;
@@ -40,6 +41,7 @@
 pub use engine::{Candidate, choose_engine, least_to_lose, predicted_wait};
 pub use kept::{CapacityRecord, Kept};
 pub use knowledge::{Knowledge, OLD, StoreClock, StoreMillis};
+pub use leaving::{LeavingBook, LeavingReport};
 pub use mechanism::{Mechanism, SwitchedOff};
 pub use need::{Busy, LoadMeter, RequestCost, ServiceLoad, busy, engines_needed, mean_cost};
 pub use orders::{OrderBook, OrderKey, OrderReport};
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -10,8 +10,8 @@
     control::LeaseClaim,
     gateway::{
         decide::{
-            Counts, EngineSpeed, Knowledge, LimitReport, OrderReport, Outcomes, RequestCost,
-            RolloutReport, ServiceLoad, SpeedModel, StoreMillis, Window,
+            Counts, EngineSpeed, Knowledge, LeavingReport, LimitReport, OrderReport, Outcomes,
+            RequestCost, RolloutReport, ServiceLoad, SpeedModel, StoreMillis, Window,
         },
         model::{CustomerName, Lifetime, Revision, ServiceName},
         net::Phase,
@@ -178,6 +178,8 @@
     pub loads: Vec<LoadReport>,
     /// How upstreams answered it of late.
     pub outcomes: Vec<OutcomeReport>,
+    /// Upstreams that leave by their own word, while their rows do not say so.
+    pub leaving: Vec<LeavingReport>,
     /// Rate limits of upstreams that it knows, and those that have just ended.
     pub limits: Vec<LimitReport>,
     /// Shared prefixes that it sent of late, told until most others have heard of them.
@@ -215,7 +217,7 @@
 
 /// First byte of a heartbeat. To be raised with every change of [`Heartbeat`]: its
 /// fields are told by their places, so another version would misread them.
-const FORMAT: u8 = 5;
+const FORMAT: u8 = 6;
 
 /// A heartbeat that another gateway passes on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/request/signals.rs
+++ b/src/gateway/request/signals.rs
@@ -24,7 +24,11 @@
     }
     let request = &outgoing.head.id;
     if platform::says_leaving(headers) {
-        gateway.log(&Event::SaidLeaving { upstream: &selected.id, request });
+        let now = clock::now();
+        let is_new = gateway.board.borrow_mut().note_leaving(selected.lifetime, now, now);
+        if is_new {
+            gateway.note_leaving(selected.lifetime, request);
+        }
     }
     let rested = note_rest(gateway, request, selected, status, headers);
     reject_bad(gateway, request, selected, rested);
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -78,6 +78,8 @@
     pub connections: Gauge,
     /// Ends of upstreams that took requests of this process with them.
     pub upstream_ends: Counter,
+    /// Upstreams that were learnt to leave by their own word.
+    pub said_leaving: Counter,
     /// Upstreams that name a rate limit.
     pub rate_limited: Gauge,
     /// Requests that are quarantined, since upstreams end under them.
@@ -112,6 +114,7 @@
             in_progress: Gauge::default(),
             connections: Gauge::default(),
             upstream_ends: Counter::default(),
+            said_leaving: Counter::default(),
             rate_limited: Gauge::default(),
             quarantined: Gauge::default(),
         };
@@ -136,6 +139,7 @@
         r.register("in_progress", "Requests in progress", self.in_progress.clone());
         r.register("upstream_connections", "Open connections", self.connections.clone());
         r.register("upstream_ends", "Ends of upstreams", self.upstream_ends.clone());
+        r.register("upstreams_said_leaving", "Said that they leave", self.said_leaving.clone());
         r.register("rate_limited_upstreams", "Upstreams with a limit", self.rate_limited.clone());
         r.register("quarantined_requests", "Quarantined", self.quarantined.clone());
     }
--- a/tests/gateway_heartbeats.rs
+++ b/tests/gateway_heartbeats.rs
@@ -95,6 +95,7 @@
             lease: None,
             loads: loads.collect(),
             outcomes: Vec::new(),
+            leaving: Vec::new(),
             limits: Vec::new(),
             prefixes: Vec::new(),
             admitted: (0..16).map(|c| (format!("hule{c:03}"), 123_456)).collect(),
--- a/tests/gateway_lifetimes.rs
+++ b/tests/gateway_lifetimes.rs
@@ -61,6 +61,7 @@
         lease: None,
         loads,
         outcomes: Vec::new(),
+        leaving: Vec::new(),
         limits: Vec::new(),
         prefixes: Vec::new(),
         admitted: Vec::new(),
