An upstream that asked for rest gets no requests until it is over

Cause: Retry-After of an upstream's refusal was read by nobody; health is judged by failures, and a refusal without a run is none.

Where every upstream of a service rests or is limited, a request is refused at once with the time until one takes it (503 held_off, was rate_limited).

--- a/src/gateway/board/limits.rs
+++ b/src/gateway/board/limits.rs
@@ -1,6 +1,6 @@
 //! Rate limits of upstreams: where a request may go, and when.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::{Board, PEER_FORGOTTEN};
 use crate::gateway::{
@@ -48,19 +48,4 @@
         let changes = told.into_iter().filter(|r| self.limits.learn(r.0, r.1, now));
         changes.map(|r| (r.0, r.1)).collect()
     }
-
-    /// Returns when an upstream of a service may get a request again, if all of them have
-    /// limits that keep this gateway from sending one now.
-    pub fn limits_wait(&self, service: &str, now: Instant) -> Option<Duration> {
-        let serving: Vec<Lifetime> = self.serving(service).map(|v| v.lifetime).collect();
-        let waits: Vec<Option<Duration>> =
-            serving.iter().map(|upstream| self.limits.wait(*upstream, now)).collect();
-        if serving.is_empty() || waits.contains(&Some(Duration::ZERO)) {
-            return None;
-        }
-        // Where this gateway has no part, others have: on average one of them may send so soon.
-        let rate: f64 = serving.iter().filter_map(|upstream| self.limits.rate(*upstream)).sum();
-        let elsewhere = (rate > 0.0).then(|| Duration::from_secs_f64(1.0 / rate));
-        waits.into_iter().flatten().min().or(elsewhere)
-    }
 }
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -2,6 +2,7 @@
 //! tasks read it, all on one thread.
 
 mod demand;
+mod hold_off;
 mod knowledge;
 mod lease;
 mod leaving;
@@ -27,7 +28,7 @@
 use super::{
     decide::{
         Breaks, CacheBelief, Candidate, CapacityRecord, CrashBook, EngineSpeed, Knowledge,
-        LeavingBook, LimitBook, LoadMeter, Mechanism, QuotaBook, RequestCost, RetryBook,
+        LeavingBook, LimitBook, LoadMeter, Mechanism, QuotaBook, RequestCost, RestBook, RetryBook,
         RolloutBook, SpeedModel, Steadiness, StoreClock, SwitchedOff, TrialTurn, TrueClock,
         UsageBook,
     },
@@ -101,6 +102,8 @@
     pub leaving: LeavingBook,
     /// Rate limits that upstreams name.
     pub limits: LimitBook,
+    /// Upstreams that asked this process for rest.
+    pub rests: RestBook,
     /// Roll-outs of versions.
     pub rollouts: RolloutBook,
     /// Budget of second attempts.
@@ -161,6 +164,7 @@
             quotas: QuotaBook::new(now),
             leaving: LeavingBook::default(),
             limits: LimitBook::default(),
+            rests: RestBook::default(),
             rollouts: RolloutBook::default(),
             retries: RetryBook::default(),
             crashes: CrashBook::default(),
@@ -333,6 +337,7 @@
         let known: HashSet<Lifetime> = self.upstreams.values().map(|v| v.lifetime).collect();
         self.cache.retain(|lifetime| known.contains(&lifetime));
         self.leaving.retain(|lifetime| known.contains(&lifetime), now);
+        self.rests.forget(now);
         self.limits.retain(|lifetime| known.contains(&lifetime), now);
         self.lifetimes.retain(|id| self.upstreams.contains_key(id));
     }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -21,6 +21,7 @@
 mod rate_limit;
 mod reading;
 mod reporting;
+mod rest;
 mod retry;
 mod rollout;
 mod speed;
@@ -52,6 +53,7 @@
 pub use rate_limit::{LimitBook, LimitMembers, LimitNotice, LimitReport};
 pub use reading::{READERS, Reader, Turn, rank, turn, wait_at_start};
 pub use reporting::{beats_a_report, wait_after_takeover};
+pub use rest::RestBook;
 pub use retry::{RetryBook, RetryTerms};
 pub use rollout::{
     AnswerCount, AnswerRow, Doubt, Exposing, ExposureTerms, Findings, Member, RolloutBook,
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -104,6 +104,9 @@
     if !gateway.board.borrow().may_be_sent_to(id, lifetime, clock::now()) {
         return AttemptEnd::Unsent("upstream_left");
     }
+    if !gateway.board.borrow().rests.left(lifetime, clock::now()).is_zero() {
+        return AttemptEnd::Unsent("upstream_rests");
+    }
     if !gateway.board.borrow_mut().limits.take(lifetime, clock::now()) {
         return AttemptEnd::Unsent("rate_limited");
     }
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -329,8 +329,8 @@
             return Refusal::Broken;
         }
         let board = self.gateway.board.borrow();
-        let wait = board.limits_wait(&self.admitted.service, clock::now());
-        wait.map_or(Refusal::NoRoom, Refusal::RateLimited)
+        let wait = board.hold_off_of(&self.admitted.service, clock::now());
+        wait.map_or(Refusal::NoRoom, Refusal::HeldOff)
     }
 
     /// Returns whether a request that may have run may run again, and takes it
--- a/src/gateway/request/refusal.rs
+++ b/src/gateway/request/refusal.rs
@@ -52,9 +52,10 @@
     /// No upstream takes it; it has not run.
     #[error("no upstream has room")]
     NoRoom,
-    /// The rate limits of all upstreams leave no room for so long; it has not run.
+    /// All upstreams have named limits or asked for rest, and take nothing for so long; it
+    /// has not run.
     #[error("the upstreams take no more requests for now")]
-    RateLimited(Duration),
+    HeldOff(Duration),
     /// This process is leaving; it has not run.
     #[error("this process is leaving")]
     Leaving,
@@ -79,7 +80,7 @@
             | Self::CrashesUpstreams
             | Self::CopyRuns(_)
             | Self::NoRoom
-            | Self::RateLimited(_)
+            | Self::HeldOff(_)
             | Self::Leaving
             | Self::TimeOverNotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -105,7 +106,7 @@
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::CopyRuns(_) => "copy_runs",
             Self::NoRoom => "no_room",
-            Self::RateLimited(_) => "rate_limited",
+            Self::HeldOff(_) => "held_off",
             Self::Leaving => "leaving",
             Self::TimeOverNotRun => "time_over_not_run",
             Self::TimeOver => "time_over",
@@ -118,7 +119,7 @@
             Self::NoConfiguration | Self::Leaving => Some(SOON),
             Self::ConfigurationOld => Some(FRESH),
             Self::NoRoom | Self::TimeOverNotRun => Some(ROOM),
-            Self::QuotaUsedUp(wait) | Self::CopyRuns(wait) | Self::RateLimited(wait) => Some(wait),
+            Self::QuotaUsedUp(wait) | Self::CopyRuns(wait) | Self::HeldOff(wait) => Some(wait),
             _ => None,
         }
     }
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -177,7 +177,7 @@
     let board = gateway.board.borrow();
     let exposure = gateway.settings.borrow().bounds.exposure;
     let mut open = board.open_to(&admitted.service, wanted.side, exposure, now);
-    open.retain(|v| board.limits.wait(v.lifetime, now) == Some(Duration::ZERO));
+    open.retain(|v| board.hold_off(v.lifetime, now) == Some(Duration::ZERO));
     let views = untried(open, wanted.tried, &off, now);
     let views = without_risk(&board, views, wanted.apart);
     let shared = shared.filter(|_| off.is_on(Mechanism::KnownCaches));
--- a/src/gateway/request/signals.rs
+++ b/src/gateway/request/signals.rs
@@ -45,12 +45,15 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Result<(), SignalError> {
-    let time = gateway.board.borrow().clock.unix_millis(clock::now());
+    let now = clock::now();
+    let time = gateway.board.borrow().clock.unix_millis(now);
     let Some(rest) = platform::decode_rest(status, headers, time)? else {
         return Ok(());
     };
-    let for_ms = rest.as_millis() as u64;
-    gateway.log(&Event::Rest { upstream: &selected.id, for_ms, request });
+    if gateway.board.borrow_mut().rests.learn(selected.lifetime, rest, now) {
+        let for_ms = rest.as_millis() as u64;
+        gateway.log(&Event::Rest { upstream: &selected.id, for_ms, request });
+    }
     Ok(())
 }
 
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -80,6 +80,8 @@
     pub upstream_ends: Counter,
     /// Upstreams that were learnt to leave by their own word.
     pub said_leaving: Counter,
+    /// Upstreams that have asked for rest.
+    pub resting: Gauge,
     /// Upstreams that name a rate limit.
     pub rate_limited: Gauge,
     /// Requests that are quarantined, since upstreams end under them.
@@ -115,6 +117,7 @@
             connections: Gauge::default(),
             upstream_ends: Counter::default(),
             said_leaving: Counter::default(),
+            resting: Gauge::default(),
             rate_limited: Gauge::default(),
             quarantined: Gauge::default(),
         };
@@ -140,6 +143,7 @@
         r.register("upstream_connections", "Open connections", self.connections.clone());
         r.register("upstream_ends", "Ends of upstreams", self.upstream_ends.clone());
         r.register("upstreams_said_leaving", "Said that they leave", self.said_leaving.clone());
+        r.register("resting_upstreams", "Upstreams that asked for rest", self.resting.clone());
         r.register("rate_limited_upstreams", "Upstreams with a limit", self.rate_limited.clone());
         r.register("quarantined_requests", "Quarantined", self.quarantined.clone());
     }
--- a/tests/gateway_upstream_signals.rs
+++ b/tests/gateway_upstream_signals.rs
@@ -22,6 +22,8 @@
     wait_until,
 };
 
+/// Callers of each gateway.
+const CALLERS: usize = 4;
 /// Between two calls of a caller.
 const PAUSE: Duration = Duration::from_millis(40);
 /// Time from an answer that says so until an upstream that leaves gets no requests.
@@ -42,11 +44,11 @@
     if stream { Call::stream("/plan/a", &id, 2) } else { Call::new("GET", "/check/a", &id) }
 }
 
-/// Calls all gateways, one caller each, while `until` runs; returns what they got.
+/// Calls all gateways, some callers each, while `until` runs; returns what they got.
 fn keep_calling(site: &Site, stream: bool, until: impl FnOnce()) -> Vec<Got> {
     let (stop, sent, got) = (AtomicBool::new(false), AtomicUsize::new(0), Mutex::new(Vec::new()));
     thread::scope(|s| {
-        for gateway in &site.gateways {
+        for gateway in site.gateways.iter().flat_map(|g| [g; CALLERS]) {
             let (stop, sent, got) = (&stop, &sent, &got);
             s.spawn(move || {
                 while !stop.load(Ordering::Relaxed) {
