The soak's upstreams name limits, leave and ask for rest in their answers

Beside kills, stops, pauses, cuts from the store and outages. Its own test lets each signal be ignored once.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -16,9 +16,12 @@
 mod freshness;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "soak/signals.rs"]
+mod signals;
 
 use std::{
     env,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -29,6 +32,7 @@
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use proxy::Proxy;
 use serde_json::{Value, json};
+use signals::{Asked, Disturbed, Spell, ignored_signals};
 use support::gateways::{Answer, Site};
 
 /// Gateways, engines and plain upstreams of a soak.
@@ -51,6 +55,8 @@
     crashing: Crashing,
     /// Whether the store falls silent.
     silences: bool,
+    /// Whether upstreams name limits, leave and ask for rest in their answers.
+    signals: bool,
 }
 
 /// Whether a caller sends requests that crash upstreams.
@@ -64,14 +70,22 @@
     Hidden,
 }
 
-const CASES: [Case; 9] = [
-    Case { seed: 1, why: "a short run", restarts: false, crashing: Crashing::No, silences: false },
+const CASES: [Case; 10] = [
+    Case {
+        seed: 1,
+        why: "a short run",
+        restarts: false,
+        crashing: Crashing::No,
+        silences: false,
+        signals: false,
+    },
     Case {
         seed: 2002,
         why: "a signal right after a start ended the process",
         restarts: false,
         crashing: Crashing::No,
         silences: false,
+        signals: false,
     },
     Case {
         seed: 3,
@@ -79,6 +93,7 @@
         restarts: true,
         crashing: Crashing::No,
         silences: false,
+        signals: false,
     },
     Case {
         seed: 20_263_207,
@@ -86,6 +101,7 @@
         restarts: true,
         crashing: Crashing::Hidden,
         silences: false,
+        signals: false,
     },
     Case {
         seed: 20_262_212,
@@ -93,6 +109,7 @@
         restarts: true,
         crashing: Crashing::Hidden,
         silences: false,
+        signals: false,
     },
     Case {
         seed: 4_120_101,
@@ -100,6 +117,7 @@
         restarts: true,
         crashing: Crashing::Direct,
         silences: false,
+        signals: false,
     },
     Case {
         seed: 4_120_302,
@@ -107,6 +125,7 @@
         restarts: true,
         crashing: Crashing::Direct,
         silences: false,
+        signals: false,
     },
     Case {
         seed: 4,
@@ -114,6 +133,7 @@
         restarts: true,
         crashing: Crashing::Direct,
         silences: false,
+        signals: false,
     },
     Case {
         seed: 5,
@@ -121,12 +141,26 @@
         restarts: true,
         crashing: Crashing::No,
         silences: true,
+        signals: false,
+    },
+    Case {
+        seed: 38,
+        why: "upstreams that say what they want",
+        restarts: false,
+        crashing: Crashing::No,
+        silences: true,
+        signals: true,
     },
 ];
 
 #[test]
 fn promises_hold_under_faults() {
-    play(|case| case.crashing == Crashing::No);
+    play(|case| case.crashing == Crashing::No && !case.signals);
+}
+
+#[test]
+fn promises_hold_under_faults_and_signals_of_upstreams() {
+    play(|case| case.signals);
 }
 
 #[test]
@@ -137,7 +171,8 @@
 fn play(chosen: impl Fn(&Case) -> bool) {
     for case in CASES.iter().filter(|c| chosen(c)) {
         println!("seed {}: {}", case.seed, case.why);
-        soak(case, Duration::from_secs(6));
+        // A limit holds from three seconds on, and is counted over four.
+        soak(case, Duration::from_secs(if case.signals { 14 } else { 6 }));
     }
 }
 
@@ -154,7 +189,10 @@
     let hidden = if number("SOAK_HIDDEN", 0) > 0 { Crashing::Hidden } else { Crashing::Direct };
     for seed in first..first + number("SOAK_COUNT", 50) {
         let why = "drawn";
-        soak(&Case { seed, why, restarts: true, crashing: hidden, silences: true }, seconds);
+        let signals = number("SOAK_SIGNALS", 0) > 0;
+        let crashing = if signals { Crashing::No } else { hidden };
+        let restarts = !signals;
+        soak(&Case { seed, why, restarts, crashing, silences: true, signals }, seconds);
     }
 }
 
@@ -217,7 +255,13 @@
         headers.insert("x-request-id", HeaderValue::from_static("c0-0"));
         let status = StatusCode::from_u16(case.status).expect("a status");
         let answer = Answer { status, headers, body: case.body.to_owned(), complete: true };
-        let sent = Sent { id: "c0-0".to_owned(), kind: case.kind, events: 2, answer: Some(answer) };
+        let sent = Sent {
+            id: "c0-0".to_owned(),
+            to: ([127, 0, 0, 1], 1).into(),
+            kind: case.kind,
+            events: 2,
+            answer: Some(answer),
+        };
         check::broken_promises(&[sent], &json!({ "runs": case.runs, "duties": case.duties }))
     };
     assert_eq!(check(&right()), Vec::<String>::new());
@@ -226,6 +270,35 @@
     }
 }
 
+/// Each signal of an upstream, ignored once: the checks must see it, and must excuse a
+/// gateway that was disturbed.
+#[test]
+fn the_checks_find_ignored_signals() {
+    let gateway: SocketAddr = ([127, 0, 0, 1], 1).into();
+    let second = Duration::from_secs(1);
+    let rest = Asked::Rest(3 * second);
+    let asked = [(Asked::Limit(1.0), 200), (Asked::Leaving, 200), (rest, 503)];
+    for (asked, status) in asked {
+        let (mut arrivals, mut sent) = (Vec::new(), Vec::new());
+        for n in 0..100_u64 {
+            let id = format!("c0-{n}");
+            arrivals.push(json!({
+                "request": id, "upstream": "i-1", "at_ms": 1_000 + n * 100, "status": status,
+            }));
+            sent.push(Sent { id, to: gateway, kind: Kind::Check, events: 2, answer: None });
+        }
+        let spell = |from| Spell { upstream: "i-1".to_owned(), asked, from, until: None };
+        let seen = json!({ "arrivals": arrivals });
+        let find = |spell: Spell, disturbed: Disturbed| {
+            ignored_signals(&[spell], &disturbed, &[gateway], &sent, &seen)
+        };
+        assert_eq!(find(spell(second), Vec::new()).len(), 1, "{asked:?} goes unseen");
+        assert!(find(spell(20 * second), Vec::new()).is_empty(), "{asked:?} is over");
+        let always = (0..200).map(|n| (0, n * second / 10)).collect();
+        assert!(find(spell(second), always).is_empty(), "{asked:?}: nobody was steady");
+    }
+}
+
 /// Starts the processes with proxies before the platform, and before the upstreams unless
 /// they are reached directly: a proxy accepts connections when nothing listens behind it.
 fn start(direct: bool) -> (Site, Vec<Proxy>, Vec<String>) {
@@ -258,9 +331,10 @@
 }
 
 fn soak(case: &Case, time: Duration) {
-    let Case { seed, restarts, crashing, silences, .. } = *case;
-    let (mut site, links, upstreams) = start(crashing == Crashing::Direct);
+    let Case { seed, restarts, crashing, silences, signals, .. } = *case;
+    let (mut site, links, upstreams) = start(crashing == Crashing::Direct || signals);
     let addresses: Vec<_> = site.gateways.iter().map(|g| g.callers).collect();
+    let gateways = addresses.clone();
     let addresses = Arc::new(Mutex::new(addresses));
     let callers = Callers::start(seed, CALLERS, &addresses);
     let hostile = (crashing != Crashing::No).then(|| HostileCaller::start(seed, &addresses));
@@ -271,7 +345,12 @@
     if silences {
         faults = faults.with_silences(seed);
     }
+    if signals {
+        faults = faults.with_signals(seed);
+    }
     faults.play(time);
+    let (spells, disturbed) =
+        (std::mem::take(&mut faults.spells), std::mem::take(&mut faults.disturbed));
     let (counts, version) = (std::mem::take(&mut faults.counts), faults.next_version());
     if silences {
         // The last fault: all calls on their way to the store are lost.
@@ -284,7 +363,9 @@
     let sent = callers.finish();
     hostile.into_iter().for_each(HostileCaller::finish);
     recovers(&site, seed);
-    let broken = check::broken_promises(&sent, &site.seen());
+    let seen = site.seen();
+    let mut broken = check::broken_promises(&sent, &seen);
+    broken.extend(ignored_signals(&spells, &disturbed, &gateways, &sent, &seen));
     let answered = sent.iter().filter(|s| s.answer.as_ref().is_some_and(|a| a.complete)).count();
     println!("seed {seed}: {} requests, {answered} answered, faults {counts:?}", sent.len());
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -63,6 +63,8 @@
 #[derive(Debug)]
 pub struct Sent {
     pub id: String,
+    /// The gateway that it was sent to.
+    pub to: SocketAddr,
     pub kind: Kind,
     pub events: u64,
     /// `None` if no answer came, or none in time.
@@ -105,19 +107,20 @@
     let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
     let mut sent = Vec::new();
     LocalSet::new().block_on(&runtime, async {
-        let mut kept: Option<(HttpConnection, Instant)> = None;
+        let mut kept: Option<(HttpConnection, SocketAddr, Instant)> = None;
         while !stop.load(Ordering::SeqCst) {
             let known = addresses.lock().expect("no panic").clone();
             let to = known[rng.usize(..known.len())];
             let kind = KINDS[rng.usize(..KINDS.len())];
             let events = rng.u64(1..40);
             let id = format!("c{n}-{}", sent.len());
-            let usable = kept.take().filter(|(c, at)| c.is_open() && at.elapsed() < KEEP_ADDRESS);
+            let usable =
+                kept.take().filter(|(c, _, at)| c.is_open() && at.elapsed() < KEEP_ADDRESS);
             let opened = match usable {
                 Some(usable) => Some(usable),
-                None => connect(to, PATIENCE).await.ok().map(|c| (c, Instant::now())),
+                None => connect(to, PATIENCE).await.ok().map(|c| (c, to, Instant::now())),
             };
-            let Some((mut connection, since)) = opened else {
+            let Some((mut connection, to, since)) = opened else {
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 continue;
             };
@@ -125,8 +128,8 @@
             let answer = timeout(PATIENCE, call.exchange_on(&mut connection)).await.ok().flatten();
             let reusable =
                 answer.as_ref().is_some_and(|a| a.complete && a.header("connection") != "close");
-            kept = reusable.then_some((connection, since));
-            sent.push(Sent { id, kind, events, answer });
+            kept = reusable.then_some((connection, to, since));
+            sent.push(Sent { id, to, kind, events, answer });
             tokio::time::sleep(Duration::from_millis(rng.u64(..30))).await;
         }
     });
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -6,7 +6,10 @@
 use serde_json::json;
 use tackhollow::time::unix_millis;
 
-use super::proxy::{Link, Proxy};
+use super::{
+    proxy::{Link, Proxy},
+    signals::{Asked, Disturbed, Spell},
+};
 use crate::support::gateways::{Site, configuration};
 
 /// Upstreams' behaviours that a fault sets for a while.
@@ -15,6 +18,7 @@
 /// Tell draws from the other draws of a seed.
 const RESTARTS: u64 = 0x7265_7374_6172_7473;
 const SILENCES: u64 = 0x7369_6c65_6e63_6573;
+const SIGNALS: u64 = 0x7369_676e_616c_7300;
 
 /// What ends a fault.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +35,8 @@
     Behave(usize),
     /// Writes an upstream's row again.
     Row(usize),
+    /// Ends what an upstream asks for.
+    Signal(usize),
 }
 
 /// What the faults have at hand.
@@ -46,6 +52,12 @@
     restarts: Option<fastrand::Rng>,
     /// Draws when the store falls silent for all; `None` if it does not.
     silences: Option<fastrand::Rng>,
+    /// Draws what upstreams ask for in their answers; `None` if they ask for nothing.
+    signals: Option<fastrand::Rng>,
+    /// What upstreams asked for.
+    pub spells: Vec<Spell>,
+    /// When gateways were killed, stopped or paused, or went on.
+    pub disturbed: Disturbed,
     /// How often each kind came.
     pub counts: std::collections::BTreeMap<&'static str, usize>,
 }
@@ -55,7 +67,27 @@
         let rng = fastrand::Rng::with_seed(seed);
         let counts = std::collections::BTreeMap::new();
         let (due, version) = (Vec::new(), 7);
-        Self { site, links, upstreams, rng, due, version, restarts: None, silences: None, counts }
+        Self {
+            site,
+            links,
+            upstreams,
+            rng,
+            due,
+            version,
+            restarts: None,
+            silences: None,
+            signals: None,
+            spells: Vec::new(),
+            disturbed: Vec::new(),
+            counts,
+        }
+    }
+
+    /// Lets upstreams name limits, leave and ask for rest in their answers now and then,
+    /// beside the other faults and without a change to which of those a seed draws.
+    pub fn with_signals(mut self, seed: u64) -> Self {
+        self.signals = Some(fastrand::Rng::with_seed(seed ^ SIGNALS));
+        self
     }
 
     /// Lets upstreams start again under their ids, beside the other faults and
@@ -86,6 +118,7 @@
             self.next();
             self.restart_upstream();
             self.silence_store();
+            self.signal_upstream();
         }
         while !self.due.is_empty() {
             std::thread::sleep(Duration::from_millis(20));
@@ -146,6 +179,63 @@
         *self.counts.entry("store_falls_silent").or_default() += 1;
     }
 
+    /// Lets an upstream ask for something now and then.
+    fn signal_upstream(&mut self) {
+        let Some(rng) = &mut self.signals else {
+            return;
+        };
+        let n = rng.usize(..self.upstreams.len());
+        let is_asking = self.due.iter().any(|(_, m)| matches!(m, Mend::Signal(of) if *of == n));
+        if rng.u8(..3) > 0 || is_asking {
+            return;
+        }
+        let rest = Duration::from_millis(rng.u64(800..3_000));
+        let (asked, kind) = match rng.u8(..4) {
+            0 => (Asked::Leaving, "says_leaving"),
+            1 => (Asked::Rest(rest), "asks_for_rest"),
+            _ => (Asked::Limit(rng.u64(1..4) as f64), "names_limit"),
+        };
+        let lasts = Duration::from_millis(rng.u64(2_000..9_000));
+        let upstream = self.upstreams[n].clone();
+        match asked {
+            Asked::Limit(rate) => {
+                self.site.signal(&upstream, &[("server-limit", &rate.to_string())]);
+            }
+            Asked::Leaving => self.site.signal(&upstream, &[("server-leaving", "1")]),
+            Asked::Rest(rest) => {
+                let seconds = rest.as_secs_f64().to_string();
+                self.site.signal(&upstream, &[("retry-after", &seconds)]);
+                self.site.behave(Some(&upstream), "full");
+            }
+        }
+        let from = self.site.emulator_now();
+        self.spells.push(Spell { upstream, asked, from, until: None });
+        self.due.push((Instant::now() + lasts, Mend::Signal(n)));
+        *self.counts.entry(kind).or_default() += 1;
+    }
+
+    fn end_signal(&mut self, n: usize) {
+        let upstream = &self.upstreams[n];
+        let until = self.site.emulator_now();
+        self.site.signal(upstream, &[]);
+        let spell = self.spells.iter_mut().rev().find(|s| s.upstream == *upstream);
+        let Some(spell) = spell else {
+            return;
+        };
+        spell.until = Some(until);
+        match spell.asked {
+            // It leaves for good: what serves from now on is a later start of it.
+            Asked::Leaving => self.site.restart_upstream(upstream, unix_millis()),
+            Asked::Rest(_) => self.site.behave(Some(upstream), "serve"),
+            Asked::Limit(_) => {}
+        }
+    }
+
+    fn disturb(&mut self, gateway: usize) {
+        let at = self.site.emulator_now();
+        self.disturbed.push((gateway, at));
+    }
+
     fn after(&mut self, most_ms: u64, mend: Mend) {
         let time = Duration::from_millis(self.rng.u64(100..most_ms));
         self.due.push((Instant::now() + time, mend));
@@ -167,6 +257,7 @@
             return None;
         }
         self.site.gateways[gateway].kill();
+        self.disturb(gateway);
         self.after(1_500, Mend::Start(gateway));
         Some("kill")
     }
@@ -182,6 +273,7 @@
         }
         self.site.gateways[gateway].signal(signal);
         if signal == Signal::SIGTERM {
+            self.disturb(gateway);
             self.after(500, Mend::Start(gateway));
         }
         Some(kind)
@@ -192,6 +284,7 @@
             return None;
         }
         self.site.gateways[gateway].signal(Signal::SIGSTOP);
+        self.disturb(gateway);
         self.after(2_500, Mend::Resume(gateway));
         Some("pause")
     }
@@ -252,13 +345,20 @@
 
     fn end(&mut self, mend: Mend) {
         match mend {
-            Mend::Start(n) if self.site.gateways[n].has_ended() => self.site.gateways[n].restart(),
+            Mend::Start(n) if self.site.gateways[n].has_ended() => {
+                self.site.gateways[n].restart();
+                self.disturb(n);
+            }
             // It is still leaving.
             Mend::Start(_) => self.due.push((Instant::now() + Duration::from_millis(100), mend)),
-            Mend::Resume(n) => self.site.gateways[n].signal(Signal::SIGCONT),
+            Mend::Resume(n) => {
+                self.site.gateways[n].signal(Signal::SIGCONT);
+                self.disturb(n);
+            }
             Mend::Link(n) => self.links[n].set_link(Link::Pass),
             Mend::Store => self.site.store("up"),
             Mend::Behave(n) => self.site.behave(Some(&self.upstreams[n]), "serve"),
+            Mend::Signal(n) => self.end_signal(n),
             Mend::Row(n) => {
                 let row = json!({ "id": self.upstreams[n], "back": true });
                 self.site.control("/remove", &row);
--- a/tests/support/signals.rs
+++ b/tests/support/signals.rs
@@ -16,6 +16,7 @@
 /// A request that reached an upstream.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    pub request: String,
     pub at: Duration,
     pub status: u16,
 }
@@ -40,6 +41,7 @@
     let of_upstream = all.iter().filter(|a| a["upstream"] == upstream);
     let mut found: Vec<Arrival> = of_upstream
         .map(|a| Arrival {
+            request: a["request"].as_str().unwrap_or_default().to_owned(),
             at: Duration::from_millis(a["at_ms"].as_u64().unwrap_or_default()),
             status: a["status"].as_u64().unwrap_or_default() as u16,
         })
