Operators see what upstreams ask for; the adapter's and the books' tests

/status and tackhollow gateways list upstreams with a limit, at rest or leaving by their own word. The adapter's tests play bad values: a rate that is negative, infinite or no number, a Retry-After that is neither a time nor a date, several of one kind. Property tests: limits heard in any order and repeated come to the same; the parts of all gateways add up to the rate; no later word ends a rest sooner.

--- a/src/bin/tackhollow/gateways.rs
+++ b/src/bin/tackhollow/gateways.rs
@@ -31,10 +31,32 @@
     in_progress: usize,
     quarantined: usize,
     #[serde(default)]
+    signals: Vec<Signal>,
+    #[serde(default)]
     rollouts: Vec<Rollout>,
     others: Vec<Other>,
 }
 
+/// What a gateway says that an upstream asks for in its answers.
+#[derive(Clone, Debug, Deserialize)]
+struct Signal {
+    upstream: String,
+    limit: Option<f64>,
+    rest_ms: u64,
+    leaving: bool,
+}
+
+impl Signal {
+    /// Returns what it asks for, the strongest first.
+    fn asks(&self) -> String {
+        let leaving = self.leaving.then(|| "leaves by its own word".to_owned());
+        let rest = (self.rest_ms > 0).then(|| format!("rests for {} ms", self.rest_ms));
+        let limit = self.limit.map(|rate| format!("takes {rate} requests a second from all"));
+        let all: Vec<String> = [leaving, rest, limit].into_iter().flatten().collect();
+        format!("{} {}", self.upstream, all.join(", "))
+    }
+}
+
 /// What a gateway says of a roll-out.
 #[derive(Clone, Debug, Deserialize)]
 struct Rollout {
@@ -145,6 +167,7 @@
     for r in s.rollouts.iter().filter(|r| r.is_late()) {
         note(format!("the roll-out of {} to {} is late: {}", r.service, r.destination, r.doubt));
     }
+    s.signals.iter().for_each(|signal| note(signal.asks()));
     if s.quarantined > 0 {
         note(format!("{} request(s) quarantined, see /quarantine", s.quarantined));
     }
--- a/src/gateway/request/status.rs
+++ b/src/gateway/request/status.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock,
     gateway::{
-        board::{Board, PeerView, StoreState},
+        board::{Board, PeerView, StoreState, UpstreamView},
         context::Gateway,
         decide::RolloutView,
         model::{Followed, Revision},
@@ -44,12 +44,26 @@
     in_progress: usize,
     /// Requests that are held, since upstreams end under them.
     quarantined: usize,
+    /// Upstreams that ask in their answers for fewer requests or none.
+    signals: Vec<SignalStatus>,
     /// Roll-outs of versions.
     rollouts: Vec<RolloutStatus>,
     /// The other gateways, as last heard.
     others: Vec<OtherStatus>,
 }
 
+/// What an upstream asks for in its answers, as this process knows it.
+#[derive(Serialize)]
+struct SignalStatus {
+    upstream: String,
+    /// Requests a second that it takes from all gateways together; `null` for any number.
+    limit: Option<f64>,
+    /// For how long it still wants none from this process, in milliseconds.
+    rest_ms: u64,
+    /// Whether it leaves by its own word.
+    leaving: bool,
+}
+
 /// A roll-out of a version, as this process knows it.
 #[derive(Serialize)]
 struct RolloutStatus {
@@ -113,11 +127,22 @@
         lease_fence: board.lease.may_act(now).unwrap_or_default(),
         in_progress: board.in_progress,
         quarantined: board.crashes.quarantined(),
+        signals: board.upstreams.values().filter_map(|v| signals(&board, v, now)).collect(),
         rollouts: rollouts(gateway, &board, now),
         others: others.map(|(process, peer)| other(process, peer, silence, now)).collect(),
     }
 }
 
+/// Returns what an upstream asks for, if it asks for anything.
+fn signals(board: &Board, view: &UpstreamView, now: Instant) -> Option<SignalStatus> {
+    let limit = board.limits.rate(view.lifetime);
+    let rest_ms = board.rests.left(view.lifetime, now).as_millis() as u64;
+    let leaving = view.said_leaving.is_some();
+    let upstream = view.upstream.id.clone();
+    let asks = limit.is_some() || rest_ms > 0 || leaving;
+    asks.then_some(SignalStatus { upstream, limit, rest_ms, leaving })
+}
+
 fn rollouts(gateway: &Gateway, board: &Board, now: Instant) -> Vec<RolloutStatus> {
     let exposure = gateway.settings.borrow().bounds.exposure;
     let time = board.store_time(now);
--- /dev/null
+++ b/tests/gateway_signal_books.rs
@@ -0,0 +1,190 @@
+//! What gateways remember of what upstreams ask for in their answers.
+
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use tackhollow::gateway::{
+    board::Board,
+    decide::{LimitBook, LimitMembers, LimitNotice, RestBook, TrueClock},
+    model::{Lifetime, Upstream, UpstreamPhase},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn upstream_lifetime() -> Lifetime {
+    Lifetime::new("i-1", Some(1))
+}
+
+fn upstream(phase: UpstreamPhase, born: u64) -> Upstream {
+    Upstream {
+        id: "i-1".to_owned(),
+        born: Some(born),
+        service: "app".to_owned(),
+        version: "v1".to_owned(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".to_owned(),
+        slots: 6,
+        phase,
+        reclaimable: false,
+        leaves_in: None,
+    }
+}
+
+fn alone() -> LimitMembers {
+    LimitMembers::new("a", std::iter::empty(), true)
+}
+
+/// Notices at different times: a gateway hears them in any order, repeatedly.
+fn notices() -> impl Strategy<Value = Vec<LimitNotice>> {
+    let rates = prop::collection::vec(prop::option::of(0.1..50.0_f64), 1..12);
+    rates.prop_map(|rates| {
+        let notices = rates.into_iter().zip(1..);
+        notices.map(|(rate, at)| LimitNotice { rate, at }).collect()
+    })
+}
+
+proptest! {
+    #[test]
+    fn the_newest_limit_counts_in_whatever_order_it_is_heard(
+        notices in notices(),
+        order in prop::collection::vec(0..12_usize, 0..40),
+    ) {
+        let now = Instant::now();
+        let mut book = LimitBook::default();
+        for n in order {
+            book.learn(upstream_lifetime(), notices[n % notices.len()], now);
+        }
+        for notice in notices.iter().rev().chain(&notices) {
+            book.learn(upstream_lifetime(), *notice, now);
+        }
+        let newest = notices.last().and_then(|n| n.rate);
+        prop_assert_eq!(book.rate(upstream_lifetime()), newest);
+    }
+
+    #[test]
+    fn the_parts_of_a_limit_add_up_to_it(rate in 0.05..500.0_f64, gateways in 1..60_usize) {
+        let now = Instant::now();
+        let names: Vec<String> = (0..gateways).map(|n| format!("host-{n}")).collect();
+        let mut sent = 0;
+        for own in &names {
+            let others = names.iter().filter(|n| *n != own).map(String::as_str);
+            let mut book = LimitBook::default();
+            book.learn(upstream_lifetime(), LimitNotice { rate: Some(rate), at: 1 }, now);
+            book.divide(&LimitMembers::new(own, others, true), now);
+            // Asked all the time, each gateway sends its part.
+            for ms in 0..8_000 {
+                let at = now + Duration::from_millis(ms);
+                sent += usize::from(book.take(upstream_lifetime(), at));
+            }
+        }
+        let allowed = rate * 8.0;
+        prop_assert!(sent as f64 <= allowed + 1.0, "{} of {}", sent, allowed);
+        let holders = (1.0 + rate).min(gateways as f64);
+        prop_assert!(sent as f64 >= allowed * 0.95 - holders - 1.0, "{} of {}", sent, allowed);
+    }
+
+    #[test]
+    fn a_rest_never_ends_sooner_for_a_later_word(
+        words in prop::collection::vec((0..5_000_u64, 0..4_000_u64), 1..12),
+        look in 0..10_000_u64,
+    ) {
+        let (start, mut book) = (Instant::now(), RestBook::default());
+        let mut until = start;
+        for (at, rest) in words {
+            let (at, rest) = (start + Duration::from_millis(at), Duration::from_millis(rest));
+            book.learn(upstream_lifetime(), rest, at);
+            until = until.max(at + rest);
+        }
+        let look = start + Duration::from_millis(look);
+        let left = until.saturating_duration_since(look);
+        prop_assert_eq!(book.left(upstream_lifetime(), look), left);
+    }
+}
+
+#[test]
+fn a_part_that_moves_to_another_gateway_is_not_spent_twice() {
+    let now = Instant::now();
+    let limited = || {
+        let mut book = LimitBook::default();
+        book.learn(upstream_lifetime(), LimitNotice { rate: Some(0.5), at: 1 }, now);
+        book
+    };
+    let (mut first, mut next) = (limited(), limited());
+    first.divide(&alone(), now);
+    let later = now + 4 * SECOND;
+    assert!(first.take(upstream_lifetime(), later));
+    next.divide(&alone(), later);
+    assert!(!next.take(upstream_lifetime(), later), "it begins with an empty bucket");
+    assert_eq!(next.wait(upstream_lifetime(), later), Some(2 * SECOND));
+}
+
+#[test]
+fn a_limit_of_nothing_leaves_room_to_ask_again() {
+    let now = Instant::now();
+    let mut book = LimitBook::default();
+    book.learn(upstream_lifetime(), LimitNotice { rate: Some(0.0), at: 1 }, now);
+    book.divide(&alone(), now);
+    assert!(!book.take(upstream_lifetime(), now + 10 * SECOND));
+    assert!(book.take(upstream_lifetime(), now + 21 * SECOND));
+}
+
+#[test]
+fn an_upstream_leaves_for_the_rest_of_its_lifetime() {
+    struct Case {
+        name: &'static str,
+        row: Option<Upstream>,
+        takes_work: bool,
+    }
+    let ready = || upstream(UpstreamPhase::Ready, 1);
+    let cases = [
+        Case { name: "its row says ready again", row: Some(ready()), takes_work: false },
+        Case { name: "its row was missing", row: None, takes_work: false },
+        Case {
+            name: "it has started again",
+            row: Some(upstream(UpstreamPhase::Ready, 2)),
+            takes_work: true,
+        },
+    ];
+    let now = Instant::now();
+    for case in cases {
+        let mut board = Board::new(TrueClock::new(now, 0), now);
+        board.describe(ready(), now);
+        assert!(board.note_leaving(upstream_lifetime(), now, now), "{}: it is new", case.name);
+        assert!(!board.note_leaving(upstream_lifetime(), now, now), "{}: again", case.name);
+        let later = now + 2 * SECOND;
+        let row = case.row.unwrap_or_else(|| {
+            board.upstreams.clear();
+            board.forget_lifetimes(later);
+            ready()
+        });
+        board.describe(row, later);
+        let view = &board.upstreams["i-1"];
+        assert_eq!(view.takes_work(), case.takes_work, "{}", case.name);
+        assert!(!view.is_last_resort(later), "{}: later than a second", case.name);
+    }
+}
+
+#[test]
+fn a_service_holds_off_until_the_first_of_its_upstreams_takes_a_request() {
+    struct Case {
+        name: &'static str,
+        rest: Duration,
+        rate: Option<f64>,
+        wait: Option<Duration>,
+    }
+    let cases = [
+        Case { name: "nothing is asked for", rest: Duration::ZERO, rate: None, wait: None },
+        Case { name: "a rest", rest: 3 * SECOND, rate: None, wait: Some(3 * SECOND) },
+        Case { name: "a limit", rest: Duration::ZERO, rate: Some(0.5), wait: Some(2 * SECOND) },
+        Case { name: "both", rest: 3 * SECOND, rate: Some(0.5), wait: Some(3 * SECOND) },
+    ];
+    let now = Instant::now();
+    for case in cases {
+        let mut board = Board::new(TrueClock::new(now, 0), now);
+        board.describe(upstream(UpstreamPhase::Ready, 1), now);
+        board.rests.learn(upstream_lifetime(), case.rest, now);
+        board.limits.learn(upstream_lifetime(), LimitNotice { rate: case.rate, at: 1 }, now);
+        board.divide_limits("a", false, now);
+        assert_eq!(board.hold_off_of("app", now), case.wait, "{}", case.name);
+    }
+}
--- a/tests/gateway_status.rs
+++ b/tests/gateway_status.rs
@@ -4,7 +4,11 @@
 
 use std::{net::SocketAddr, process::Command};
 
-use support::{gateways::Site, wait_until};
+use hyper::StatusCode;
+use support::{
+    gateways::{Call, Site},
+    wait_until,
+};
 
 /// Exit status where nobody could be reached.
 const UNREACHABLE: i32 = 3;
@@ -21,6 +25,12 @@
     (output.status.code(), String::from_utf8(text).expect("text"))
 }
 
+/// Returns whether the plain upstream answers a call.
+fn is_served(site: &Site) -> bool {
+    let answer = Call::new("GET", "/check/a", "status").send(site.gateways[0].callers);
+    answer.is_some_and(|a| a.status == StatusCode::OK)
+}
+
 #[test]
 fn an_operator_sees_first_what_is_not_well() {
     struct Case {
@@ -49,6 +59,18 @@
             mend: |s| s.gateways[2].restart(),
             said: "is not heard",
         },
+        Case {
+            name: "an upstream names a limit",
+            play: |s| {
+                s.signal("i-2", &[("server-limit", "2")]);
+                wait_until("it has named it", || is_served(s));
+            },
+            mend: |s| {
+                s.signal("i-2", &[]);
+                wait_until("it has named none", || is_served(s));
+            },
+            said: "i-2 takes 2 requests a second from all",
+        },
     ];
     let mut site = Site::start(3, 1, 1);
     let asked: Vec<SocketAddr> = site.gateways[..2].iter().map(|g| g.peers).collect();
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -6,9 +6,9 @@
 use tackhollow::{
     gateway::model::{RequestKind, UpstreamPhase},
     platform::{
-        Attempt, closes, decode_configuration, decode_head, decode_lookup, decode_upstream,
-        encode_addresses, is_not_executed, keep_alive, same_request, seal_missing, stamp_attempt,
-        strip_hop_headers,
+        Attempt, closes, decode_configuration, decode_head, decode_lookup, decode_rate_limit,
+        decode_rest, decode_upstream, encode_addresses, is_not_executed, keep_alive, same_request,
+        says_leaving, seal_missing, stamp_attempt, strip_hop_headers,
     },
 };
 
@@ -207,3 +207,81 @@
     let answer = String::from_utf8(encode_addresses(&addresses, 2)).expect("text");
     assert_eq!(answer, r#"{"addresses":["10.1.0.14:8221"],"ttlS":2}"#);
 }
+
+#[test]
+fn rate_limits_are_decoded() {
+    struct Case {
+        values: &'static [&'static str],
+        /// `Err` for values that are no rate.
+        rate: Result<Option<f64>, ()>,
+    }
+    let cases = [
+        Case { values: &[], rate: Ok(None) },
+        Case { values: &["1.1"], rate: Ok(Some(1.1)) },
+        Case { values: &[" 20 "], rate: Ok(Some(20.0)) },
+        Case { values: &["0"], rate: Ok(Some(0.0)) },
+        Case { values: &["3", "2"], rate: Ok(Some(2.0)) },
+        Case { values: &["-1"], rate: Err(()) },
+        Case { values: &["inf"], rate: Err(()) },
+        Case { values: &["NaN"], rate: Err(()) },
+        Case { values: &["1e999"], rate: Err(()) },
+        Case { values: &["many"], rate: Err(()) },
+        Case { values: &[""], rate: Err(()) },
+        Case { values: &["3", "x"], rate: Err(()) },
+    ];
+    for case in cases {
+        let mut headers = HeaderMap::new();
+        for value in case.values {
+            headers.append("server-limit", HeaderValue::from_static(value));
+        }
+        let decoded = decode_rate_limit(&headers);
+        assert_eq!(decoded.map_err(drop), case.rate, "{:?}", case.values);
+    }
+}
+
+#[test]
+fn rests_are_decoded() {
+    struct Case {
+        status: u16,
+        value: Option<&'static str>,
+        /// `Err` for a value that is no time to wait.
+        rest: Result<Option<Duration>, ()>,
+    }
+    let ms = |ms| Ok(Some(Duration::from_millis(ms)));
+    let case = |value, rest| Case { status: 503, value: Some(value), rest };
+    // The time of day is 2015-10-21 07:28:00 GMT.
+    let time = 1_445_412_480_000;
+    let cases = [
+        Case { status: 503, value: None, rest: Ok(None) },
+        case("3", ms(3_000)),
+        case("0.25", ms(250)),
+        case("0", ms(0)),
+        case("Wed, 21 Oct 2015 07:28:02 GMT", ms(2_000)),
+        case("Wed, 21 Oct 2015 07:27:00 GMT", ms(0)),
+        case("1e30", ms(86_400_000)),
+        case("inf", ms(86_400_000)),
+        case("Fri, 31 Dec 9999 23:59:59 GMT", ms(86_400_000)),
+        case("-3", Err(())),
+        case("NaN", Err(())),
+        case("soon", Err(())),
+        case("", Err(())),
+        Case { status: 429, value: Some("2"), rest: ms(2_000) },
+        Case { status: 200, value: Some("2"), rest: Ok(None) },
+        Case { status: 500, value: Some("2"), rest: Ok(None) },
+    ];
+    for case in cases {
+        let list: Vec<_> = case.value.iter().map(|v| ("retry-after", *v)).collect();
+        let status = StatusCode::from_u16(case.status).expect("a status");
+        let decoded = decode_rest(status, &headers(&list), time);
+        assert_eq!(decoded.map_err(drop), case.rest, "{} {:?}", case.status, case.value);
+    }
+}
+
+#[test]
+fn only_its_own_word_makes_an_upstream_leave() {
+    let cases = [("1", true), (" 1", true), ("0", false), ("", false), ("true", false)];
+    for (value, leaves) in cases {
+        assert_eq!(says_leaving(&headers(&[("server-leaving", value)])), leaves, "{value:?}");
+    }
+    assert!(!says_leaving(&HeaderMap::new()));
+}
