A gateway without room in a limit asks a holder of a part for one request

Change: a gateway that finds room at no upstream asks one of four holders by a datagram; the holder takes the request from its own bucket, so the sum stays what it was. One that had no room says when to ask again, one that does not answer is asked again after a second. Retry-After knows what they said.

Before the emulator, two of four gateways with a part: callers of all four are served (gateway_rate_limits callers_of_gateways_without_a_part_...).

--- a/src/gateway/board/hold_off.rs
+++ b/src/gateway/board/hold_off.rs
@@ -1,9 +1,12 @@
 //! When upstreams take requests again, by their own words.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use super::Board;
-use crate::gateway::model::Lifetime;
+use crate::gateway::{decide::Holder, model::Lifetime};
 
 impl Board {
     /// Returns how long it takes until this gateway may send a request to an upstream that
@@ -13,6 +16,21 @@
         Some(wait.max(self.rests.left(upstream, now)))
     }
 
+    /// Returns whether another gateway may have room in its part of an upstream's limit.
+    pub fn may_ask(&self, upstream: Lifetime, now: Instant) -> bool {
+        self.rests.left(upstream, now).is_zero() && self.holder_to_ask(upstream, now).is_some()
+    }
+
+    /// Returns a gateway that may have room in its part of an upstream's limit, and where it
+    /// is asked.
+    pub fn holder_to_ask(&self, upstream: Lifetime, now: Instant) -> Option<(Holder, SocketAddr)> {
+        let address = |holder: Holder| {
+            let peer = self.heard(now).find(|p| Holder::new(&p.last.host) == holder)?;
+            Some((holder, peer.last.heartbeats))
+        };
+        self.limits.holders_to_ask(upstream, now).find_map(address)
+    }
+
     /// Returns when an upstream of a service may get a request again, if all of them keep
     /// this gateway from sending one now.
     pub fn hold_off_of(&self, service: &str, now: Instant) -> Option<Duration> {
@@ -22,9 +40,13 @@
         if serving.is_empty() || waits.contains(&Some(Duration::ZERO)) {
             return None;
         }
-        // Where this gateway has no part, others have: on average one of them may send so soon.
+        let of_others = serving.iter().filter_map(|upstream| {
+            let wait = self.limits.wait_of_others(*upstream, now)?;
+            Some(wait.max(self.rests.left(*upstream, now)))
+        });
+        // Where nobody is known to have room, on average some gateway may send so soon.
         let rate: f64 = serving.iter().filter_map(|upstream| self.limits.rate(*upstream)).sum();
         let elsewhere = (rate > 0.0).then(|| Duration::from_secs_f64(1.0 / rate));
-        waits.into_iter().flatten().min().or(elsewhere)
+        waits.into_iter().flatten().chain(of_others).min().or(elsewhere)
     }
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -10,7 +10,7 @@
     net::{Phase, Pool, Shutdown},
     peering::ProcessId,
     reactor::Wake,
-    request::EndChecks,
+    request::{EndChecks, Grants},
     telemetry::{Event, GatewayMetrics, Journal},
 };
 use crate::{
@@ -37,6 +37,8 @@
     pub pool: Pool,
     /// Looks whether upstreams have ended.
     pub end_checks: EndChecks,
+    /// Asks other gateways for requests of their parts of limits.
+    pub grants: Grants,
     /// Client of the platform's store.
     pub store: StoreClient,
     /// Client of the platform's API.
@@ -72,6 +74,7 @@
             board: RefCell::new(board),
             pool: Pool::default(),
             end_checks: EndChecks::default(),
+            grants: Grants::default(),
             store,
             duties,
             shutdown: Shutdown::default(),
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -81,6 +81,7 @@
     let mut stakker = Stakker::new(clock::now());
     let controllers = Rc::new(Controllers::start(&mut stakker, &gateway, socket.clone()));
     gateway.set_controllers(controllers);
+    gateway.grants.set_socket(socket.clone());
     spawn_local(receive(gateway.clone(), socket));
     for followed in Followed::ALL {
         spawn_local(follow(gateway.clone(), followed));
@@ -127,6 +128,7 @@
                 }
             }),
             Ok(Datagram::Crashes(notice)) => gateway.tell(|c| call!([c.crashes], hear(notice))),
+            Ok(Datagram::Limit(question)) => gateway.hear_limit_question(question, from),
             Err(e) => log::warn!("unreadable datagram from {from}: {e}"),
         }
     }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -50,7 +50,9 @@
 pub use pace::{OrderPace, OrderState, PaceInput};
 pub use peak::{Need, NeedMeter, NeedPeak};
 pub use quota::{PeerTotal, QuotaBook, QuotaShare, QuotaTerms, QuotaUsedUp};
-pub use rate_limit::{LimitBook, LimitMembers, LimitNotice, LimitReport};
+pub use rate_limit::{
+    GRANT_RETRY, Holder, HolderAnswer, LimitBook, LimitMembers, LimitNotice, LimitReport,
+};
 pub use reading::{READERS, Reader, Turn, rank, turn, wait_at_start};
 pub use reporting::{beats_a_report, wait_after_takeover};
 pub use rest::RestBook;
--- a/src/gateway/decide/rate_limit.rs
+++ b/src/gateway/decide/rate_limit.rs
@@ -3,10 +3,11 @@
 //! An upstream's limit counts the requests of all gateways, and may leave each of them far
 //! less than one request a second. So it is divided among a few gateways, which all draw alike
 //! by rendezvous hashing, and each spends its part in whole requests; the others choose other
-//! upstreams. Gateways whose views of the fleet differ for a while exceed the limit by the
+//! upstreams, and ask a holder for a request of its part where there are none. Gateways whose views of the fleet differ for a while exceed the limit by the
 //! part of those over which they differ.
 
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     time::{Duration, Instant},
 };
@@ -28,6 +29,33 @@
 /// For how long a limit is remembered of an upstream that is not listed.
 const UNLISTED_KEPT: Duration = Duration::from_secs(60);
 
+/// Holders of parts that a gateway knows to ask. Each asks other ones.
+const ASKED: usize = 4;
+/// Time after which a holder is asked again that did not answer.
+pub const GRANT_RETRY: Duration = Duration::from_secs(1);
+/// Shortest time after which a holder is asked again that had no room.
+const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+
+/// A gateway that may have a part of limits, by the hash of its host's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Holder(u64);
+
+impl Holder {
+    /// Names the gateway on a host.
+    pub fn new(host: &str) -> Self {
+        Self(prefix::hash(host.as_bytes()))
+    }
+}
+
+/// What a holder says to the question for a request of its part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderAnswer {
+    /// The request may be sent.
+    Granted,
+    /// It has no room for so long.
+    InVain(Duration),
+}
+
 /// What an upstream said of its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitNotice {
@@ -49,8 +77,8 @@
 /// The gateways among which limits are divided.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LimitMembers {
-    own: u64,
-    others: Vec<u64>,
+    own: Holder,
+    others: Vec<Holder>,
     /// Whether this gateway takes a part.
     takes_part: bool,
 }
@@ -58,31 +86,37 @@
 impl LimitMembers {
     /// Names the gateways by their hosts, so that one that starts again keeps its parts.
     pub fn new<'a>(own: &str, others: impl Iterator<Item = &'a str>, takes_part: bool) -> Self {
-        let name = |host: &str| prefix::hash(host.as_bytes());
-        let own = name(own);
-        let mut others: Vec<u64> = others.map(name).filter(|o| *o != own).collect();
+        let own = Holder::new(own);
+        let mut others: Vec<Holder> = others.map(Holder::new).filter(|o| *o != own).collect();
         others.sort_unstable();
         others.dedup();
         Self { own, others, takes_part }
     }
 
-    /// Returns this gateway's part of an upstream's rate, in requests a second.
-    fn part(&self, upstream: Lifetime, rate: f64) -> f64 {
-        if !self.takes_part {
-            return 0.0;
-        }
-        let members = self.others.len() + 1;
+    /// Returns this gateway's part of an upstream's rate, in requests a second, and others that
+    /// have parts.
+    fn divide(&self, upstream: Lifetime, rate: f64) -> (f64, Vec<Holder>) {
         // Each holder of a part may be one request ahead of it.
-        let holders = (1 + rate as usize).min(members);
-        let own = score(upstream, self.own);
-        let before = self.others.iter().filter(|o| score(upstream, **o) > own).count();
-        if before < holders { rate / holders as f64 } else { 0.0 }
+        let holders = (1 + rate as usize).min(self.others.len() + 1);
+        let rank = |holder: &Holder| Reverse(score(upstream, *holder));
+        let mut others = self.others.clone();
+        let own = rank(&self.own);
+        let is_holder = others.iter().filter(|o| rank(o) < own).count() < holders;
+        if holders < others.len() {
+            others.select_nth_unstable_by_key(holders, rank);
+            others.truncate(holders);
+        }
+        // Askers spread over the holders.
+        others.sort_unstable_by_key(|holder| score(upstream, Holder(holder.0 ^ self.own.0)));
+        others.truncate(ASKED);
+        let part = if self.takes_part && is_holder { rate / holders as f64 } else { 0.0 };
+        (part, others)
     }
 }
 
 /// Rank of a gateway at an upstream: a mix of both names in which each bit counts.
-fn score(upstream: Lifetime, gateway: u64) -> u64 {
-    let mut mixed = gateway ^ upstream.seed();
+fn score(upstream: Lifetime, gateway: Holder) -> u64 {
+    let mut mixed = gateway.0 ^ upstream.seed();
     for multiplier in [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb] {
         mixed = (mixed ^ (mixed >> 29)).wrapping_mul(multiplier);
     }
@@ -136,7 +170,14 @@
     }
 }
 
+/// A holder that may be asked, and from when on.
 #[derive(Clone, Copy, Debug)]
+struct Asked {
+    holder: Holder,
+    from: Instant,
+}
+
+#[derive(Clone, Debug)]
 struct Limit {
     notice: LimitNotice,
     bucket: Bucket,
@@ -146,7 +187,9 @@
     told_until: Instant,
     /// How often they were told of what it is now.
     told: u32,
-    /// Whether the part in the bucket is that of the present rate and members.
+    /// Others that have parts.
+    holders: Vec<Asked>,
+    /// Whether the parts are those of the present rate and members.
     is_divided: bool,
 }
 
@@ -172,8 +215,15 @@
         let Some(known) = self.limits.get_mut(&upstream) else {
             if notice.rate.is_some() {
                 let (bucket, heard) = (Bucket::new(now), now);
-                let (told, is_divided) = (0, false);
-                let limit = Limit { notice, bucket, heard, told_until, told, is_divided };
+                let limit = Limit {
+                    notice,
+                    bucket,
+                    heard,
+                    told_until,
+                    told: 0,
+                    holders: Vec::new(),
+                    is_divided: false,
+                };
                 self.limits.insert(upstream, limit);
             }
             return notice.rate.is_some();
@@ -197,8 +247,10 @@
     pub fn divide(&mut self, members: LimitMembers, now: Instant) {
         let are_new = self.members.as_ref() != Some(&members);
         for (upstream, limit) in self.limits.iter_mut().filter(|(_, l)| are_new || !l.is_divided) {
-            let part = limit.rate().map_or(0.0, |rate| members.part(*upstream, rate));
+            let divided = limit.rate().map(|rate| members.divide(*upstream, rate));
+            let (part, holders) = divided.unwrap_or_default();
             limit.bucket.set_part(part, now);
+            limit.holders = holders.into_iter().map(|holder| Asked { holder, from: now }).collect();
             limit.is_divided = true;
         }
         self.members = Some(members);
@@ -221,6 +273,51 @@
         }
     }
 
+    /// Grants a request of this gateway's part to another one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time after which it is worth asking again.
+    pub fn grant(&mut self, upstream: Lifetime, now: Instant) -> Result<(), Duration> {
+        // Whoever asks knows of a limit: it is not for this gateway to say that there is none.
+        let limit = self.limits.get_mut(&upstream).filter(|l| l.notice.rate.is_some());
+        let limit = limit.ok_or(GRANT_RETRY)?;
+        match limit.bucket.take(now) {
+            true => Ok(()),
+            false => Err(limit.bucket.wait(now).unwrap_or(GRANT_RETRY)),
+        }
+    }
+
+    /// Returns the holders of parts that may have room.
+    pub fn holders_to_ask(&self, upstream: Lifetime, now: Instant) -> impl Iterator<Item = Holder> {
+        let limit = self.limits.get(&upstream).filter(|l| l.notice.rate.is_some());
+        let holders = limit.into_iter().flat_map(|l| &l.holders);
+        holders.filter(move |asked| asked.from <= now).map(|asked| asked.holder)
+    }
+
+    /// Returns how long it takes until another gateway may have room; `None` if there is none
+    /// to ask.
+    pub fn wait_of_others(&self, upstream: Lifetime, now: Instant) -> Option<Duration> {
+        let holders = &self.limits.get(&upstream)?.holders;
+        let waits = holders.iter().map(|asked| asked.from.saturating_duration_since(now));
+        waits.min().map(|wait| wait.max(SHORTEST_RETRY))
+    }
+
+    /// Takes over what a holder answered.
+    pub fn note_answer(
+        &mut self,
+        upstream: Lifetime,
+        holder: Holder,
+        answer: HolderAnswer,
+        now: Instant,
+    ) {
+        let limit = self.limits.get_mut(&upstream);
+        let asked = limit.and_then(|l| l.holders.iter_mut().find(|a| a.holder == holder));
+        if let (Some(asked), HolderAnswer::InVain(wait)) = (asked, answer) {
+            asked.from = now + wait.max(SHORTEST_RETRY);
+        }
+    }
+
     /// Returns the requests a second that all gateways together may send to an upstream.
     pub fn rate(&self, upstream: Lifetime) -> Option<f64> {
         self.limits.get(&upstream).and_then(Limit::rate)
--- a/src/gateway/peering/datagram.rs
+++ b/src/gateway/peering/datagram.rs
@@ -1,8 +1,8 @@
 //! Datagrams between gateways, told apart by their first byte.
 
 use super::{
-    CrashNotice, Heartbeat, PassedOn, WireError, crash_notice::NOTICE_FORMAT,
-    heartbeat::decode_heartbeats,
+    CrashNotice, Heartbeat, LimitQuestion, PassedOn, WireError, crash_notice::NOTICE_FORMAT,
+    heartbeat::decode_heartbeats, limit_question::LIMIT_FORMAT,
 };
 use crate::gateway::decide::dealt;
 
@@ -13,6 +13,8 @@
     Heartbeats(Box<Heartbeat>, Vec<PassedOn>),
     /// What it tells of requests that crash upstreams.
     Crashes(CrashNotice),
+    /// A question for a part of a limit, or its answer.
+    Limit(LimitQuestion),
 }
 
 impl Datagram {
@@ -24,6 +26,7 @@
     pub fn decode(datagram: &[u8]) -> Result<Self, WireError> {
         match datagram.split_first() {
             Some((&NOTICE_FORMAT, notice)) => CrashNotice::decode(notice).map(Self::Crashes),
+            Some((&LIMIT_FORMAT, question)) => LimitQuestion::decode(question).map(Self::Limit),
             _ => decode_heartbeats(datagram)
                 .map(|(beat, passed_on)| Self::Heartbeats(Box::new(beat), passed_on)),
         }
--- a/src/gateway/peering/mod.rs
+++ b/src/gateway/peering/mod.rs
@@ -3,6 +3,7 @@
 mod crash_notice;
 mod datagram;
 mod heartbeat;
+mod limit_question;
 mod snapshot;
 
 pub use crash_notice::{CrashNotice, decode_verdicts, encode_verdicts};
@@ -11,4 +12,5 @@
     Demand, Heartbeat, LoadReport, OutcomeReport, PassedOn, PrefixReport, ProcessId, SpeedReport,
     WireError,
 };
+pub use limit_question::LimitQuestion;
 pub use snapshot::{RecentChanges, UpstreamChange, UpstreamSnapshot};
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -89,6 +89,10 @@
     resume_after: Option<&str>,
     deadline: Instant,
 ) -> AttemptEnd {
+    let (id, lifetime) = (&selected.id, selected.lifetime);
+    let Some(room) = gateway.find_room(lifetime).await else {
+        return AttemptEnd::Unsent("rate_limited");
+    };
     let most = selected.most_connections;
     let acquired = gateway.pool.acquire(selected.lifetime, selected.address, most).await;
     let mut lease = match acquired {
@@ -100,14 +104,13 @@
         return AttemptEnd::Unsent("connection_ended");
     }
     // Here, where the bytes leave: opening the connection may have taken long.
-    let (id, lifetime) = (&selected.id, selected.lifetime);
     if !gateway.board.borrow().may_be_sent_to(id, lifetime, clock::now()) {
         return AttemptEnd::Unsent("upstream_left");
     }
     if !gateway.board.borrow().rests.left(lifetime, clock::now()).is_zero() {
         return AttemptEnd::Unsent("upstream_rests");
     }
-    if !gateway.board.borrow_mut().limits.take(lifetime, clock::now()) {
+    if !gateway.use_room(lifetime, room) {
         return AttemptEnd::Unsent("rate_limited");
     }
     let request = outgoing.request(&Attempt {
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -176,8 +176,8 @@
     };
     let board = gateway.board.borrow();
     let exposure = gateway.settings.borrow().bounds.exposure;
-    let mut open = board.open_to(&admitted.service, wanted.side, exposure, now);
-    open.retain(|v| board.hold_off(v.lifetime, now) == Some(Duration::ZERO));
+    let open = board.open_to(&admitted.service, wanted.side, exposure, now);
+    let open = with_room(&board, open, now);
     let views = untried(open, wanted.tried, &off, now);
     let views = without_risk(&board, views, wanted.apart);
     let shared = shared.filter(|_| off.is_on(Mechanism::KnownCaches));
@@ -216,6 +216,21 @@
     })
 }
 
+/// Returns the upstreams that take a request of this gateway now, as far as their own words go.
+/// If there are none, another gateway may have room in its part of a limit.
+fn with_room<'a>(
+    board: &Board,
+    open: Vec<&'a UpstreamView>,
+    now: Instant,
+) -> Vec<&'a UpstreamView> {
+    let takes_now = |v: &&UpstreamView| board.hold_off(v.lifetime, now) == Some(Duration::ZERO);
+    let (room, held_off): (Vec<_>, Vec<_>) = open.into_iter().partition(takes_now);
+    if !room.is_empty() {
+        return room;
+    }
+    held_off.into_iter().filter(|v| board.may_ask(v.lifetime, now)).collect()
+}
+
 /// Returns the upstreams that the request was not sent to yet. Those that could
 /// not be reached of late count only if there are no others, and those that
 /// have just begun to leave only if there are none at all.
--- a/tests/gateway_rate_limit_model.rs
+++ b/tests/gateway_rate_limit_model.rs
@@ -78,9 +78,13 @@
 fn no_upstream_gets_more_than_it_bears_at_any_size() {
     for case in cases() {
         for gateways in SIZES {
-            let (most, _) = play(&case, gateways, Way::FewHolders);
-            let borne = borne(&case);
-            assert!(most <= borne, "{}, {gateways}: {most} of {borne} borne", case.name);
+            let (name, borne) = (case.name, borne(&case));
+            let [asking, alone] = [Way::Asking, Way::FewHolders].map(|way| {
+                let (most, used) = play(&case, gateways, way);
+                assert!(most <= borne, "{name}, {gateways}, {way:?}: {most} of {borne} borne");
+                used
+            });
+            assert!(asking >= alone, "{name}, {gateways}: {asking} used, {alone} without asking");
         }
     }
 }
--- a/tests/gateway_rate_limits.rs
+++ b/tests/gateway_rate_limits.rs
@@ -118,3 +118,41 @@
         served: false,
     });
 }
+
+/// Two of four gateways have a part of the limit of the only upstream.
+#[test]
+fn callers_of_gateways_without_a_part_of_a_limit_get_their_share() {
+    const RATE: f64 = 1.0;
+    let site = Site::start(4, 0, 1);
+    site.signal("i-1", &[("server-limit", "1")]);
+    let from = site.emulator_now();
+    let served: Vec<AtomicUsize> = site.gateways.iter().map(|_| AtomicUsize::new(0)).collect();
+    let stop = AtomicBool::new(false);
+    thread::scope(|s| {
+        for (n, gateway) in site.gateways.iter().enumerate() {
+            let (stop, served) = (&stop, &served[n]);
+            s.spawn(move || {
+                thread::sleep(HOLDS_AFTER);
+                while !stop.load(Ordering::Relaxed) {
+                    let answer = Call::new("GET", "/check/a", "share").send(gateway.callers);
+                    if answer.is_some_and(|a| a.status == StatusCode::OK) {
+                        served.fetch_add(1, Ordering::Relaxed);
+                    }
+                    thread::sleep(PAUSE);
+                }
+            });
+        }
+        let call = Call::new("GET", "/check/a", "first").send(site.gateways[0].callers);
+        assert!(call.is_some_and(|a| a.status == StatusCode::OK), "it names its limit");
+        thread::sleep(HOLDS_AFTER + 2 * NAMED);
+        stop.store(true, Ordering::Relaxed);
+    });
+    let served: Vec<usize> = served.into_iter().map(AtomicUsize::into_inner).collect();
+    assert!(served.iter().all(|served| *served > 0), "served by gateway: {served:?}");
+    let arrivals = arrivals(&site.seen(), "i-1");
+    let most = most_in_a_span(&arrivals, from + HOLDS_AFTER, Duration::MAX);
+    assert!(most <= borne(RATE), "{most} requests in a span, {} are borne", borne(RATE));
+    let offered = RATE * 2.0 * NAMED.as_secs_f64();
+    let all: usize = served.iter().sum();
+    assert!(all as f64 >= offered * 0.7, "{all} of {offered} that it takes");
+}
--- a/tests/gateway_signal_books.rs
+++ b/tests/gateway_signal_books.rs
@@ -8,8 +8,9 @@
 use proptest::prelude::*;
 use tackhollow::gateway::{
     board::Board,
-    decide::{LimitBook, LimitMembers, LimitNotice, RestBook, TrueClock},
+    decide::{Holder, HolderAnswer, LimitBook, LimitMembers, LimitNotice, RestBook, TrueClock},
     model::{Lifetime, Upstream, UpstreamPhase},
+    peering::{Datagram, LimitQuestion},
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -121,6 +122,46 @@
     assert_eq!(next.wait(upstream_lifetime(), later), Some(2 * SECOND));
 }
 
+#[test]
+fn a_request_that_is_granted_is_taken_from_the_holder() {
+    let now = Instant::now();
+    let limit = |book: &mut LimitBook| {
+        book.learn(upstream_lifetime(), LimitNotice { rate: Some(0.5), at: 1 }, now);
+    };
+    let mut holder = LimitBook::default();
+    assert!(holder.grant(upstream_lifetime(), now).is_err(), "it knows of no limit");
+    limit(&mut holder);
+    holder.divide(alone(), now);
+    assert_eq!(holder.grant(upstream_lifetime(), now), Err(2 * SECOND));
+    let later = now + 2 * SECOND;
+    assert_eq!(holder.grant(upstream_lifetime(), later), Ok(()));
+    assert!(!holder.take(upstream_lifetime(), later), "it was granted");
+    let mut asker = LimitBook::default();
+    limit(&mut asker);
+    asker.divide(LimitMembers::new("b", std::iter::once("a"), false), now);
+    let asked = |book: &LimitBook, at| book.holders_to_ask(upstream_lifetime(), at).count();
+    assert_eq!(asked(&asker, now), 1);
+    let in_vain = HolderAnswer::InVain(2 * SECOND);
+    asker.note_answer(upstream_lifetime(), Holder::new("a"), in_vain, now);
+    assert_eq!(asked(&asker, now + SECOND), 0, "it said when to ask again");
+    assert_eq!(asked(&asker, later), 1);
+}
+
+#[test]
+fn a_question_of_a_limit_comes_through_as_it_was_asked() {
+    let questions = [
+        LimitQuestion::Ask { number: 7, upstream: upstream_lifetime() },
+        LimitQuestion::Answer { number: 7, wait: None },
+        LimitQuestion::Answer { number: u64::MAX, wait: Some(SECOND) },
+    ];
+    for question in questions {
+        let datagram = question.encode().expect("it can be encoded");
+        let decoded = Datagram::decode(&datagram).expect("it can be decoded");
+        assert_eq!(decoded, Datagram::Limit(question));
+        assert!(Datagram::decode(&datagram[..1]).is_err(), "cut off");
+    }
+}
+
 #[test]
 fn a_limit_of_nothing_leaves_room_to_ask_again() {
     let now = Instant::now();
--- a/tests/limits/fleet.rs
+++ b/tests/limits/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use tackhollow::gateway::{
-    decide::{LimitBook, LimitMembers, LimitNotice},
+    decide::{Holder, HolderAnswer, LimitBook, LimitMembers, LimitNotice},
     model::Lifetime,
 };
 
@@ -18,7 +18,9 @@
 /// How the gateways keep a limit together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
-    /// The product's: few gateways have a part each.
+    /// The product's: few gateways have a part each, and the others ask them.
+    Asking,
+    /// Few gateways have a part each.
     FewHolders,
     /// Each gateway has an equal part and sends whole requests.
     EqualParts,
@@ -27,7 +29,7 @@
 }
 
 impl Way {
-    pub const ALL: [Self; 3] = [Self::FewHolders, Self::EqualParts, Self::Heard];
+    pub const ALL: [Self; 4] = [Self::Asking, Self::FewHolders, Self::EqualParts, Self::Heard];
 }
 
 /// A fleet and its load.
@@ -195,6 +197,7 @@
             let upstream = (first + i) % self.upstreams.len();
             let taken = match self.way {
                 Way::FewHolders => self.gateways[n].book.take(self.upstreams[upstream], now),
+                Way::Asking => self.take_or_ask(n, self.upstreams[upstream], now),
                 Way::EqualParts => self.take_part(n, upstream, now),
                 Way::Heard => self.take_heard(n, upstream, now),
             };
@@ -205,6 +208,27 @@
         }
     }
 
+    /// Takes a request from the gateway's own part, or asks one of the holders.
+    fn take_or_ask(&mut self, n: usize, upstream: Lifetime, now: Instant) -> bool {
+        if self.gateways[n].book.take(upstream, now) {
+            return true;
+        }
+        let by_holder =
+            |holder: &Holder| self.gateways.iter().position(|g| Holder::new(&g.name) == *holder);
+        let holders: Vec<Holder> = self.gateways[n].book.holders_to_ask(upstream, now).collect();
+        let is_heard = |other: usize| self.is_cut(n, now) == self.is_cut(other, now);
+        let found = holders.iter().find_map(|h| Some((*h, by_holder(h).filter(|o| is_heard(*o))?)));
+        let Some((holder, other)) = found else {
+            return false;
+        };
+        let answer = match self.gateways[other].book.grant(upstream, now) {
+            Ok(()) => HolderAnswer::Granted,
+            Err(wait) => HolderAnswer::InVain(wait),
+        };
+        self.gateways[n].book.note_answer(upstream, holder, answer, now);
+        answer == HolderAnswer::Granted
+    }
+
     fn take_part(&mut self, n: usize, upstream: usize, now: Instant) -> bool {
         let part = self.load.rate / self.gateways.len() as f64;
         let level = &mut self.gateways[n].levels[upstream];
