What upstreams asked for is forgotten once they are gone; a limit of any size is divided

Now the minute runs from when the upstream was last listed, and it is told for the first 12 s of it. Three gateways that hear each other for five minutes: forgotten. - A limit beyond the largest integer made the number of holders overflow. The names of gateways are hashed when they are heard, not at each choice. One more test: a gateway without an answer of its own hears from the other that an upstream leaves and is limited; switching that off had gone unseen.

--- a/src/gateway/board/hold_off.rs
+++ b/src/gateway/board/hold_off.rs
@@ -25,7 +25,7 @@
     /// is asked.
     pub fn holder_to_ask(&self, upstream: Lifetime, now: Instant) -> Option<(Holder, SocketAddr)> {
         let address = |holder: Holder| {
-            let peer = self.heard(now).find(|p| Holder::new(&p.last.host) == holder)?;
+            let peer = self.heard(now).find(|p| p.holder == holder)?;
             Some((holder, peer.last.heartbeats))
         };
         self.limits.holders_to_ask(upstream, now).find_map(address)
--- a/src/gateway/board/leaving.rs
+++ b/src/gateway/board/leaving.rs
@@ -42,10 +42,11 @@
     /// say so.
     pub fn leaving_reports(&mut self, now: Instant) -> Vec<LeavingReport> {
         let (lifetimes, upstreams) = (&self.lifetimes, &self.upstreams);
-        let said = self.leaving.to_tell(|upstream| {
+        let row_is_behind = |upstream| {
             let view = lifetimes.upstream(upstream).and_then(|id| upstreams.get(id));
             view.is_none_or(|v| v.upstream.phase == UpstreamPhase::Ready)
-        });
+        };
+        let said = self.leaving.to_tell(row_is_behind, now);
         let report = |(upstream, since): (Lifetime, Instant)| {
             let age = now.saturating_duration_since(since).as_millis() as u64;
             LeavingReport(upstream, self.store_time(now).saturating_sub(age))
--- a/src/gateway/board/limits.rs
+++ b/src/gateway/board/limits.rs
@@ -4,7 +4,7 @@
 
 use super::{Board, PEER_FORGOTTEN};
 use crate::gateway::{
-    decide::{LimitMembers, LimitNotice},
+    decide::{Holder, LimitMembers, LimitNotice},
     model::Lifetime,
     net::Phase,
     peering::ProcessId,
@@ -22,10 +22,10 @@
             return;
         }
         let serving = || self.peers.values().filter(|p| p.last.phase == Phase::Serving);
-        let hosts = serving().map(|p| p.last.host.as_str());
+        let others = serving().map(|p| p.holder);
         let is_alone = serving().next().is_none();
         let takes_part = self.knows_most_gateways(now) && (!leaving || is_alone);
-        let members = LimitMembers::new(own, hosts, takes_part);
+        let members = LimitMembers::new(Holder::new(own), others, takes_part);
         self.limits.divide(members, now);
     }
 
--- a/src/gateway/board/peers.rs
+++ b/src/gateway/board/peers.rs
@@ -8,7 +8,7 @@
 use super::{Board, HEARD_A_PERIOD, HEARTBEAT_PERIOD};
 use crate::{
     gateway::{
-        decide::{PASSED_ON_WITHIN, QuotaShare},
+        decide::{Holder, PASSED_ON_WITHIN, QuotaShare},
         net::Phase,
         peering::{Heartbeat, PassedOn, ProcessId},
     },
@@ -35,6 +35,8 @@
     pub last: Heartbeat,
     /// When; for what was passed on, when it was sent.
     pub heard: Instant,
+    /// Its name where limits are divided.
+    pub holder: Holder,
     /// Whether its load is part of the sums.
     counted: bool,
     /// How often that was passed on.
@@ -111,7 +113,8 @@
             self.end_earlier_processes(&heartbeat.host);
         }
         self.others_load.add(&heartbeat.loads);
-        let view = PeerView { last: heartbeat, heard, counted: true, passed_on: 0 };
+        let holder = Holder::new(&heartbeat.host);
+        let view = PeerView { last: heartbeat, heard, holder, counted: true, passed_on: 0 };
         let before = self.peers.insert(process, view)?;
         if before.counted {
             self.others_load.take_off(&before.last.loads);
--- a/src/gateway/decide/leaving.rs
+++ b/src/gateway/decide/leaving.rs
@@ -15,7 +15,10 @@
 
 /// Upstreams that go along with one heartbeat at most: with more, they take turns.
 const TOLD_AT_ONCE: usize = 32;
-/// For how long it is remembered of an upstream that is not listed.
+/// For how long it is told of an upstream that is not listed.
+const UNLISTED_TOLD: Duration = Duration::from_secs(12);
+/// For how long it is remembered: well beyond the time in which it is told, or gateways would
+/// tell each other for ever.
 const UNLISTED_KEPT: Duration = Duration::from_secs(60);
 
 /// An upstream that leaves, as a gateway tells it to the others.
@@ -30,8 +33,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Said {
     since: Instant,
-    /// When it was last said, or told by another gateway.
-    heard: Instant,
+    /// When the upstream was last listed; when this was learnt, if it never was.
+    listed: Instant,
     /// How often the others were told.
     told: u32,
 }
@@ -47,11 +50,11 @@
     pub fn learn(&mut self, upstream: Lifetime, since: Instant, now: Instant) -> bool {
         match self.said.get_mut(&upstream) {
             Some(said) => {
-                *said = Said { since: said.since.min(since), heard: now, ..*said };
+                said.since = said.since.min(since);
                 false
             }
             None => {
-                self.said.insert(upstream, Said { since, heard: now, told: 0 });
+                self.said.insert(upstream, Said { since, listed: now, told: 0 });
                 true
             }
         }
@@ -65,8 +68,14 @@
     /// Returns which of the upstreams that `are_told` the others are told now, each with
     /// the moment since when it has said so: of more than one heartbeat takes, those that
     /// were told least.
-    pub fn to_tell(&mut self, are_told: impl Fn(Lifetime) -> bool) -> Vec<(Lifetime, Instant)> {
-        let all = self.said.iter_mut().filter(|(upstream, _)| are_told(**upstream));
+    pub fn to_tell(
+        &mut self,
+        are_told: impl Fn(Lifetime) -> bool,
+        now: Instant,
+    ) -> Vec<(Lifetime, Instant)> {
+        let all = self.said.iter_mut().filter(|(upstream, said)| {
+            now.saturating_duration_since(said.listed) < UNLISTED_TOLD && are_told(**upstream)
+        });
         let mut told: Vec<(&Lifetime, &mut Said)> = all.collect();
         told.sort_unstable_by_key(|(upstream, said)| (said.told, **upstream));
         told.truncate(TOLD_AT_ONCE);
@@ -80,7 +89,11 @@
     /// Forgets upstreams that are not `listed`, after a while: their rows may be missing for
     /// the store's sake.
     pub fn retain(&mut self, listed: impl Fn(Lifetime) -> bool, now: Instant) {
-        let recent = |said: &Said| now.saturating_duration_since(said.heard) < UNLISTED_KEPT;
-        self.said.retain(|upstream, said| listed(*upstream) || recent(said));
+        self.said.retain(|upstream, said| {
+            if listed(*upstream) {
+                said.listed = now;
+            }
+            now.saturating_duration_since(said.listed) < UNLISTED_KEPT
+        });
     }
 }
--- a/src/gateway/decide/rate_limit.rs
+++ b/src/gateway/decide/rate_limit.rs
@@ -3,8 +3,9 @@
 //! An upstream's limit counts the requests of all gateways, and may leave each of them far
 //! less than one request a second. So it is divided among a few gateways, which all draw alike
 //! by rendezvous hashing, and each spends its part in whole requests; the others choose other
-//! upstreams, and ask a holder for a request of its part where there are none. Gateways whose views of the fleet differ for a while exceed the limit by the
-//! part of those over which they differ.
+//! upstreams, and ask a holder for a request of its part where there are none. Gateways whose
+//! views of the fleet differ for a while exceed the limit by the parts of those over which they
+//! differ.
 
 use std::{
     cmp::Reverse,
@@ -26,9 +27,11 @@
 const END_TOLD: Duration = Duration::from_secs(12);
 /// Limits that go along with one heartbeat at most: with more, they take turns.
 const TOLD_AT_ONCE: usize = 32;
-/// For how long a limit is remembered of an upstream that is not listed.
+/// For how long a limit is told of an upstream that is not listed.
+const UNLISTED_TOLD: Duration = Duration::from_secs(12);
+/// For how long it is remembered: well beyond the time in which it is told, or gateways would
+/// tell each other for ever.
 const UNLISTED_KEPT: Duration = Duration::from_secs(60);
-
 /// Holders of parts that a gateway knows to ask. Each asks other ones.
 const ASKED: usize = 4;
 /// Time after which a holder is asked again that did not answer.
@@ -36,7 +39,8 @@
 /// Shortest time after which a holder is asked again that had no room.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 
-/// A gateway that may have a part of limits, by the hash of its host's name.
+/// A gateway that may have a part of limits, by the hash of its host's name: one that starts
+/// again keeps its parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Holder(u64);
 
@@ -84,10 +88,9 @@
 }
 
 impl LimitMembers {
-    /// Names the gateways by their hosts, so that one that starts again keeps its parts.
-    pub fn new<'a>(own: &str, others: impl Iterator<Item = &'a str>, takes_part: bool) -> Self {
-        let own = Holder::new(own);
-        let mut others: Vec<Holder> = others.map(Holder::new).filter(|o| *o != own).collect();
+    /// Creates the list: this gateway, the others, and whether this one takes a part.
+    pub fn new(own: Holder, others: impl Iterator<Item = Holder>, takes_part: bool) -> Self {
+        let mut others: Vec<Holder> = others.filter(|o| *o != own).collect();
         others.sort_unstable();
         others.dedup();
         Self { own, others, takes_part }
@@ -97,7 +100,7 @@
     /// have parts.
     fn divide(&self, upstream: Lifetime, rate: f64) -> (f64, Vec<Holder>) {
         // Each holder of a part may be one request ahead of it.
-        let holders = (1 + rate as usize).min(self.others.len() + 1);
+        let holders = (rate as usize).saturating_add(1).min(self.others.len() + 1);
         let rank = |holder: &Holder| Reverse(score(upstream, *holder));
         let mut others = self.others.clone();
         let own = rank(&self.own);
@@ -181,8 +184,8 @@
 struct Limit {
     notice: LimitNotice,
     bucket: Bucket,
-    /// When it was last said, or told by another gateway.
-    heard: Instant,
+    /// When its upstream was last listed; when it was learnt, if it never was.
+    listed: Instant,
     /// Until when the others are told, once it has ended.
     told_until: Instant,
     /// How often they were told of what it is now.
@@ -214,11 +217,10 @@
         let told_until = now + END_TOLD;
         let Some(known) = self.limits.get_mut(&upstream) else {
             if notice.rate.is_some() {
-                let (bucket, heard) = (Bucket::new(now), now);
                 let limit = Limit {
                     notice,
-                    bucket,
-                    heard,
+                    bucket: Bucket::new(now),
+                    listed: now,
                     told_until,
                     told: 0,
                     holders: Vec::new(),
@@ -228,7 +230,6 @@
             }
             return notice.rate.is_some();
         };
-        known.heard = now;
         if notice.at < known.notice.at {
             // Whoever tells this has not heard of what came after it.
             (known.told_until, known.told) = (told_until, 0);
@@ -326,7 +327,10 @@
     /// Returns what the other gateways are told now: of more limits than one heartbeat takes,
     /// those that were told least.
     pub fn reports(&mut self, now: Instant) -> Vec<LimitReport> {
-        let is_told = |l: &Limit| l.notice.rate.is_some() || now < l.told_until;
+        let is_told = |l: &Limit| {
+            let unlisted = now.saturating_duration_since(l.listed);
+            unlisted < UNLISTED_TOLD && (l.notice.rate.is_some() || now < l.told_until)
+        };
         let all = self.limits.iter_mut().filter(|(_, limit)| is_told(limit));
         let mut told: Vec<(&Lifetime, &mut Limit)> = all.collect();
         told.sort_unstable_by_key(|(upstream, limit)| (limit.told, **upstream));
@@ -346,7 +350,11 @@
     /// Forgets upstreams that are not `listed`, after a while: their rows may be missing for
     /// the store's sake.
     pub fn retain(&mut self, listed: impl Fn(Lifetime) -> bool, now: Instant) {
-        let recent = |l: &Limit| now.saturating_duration_since(l.heard) < UNLISTED_KEPT;
-        self.limits.retain(|upstream, limit| listed(*upstream) || recent(limit));
+        self.limits.retain(|upstream, limit| {
+            if listed(*upstream) {
+                limit.listed = now;
+            }
+            now.saturating_duration_since(limit.listed) < UNLISTED_KEPT
+        });
     }
 }
--- a/tests/gateway_signal_books.rs
+++ b/tests/gateway_signal_books.rs
@@ -35,7 +35,7 @@
 }
 
 fn alone() -> LimitMembers {
-    LimitMembers::new("a", std::iter::empty(), true)
+    LimitMembers::new(Holder::new("a"), std::iter::empty(), true)
 }
 
 /// Notices at different times: a gateway hears them in any order, repeatedly.
@@ -68,13 +68,14 @@
     #[test]
     fn the_parts_of_a_limit_add_up_to_it(rate in 0.05..500.0_f64, gateways in 1..60_usize) {
         let now = Instant::now();
-        let names: Vec<String> = (0..gateways).map(|n| format!("host-{n}")).collect();
+        let names: Vec<Holder> =
+            (0..gateways).map(|n| Holder::new(&format!("host-{n}"))).collect();
         let mut sent = 0;
         for own in &names {
-            let others = names.iter().filter(|n| *n != own).map(String::as_str);
+            let others = names.iter().copied();
             let mut book = LimitBook::default();
             book.learn(upstream_lifetime(), LimitNotice { rate: Some(rate), at: 1 }, now);
-            book.divide(LimitMembers::new(own, others, true), now);
+            book.divide(LimitMembers::new(*own, others, true), now);
             // Asked all the time, each gateway sends its part.
             for ms in 0..8_000 {
                 let at = now + Duration::from_millis(ms);
@@ -138,7 +139,8 @@
     assert!(!holder.take(upstream_lifetime(), later), "it was granted");
     let mut asker = LimitBook::default();
     limit(&mut asker);
-    asker.divide(LimitMembers::new("b", std::iter::once("a"), false), now);
+    asker
+        .divide(LimitMembers::new(Holder::new("b"), std::iter::once(Holder::new("a")), false), now);
     let asked = |book: &LimitBook, at| book.holders_to_ask(upstream_lifetime(), at).count();
     assert_eq!(asked(&asker, now), 1);
     let in_vain = HolderAnswer::InVain(2 * SECOND);
@@ -213,6 +215,48 @@
     assert_eq!(told.len(), UPSTREAMS as usize);
 }
 
+#[test]
+fn a_limit_beyond_all_numbers_of_gateways_is_divided() {
+    let now = Instant::now();
+    let mut book = LimitBook::default();
+    book.learn(upstream_lifetime(), LimitNotice { rate: Some(f64::MAX), at: 1 }, now);
+    book.divide(alone(), now);
+    assert!(book.take(upstream_lifetime(), now + SECOND));
+}
+
+/// Gateways that hear each other must not remember for ever what they tell each other.
+#[test]
+fn what_gone_upstreams_asked_for_is_forgotten_by_gateways_that_hear_each_other() {
+    let start = Instant::now();
+    let new = || (LimitBook::default(), Board::new(TrueClock::new(start, 0), start));
+    let mut gateways = [new(), new(), new()];
+    gateways[0].0.learn(upstream_lifetime(), LimitNotice { rate: Some(1.0), at: 1 }, start);
+    gateways[0].1.note_leaving(upstream_lifetime(), start, start);
+    for tenth in 0..3_000_u32 {
+        let now = start + SECOND / 10 * tenth;
+        // Each hears the one before it, and looks at its list at a time of its own.
+        let from = tenth as usize % gateways.len();
+        let to = (from + 1) % gateways.len();
+        let (limits, leaving) =
+            (gateways[from].0.reports(now), gateways[from].1.leaving_reports(now));
+        for report in limits {
+            gateways[to].0.learn(report.0, report.1, now);
+        }
+        for report in leaving {
+            gateways[to].1.note_leaving(report.0, now, now);
+        }
+        gateways[to].0.retain(|_| false, now);
+        gateways[to].1.forget_lifetimes(now);
+        if tenth == 30 {
+            assert!(gateways.iter().all(|g| g.0.limited() == 1), "all know it");
+        }
+    }
+    for (limits, board) in &gateways {
+        assert_eq!(limits.limited(), 0);
+        assert_eq!(board.leaving.since(upstream_lifetime()), None);
+    }
+}
+
 #[test]
 fn an_upstream_leaves_for_the_rest_of_its_lifetime() {
     struct Case {
--- a/tests/gateway_upstream_signals.rs
+++ b/tests/gateway_upstream_signals.rs
@@ -186,3 +186,35 @@
     ];
     cases.iter().for_each(play_rest);
 }
+
+/// Calls come to one gateway alone; the other has no answer that says anything.
+#[test]
+fn gateways_hear_from_each_other_what_upstreams_ask_for() {
+    let site = Site::start(2, 0, 2);
+    site.signal("i-1", &[("server-leaving", "1"), ("server-limit", "5")]);
+    let signals = |gateway: usize| {
+        let status = Call::new("GET", "/status", "status").send(site.gateways[gateway].peers);
+        let status: serde_json::Value =
+            serde_json::from_str(&status.expect("a status").body).expect("JSON");
+        status["signals"].clone()
+    };
+    let asked = json!([{ "upstream": "i-1", "limit": 5.0, "rest_ms": 0, "leaving": true }]);
+    wait_until("the first gateway has an answer that says so", || {
+        thread::scope(|s| {
+            for n in 0..CALLERS {
+                let site = &site;
+                s.spawn(move || call(false, n).send(site.gateways[0].callers));
+            }
+        });
+        signals(0) == asked
+    });
+    let before = site.seen();
+    wait_until("the other has heard it", || signals(1) == asked);
+    thread::sleep(DRAINED_AFTER);
+    for n in 0..20 {
+        let answer = call(false, n).send(site.gateways[1].callers);
+        assert!(answer.is_some_and(|a| a.status == StatusCode::OK));
+    }
+    let new = arrivals(&site.seen(), "i-1").len() - arrivals(&before, "i-1").len();
+    assert_eq!(new, 0, "requests that reached it from the other");
+}
--- a/tests/limits/fleet.rs
+++ b/tests/limits/fleet.rs
@@ -65,7 +65,7 @@
 }
 
 struct Gateway {
-    name: String,
+    name: Holder,
     book: LimitBook,
     levels: Vec<Level>,
     started: Instant,
@@ -111,7 +111,7 @@
             book.learn(*upstream, LimitNotice { rate: Some(self.load.rate), at: 1 }, now);
         }
         let levels = vec![Level { tokens: 0.0, at: now }; self.upstreams.len()];
-        Gateway { name: format!("host-{n}"), book, levels, started: now }
+        Gateway { name: Holder::new(&format!("host-{n}")), book, levels, started: now }
     }
 
     /// Plays the load.
@@ -161,10 +161,10 @@
     fn divide(&mut self, now: Instant) {
         for n in 0..self.gateways.len() {
             let others = (0..self.gateways.len()).filter(|o| *o != n && self.knows(n, *o, now));
-            let hosts = others.map(|o| self.gateways[o].name.as_str());
+            let others = others.map(|o| self.gateways[o].name);
             let up = now.saturating_duration_since(self.gateways[n].started);
             let knows_most = up >= self.heard_after().min(FORGOTTEN);
-            let members = LimitMembers::new(&self.gateways[n].name, hosts, knows_most);
+            let members = LimitMembers::new(self.gateways[n].name, others, knows_most);
             self.gateways[n].book.divide(members, now);
         }
     }
@@ -213,8 +213,7 @@
         if self.gateways[n].book.take(upstream, now) {
             return true;
         }
-        let by_holder =
-            |holder: &Holder| self.gateways.iter().position(|g| Holder::new(&g.name) == *holder);
+        let by_holder = |holder: &Holder| self.gateways.iter().position(|g| g.name == *holder);
         let holders: Vec<Holder> = self.gateways[n].book.holders_to_ask(upstream, now).collect();
         let is_heard = |other: usize| self.is_cut(n, now) == self.is_cut(other, now);
         let found = holders.iter().find_map(|h| Some((*h, by_holder(h).filter(|o| is_heard(*o))?)));
