--- a/src/bin/tackhollow-trace/story.rs
+++ b/src/bin/tackhollow-trace/story.rs
@@ -2,7 +2,7 @@
 //! meanwhile, and the cause of its end.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     fmt::{self, Display},
     time::Duration,
 };
@@ -108,10 +108,32 @@
                 false => format!("no upstream took it: {}; it has not run", causes.join(", ")),
             }
         }
+        "held_off" => held_off(beliefs),
         other => other.to_owned(),
     }
 }
 
+/// Tells which upstreams had named limits or asked for rest.
+fn held_off(beliefs: &[&Line]) -> String {
+    let asked = beliefs.iter().filter_map(|line| match line.event.as_str() {
+        "rest" => {
+            let (upstream, for_ms) = (line.text("upstream"), line.number("for_ms"));
+            Some((upstream, format!("{upstream} asked for rest of {for_ms} ms")))
+        }
+        "rate_limit" => {
+            let (upstream, rate) = (line.text("upstream"), line.number("rate"));
+            Some((upstream, format!("{upstream} takes {rate} requests a second from all")))
+        }
+        _ => None,
+    });
+    // The newest word of each.
+    let asked: BTreeMap<&str, String> = asked.collect();
+    let asked: Vec<String> = asked.into_values().collect();
+    let asked =
+        if asked.is_empty() { "said before these lines".to_owned() } else { asked.join(", ") };
+    format!("every upstream of the service holds off ({asked}); it has not run")
+}
+
 /// Tells whose quota is used up, and which part of it was counted on.
 fn quota_used_up(own: &[&Line]) -> String {
     let Some(line) = own.iter().rev().find(|l| l.event == "quota_used_up") else {
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -119,6 +119,19 @@
     wait_until("the story is whole", || trace(&site, &refused).contains(cause));
 }
 
+#[test]
+fn upstreams_that_hold_off_are_named() {
+    let site = Site::start(1, 0, 1);
+    site.signal("i-1", &[("retry-after", "30")]);
+    site.behave(Some("i-1"), "full");
+    let call = |id: &str| Call::new("POST", "/confirm/x", id).send(site.gateways[0].callers);
+    call("first").expect("an answer");
+    call("held").expect("an answer");
+    let cause = "cause: every upstream of the service holds off (i-1 asked for rest of 30000 ms); \
+                 it has not run";
+    wait_until("the story is whole", || trace(&site, "held").contains(cause));
+}
+
 #[test]
 fn what_the_store_said_of_the_upstream_is_part_of_the_story() {
     let site = Site::start(1, 1, 0);
