--- a/src/bin/tackhollow-emulator/engine.rs
+++ b/src/bin/tackhollow-emulator/engine.rs
@@ -65,7 +65,7 @@
         };
         let arrival = self.world.arrived(&self.id, header(&headers, "x-request-id"));
         let mut response = self.take(behaviour, &parts.method, &parts.uri, &headers, body).await;
-        self.world.sign(arrival, &self.id, &mut response);
+        self.world.answered(arrival, &self.id, &mut response);
         response
     }
 }
--- a/src/bin/tackhollow-emulator/world.rs
+++ b/src/bin/tackhollow-emulator/world.rs
@@ -271,7 +271,7 @@
     }
 
     /// Adds what an upstream says of itself to the answer to an arrival.
-    pub fn sign(&self, arrival: usize, upstream: &str, response: &mut Response<AnswerBody>) {
+    pub fn answered(&self, arrival: usize, upstream: &str, response: &mut Response<AnswerBody>) {
         let mut state = self.state.borrow_mut();
         if let Some(arrival) = state.arrivals.get_mut(arrival) {
             arrival.status = response.status().as_u16();
--- a/tests/gateway_upstream_signals.rs
+++ b/tests/gateway_upstream_signals.rs
@@ -18,7 +18,7 @@
 use serde_json::json;
 use support::{
     gateways::{Call, Site},
-    signals::{arrivals, most_during_a_rest},
+    signals::{BORNE_DURING_REST, DRAINED_AFTER, arrivals, most_during_a_rest},
     wait_until,
 };
 
@@ -26,10 +26,6 @@
 const CALLERS: usize = 4;
 /// Between two calls of a caller.
 const PAUSE: Duration = Duration::from_millis(40);
-/// Time from an answer that says so until an upstream that leaves gets no requests.
-const DRAINED_AFTER: Duration = Duration::from_secs(2);
-/// Requests that are borne during a rest: some are on their way when it is asked for.
-const BORNE_DURING_REST: usize = 2;
 
 /// An answer as a caller got it: how it ended, in which time, and when to come back.
 #[derive(Clone, Debug)]
--- a/tests/soak/signals.rs
+++ b/tests/soak/signals.rs
@@ -5,19 +5,14 @@
 use serde_json::Value;
 
 use super::callers::Sent;
-use crate::support::signals::{Arrival, arrivals, borne, most_in_a_span};
+use crate::support::signals::{
+    Arrival, BORNE_DURING_REST, DRAINED_AFTER, HOLDS_AFTER, REST_HOLDS_AFTER, arrivals, borne,
+    most_in_a_span,
+};
 
 /// Time from an answer until its gateway is held to what it says. The answer may take a while
 /// to be given and passed on.
 const TOLD_AFTER: Duration = Duration::from_secs(1);
-/// Time from the first answer that names a limit until it holds.
-const LIMIT_HOLDS_AFTER: Duration = Duration::from_secs(3);
-/// Time from an answer that says so until an upstream that leaves gets no requests.
-const DRAINED_AFTER: Duration = Duration::from_secs(2);
-/// Time from an answer that asks for rest until it holds.
-const REST_HOLDS_AFTER: Duration = Duration::from_millis(500);
-/// Requests that are borne during a rest.
-const BORNE_DURING_REST: usize = 2;
 
 /// What an upstream asks for.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -85,7 +80,7 @@
             };
             let counted: Vec<Arrival> =
                 during.iter().filter(|(g, a)| told(*g, a.at)).map(|(_, a)| a.clone()).collect();
-            (most_in_a_span(&counted, spell.from + LIMIT_HOLDS_AFTER, until), borne(rate))
+            (most_in_a_span(&counted, spell.from + HOLDS_AFTER, until), borne(rate))
         }
         Asked::Leaving => {
             let late = during.iter().filter(|(gateway, late)| {
--- a/tests/support/signals.rs
+++ b/tests/support/signals.rs
@@ -13,6 +13,13 @@
 /// Time from the first answer that names a limit until it holds.
 pub const HOLDS_AFTER: Duration = Duration::from_secs(3);
 
+/// Time from an answer that asks for rest until it holds.
+pub const REST_HOLDS_AFTER: Duration = Duration::from_millis(500);
+/// Requests that are borne during a rest: some are on their way when it is asked for.
+pub const BORNE_DURING_REST: usize = 2;
+/// Time from an answer that says so until an upstream that leaves gets no requests.
+pub const DRAINED_AFTER: Duration = Duration::from_secs(2);
+
 /// A request that reached an upstream.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -64,9 +71,6 @@
     (BORNE.0 * rate * SPAN.as_secs_f64() + BORNE.1) as usize
 }
 
-/// Time from an answer that asks for rest until it holds.
-const REST_HOLDS_AFTER: Duration = Duration::from_millis(500);
-
 /// Returns the most requests that reached an upstream during one of the rests that it asked
 /// for by turning requests away.
 pub fn most_during_a_rest(arrivals: &[Arrival], rest: Duration) -> usize {
