--- a/tests/gateway_signal_books.rs
+++ b/tests/gateway_signal_books.rs
@@ -232,11 +232,12 @@
     let mut gateways = [new(), new(), new()];
     gateways[0].0.learn(upstream_lifetime(), LimitNotice { rate: Some(1.0), at: 1 }, start);
     gateways[0].1.note_leaving(upstream_lifetime(), start, start);
+    let mut rng = fastrand::Rng::with_seed(38);
     for tenth in 0..3_000_u32 {
         let now = start + SECOND / 10 * tenth;
-        // Each hears the one before it, and looks at its list at a time of its own.
-        let from = tenth as usize % gateways.len();
-        let to = (from + 1) % gateways.len();
+        // Each hears another now and then, and looks at its list at times of its own.
+        let from = rng.usize(..gateways.len());
+        let to = (from + rng.usize(1..gateways.len())) % gateways.len();
         let (limits, leaving) =
             (gateways[from].0.reports(now), gateways[from].1.leaving_reports(now));
         for report in limits {
@@ -245,8 +246,9 @@
         for report in leaving {
             gateways[to].1.note_leaving(report.0, now, now);
         }
-        gateways[to].0.retain(|_| false, now);
-        gateways[to].1.forget_lifetimes(now);
+        let looks = &mut gateways[rng.usize(..3)];
+        looks.0.retain(|_| false, now);
+        looks.1.forget_lifetimes(now);
         if tenth == 30 {
             assert!(gateways.iter().all(|g| g.0.limited() == 1), "all know it");
         }
