A holder of a part is asked also beside upstreams that leave or were tried

Cause, found in reading: a gateway asked for a part of a limit only if no upstream at all had room; one that leaves, or to which the request had been sent already, counted as one. Callers of gateways without a part were refused while a draining upstream was listed.

Change: those that were tried are left out first, and only upstreams that take work keep a gateway from asking.

Evidence: the new test failed with callers of two of four gateways served 10 times each and of the others never; passes. 39 tests of related files passed.

--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -176,9 +176,10 @@
     };
     let board = gateway.board.borrow();
     let exposure = gateway.settings.borrow().bounds.exposure;
-    let open = board.open_to(&admitted.service, wanted.side, exposure, now);
+    let mut open = board.open_to(&admitted.service, wanted.side, exposure, now);
+    open.retain(|v| !wanted.tried.contains(&v.upstream.id));
     let open = with_room(&board, open, now);
-    let views = untried(open, wanted.tried, &off, now);
+    let views = in_service(open, &off, now);
     let views = without_risk(&board, views, wanted.apart);
     let shared = shared.filter(|_| off.is_on(Mechanism::KnownCaches));
     let home =
@@ -217,31 +218,29 @@
 }
 
 /// Returns the upstreams that take a request of this gateway now, as far as their own words go.
-/// If there are none, another gateway may have room in its part of a limit.
+/// If none of them takes work, another gateway may have room in its part of a limit.
 fn with_room<'a>(
     board: &Board,
     open: Vec<&'a UpstreamView>,
     now: Instant,
 ) -> Vec<&'a UpstreamView> {
     let takes_now = |v: &&UpstreamView| board.hold_off(v.lifetime, now) == Some(Duration::ZERO);
-    let (room, held_off): (Vec<_>, Vec<_>) = open.into_iter().partition(takes_now);
-    if !room.is_empty() {
-        return room;
+    let (mut room, held_off): (Vec<_>, Vec<_>) = open.into_iter().partition(takes_now);
+    if !room.iter().any(|v| v.takes_work()) {
+        room.extend(held_off.into_iter().filter(|v| board.may_ask(v.lifetime, now)));
     }
-    held_off.into_iter().filter(|v| board.may_ask(v.lifetime, now)).collect()
+    room
 }
 
-/// Returns the upstreams that the request was not sent to yet. Those that could
-/// not be reached of late count only if there are no others, and those that
-/// have just begun to leave only if there are none at all.
-fn untried<'a>(
+/// Returns the upstreams that take work. Those that could not be reached of late
+/// count only if there are no others, and those that have just begun to leave only
+/// if there are none at all.
+fn in_service<'a>(
     open: Vec<&'a UpstreamView>,
-    tried: &[UpstreamId],
     off: &SwitchedOff,
     now: Instant,
 ) -> Vec<&'a UpstreamView> {
-    let all = open.into_iter().filter(|v| !tried.contains(&v.upstream.id));
-    let (serving, leaving): (Vec<_>, Vec<_>) = all.partition(|v| v.takes_work());
+    let (serving, leaving): (Vec<_>, Vec<_>) = open.into_iter().partition(|v| v.takes_work());
     if serving.is_empty() {
         return leaving.into_iter().filter(|v| v.is_last_resort(now)).collect();
     }
--- a/tests/gateway_rate_limits.rs
+++ b/tests/gateway_rate_limits.rs
@@ -12,6 +12,7 @@
 };
 
 use hyper::StatusCode;
+use serde_json::json;
 use support::{
     gateways::{Call, Site},
     signals::{HOLDS_AFTER, arrivals, borne, most_in_a_span},
@@ -119,11 +120,22 @@
     });
 }
 
-/// Two of four gateways have a part of the limit of the only upstream.
 #[test]
 fn callers_of_gateways_without_a_part_of_a_limit_get_their_share() {
+    play_shares(&Site::start(4, 0, 1));
+}
+
+#[test]
+fn callers_of_gateways_without_a_part_get_their_share_beside_an_upstream_that_leaves() {
+    let site = Site::start(4, 0, 2);
+    site.control("/state", &json!({ "id": "i-2", "state": "draining" }));
+    thread::sleep(Duration::from_secs(2));
+    play_shares(&site);
+}
+
+/// Two of four gateways have a part of the limit of the only upstream that takes work.
+fn play_shares(site: &Site) {
     const RATE: f64 = 1.0;
-    let site = Site::start(4, 0, 1);
     site.signal("i-1", &[("server-limit", "1")]);
     let from = site.emulator_now();
     let served: Vec<AtomicUsize> = site.gateways.iter().map(|_| AtomicUsize::new(0)).collect();
