Soak: an answer that was lost tells no gateway anything

Traced: the requests that the check took for the ones that had told the gateways ended there as no_answer; the upstream was losing its answers at that time, and the emulator noted the status that it would have given. The first answer that came through said it 3 s later, and the gateways kept to it. The emulator notes no status for an answer that is lost; nothing else of the check changes. A failure prints what the gateways logged of upstreams, the spells and the requests in question.

--- a/src/bin/tackhollow-emulator/engine.rs
+++ b/src/bin/tackhollow-emulator/engine.rs
@@ -65,7 +65,10 @@
         };
         let arrival = self.world.arrived(&self.id, header(&headers, "x-request-id"));
         let mut response = self.take(behaviour, &parts.method, &parts.uri, &headers, body).await;
-        self.world.answered(arrival, &self.id, &mut response);
+        // An answer that is lost breaks off before its head: it tells nobody anything.
+        if behaviour != Behaviour::Lose {
+            self.world.answered(arrival, &self.id, &mut response);
+        }
         response
     }
 }
--- a/src/bin/tackhollow-emulator/world.rs
+++ b/src/bin/tackhollow-emulator/world.rs
@@ -121,7 +121,7 @@
     pub upstream: String,
     /// When, by the store's clock, in milliseconds.
     pub at_ms: u64,
-    /// Status with which the upstream answered; 0 until then.
+    /// Status with which the upstream answered; 0 until then, and if the answer was lost.
     pub status: u16,
 }
 
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -70,7 +70,7 @@
     Hidden,
 }
 
-const CASES: [Case; 10] = [
+const CASES: [Case; 11] = [
     Case {
         seed: 1,
         why: "a short run",
@@ -151,6 +151,14 @@
         silences: true,
         signals: true,
     },
+    Case {
+        seed: 3_902_004,
+        why: "answers that were lost counted as having told gateways",
+        restarts: false,
+        crashing: Crashing::No,
+        silences: true,
+        signals: true,
+    },
 ];
 
 #[test]
@@ -365,7 +373,11 @@
     recovers(&site, seed);
     let seen = site.seen();
     let mut broken = check::broken_promises(&sent, &seen);
-    broken.extend(ignored_signals(&spells, &disturbed, &gateways, &sent, &seen));
+    let ignored = ignored_signals(&spells, &disturbed, &gateways, &sent, &seen);
+    if !ignored.is_empty() {
+        println!("{spells:#?}\n{disturbed:?}\n{}", signal_lines(&site));
+    }
+    broken.extend(ignored);
     let answered = sent.iter().filter(|s| s.answer.as_ref().is_some_and(|a| a.complete)).count();
     println!("seed {seed}: {} requests, {answered} answered, faults {counts:?}", sent.len());
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
@@ -375,8 +387,17 @@
 
 /// Returns what the gateways logged of ends of upstreams and of requests held for them.
 fn crash_lines(site: &Site) -> String {
+    lines_of(site, &["upstream_ended", "verdict"])
+}
+
+/// Returns what the gateways logged of upstreams and of what these ask for.
+fn signal_lines(site: &Site) -> String {
+    lines_of(site, &["started", "upstream", "said_leaving", "rest", "rate_limit"])
+}
+
+fn lines_of(site: &Site, events: &[&str]) -> String {
     let lines = site.gateways.iter().flat_map(|g| g.log());
-    let of_interest = |l: &Value| l["event"] == "upstream_ended" || l["event"] == "verdict";
+    let of_interest = |l: &Value| events.iter().any(|event| l["event"] == *event);
     let mut lines: Vec<Value> = lines.filter(of_interest).collect();
     lines.sort_by_key(|l| l["time_ms"].as_u64());
     lines.iter().map(|l| format!("{l}\n")).collect()
--- a/tests/soak/signals.rs
+++ b/tests/soak/signals.rs
@@ -83,15 +83,20 @@
             (most_in_a_span(&counted, spell.from + HOLDS_AFTER, until), borne(rate))
         }
         Asked::Leaving => {
-            let late = during.iter().filter(|(gateway, late)| {
-                during.iter().any(|(g, a)| {
-                    g == gateway
+            let told = |gateway: usize, late: &Arrival| {
+                during.iter().find(|(g, a)| {
+                    *g == gateway
                         && a.status > 0
                         && a.at + TOLD_AFTER + DRAINED_AFTER < late.at
                         && steady(*g, a.at, late.at)
                 })
+            };
+            let late = during.iter().filter_map(|(gateway, late)| {
+                told(*gateway, late).map(|(_, told)| (*gateway, late, told))
             });
-            (late.count(), 0)
+            let late: Vec<_> = late.collect();
+            late.iter().for_each(|late| println!("gateway, late, told: {late:?}"));
+            (late.len(), 0)
         }
         Asked::Rest(rest) => {
             let during_rest = |(gateway, asked): &(usize, Arrival)| {
