Telling of limits and leavings stands once; the gauge of limited upstreams follows the book

Read as a newcomer: how long a fact on an upstream is kept and told, and which go along with a heartbeat, stood twice (decide/telling.rs now). The gauge rate_limited_upstreams was set when a limit was learnt alone, so one that was forgotten with its upstream stayed in it; it is set with the other gauges now. A denied question is called denied, a line of the log is logged and not noted, and comments say "said that it leaves".

--- a/src/bin/tackhollow/gateways.rs
+++ b/src/bin/tackhollow/gateways.rs
@@ -49,7 +49,7 @@
 impl Signal {
     /// Returns what it asks for, the strongest first.
     fn asks(&self) -> String {
-        let leaving = self.leaving.then(|| "leaves by its own word".to_owned());
+        let leaving = self.leaving.then(|| "said that it leaves".to_owned());
         let rest = (self.rest_ms > 0).then(|| format!("rests for {} ms", self.rest_ms));
         let limit = self.limit.map(|rate| format!("takes {rate} requests a second from all"));
         let all: Vec<String> = [leaving, rest, limit].into_iter().flatten().collect();
--- a/src/gateway/board/hold_off.rs
+++ b/src/gateway/board/hold_off.rs
@@ -1,4 +1,4 @@
-//! When upstreams take requests again, by their own words.
+//! When upstreams that named limits or asked for rest take requests again.
 
 use std::{
     net::SocketAddr,
--- a/src/gateway/board/leaving.rs
+++ b/src/gateway/board/leaving.rs
@@ -1,4 +1,4 @@
-//! Upstreams that leave by their own word, whatever the store says of them.
+//! Upstreams that said in their answers that they leave, whatever the store says of them.
 
 use std::time::{Duration, Instant};
 
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -135,25 +135,20 @@
         }
     }
 
-    /// Logs that an upstream said that it leaves; `request` is the one whose answer said so,
-    /// empty if another gateway tells it.
-    pub fn note_leaving(&self, upstream: Lifetime, request: &str) {
+    /// Logs and counts that an upstream said that it leaves; `request` is the one whose answer
+    /// said so, empty if another gateway tells it.
+    pub fn log_leaving(&self, upstream: Lifetime, request: &str) {
         let board = self.board.borrow();
         self.log(&Event::SaidLeaving { upstream: board.upstream_name(upstream), request });
         self.metrics.said_leaving.inc();
     }
 
-    /// Logs and counts changes of the rate limits of upstreams; `request` is the one whose
-    /// answer told them, empty if another gateway did.
-    pub fn note_limits(&self, changes: &[(Lifetime, LimitNotice)], request: &str) {
-        for (upstream, notice) in changes {
-            let board = self.board.borrow();
-            let upstream = board.upstream_name(*upstream);
-            self.log(&Event::RateLimit { upstream, rate: notice.rate, request });
-        }
-        if !changes.is_empty() {
-            self.metrics.rate_limited.set(self.board.borrow().limits.limited() as i64);
-        }
+    /// Logs that the rate limit of an upstream has changed; `request` is the one whose answer
+    /// said so, empty if another gateway tells it.
+    pub fn log_limit(&self, upstream: Lifetime, notice: LimitNotice, request: &str) {
+        let board = self.board.borrow();
+        let upstream = board.upstream_name(upstream);
+        self.log(&Event::RateLimit { upstream, rate: notice.rate, request });
     }
 
     /// Notes whether the store answered, and logs when that changes.
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -199,6 +199,7 @@
         board.forget_lifetimes(now);
         let known: HashSet<Lifetime> = board.upstreams.values().map(|v| v.lifetime).collect();
         let serving = board.upstreams.values().filter(|v| v.takes_work()).count();
+        self.gateway.metrics.rate_limited.set(board.limits.limited() as i64);
         self.gateway.metrics.resting.set(board.rests.resting(now) as i64);
         drop(board);
         self.gateway.pool.sweep(now, |lifetime| known.contains(&lifetime));
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -116,8 +116,8 @@
         let limits = board.hear_limits(&process, now);
         let leaving = board.hear_leaving(&process, now);
         drop(board);
-        leaving.iter().for_each(|upstream| self.gateway.note_leaving(*upstream, ""));
-        self.gateway.note_limits(&limits, "");
+        leaving.into_iter().for_each(|upstream| self.gateway.log_leaving(upstream, ""));
+        limits.into_iter().for_each(|(of, notice)| self.gateway.log_limit(of, notice, ""));
         if before.is_none_or(|heard| now.saturating_duration_since(heard) >= silence) {
             self.gateway.log(&Event::Peer { process: &process, state: "heard" });
         }
--- a/src/gateway/decide/leaving.rs
+++ b/src/gateway/decide/leaving.rs
@@ -3,24 +3,16 @@
 //! Their rows in the store may still say that they take work: the store may be away, or the
 //! rows late. An upstream that has said so once leaves, for the rest of its lifetime.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, time::Instant};
 
 use serde::{Deserialize, Serialize};
 
-use super::StoreMillis;
+use super::{
+    StoreMillis,
+    telling::{Telling, take_turns},
+};
 use crate::gateway::model::Lifetime;
 
-/// Upstreams that go along with one heartbeat at most: with more, they take turns.
-const TOLD_AT_ONCE: usize = 32;
-/// For how long it is told of an upstream that is not listed.
-const UNLISTED_TOLD: Duration = Duration::from_secs(12);
-/// For how long it is remembered: well beyond the time in which it is told, or gateways would
-/// tell each other for ever.
-const UNLISTED_KEPT: Duration = Duration::from_secs(60);
-
 /// An upstream that leaves, as a gateway tells it to the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeavingReport(
@@ -33,10 +25,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Said {
     since: Instant,
-    /// When the upstream was last listed; when this was learnt, if it never was.
-    listed: Instant,
-    /// How often the others were told.
-    told: u32,
+    telling: Telling,
 }
 
 /// Upstreams that said that they leave, by lifetime.
@@ -54,7 +43,7 @@
                 false
             }
             None => {
-                self.said.insert(upstream, Said { since, listed: now, told: 0 });
+                self.said.insert(upstream, Said { since, telling: Telling::new(now) });
                 true
             }
         }
@@ -66,34 +55,19 @@
     }
 
     /// Returns which of the upstreams that `are_told` the others are told now, each with
-    /// the moment since when it has said so: of more than one heartbeat takes, those that
-    /// were told least.
+    /// the moment since when it has said so.
     pub fn to_tell(
         &mut self,
         are_told: impl Fn(Lifetime) -> bool,
         now: Instant,
     ) -> Vec<(Lifetime, Instant)> {
-        let all = self.said.iter_mut().filter(|(upstream, said)| {
-            now.saturating_duration_since(said.listed) < UNLISTED_TOLD && are_told(**upstream)
-        });
-        let mut told: Vec<(&Lifetime, &mut Said)> = all.collect();
-        told.sort_unstable_by_key(|(upstream, said)| (said.told, **upstream));
-        told.truncate(TOLD_AT_ONCE);
-        let tell = |(upstream, said): (&Lifetime, &mut Said)| {
-            said.told = said.told.saturating_add(1);
-            (*upstream, said.since)
-        };
-        told.into_iter().map(tell).collect()
+        let due = self.said.iter_mut().filter(|(_, said)| said.telling.is_due(now));
+        let told = due.filter(|(upstream, _)| are_told(**upstream));
+        take_turns(told.map(|(upstream, said)| (*upstream, &mut said.telling, said.since)))
     }
 
-    /// Forgets upstreams that are not `listed`, after a while: their rows may be missing for
-    /// the store's sake.
+    /// Forgets upstreams that are not `listed`, after a while.
     pub fn retain(&mut self, listed: impl Fn(Lifetime) -> bool, now: Instant) {
-        self.said.retain(|upstream, said| {
-            if listed(*upstream) {
-                said.listed = now;
-            }
-            now.saturating_duration_since(said.listed) < UNLISTED_KEPT
-        });
+        self.said.retain(|upstream, said| said.telling.keep(listed(*upstream), now));
     }
 }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -27,6 +27,7 @@
 mod speed;
 mod spread;
 mod steady;
+mod telling;
 mod usage;
 mod window_sum;
 
--- a/src/gateway/decide/rate_limit.rs
+++ b/src/gateway/decide/rate_limit.rs
@@ -15,7 +15,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::StoreMillis;
+use super::{
+    StoreMillis,
+    telling::{Telling, take_turns},
+};
 use crate::{gateway::model::Lifetime, prefix};
 
 /// Span of its part that a gateway may save up beyond one request.
@@ -25,13 +28,6 @@
 const LEAST_RATE: f64 = 0.05;
 /// For how long the others are told that a limit has ended.
 const END_TOLD: Duration = Duration::from_secs(12);
-/// Limits that go along with one heartbeat at most: with more, they take turns.
-const TOLD_AT_ONCE: usize = 32;
-/// For how long a limit is told of an upstream that is not listed.
-const UNLISTED_TOLD: Duration = Duration::from_secs(12);
-/// For how long it is remembered: well beyond the time in which it is told, or gateways would
-/// tell each other for ever.
-const UNLISTED_KEPT: Duration = Duration::from_secs(60);
 /// Holders of parts that a gateway knows to ask. Each asks other ones.
 const ASKED: usize = 4;
 /// Time after which a holder is asked again that did not answer.
@@ -57,7 +53,7 @@
     /// The request may be sent.
     Granted,
     /// It has no room for so long.
-    InVain(Duration),
+    Denied(Duration),
 }
 
 /// What an upstream said of its limit.
@@ -184,12 +180,9 @@
 struct Limit {
     notice: LimitNotice,
     bucket: Bucket,
-    /// When its upstream was last listed; when it was learnt, if it never was.
-    listed: Instant,
     /// Until when the others are told, once it has ended.
     told_until: Instant,
-    /// How often they were told of what it is now.
-    told: u32,
+    telling: Telling,
     /// Others that have parts.
     holders: Vec<Asked>,
     /// Whether the parts are those of the present rate and members.
@@ -220,9 +213,8 @@
                 let limit = Limit {
                     notice,
                     bucket: Bucket::new(now),
-                    listed: now,
                     told_until,
-                    told: 0,
+                    telling: Telling::new(now),
                     holders: Vec::new(),
                     is_divided: false,
                 };
@@ -232,12 +224,14 @@
         };
         if notice.at < known.notice.at {
             // Whoever tells this has not heard of what came after it.
-            (known.told_until, known.told) = (told_until, 0);
+            known.told_until = told_until;
+            known.telling.begin_again();
             return false;
         }
         let changed = known.notice.rate != notice.rate;
         if changed {
-            (known.told_until, known.told) = (told_until, 0);
+            known.told_until = told_until;
+            known.telling.begin_again();
             known.is_divided = false;
         }
         known.notice = notice;
@@ -314,7 +308,7 @@
     ) {
         let limit = self.limits.get_mut(&upstream);
         let asked = limit.and_then(|l| l.holders.iter_mut().find(|a| a.holder == holder));
-        if let (Some(asked), HolderAnswer::InVain(wait)) = (asked, answer) {
+        if let (Some(asked), HolderAnswer::Denied(wait)) = (asked, answer) {
             asked.from = now + wait.max(SHORTEST_RETRY);
         }
     }
@@ -324,22 +318,12 @@
         self.limits.get(&upstream).and_then(Limit::rate)
     }
 
-    /// Returns what the other gateways are told now: of more limits than one heartbeat takes,
-    /// those that were told least.
+    /// Returns what the other gateways are told now.
     pub fn reports(&mut self, now: Instant) -> Vec<LimitReport> {
-        let is_told = |l: &Limit| {
-            let unlisted = now.saturating_duration_since(l.listed);
-            unlisted < UNLISTED_TOLD && (l.notice.rate.is_some() || now < l.told_until)
-        };
-        let all = self.limits.iter_mut().filter(|(_, limit)| is_told(limit));
-        let mut told: Vec<(&Lifetime, &mut Limit)> = all.collect();
-        told.sort_unstable_by_key(|(upstream, limit)| (limit.told, **upstream));
-        told.truncate(TOLD_AT_ONCE);
-        let report = |(upstream, limit): (&Lifetime, &mut Limit)| {
-            limit.told = limit.told.saturating_add(1);
-            LimitReport(*upstream, limit.notice)
-        };
-        told.into_iter().map(report).collect()
+        let due = self.limits.iter_mut().filter(|(_, limit)| limit.telling.is_due(now));
+        let told = due.filter(|(_, l)| l.notice.rate.is_some() || now < l.told_until);
+        let told = take_turns(told.map(|(of, limit)| (*of, &mut limit.telling, limit.notice)));
+        told.into_iter().map(|(upstream, notice)| LimitReport(upstream, notice)).collect()
     }
 
     /// Returns the number of upstreams with a limit.
@@ -347,14 +331,8 @@
         self.limits.values().filter(|l| l.notice.rate.is_some()).count()
     }
 
-    /// Forgets upstreams that are not `listed`, after a while: their rows may be missing for
-    /// the store's sake.
+    /// Forgets upstreams that are not `listed`, after a while.
     pub fn retain(&mut self, listed: impl Fn(Lifetime) -> bool, now: Instant) {
-        self.limits.retain(|upstream, limit| {
-            if listed(*upstream) {
-                limit.listed = now;
-            }
-            now.saturating_duration_since(limit.listed) < UNLISTED_KEPT
-        });
+        self.limits.retain(|upstream, limit| limit.telling.keep(listed(*upstream), now));
     }
 }
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -178,7 +178,7 @@
     pub loads: Vec<LoadReport>,
     /// How upstreams answered it of late.
     pub outcomes: Vec<OutcomeReport>,
-    /// Upstreams that leave by their own word, while their rows do not say so.
+    /// Upstreams that said in answers that they leave, while their rows do not say so.
     pub leaving: Vec<LeavingReport>,
     /// Rate limits of upstreams that it knows, and those that have just ended.
     pub limits: Vec<LimitReport>,
--- a/src/gateway/peering/limit_question.rs
+++ b/src/gateway/peering/limit_question.rs
@@ -20,7 +20,7 @@
         /// The upstream.
         upstream: Lifetime,
     },
-    /// It may, or asks in vain for so long.
+    /// It may, or is denied for so long.
     Answer {
         /// Number of the question.
         number: u64,
--- a/src/gateway/request/grants.rs
+++ b/src/gateway/request/grants.rs
@@ -81,7 +81,7 @@
         let _pending = Pending { grants: self, number };
         self.send(LimitQuestion::Ask { number, upstream }, holder);
         let wait = timeout(ANSWER_WITHIN, rx).await.ok()?.ok()?;
-        Some(wait.map_or(HolderAnswer::Granted, HolderAnswer::InVain))
+        Some(wait.map_or(HolderAnswer::Granted, HolderAnswer::Denied))
     }
 }
 
@@ -95,7 +95,7 @@
         }
         let (holder, address) = self.board.borrow().holder_to_ask(upstream, now)?;
         let answer = self.grants.ask(upstream, address).await;
-        let answer = answer.unwrap_or(HolderAnswer::InVain(GRANT_RETRY));
+        let answer = answer.unwrap_or(HolderAnswer::Denied(GRANT_RETRY));
         let mut board = self.board.borrow_mut();
         board.limits.note_answer(upstream, holder, answer, clock::now());
         (answer == HolderAnswer::Granted).then_some(Room::Granted)
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -217,8 +217,8 @@
     })
 }
 
-/// Returns the upstreams that take a request of this gateway now, as far as their own words go.
-/// If none of them takes work, another gateway may have room in its part of a limit.
+/// Returns the upstreams that neither rest nor have a limit without room for a request of this
+/// gateway. If none of them takes work, another gateway may have room in its part of a limit.
 fn with_room<'a>(
     board: &Board,
     open: Vec<&'a UpstreamView>,
--- a/src/gateway/request/signals.rs
+++ b/src/gateway/request/signals.rs
@@ -27,7 +27,7 @@
         let now = clock::now();
         let is_new = gateway.board.borrow_mut().note_leaving(selected.lifetime, now, now);
         if is_new {
-            gateway.note_leaving(selected.lifetime, request);
+            gateway.log_leaving(selected.lifetime, request);
         }
     }
     let rested = note_rest(gateway, request, selected, status, headers);
@@ -76,7 +76,7 @@
     let changed = board.limits.learn(selected.lifetime, notice, now);
     drop(board);
     if changed {
-        gateway.note_limits(&[(selected.lifetime, notice)], request);
+        gateway.log_limit(selected.lifetime, notice, request);
     }
     Ok(())
 }
--- a/src/gateway/request/status.rs
+++ b/src/gateway/request/status.rs
@@ -60,7 +60,7 @@
     limit: Option<f64>,
     /// For how long it still wants none from this process, in milliseconds.
     rest_ms: u64,
-    /// Whether it leaves by its own word.
+    /// Whether it said that it leaves.
     leaving: bool,
 }
 
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -78,7 +78,7 @@
     pub connections: Gauge,
     /// Ends of upstreams that took requests of this process with them.
     pub upstream_ends: Counter,
-    /// Upstreams that were learnt to leave by their own word.
+    /// Upstreams that said that they leave, or of which another gateway told it.
     pub said_leaving: Counter,
     /// Upstreams that have asked for rest.
     pub resting: Gauge,
--- a/tests/gateway_signal_books.rs
+++ b/tests/gateway_signal_books.rs
@@ -143,8 +143,8 @@
         .divide(LimitMembers::new(Holder::new("b"), std::iter::once(Holder::new("a")), false), now);
     let asked = |book: &LimitBook, at| book.holders_to_ask(upstream_lifetime(), at).count();
     assert_eq!(asked(&asker, now), 1);
-    let in_vain = HolderAnswer::InVain(2 * SECOND);
-    asker.note_answer(upstream_lifetime(), Holder::new("a"), in_vain, now);
+    let denied = HolderAnswer::Denied(2 * SECOND);
+    asker.note_answer(upstream_lifetime(), Holder::new("a"), denied, now);
     assert_eq!(asked(&asker, now + SECOND), 0, "it said when to ask again");
     assert_eq!(asked(&asker, later), 1);
 }
--- a/tests/limits/fleet.rs
+++ b/tests/limits/fleet.rs
@@ -222,7 +222,7 @@
         };
         let answer = match self.gateways[other].book.grant(upstream, now) {
             Ok(()) => HolderAnswer::Granted,
-            Err(wait) => HolderAnswer::InVain(wait),
+            Err(wait) => HolderAnswer::Denied(wait),
         };
         self.gateways[n].book.note_answer(upstream, holder, answer, now);
         answer == HolderAnswer::Granted
