--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -10,6 +10,9 @@
 //!
 //! Evidence: the cases below, which failed by as much as the knowledge was old.
 
+#[path = "support/upstreams.rs"]
+mod upstreams;
+
 use std::time::{Duration, Instant};
 
 use tackhollow::gateway::{
@@ -17,31 +20,17 @@
     decide::{Knowledge, TrueClock},
     model::{Upstream, UpstreamPhase},
 };
+use upstreams::upstream;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn upstream(phase: UpstreamPhase) -> Upstream {
-    Upstream {
-        id: "i-1".to_owned(),
-        born: Some(1),
-        service: "app".to_owned(),
-        version: "v1".to_owned(),
-        address: ([127, 0, 0, 1], 1).into(),
-        data_centre: "a".to_owned(),
-        slots: 6,
-        phase,
-        reclaimable: false,
-        leaves_in: None,
-    }
-}
-
 /// Returns what is known once the leaving is learnt `learnt` after the store was last seen.
 fn board(start: Instant, learnt: Duration) -> Board {
     let mut board = Board::new(TrueClock::new(start, 0), start);
     board.store_clock.note(5_000, start);
     board.upstreams_knowledge = Some(Knowledge { position: 3, as_of: 5_000 });
-    board.describe(upstream(UpstreamPhase::Ready), start);
-    board.describe(upstream(UpstreamPhase::Draining), start + learnt);
+    board.describe(upstream(UpstreamPhase::Ready, 1), start);
+    board.describe(upstream(UpstreamPhase::Draining, 1), start + learnt);
     board
 }
 
@@ -79,8 +68,8 @@
         learnt: Option<(Upstream, Duration)>,
         taken: bool,
     }
-    let ready = || upstream(UpstreamPhase::Ready);
-    let leaving = || upstream(UpstreamPhase::Draining);
+    let ready = || upstream(UpstreamPhase::Ready, 1);
+    let leaving = || upstream(UpstreamPhase::Draining, 1);
     let again = Upstream { born: Some(2), ..ready() };
     let cases = [
         Case { name: "the same", learnt: Some((ready(), Duration::ZERO)), taken: true },
@@ -92,7 +81,7 @@
     let start = Instant::now();
     for case in cases {
         let mut board = Board::new(TrueClock::new(start, 0), start);
-        board.describe(upstream(UpstreamPhase::Ready), start);
+        board.describe(upstream(UpstreamPhase::Ready, 1), start);
         let chosen = board.upstreams["i-1"].lifetime;
         let now = start + 3 * SECOND;
         match case.learnt {
--- a/tests/gateway_rate_limits.rs
+++ b/tests/gateway_rate_limits.rs
@@ -5,24 +5,17 @@
 
 mod support;
 
-use std::{
-    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
-    thread,
-    time::Duration,
-};
+use std::{thread, time::Duration};
 
 use hyper::StatusCode;
 use serde_json::json;
 use support::{
-    gateways::{Call, Site},
-    signals::{HOLDS_AFTER, arrivals, borne, most_in_a_span},
+    gateways::Site,
+    signals::{HOLDS_AFTER, arrivals, borne, call, keep_calling, most_in_a_span},
 };
 
 /// For how long a limit is named.
 const NAMED: Duration = Duration::from_secs(9);
-/// Between two calls of a caller.
-const PAUSE: Duration = Duration::from_millis(40);
-
 struct Case {
     name: &'static str,
     gateways: usize,
@@ -35,40 +28,6 @@
     served: bool,
 }
 
-/// What callers got.
-#[derive(Default)]
-struct Calls {
-    sent: AtomicUsize,
-    served: AtomicUsize,
-}
-
-fn call(case: &Case, n: usize) -> Call {
-    let id = format!("{}-{n}", case.name.replace(' ', "-"));
-    if case.streams { Call::stream("/plan/a", &id, 2) } else { Call::new("GET", "/check/a", &id) }
-}
-
-/// Calls all gateways, one caller each, until told to stop.
-fn keep_calling(site: &Site, case: &Case, calls: &Calls, until: impl FnOnce()) {
-    let stop = AtomicBool::new(false);
-    thread::scope(|s| {
-        for gateway in &site.gateways {
-            let stop = &stop;
-            s.spawn(move || {
-                while !stop.load(Ordering::Relaxed) {
-                    let n = calls.sent.fetch_add(1, Ordering::Relaxed);
-                    let answer = call(case, n).send(gateway.callers);
-                    if answer.is_some_and(|a| a.status == StatusCode::OK) {
-                        calls.served.fetch_add(1, Ordering::Relaxed);
-                    }
-                    thread::sleep(PAUSE);
-                }
-            });
-        }
-        until();
-        stop.store(true, Ordering::Relaxed);
-    });
-}
-
 fn play(case: &Case) {
     let (engines, plain) = if case.streams { (case.upstreams, 0) } else { (0, case.upstreams) };
     let site = Site::start(case.gateways, engines, plain);
@@ -76,8 +35,8 @@
     for id in &limited {
         site.signal(id, &[("server-limit", &case.rate.to_string())]);
     }
-    let (from, calls) = (site.emulator_now(), Calls::default());
-    keep_calling(&site, case, &calls, || thread::sleep(NAMED));
+    let from = site.emulator_now();
+    let got = keep_calling(&site, 1, case.streams, || thread::sleep(NAMED));
     let seen = site.seen();
     for id in &limited {
         let arrivals = arrivals(&seen, id);
@@ -90,7 +49,7 @@
         let used = !is_needed || taken >= offered / 2.0;
         assert!(used, "{name}: {id} got {taken} of {offered} that it takes");
     }
-    let (sent, served) = (calls.sent.into_inner(), calls.served.into_inner());
+    let (sent, served) = (got.len(), got.iter().filter(|g| g.is_served()).count());
     assert!(!case.served || served * 100 >= sent * 95, "{}: {served} of {sent}", case.name);
 }
 
@@ -138,28 +97,12 @@
     const RATE: f64 = 1.0;
     site.signal("i-1", &[("server-limit", "1")]);
     let from = site.emulator_now();
-    let served: Vec<AtomicUsize> = site.gateways.iter().map(|_| AtomicUsize::new(0)).collect();
-    let stop = AtomicBool::new(false);
-    thread::scope(|s| {
-        for (n, gateway) in site.gateways.iter().enumerate() {
-            let (stop, served) = (&stop, &served[n]);
-            s.spawn(move || {
-                thread::sleep(HOLDS_AFTER);
-                while !stop.load(Ordering::Relaxed) {
-                    let answer = Call::new("GET", "/check/a", "share").send(gateway.callers);
-                    if answer.is_some_and(|a| a.status == StatusCode::OK) {
-                        served.fetch_add(1, Ordering::Relaxed);
-                    }
-                    thread::sleep(PAUSE);
-                }
-            });
-        }
-        let call = Call::new("GET", "/check/a", "first").send(site.gateways[0].callers);
-        assert!(call.is_some_and(|a| a.status == StatusCode::OK), "it names its limit");
-        thread::sleep(HOLDS_AFTER + 2 * NAMED);
-        stop.store(true, Ordering::Relaxed);
-    });
-    let served: Vec<usize> = served.into_iter().map(AtomicUsize::into_inner).collect();
+    let first = call(false, 0).send(site.gateways[0].callers);
+    assert!(first.is_some_and(|a| a.status == StatusCode::OK), "it names its limit");
+    thread::sleep(HOLDS_AFTER);
+    let got = keep_calling(site, 1, false, || thread::sleep(2 * NAMED));
+    let of_gateway = |n| got.iter().filter(|g| g.gateway == n && g.is_served()).count();
+    let served: Vec<usize> = (0..site.gateways.len()).map(of_gateway).collect();
     assert!(served.iter().all(|served| *served > 0), "served by gateway: {served:?}");
     let arrivals = arrivals(&site.seen(), "i-1");
     let most = most_in_a_span(&arrivals, from + HOLDS_AFTER, Duration::MAX);
--- a/tests/gateway_signal_books.rs
+++ b/tests/gateway_signal_books.rs
@@ -1,5 +1,8 @@
 //! What gateways remember of what upstreams ask for in their answers.
 
+#[path = "support/upstreams.rs"]
+mod upstreams;
+
 use std::{
     collections::BTreeSet,
     time::{Duration, Instant},
@@ -12,6 +15,7 @@
     model::{Lifetime, Upstream, UpstreamPhase},
     peering::{Datagram, LimitQuestion},
 };
+use upstreams::upstream;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -19,21 +23,6 @@
     Lifetime::new("i-1", Some(1))
 }
 
-fn upstream(phase: UpstreamPhase, born: u64) -> Upstream {
-    Upstream {
-        id: "i-1".to_owned(),
-        born: Some(born),
-        service: "app".to_owned(),
-        version: "v1".to_owned(),
-        address: ([127, 0, 0, 1], 1).into(),
-        data_centre: "a".to_owned(),
-        slots: 6,
-        phase,
-        reclaimable: false,
-        leaves_in: None,
-    }
-}
-
 fn alone() -> LimitMembers {
     LimitMembers::new(Holder::new("a"), std::iter::empty(), true)
 }
--- a/tests/gateway_upstream_signals.rs
+++ b/tests/gateway_upstream_signals.rs
@@ -5,67 +5,18 @@
 
 mod support;
 
-use std::{
-    sync::{
-        Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
-    thread,
-    time::{Duration, Instant},
-};
+use std::{thread, time::Duration};
 
 use hyper::StatusCode;
 use serde_json::json;
 use support::{
     gateways::{Call, Site},
-    signals::{BORNE_DURING_REST, DRAINED_AFTER, arrivals, most_during_a_rest},
+    signals::{BORNE_DURING_REST, DRAINED_AFTER, arrivals, call, keep_calling, most_during_a_rest},
     wait_until,
 };
 
 /// Callers of each gateway.
 const CALLERS: usize = 4;
-/// Between two calls of a caller.
-const PAUSE: Duration = Duration::from_millis(40);
-
-/// An answer as a caller got it: how it ended, in which time, and when to come back.
-#[derive(Clone, Debug)]
-struct Got {
-    status: Option<StatusCode>,
-    took: Duration,
-    retry_after: Option<f64>,
-}
-
-fn call(stream: bool, n: usize) -> Call {
-    let id = format!("call-{n}");
-    if stream { Call::stream("/plan/a", &id, 2) } else { Call::new("GET", "/check/a", &id) }
-}
-
-/// Calls all gateways, some callers each, while `until` runs; returns what they got.
-fn keep_calling(site: &Site, stream: bool, until: impl FnOnce()) -> Vec<Got> {
-    let (stop, sent, got) = (AtomicBool::new(false), AtomicUsize::new(0), Mutex::new(Vec::new()));
-    thread::scope(|s| {
-        for gateway in site.gateways.iter().flat_map(|g| [g; CALLERS]) {
-            let (stop, sent, got) = (&stop, &sent, &got);
-            s.spawn(move || {
-                while !stop.load(Ordering::Relaxed) {
-                    let began = Instant::now();
-                    let n = sent.fetch_add(1, Ordering::Relaxed);
-                    let answer = call(stream, n).send(gateway.callers);
-                    let retry_after =
-                        answer.as_ref().and_then(|a| a.header("retry-after").parse().ok());
-                    let status = answer.map(|a| a.status);
-                    let took = began.elapsed();
-                    got.lock().expect("no caller panics").push(Got { status, took, retry_after });
-                    thread::sleep(PAUSE);
-                }
-            });
-        }
-        until();
-        stop.store(true, Ordering::Relaxed);
-    });
-    got.into_inner().expect("no caller panics")
-}
-
 struct Leaving {
     name: &'static str,
     gateways: usize,
@@ -83,7 +34,7 @@
     let leaving: Vec<String> = (1..=case.leaving).map(|n| format!("i-{n}")).collect();
     leaving.iter().for_each(|id| site.signal(id, &[("server-leaving", "1")]));
     let from = site.emulator_now();
-    let got = keep_calling(&site, case.stream, || {
+    let got = keep_calling(&site, CALLERS, case.stream, || {
         thread::sleep(Duration::from_secs(3));
         if case.lapses {
             leaving.iter().for_each(|id| drop(site.control("/remove", &json!({ "id": id }))));
@@ -99,7 +50,7 @@
         let late = arrivals(&seen, id).iter().filter(|a| a.at > from + DRAINED_AFTER).count();
         assert_eq!(late, 0, "{}: requests that reached {id} after it had said so", case.name);
     }
-    let failed = got.iter().filter(|g| g.status != Some(StatusCode::OK));
+    let failed = got.iter().filter(|g| !g.is_served());
     let (refused, others): (Vec<_>, Vec<_>) =
         failed.partition(|g| g.status == Some(StatusCode::SERVICE_UNAVAILABLE));
     assert!(others.is_empty(), "{}: {others:?}", case.name);
@@ -141,12 +92,12 @@
     let site = Site::start(1, engines, plain);
     site.signal("i-1", &[("retry-after", case.retry_after)]);
     site.behave(Some("i-1"), "full");
-    let got = keep_calling(&site, case.stream, || thread::sleep(Duration::from_secs(7)));
+    let got = keep_calling(&site, CALLERS, case.stream, || thread::sleep(Duration::from_secs(7)));
     let arrivals = arrivals(&site.seen(), "i-1");
     assert!(!arrivals.is_empty(), "{}: it was never tried", case.name);
     let most = most_during_a_rest(&arrivals, case.rest);
     assert!(most <= BORNE_DURING_REST, "{}: {most} requests during a rest", case.name);
-    let refused: Vec<_> = got.iter().filter(|g| g.status != Some(StatusCode::OK)).collect();
+    let refused: Vec<_> = got.iter().filter(|g| !g.is_served()).collect();
     assert!(case.upstreams == 1 || refused.is_empty(), "{}: {refused:?}", case.name);
     for refused in refused {
         assert_eq!(refused.status, Some(StatusCode::SERVICE_UNAVAILABLE), "{}", case.name);
--- a/tests/support/signals.rs
+++ b/tests/support/signals.rs
@@ -1,10 +1,21 @@
 //! What upstreams ask for in their answers, and whether they got it.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
 
+use hyper::StatusCode;
 use serde_json::{Value, json};
 
-use super::gateways::Site;
+use super::gateways::{Call, Site};
+
+/// Between two calls of a caller.
+const PAUSE: Duration = Duration::from_millis(40);
 
 /// Span over which an upstream counts requests against its limit.
 const SPAN: Duration = Duration::from_secs(4);
@@ -28,6 +39,57 @@
     pub status: u16,
 }
 
+/// An answer as a caller got it: from which gateway, how it ended, in which time, and when to
+/// come back.
+#[derive(Clone, Debug)]
+pub struct Got {
+    pub gateway: usize,
+    pub status: Option<StatusCode>,
+    pub took: Duration,
+    pub retry_after: Option<f64>,
+}
+
+impl Got {
+    pub fn is_served(&self) -> bool {
+        self.status == Some(StatusCode::OK)
+    }
+}
+
+/// Returns a call to an engine or a plain upstream.
+pub fn call(stream: bool, n: usize) -> Call {
+    let id = format!("call-{n}");
+    if stream { Call::stream("/plan/a", &id, 2) } else { Call::new("GET", "/check/a", &id) }
+}
+
+/// Calls all gateways, so many callers each, while `until` runs; returns what they got.
+pub fn keep_calling(site: &Site, callers: usize, stream: bool, until: impl FnOnce()) -> Vec<Got> {
+    let (stop, sent, got) = (AtomicBool::new(false), AtomicUsize::new(0), Mutex::new(Vec::new()));
+    thread::scope(|s| {
+        for n in 0..site.gateways.len() * callers {
+            let gateway = n % site.gateways.len();
+            let (stop, sent, got) = (&stop, &sent, &got);
+            s.spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let n = sent.fetch_add(1, Ordering::Relaxed);
+                    let answer = ask(site, gateway, &call(stream, n));
+                    got.lock().expect("no caller panics").push(answer);
+                    thread::sleep(PAUSE);
+                }
+            });
+        }
+        until();
+        stop.store(true, Ordering::Relaxed);
+    });
+    got.into_inner().expect("no caller panics")
+}
+
+fn ask(site: &Site, gateway: usize, call: &Call) -> Got {
+    let began = Instant::now();
+    let answer = call.send(site.gateways[gateway].callers);
+    let retry_after = answer.as_ref().and_then(|a| a.header("retry-after").parse().ok());
+    Got { gateway, status: answer.map(|a| a.status), took: began.elapsed(), retry_after }
+}
+
 impl Site {
     /// Lets an upstream add headers to all its answers.
     pub fn signal(&self, id: &str, headers: &[(&str, &str)]) {
