--- a/tests/gateway_rate_limit_model.rs
+++ b/tests/gateway_rate_limit_model.rs
@@ -14,7 +14,7 @@
 /// Share of the limit that an upstream bears in four seconds, and requests beyond it.
 const BORNE: (f64, f64) = (1.5, 5.0);
 
-const SIZES: [usize; 4] = [7, 77, 195, 1_500];
+const SIZES: [usize; 5] = [7, 77, 195, 300, 1_500];
 
 struct Case {
     name: &'static str,
@@ -23,6 +23,8 @@
     /// Requests a second of all callers, of those that the upstreams take.
     demand: f64,
     restarts: f64,
+    late: f64,
+    lost: f64,
     cut: Duration,
 }
 
@@ -35,6 +37,8 @@
         upstreams,
         demand,
         restarts: 0.0,
+        late: 1.0,
+        lost: 0.0,
         cut: CALM,
     };
     let cut = Duration::from_secs(10);
@@ -45,6 +49,8 @@
         case("ten a second", 10.0, 4, 2.0),
         case("two hundred a second", 200.0, 1, 1.2),
         Case { restarts: 1.0, ..case("restarts", 1.0, 4, 3.0) },
+        Case { late: 3.0, lost: 0.1, ..case("late heartbeats, lost questions", 1.0, 4, 3.0) },
+        Case { late: 3.0, lost: 0.1, restarts: 1.0, cut, ..case("all of it", 2.0, 4, 3.0) },
         Case { cut, ..case("a fifth is cut off", 2.0, 4, 3.0) },
     ]
 }
@@ -56,6 +62,8 @@
         rate: case.rate,
         demand: case.rate * case.upstreams as f64 * case.demand,
         restarts: case.restarts,
+        late: case.late,
+        lost: case.lost,
         cut: case.cut,
         lasts: Duration::from_secs(30),
     }
@@ -74,10 +82,10 @@
     (BORNE.0 * case.rate * 4.0 + BORNE.1) as usize
 }
 
-#[test]
-fn no_upstream_gets_more_than_it_bears_at_any_size() {
+/// No upstream gets more than it bears, and asking other gateways never costs callers.
+fn check(sizes: &[usize]) {
     for case in cases() {
-        for gateways in SIZES {
+        for &gateways in sizes {
             let (name, borne) = (case.name, borne(&case));
             let [asking, alone] = [Way::Asking, Way::FewHolders].map(|way| {
                 let (most, used) = play(&case, gateways, way);
@@ -89,6 +97,21 @@
     }
 }
 
+#[test]
+fn no_upstream_gets_more_than_it_bears_from_few_gateways() {
+    check(&SIZES[..2]);
+}
+
+#[test]
+fn no_upstream_gets_more_than_it_bears_from_some_hundred_gateways() {
+    check(&SIZES[2..4]);
+}
+
+#[test]
+fn no_upstream_gets_more_than_it_bears_from_the_gateways_of_the_plan() {
+    check(&SIZES[4..]);
+}
+
 /// The table of docs/design/signals.md.
 #[test]
 #[ignore = "by hand: it compares ways to keep a limit"]
--- a/tests/limits/fleet.rs
+++ b/tests/limits/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use tackhollow::gateway::{
-    decide::{Holder, HolderAnswer, LimitBook, LimitMembers, LimitNotice},
+    decide::{GRANT_RETRY, Holder, HolderAnswer, LimitBook, LimitMembers, LimitNotice},
     model::Lifetime,
 };
 
@@ -12,6 +12,10 @@
 const STEP: Duration = Duration::from_millis(50);
 /// Span over which an upstream counts requests.
 const SPAN: Duration = Duration::from_secs(4);
+/// Moments at which the gateways look whom they have heard, after a start.
+const HEARING_STEPS: u32 = 3;
+/// Share of the others that a gateway knows before it takes a part, as in the product.
+const KNOWN_SHARE: f64 = 0.75;
 /// Time after which a gateway that is not heard is taken to be gone.
 const FORGOTTEN: Duration = Duration::from_secs(12);
 
@@ -43,6 +47,10 @@
     pub demand: f64,
     /// Gateways that start again each second.
     pub restarts: f64,
+    /// How many times as late as usual heartbeats are at most: each pair of gateways draws.
+    pub late: f64,
+    /// Share of questions, and of answers to them, that are lost.
+    pub lost: f64,
     /// For how long a fifth of the gateways is cut off from the others, in the middle.
     pub cut: Duration,
     pub lasts: Duration,
@@ -74,7 +82,12 @@
 pub struct Fleet {
     load: Load,
     way: Way,
+    /// Draws callers, the same for each way.
     rng: fastrand::Rng,
+    /// Draws restarts, the same for each way.
+    restarts: fastrand::Rng,
+    /// Draws which questions are lost.
+    losses: fastrand::Rng,
     start: Instant,
     gateways: Vec<Gateway>,
     upstreams: Vec<Lifetime>,
@@ -90,6 +103,8 @@
             load,
             way,
             rng: fastrand::Rng::with_seed(seed),
+            restarts: fastrand::Rng::with_seed(seed + 1_000),
+            losses: fastrand::Rng::with_seed(seed + 2_000),
             start,
             gateways: Vec::new(),
             upstreams: (0..load.upstreams)
@@ -118,14 +133,18 @@
     pub fn play(mut self) -> Played {
         let steps = (self.load.lasts.as_secs_f64() / STEP.as_secs_f64()) as u32;
         let cut = self.start + self.load.lasts / 2;
-        let mut divide_at = vec![self.start, self.start + self.heard_after()];
+        let latest = self.heard_after().mul_f64(self.load.late);
+        // Gateways hear of each other at different times.
+        let hears =
+            |from: Instant| (0..=HEARING_STEPS).map(move |n| from + latest * n / HEARING_STEPS);
+        let mut divide_at: Vec<Instant> = hears(self.start).collect();
         if !self.load.cut.is_zero() {
             divide_at.extend([cut + FORGOTTEN, cut + self.load.cut]);
         }
         for step in 0..steps {
             let now = self.start + STEP * step;
             if self.restart(now) {
-                divide_at.extend([now, now + self.heard_after()]);
+                divide_at.extend(hears(now));
             }
             if divide_at.iter().any(|at| *at <= now) {
                 divide_at.retain(|at| *at > now);
@@ -147,11 +166,17 @@
         gateway.is_multiple_of(5) && (begin..begin + self.load.cut).contains(&now)
     }
 
+    /// Time in which the heartbeats of one gateway reach another.
+    fn heard_by(&self, own: usize, other: usize) -> Duration {
+        let drawn = (own * 31 + other * 17) % 100;
+        self.heard_after().mul_f64(1.0 + drawn as f64 / 100.0 * (self.load.late - 1.0))
+    }
+
     /// Returns whether one gateway counts another among the fleet.
     fn knows(&self, own: usize, other: usize, now: Instant) -> bool {
         let up = now.saturating_duration_since(self.gateways[own].started);
         let other_up = now.saturating_duration_since(self.gateways[other].started);
-        let heard = up.min(other_up) >= self.heard_after();
+        let heard = up.min(other_up) >= self.heard_by(own, other);
         let begin = self.start + self.load.lasts / 2;
         let forgotten =
             now >= begin + FORGOTTEN && (self.is_cut(own, now) != self.is_cut(other, now));
@@ -160,19 +185,20 @@
 
     fn divide(&mut self, now: Instant) {
         for n in 0..self.gateways.len() {
-            let others = (0..self.gateways.len()).filter(|o| *o != n && self.knows(n, *o, now));
-            let others = others.map(|o| self.gateways[o].name);
+            let known = (0..self.gateways.len()).filter(|o| *o != n && self.knows(n, *o, now));
+            let known: Vec<Holder> = known.map(|o| self.gateways[o].name).collect();
             let up = now.saturating_duration_since(self.gateways[n].started);
-            let knows_most = up >= self.heard_after().min(FORGOTTEN);
-            let members = LimitMembers::new(self.gateways[n].name, others, knows_most);
+            let share = (known.len() + 1) as f64 / self.gateways.len() as f64;
+            let knows_most = up >= FORGOTTEN || share >= KNOWN_SHARE;
+            let members = LimitMembers::new(self.gateways[n].name, known.into_iter(), knows_most);
             self.gateways[n].book.divide(members, now);
         }
     }
 
     fn restart(&mut self, now: Instant) -> bool {
-        let restarts = self.rng.f64() < self.load.restarts * STEP.as_secs_f64();
+        let restarts = self.restarts.f64() < self.load.restarts * STEP.as_secs_f64();
         if restarts {
-            let n = self.rng.usize(..self.gateways.len());
+            let n = self.restarts.usize(..self.gateways.len());
             self.gateways[n] = self.gateway(n, now);
         }
         restarts
@@ -220,9 +246,12 @@
         let Some((holder, other)) = found else {
             return false;
         };
-        let answer = match self.gateways[other].book.grant(upstream, now) {
-            Ok(()) => HolderAnswer::Granted,
-            Err(wait) => HolderAnswer::Denied(wait),
+        let [question_lost, answer_lost] = [(); 2].map(|()| self.losses.f64() < self.load.lost);
+        let granted = (!question_lost).then(|| self.gateways[other].book.grant(upstream, now));
+        let answer = match granted.filter(|_| !answer_lost) {
+            Some(Ok(())) => HolderAnswer::Granted,
+            Some(Err(wait)) => HolderAnswer::Denied(wait),
+            None => HolderAnswer::Denied(GRANT_RETRY),
         };
         self.gateways[n].book.note_answer(upstream, holder, answer, now);
         answer == HolderAnswer::Granted
