The log says why an upstream whose row was removed is kept

A row that came back left no line at all.

Change: row_missing (who said so, time since the row was last known to be there, how much longer it may come back), 'back', row_missing in attempts, a gauge missing_rows. No change of logic.

--- a/src/gateway/controllers/configuration.rs
+++ b/src/gateway/controllers/configuration.rs
@@ -5,29 +5,12 @@
 use bytes::Bytes;
 use stakker::CX;
 
+use super::Source;
 use crate::{
     gateway::{context::Gateway, decide::Knowledge, telemetry::Event},
     platform::decode_configuration,
 };
 
-/// Where a configuration came from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// The platform's store.
-    Store,
-    /// Another gateway.
-    Peer,
-}
-
-impl Source {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Store => "store",
-            Self::Peer => "peer",
-        }
-    }
-}
-
 /// Controller of the configuration.
 #[derive(Debug)]
 pub struct ConfigurationController {
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -15,13 +15,14 @@
 
 use stakker::{CX, call, timer_max};
 
+use super::Source;
 use crate::{
     clock,
     gateway::{
         board::{Described, LAPSE_GRACE, UpstreamView},
         context::Gateway,
         decide::Knowledge,
-        model::{Lifetime, Revision, Upstream, UpstreamPhase},
+        model::{Followed, Lifetime, Revision, Upstream, UpstreamPhase},
         peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
         telemetry::Event,
     },
@@ -85,7 +86,7 @@
         let position = snapshot.knowledge.position;
         let replaced = self.replace(&snapshot, cx.now(), |id, _| self.remove(id, position));
         for id in snapshot.missing.iter().filter(|_| replaced) {
-            self.mark_missing(id, position, cx.now() + LAPSE_GRACE);
+            self.mark_missing(id, position, cx.now() + LAPSE_GRACE, Source::Peer);
         }
     }
 
@@ -100,7 +101,7 @@
         }
         snapshot.gone.iter().for_each(|id| self.remove(id, position));
         for id in &snapshot.missing {
-            self.mark_missing(id, position, now + LAPSE_GRACE);
+            self.mark_missing(id, position, now + LAPSE_GRACE, Source::Peer);
         }
         // There may be more of them than are told to others, and not in their order.
         self.gateway.board.borrow_mut().recent_changes.reset(snapshot.knowledge);
@@ -126,7 +127,7 @@
                     self.remove(&id, revision);
                 }
                 UpstreamChange::Missing(id) => {
-                    self.mark_missing(&id, revision, now + LAPSE_GRACE);
+                    self.mark_missing(&id, revision, now + LAPSE_GRACE, Source::Peer);
                 }
                 UpstreamChange::Gone(id) => self.remove(&id, revision),
             }
@@ -199,6 +200,8 @@
         board.forget_lifetimes(now);
         let known: HashSet<Lifetime> = board.upstreams.values().map(|v| v.lifetime).collect();
         let serving = board.upstreams.values().filter(|v| v.takes_work()).count();
+        let missing = board.upstreams.values().filter(|v| v.missing_until.is_some()).count();
+        self.gateway.metrics.missing_rows.set(missing as i64);
         self.gateway.metrics.rate_limited.set(board.limits.limited() as i64);
         self.gateway.metrics.resting.set(board.rests.resting(now) as i64);
         drop(board);
@@ -232,9 +235,12 @@
     fn update(&self, upstream: Upstream, revision: Revision, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
         board.recent_changes.push(revision, UpstreamChange::Written(upstream.clone()), now);
+        let known = board.upstreams.get(&upstream.id);
+        let was_missing = known.is_some_and(|v| v.missing_until.is_some());
         let described = board.describe_at(upstream.clone(), revision, now);
         drop(board);
         let state = match (described, upstream.phase) {
+            (Described::Same, _) if was_missing => "back",
             (Described::Same, _) => return,
             (Described::StartedAgain, _) => "started_again",
             (Described::New | Described::PhaseChanged, UpstreamPhase::Ready) => "ready",
@@ -254,12 +260,12 @@
         let serves = board.upstreams.get(id).is_some_and(UpstreamView::takes_work);
         drop(board);
         match lapse_ends.filter(|_| serves) {
-            Some(until) => self.mark_missing(id, revision, until),
+            Some(until) => self.mark_missing(id, revision, until, Source::Store),
             None => self.remove(id, revision),
         }
     }
 
-    fn mark_missing(&self, id: &UpstreamId, revision: Revision, until: Instant) {
+    fn mark_missing(&self, id: &UpstreamId, revision: Revision, until: Instant, source: Source) {
         let mut board = self.gateway.board.borrow_mut();
         let Some(view) = board.upstreams.get_mut(id) else {
             return;
@@ -267,9 +273,17 @@
         view.missing_until = Some(until);
         view.changed = view.changed.max(revision);
         let upstream = view.upstream.clone();
-        board.recent_changes.push(revision, UpstreamChange::Missing(id.clone()), clock::now());
+        let now = clock::now();
+        board.recent_changes.push(revision, UpstreamChange::Missing(id.clone()), now);
         drop(board);
         self.log(&upstream, "missing", revision);
+        self.gateway.log(&Event::RowMissing {
+            upstream: id,
+            revision,
+            source: source.name(),
+            known_ms: self.gateway.age_ms(Followed::Upstreams, now).unwrap_or_default(),
+            for_ms: until.saturating_duration_since(now).as_millis() as u64,
+        });
     }
 
     fn remove(&self, id: &UpstreamId, revision: Revision) {
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod reading;
 mod rollouts;
+mod source;
 mod telling;
 mod usage_report;
 
@@ -25,7 +26,7 @@
 use super::context::Gateway;
 
 pub use capacity::Capacity;
-pub use configuration::{ConfigurationController, Source};
+pub use configuration::ConfigurationController;
 pub use crashes::Crashes;
 pub use directory::Directory;
 pub use duties::Duties;
@@ -34,6 +35,7 @@
 pub use peers::Peers;
 pub use reading::follow;
 pub use rollouts::Rollouts;
+pub use source::Source;
 
 /// The controllers, to which messages are handed.
 pub struct Controllers {
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -300,6 +300,7 @@
             upstreams: selected.revision,
             upstreams_age_ms: self.gateway.age_ms(Followed::Upstreams, now),
             leaving: selected.leaving,
+            row_missing: selected.row_missing,
         });
         Some(selected)
     }
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -56,6 +56,8 @@
     pub revision: u64,
     /// Whether it is known to leave.
     pub leaving: bool,
+    /// Whether its row is missing.
+    pub row_missing: bool,
     /// Versions that it belongs to, while another one is rolled out.
     pub side: Option<Side>,
 }
@@ -107,6 +109,7 @@
     let view = board.upstreams.get(&id)?;
     let (address, revision) = (view.upstream.address, board.upstreams_position());
     let (lifetime, leaving) = (view.lifetime, !view.takes_work());
+    let row_missing = view.missing_until.is_some();
     let side = board.rollouts.side_of(&admitted.service, &view.upstream.version);
     let missing = candidate.missing_tokens as u32;
     if let Some(shared) = shared {
@@ -137,6 +140,7 @@
         holders,
         revision,
         leaving,
+        row_missing,
         side,
     })
 }
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -107,6 +107,19 @@
         /// Revision of the store that says so.
         revision: u64,
     },
+    /// The row of an upstream was removed, and the upstream may serve on.
+    RowMissing {
+        /// The upstream.
+        upstream: &'a str,
+        /// Revision of the store that says so.
+        revision: u64,
+        /// Who said so: the store, or another gateway.
+        source: &'a str,
+        /// Time since its row was last known to be there, in milliseconds.
+        known_ms: u64,
+        /// How much longer its row may come back, in milliseconds.
+        for_ms: u64,
+    },
     /// The rate limit of an upstream has begun, changed or ended.
     RateLimit {
         /// The upstream.
@@ -293,6 +306,8 @@
         upstreams_age_ms: Option<u64>,
         /// Whether the upstream is known to leave.
         leaving: bool,
+        /// Whether the upstream's row is missing.
+        row_missing: bool,
     },
     /// An attempt failed.
     AttemptFailed {
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -68,6 +68,8 @@
     pub knowledge_age: Family<KnowledgeLabels, Gauge<f64, AtomicU64>>,
     /// Upstreams that take work.
     pub upstreams: Gauge,
+    /// Upstreams whose rows are missing and that may serve on.
+    pub missing_rows: Gauge,
     /// Gateways that are heard.
     pub peers: Gauge,
     /// Fencing number of the lease that this process holds; 0 for none.
@@ -111,6 +113,7 @@
             configuration: Gauge::default(),
             knowledge_age: Family::default(),
             upstreams: Gauge::default(),
+            missing_rows: Gauge::default(),
             peers: Gauge::default(),
             lease: Gauge::default(),
             in_progress: Gauge::default(),
@@ -137,6 +140,7 @@
         r.register("configuration_version", "Configuration", self.configuration.clone());
         r.register("knowledge_age_seconds", "Age of knowledge", self.knowledge_age.clone());
         r.register("upstreams", "Upstreams that take work", self.upstreams.clone());
+        r.register("missing_rows", "Rows that may come back", self.missing_rows.clone());
         r.register("peers", "Gateways that are heard", self.peers.clone());
         r.register("lease_fence", "Fencing number of the lease", self.lease.clone());
         r.register("in_progress", "Requests in progress", self.in_progress.clone());
