--- a/tests/gateway_freshness.rs
+++ b/tests/gateway_freshness.rs
@@ -109,53 +109,24 @@
     assert!(late.is_empty(), "{late:#?}");
 }
 
-/// Sends calls at all gateways for a while.
-fn send_calls(site: &Site, name: &str, time: Duration) {
-    let until = Instant::now() + time;
-    for n in 0.. {
-        if Instant::now() >= until {
-            return;
-        }
-        let to = site.gateways[n % site.gateways.len()].callers;
-        Call::new("GET", "/check/x", &format!("{name}-{n}")).send(to);
-        thread::sleep(Duration::from_millis(10));
-    }
-}
-
-/// Starts a plain upstream and waits until all gateways know it.
-fn add_upstream(site: &Site) -> String {
-    let id = site.add_upstream("app");
-    let known = |l: &Value| l["event"] == "upstream" && l["upstream"] == id.as_str();
-    wait_until("all know the upstream", || site.gateways.iter().all(|g| g.log().iter().any(known)));
-    id
-}
-
-/// Returns when the newest run at an upstream began, in milliseconds.
-fn last_run(site: &Site, upstream: &str) -> u64 {
-    let seen = site.seen();
-    let runs = seen["runs"].as_array().cloned().unwrap_or_default();
-    let there = runs.iter().filter(|r| r["upstream"] == upstream);
-    there.filter_map(|r| r["began_ms"].as_u64()).max().unwrap_or_default()
-}
-
 #[test]
 fn an_upstream_that_said_that_it_leaves_gets_nothing_after_an_outage() {
     let site = Site::start(GATEWAYS, 1, 0);
     let mut late = Vec::new();
     for (n, outage) in OUTAGES.into_iter().enumerate() {
         // All gateways use it first, so that they have connections to it and prefer it.
-        let leaving = add_upstream(&site);
-        send_calls(&site, &format!("before-{n}"), SETTLED);
-        let staying = add_upstream(&site);
+        let leaving = site.add_known_upstream("app");
+        site.send_calls(&format!("before-{n}"), SETTLED);
+        let staying = site.add_known_upstream("app");
         play(&site, outage);
         site.control("/state", &json!({ "id": leaving, "state": "draining" }));
-        let said = site.seen()["now_ms"].as_u64().expect("a time");
-        send_calls(&site, &format!("after-{n}"), 3 * BOUND);
-        let after = Duration::from_millis(last_run(&site, &leaving).saturating_sub(said));
+        let said = site.now_ms();
+        site.send_calls(&format!("after-{n}"), 3 * BOUND);
+        let after = Duration::from_millis(site.last_run(&leaving).saturating_sub(said));
         if after > BOUND {
             late.push(format!("{}: reached after {after:?}", outage.name));
         }
-        assert!(last_run(&site, &staying) > said, "{}: the other one is used", outage.name);
+        assert!(site.last_run(&staying) > said, "{}: the other one is used", outage.name);
         for id in [leaving, staying] {
             site.control("/remove", &json!({ "id": id }));
         }
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -6,7 +6,8 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command},
-    time::Duration,
+    thread,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -386,6 +387,49 @@
         self.control("/seen", &Value::Null)
     }
 
+    /// Returns what the store's clock shows, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.seen()["now_ms"].as_u64().expect("a time")
+    }
+
+    /// Starts an upstream and waits until all gateways know it.
+    pub fn add_known_upstream(&self, service: &str) -> String {
+        let id = self.add_upstream(service);
+        let known = |l: &Value| l["event"] == "upstream" && l["upstream"] == id.as_str();
+        wait_until("all know the upstream", || {
+            self.gateways.iter().all(|g| g.log().iter().any(known))
+        });
+        id
+    }
+
+    /// Sends calls that may be repeated at all gateways in turns for a while; returns those
+    /// that did not end well.
+    pub fn send_calls(&self, name: &str, time: Duration) -> Vec<String> {
+        let until = Instant::now() + time;
+        let mut failed = Vec::new();
+        for (n, gateway) in self.gateways.iter().cycle().enumerate() {
+            if Instant::now() >= until {
+                break;
+            }
+            let id = format!("{name}-{n}");
+            let answer = Call::new("GET", "/check/x", &id).send(gateway.callers);
+            let status = answer.map(|a| a.status);
+            if status != Some(StatusCode::OK) {
+                failed.push(format!("{id}: {status:?}"));
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        failed
+    }
+
+    /// Returns when the newest run at an upstream began, by the store's clock.
+    pub fn last_run(&self, upstream: &str) -> u64 {
+        let seen = self.seen();
+        let runs = seen["runs"].as_array().cloned().unwrap_or_default();
+        let there = runs.iter().filter(|r| r["upstream"] == upstream);
+        there.filter_map(|r| r["began_ms"].as_u64()).max().unwrap_or_default()
+    }
+
     /// Returns the runs of a request, in order.
     pub fn runs(&self, request: &str) -> Vec<Value> {
         let seen = self.seen();
