An upstream whose row was removed goes last, unless the store lost the rows

Cause: around an outage a removed row counts as one that may have lapsed, and its upstream took work like any other, idle ones beside it or not, for two seconds that each gateway began to count when it heard of the removal or was itself answered again, and looked at every half second.

Change: what is known of a removal is a fact with the moment up to which the row was known to be there and the one by which the store answered again, both by the store's clock, told as they are. A row that goes alone, or with a minority, is one of an upstream that may have left: it gets only what no other takes, for a second from when it was last known. Where most rows go, or all of a service, the store has lost them: their upstreams take work until 1.8 s after the earliest moment of its return. Design: decide/removal.rs.

--- /dev/null
+++ b/src/gateway/board/missing.rs
@@ -0,0 +1,102 @@
+//! Upstreams whose rows are missing and may come back.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use super::{Board, MissingRow, StoreState, store::LAPSE_SEEN};
+use crate::{
+    gateway::{
+        decide::{Removal, RowCount, StoreMillis, have_lapsed},
+        model::Revision,
+    },
+    ids::UpstreamId,
+};
+
+impl Board {
+    /// Returns what is known of a row that was removed at a revision, as an answer of the
+    /// store shows at `seen`; `None` if it cannot have lapsed. It may have done so long before
+    /// it shows: the list is not read the moment that some other call finds the store back.
+    pub fn removal(&self, revision: Revision, seen: StoreMillis, now: Instant) -> Option<Removal> {
+        if self.store_was_there(now) {
+            return None;
+        }
+        let answered = match self.store {
+            StoreState::Up => return None,
+            StoreState::Away(_) => seen,
+            StoreState::Returned(at) if now < at + LAPSE_SEEN || self.upstreams_seen(now) <= at => {
+                let ago = now.saturating_duration_since(at).as_millis() as StoreMillis;
+                seen.min(self.store_time(now).saturating_sub(ago))
+            }
+            StoreState::Returned(_) => return None,
+        };
+        let known = self.upstreams_knowledge.map_or(0, |k| k.as_of);
+        Some(Removal { revision, known, answered, lapsed: false })
+    }
+
+    /// Notes that the row of an upstream is missing; returns whether that is new, and `None`
+    /// if the upstream is not known.
+    pub fn note_missing(
+        &mut self,
+        id: &UpstreamId,
+        removal: Removal,
+        now: Instant,
+    ) -> Option<bool> {
+        let store_now = self.store_time(now);
+        let view = self.upstreams.get_mut(id)?;
+        let is_new = view.missing.is_none();
+        let mut row = view.missing.unwrap_or(MissingRow {
+            removal,
+            listed: view.changed,
+            since: now,
+            until: now,
+        });
+        row.removal.merge(removal);
+        let age = Duration::from_millis(store_now.saturating_sub(row.removal.known));
+        row.since = now.checked_sub(age).unwrap_or(row.since);
+        let left = row.removal.may_come_back_until().saturating_sub(store_now);
+        row.until = now + Duration::from_millis(left);
+        view.missing = Some(row);
+        view.changed = view.changed.max(removal.revision);
+        Some(is_new)
+    }
+
+    /// Finds the missing rows that have lapsed, by what is missing beside them; returns those
+    /// that were not known to have.
+    pub fn find_lapsed_rows(&mut self) -> Vec<(UpstreamId, Removal)> {
+        let mut of_all = RowCount::default();
+        let mut of_services: BTreeMap<&str, RowCount> = BTreeMap::new();
+        for view in self.upstreams.values().filter(|v| !v.has_said_that_it_leaves()) {
+            let is_missing = view.missing.is_some();
+            of_all.add(is_missing);
+            of_services.entry(&view.upstream.service).or_default().add(is_missing);
+        }
+        let lapsed: Vec<UpstreamId> = (self.upstreams.values())
+            .filter(|v| v.missing.is_some_and(|row| !row.removal.lapsed))
+            .filter(|v| {
+                let of_service = of_services.get(v.upstream.service.as_str());
+                of_service.is_some_and(|count| have_lapsed(*count, of_all))
+            })
+            .map(|v| v.upstream.id.clone())
+            .collect();
+        let mark = |id: UpstreamId| {
+            let row = self.upstreams.get_mut(&id)?.missing.as_mut()?;
+            row.removal.lapsed = true;
+            Some((id, row.removal))
+        };
+        lapsed.into_iter().filter_map(mark).collect()
+    }
+
+    /// Returns the removal of an upstream's row, if it is missing and the word on a removal at
+    /// `revision` is about the same one: the row was there before, and was not written since.
+    pub fn same_removal(&self, id: &UpstreamId, revision: Revision) -> Option<Removal> {
+        let row = self.upstreams.get(id)?.missing?;
+        (revision > row.listed).then_some(row.removal)
+    }
+
+    /// Returns when the first of the missing rows is no longer expected back.
+    pub fn next_row_given_up(&self) -> Option<Instant> {
+        self.upstreams.values().filter_map(|v| v.missing).map(|row| row.until).min()
+    }
+}
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -9,6 +9,7 @@
 mod lifetimes;
 mod limits;
 mod loads;
+mod missing;
 mod outcomes;
 mod peers;
 mod removals;
@@ -41,12 +42,11 @@
 use loads::OthersLoad;
 use outcomes::SharedOutcomes;
 use removals::Removals;
-use store::LAPSE_SEEN;
 
 pub use lease::{LeaseView, OwnLease};
 pub use peers::PeerView;
-pub use store::{LAPSE_GRACE, StoreState};
-pub use upstream::{Described, Load, UpstreamView};
+pub use store::StoreState;
+pub use upstream::{Described, Load, MissingRow, UpstreamView};
 
 /// Between heartbeats: load that is older misleads the choice of engines.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(150);
@@ -205,22 +205,6 @@
         self.verdicts_known || now.saturating_duration_since(self.started) >= RECALL_WAIT
     }
 
-    /// Returns until when a row that disappears may come back: it may have
-    /// lapsed while the store was away. It may have done so long before it shows: the list
-    /// is not read the moment that some other call finds the store back.
-    pub fn lapse_ends(&self, now: Instant) -> Option<Instant> {
-        let seen = self.upstreams_seen(now);
-        match self.store {
-            _ if self.store_was_there(now) => None,
-            StoreState::Up => None,
-            StoreState::Away(_) => Some(now + LAPSE_GRACE),
-            StoreState::Returned(at) if now < at + LAPSE_SEEN || seen <= at => {
-                Some(at + LAPSE_GRACE)
-            }
-            StoreState::Returned(_) => None,
-        }
-    }
-
     /// Returns when the list of upstreams was last known to be the newest.
     fn upstreams_seen(&self, now: Instant) -> Instant {
         let age = self.age(Followed::Upstreams, now).unwrap_or_default();
@@ -253,13 +237,13 @@
         }
         let after = if gone.is_some() { after } else { 0 };
         let changed = || self.upstreams.values().filter(move |v| after == 0 || v.changed > after);
-        let missing = changed().filter(|v| v.missing_until.is_some());
+        let missing = changed().filter_map(|v| Some((v.upstream.id.clone(), v.missing?.removal)));
         UpstreamSnapshot {
             after,
             knowledge: self.upstreams_knowledge.unwrap_or_default(),
             last_change: self.upstreams_last_change,
             upstreams: changed().map(|v| v.upstream.clone()).collect(),
-            missing: missing.map(|v| v.upstream.id.clone()).collect(),
+            missing: missing.collect(),
             gone: gone.unwrap_or_default(),
         }
     }
--- a/src/gateway/board/store.rs
+++ b/src/gateway/board/store.rs
@@ -2,9 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-/// Time after the store's return in which rows that lapsed while it was away
-/// are back, if their upstreams live; the platform's figure.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 /// Time after the store's return in which a row that disappears may have
 /// lapsed while it was away: such rows show with the first answers.
 pub(super) const LAPSE_SEEN: Duration = Duration::from_millis(700);
--- a/src/gateway/board/upstream.rs
+++ b/src/gateway/board/upstream.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::{
-    decide::{Breaker, OutcomeMeter},
+    decide::{Breaker, OutcomeMeter, Removal},
     model::{Lifetime, Revision, Upstream, UpstreamPhase},
 };
 
@@ -16,6 +16,19 @@
     pub pending_tokens: u32,
 }
 
+/// The row of an upstream while it is missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MissingRow {
+    /// What is known of its removal.
+    pub removal: Removal,
+    /// Revision at which the row was there.
+    pub listed: Revision,
+    /// Since when the upstream may have left.
+    pub since: Instant,
+    /// Until when the row may come back.
+    pub until: Instant,
+}
+
 /// An upstream as this process knows it.
 #[derive(Clone, Debug)]
 pub struct UpstreamView {
@@ -31,8 +44,8 @@
     pub breaker: Breaker,
     /// How it answered this process.
     pub outcomes: OutcomeMeter,
-    /// Until when its row may be missing: that may be the store's fault.
-    pub missing_until: Option<Instant>,
+    /// Its row, if that is missing and may come back.
+    pub missing: Option<MissingRow>,
     /// Since when it may have said that it leaves, if it has.
     pub leaving_since: Option<Instant>,
     /// Since when its own answers say that it leaves, if they do.
@@ -67,7 +80,7 @@
             own: Load::default(),
             breaker: Breaker::new(now),
             outcomes: OutcomeMeter::new(now),
-            missing_until: None,
+            missing: None,
             leaving_since: None,
             said_leaving: None,
         }
@@ -75,7 +88,13 @@
 
     /// Returns whether it takes new work.
     pub fn takes_work(&self) -> bool {
-        self.upstream.phase == UpstreamPhase::Ready && self.said_leaving.is_none()
+        let may_have_left = self.missing.is_some_and(|row| !row.removal.lapsed);
+        !self.has_said_that_it_leaves() && !may_have_left
+    }
+
+    /// Returns whether it has said that it leaves, in its row or in its answers.
+    pub fn has_said_that_it_leaves(&self) -> bool {
+        self.upstream.phase == UpstreamPhase::Draining || self.said_leaving.is_some()
     }
 
     /// Takes over its newer description. One that does not say when the upstream
@@ -92,13 +111,14 @@
             self.leaving_since = (upstream.phase == UpstreamPhase::Draining).then_some(seen);
         }
         self.upstream = upstream;
-        self.missing_until = None;
+        self.missing = None;
         if changed { Described::PhaseChanged } else { Described::Same }
     }
 
     /// Returns whether it still takes requests that no other upstream takes.
     pub fn is_last_resort(&self, now: Instant) -> bool {
-        let since = [self.leaving_since, self.said_leaving].into_iter().flatten().min();
+        let removed = self.missing.filter(|row| !row.removal.lapsed).map(|row| row.since);
+        let since = [self.leaving_since, self.said_leaving, removed].into_iter().flatten().min();
         since.is_some_and(|t| now.saturating_duration_since(t) < LAST_RESORT)
     }
 }
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -1,8 +1,7 @@
 //! Keeps the list of upstreams.
 //!
-//! A row that disappears means that the upstream is gone, unless the store was
-//! away shortly before: then leases of upstreams that live may have lapsed, and
-//! the upstream has some time to appear again.
+//! A row that disappears means that the upstream is gone, unless the store was away shortly
+//! before (see `missing_rows`).
 //!
 //! Few processes read the store; the others take over what these tell, and up to where
 //! it is known.
@@ -15,14 +14,12 @@
 
 use stakker::{CX, call, timer_max};
 
-use super::Source;
 use crate::{
-    clock,
     gateway::{
-        board::{Described, LAPSE_GRACE, UpstreamView},
+        board::Described,
         context::Gateway,
-        decide::Knowledge,
-        model::{Followed, Lifetime, Revision, Upstream, UpstreamPhase},
+        decide::{Knowledge, Removal},
+        model::{Lifetime, Revision, Upstream, UpstreamPhase},
         peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
         telemetry::Event,
     },
@@ -37,7 +34,7 @@
 /// Controller of the list of upstreams.
 #[derive(Debug)]
 pub struct Directory {
-    gateway: Rc<Gateway>,
+    pub(super) gateway: Rc<Gateway>,
     timer: stakker::MaxTimerKey,
     /// Rows that name no upstream, each with the cause that was logged.
     rejected: BTreeMap<UpstreamId, &'static str>,
@@ -64,10 +61,12 @@
         let knowledge = Knowledge { position, as_of: snapshot.as_of };
         let snapshot =
             UpstreamSnapshot { knowledge, last_change, upstreams, ..UpstreamSnapshot::default() };
-        let replaced = self.replace(&snapshot, cx.now(), |id, now| self.missing(id, position, now));
+        let seen = knowledge.as_of;
+        let absent = |id: &UpstreamId, now| self.removed(id, position, seen, now);
+        let replaced = self.replace(&snapshot, cx.now(), absent);
         // These rows are there, so no lapse excuses what they no longer name.
         for id in self.rejected.keys().filter(|_| replaced) {
-            self.remove(id, position);
+            self.remove(id, position, cx.now());
         }
     }
 
@@ -84,10 +83,7 @@
             return;
         }
         let position = snapshot.knowledge.position;
-        let replaced = self.replace(&snapshot, cx.now(), |id, _| self.remove(id, position));
-        for id in snapshot.missing.iter().filter(|_| replaced) {
-            self.mark_missing(id, position, cx.now() + LAPSE_GRACE, Source::Peer);
-        }
+        self.replace(&snapshot, cx.now(), |id, now| self.remove(id, position, now));
     }
 
     fn take_changes(&self, snapshot: UpstreamSnapshot, now: Instant) {
@@ -96,13 +92,8 @@
         if snapshot.after > known || position < known {
             return;
         }
-        for upstream in snapshot.upstreams {
-            self.update(upstream, position, now);
-        }
-        snapshot.gone.iter().for_each(|id| self.remove(id, position));
-        for id in &snapshot.missing {
-            self.mark_missing(id, position, now + LAPSE_GRACE, Source::Peer);
-        }
+        self.take_upstreams(&snapshot, now);
+        snapshot.gone.iter().for_each(|id| self.remove(id, position, now));
         // There may be more of them than are told to others, and not in their order.
         self.gateway.board.borrow_mut().recent_changes.reset(snapshot.knowledge);
         self.advance(snapshot.knowledge, snapshot.last_change);
@@ -118,18 +109,15 @@
             return;
         };
         let mut last_change = 0;
-        for (revision, change) in recent.changes.into_iter().filter(|(r, _)| *r > known) {
+        for (revision, change) in recent.changes {
+            if revision <= known {
+                continue;
+            }
             last_change = revision;
             match change {
                 UpstreamChange::Written(upstream) => self.update(upstream, revision, now),
-                // That gateway may have been cut off itself.
-                UpstreamChange::Missing(id) if self.store_was_there(now) => {
-                    self.remove(&id, revision);
-                }
-                UpstreamChange::Missing(id) => {
-                    self.mark_missing(&id, revision, now + LAPSE_GRACE, Source::Peer);
-                }
-                UpstreamChange::Gone(id) => self.remove(&id, revision),
+                UpstreamChange::Missing(id, removal) => self.told_missing(&id, removal, now),
+                UpstreamChange::Gone(id) => self.remove(&id, revision, now),
             }
         }
         self.advance(recent.knowledge, last_change);
@@ -147,9 +135,7 @@
             return false;
         }
         let listed: BTreeSet<&UpstreamId> = snapshot.upstreams.iter().map(|u| &u.id).collect();
-        for upstream in &snapshot.upstreams {
-            self.update(upstream.clone(), position, now);
-        }
+        self.take_upstreams(snapshot, now);
         let known: Vec<UpstreamId> =
             self.gateway.board.borrow().upstreams.keys().cloned().collect();
         for id in known.iter().filter(|id| !listed.contains(id)) {
@@ -164,6 +150,18 @@
         true
     }
 
+    fn take_upstreams(&self, snapshot: &UpstreamSnapshot, now: Instant) {
+        let position = snapshot.knowledge.position;
+        let missing: BTreeMap<&UpstreamId, Removal> =
+            snapshot.missing.iter().map(|(id, removal)| (id, *removal)).collect();
+        for upstream in &snapshot.upstreams {
+            match missing.get(&upstream.id) {
+                Some(removal) => self.copy_missing(upstream.clone(), *removal, now),
+                None => self.update(upstream.clone(), position, now),
+            }
+        }
+    }
+
     /// Takes over changes from the store's feed. Those that another gateway told earlier
     /// are passed over.
     pub fn changes(&mut self, cx: CX![], feed: Feed) {
@@ -177,13 +175,13 @@
                     match self.decode(&row) {
                         Some(upstream) => self.update(upstream, row.revision, now),
                         // Whoever wrote it, no upstream is named there any more.
-                        None => self.remove(&row.key, row.revision),
+                        None => self.remove(&row.key, row.revision, now),
                     }
                 }
                 Change::Removed(id, revision) if revision > known => {
                     last_change = last_change.max(revision);
                     self.rejected.remove(&id);
-                    self.missing(&id, revision, now);
+                    self.removed(&id, revision, feed.as_of, now);
                 }
                 Change::Written(_) | Change::Removed(..) => {}
             }
@@ -194,13 +192,15 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        timer_max!(&mut self.timer, now + PERIOD, [cx], tick());
         self.drop_missing(now);
+        let given_up = self.gateway.board.borrow().next_row_given_up();
+        let next = given_up.map_or(now + PERIOD, |at| at.min(now + PERIOD));
+        timer_max!(&mut self.timer, next, [cx], tick());
         let mut board = self.gateway.board.borrow_mut();
         board.forget_lifetimes(now);
         let known: HashSet<Lifetime> = board.upstreams.values().map(|v| v.lifetime).collect();
         let serving = board.upstreams.values().filter(|v| v.takes_work()).count();
-        let missing = board.upstreams.values().filter(|v| v.missing_until.is_some()).count();
+        let missing = board.upstreams.values().filter(|v| v.missing.is_some()).count();
         self.gateway.metrics.missing_rows.set(missing as i64);
         self.gateway.metrics.rate_limited.set(board.limits.limited() as i64);
         self.gateway.metrics.resting.set(board.rests.resting(now) as i64);
@@ -232,11 +232,11 @@
         None
     }
 
-    fn update(&self, upstream: Upstream, revision: Revision, now: Instant) {
+    pub(super) fn update(&self, upstream: Upstream, revision: Revision, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
         board.recent_changes.push(revision, UpstreamChange::Written(upstream.clone()), now);
         let known = board.upstreams.get(&upstream.id);
-        let was_missing = known.is_some_and(|v| v.missing_until.is_some());
+        let was_missing = known.is_some_and(|v| v.missing.is_some());
         let described = board.describe_at(upstream.clone(), revision, now);
         drop(board);
         let state = match (described, upstream.phase) {
@@ -249,56 +249,19 @@
         self.log(&upstream, state, revision);
     }
 
-    fn store_was_there(&self, now: Instant) -> bool {
-        self.gateway.board.borrow().store_was_there(now)
-    }
-
-    /// Handles the removal of a row.
-    fn missing(&self, id: &UpstreamId, revision: Revision, now: Instant) {
-        let board = self.gateway.board.borrow();
-        let lapse_ends = board.lapse_ends(now);
-        let serves = board.upstreams.get(id).is_some_and(UpstreamView::takes_work);
-        drop(board);
-        match lapse_ends.filter(|_| serves) {
-            Some(until) => self.mark_missing(id, revision, until, Source::Store),
-            None => self.remove(id, revision),
-        }
-    }
-
-    fn mark_missing(&self, id: &UpstreamId, revision: Revision, until: Instant, source: Source) {
-        let mut board = self.gateway.board.borrow_mut();
-        let Some(view) = board.upstreams.get_mut(id) else {
-            return;
-        };
-        view.missing_until = Some(until);
-        view.changed = view.changed.max(revision);
-        let upstream = view.upstream.clone();
-        let now = clock::now();
-        board.recent_changes.push(revision, UpstreamChange::Missing(id.clone()), now);
-        drop(board);
-        self.log(&upstream, "missing", revision);
-        self.gateway.log(&Event::RowMissing {
-            upstream: id,
-            revision,
-            source: source.name(),
-            known_ms: self.gateway.age_ms(Followed::Upstreams, now).unwrap_or_default(),
-            for_ms: until.saturating_duration_since(now).as_millis() as u64,
-        });
-    }
-
-    fn remove(&self, id: &UpstreamId, revision: Revision) {
+    pub(super) fn remove(&self, id: &UpstreamId, revision: Revision, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
         // Others may know it that ask what has changed.
         board.removals.note(revision, id.clone());
         let Some(view) = board.upstreams.remove(id) else {
             return;
         };
-        board.recent_changes.push(revision, UpstreamChange::Gone(id.clone()), clock::now());
+        board.recent_changes.push(revision, UpstreamChange::Gone(id.clone()), now);
         drop(board);
         self.log(&view.upstream, "gone", revision);
     }
 
-    fn log(&self, upstream: &Upstream, state: &str, revision: Revision) {
+    pub(super) fn log(&self, upstream: &Upstream, state: &str, revision: Revision) {
         self.gateway.log(&Event::Upstream {
             upstream: &upstream.id,
             service: &upstream.service,
@@ -309,24 +272,6 @@
         });
     }
 
-    /// Drops upstreams whose rows stayed away after the store's return. Each
-    /// process does so by itself: the store has no revision for it.
-    fn drop_missing(&self, now: Instant) {
-        let was_there = self.store_was_there(now);
-        let mut board = self.gateway.board.borrow_mut();
-        let over = |v: &UpstreamView| v.missing_until.is_some_and(|u| was_there || now >= u);
-        let missing = board.upstreams.iter().filter(|(_, v)| over(v));
-        let ids: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
-        let gone: Vec<UpstreamView> =
-            ids.iter().filter_map(|id| board.upstreams.remove(id)).collect();
-        let revision = board.upstreams_position();
-        ids.into_iter().for_each(|id| board.removals.note(revision, id));
-        drop(board);
-        for view in &gone {
-            self.log(&view.upstream, "gone", revision);
-        }
-    }
-
     fn advance(&self, knowledge: Knowledge, last_change: Revision) {
         let mut board = self.gateway.board.borrow_mut();
         board.upstreams_knowledge.get_or_insert(knowledge).advance(knowledge);
--- /dev/null
+++ b/src/gateway/controllers/missing_rows.rs
@@ -0,0 +1,116 @@
+//! Rows of upstreams that disappear: which upstreams are gone, and which may serve on.
+
+use std::time::Instant;
+
+use super::{Source, directory::Directory};
+use crate::{
+    gateway::{
+        board::UpstreamView,
+        decide::{Removal, StoreMillis},
+        model::{Revision, Upstream},
+        peering::UpstreamChange,
+        telemetry::Event,
+    },
+    ids::UpstreamId,
+};
+
+impl Directory {
+    /// Handles the removal of a row that an answer of the store shows at `seen`.
+    pub(super) fn removed(
+        &self,
+        id: &UpstreamId,
+        revision: Revision,
+        seen: StoreMillis,
+        now: Instant,
+    ) {
+        let board = self.gateway.board.borrow();
+        let removal = board.removal(revision, seen, now);
+        let serves = board.upstreams.get(id).is_some_and(|v| !v.has_said_that_it_leaves());
+        drop(board);
+        match removal.filter(|_| serves) {
+            Some(removal) => self.mark_missing(id, removal, Source::Store, now),
+            None => self.remove(id, revision, now),
+        }
+    }
+
+    /// Handles the word of another gateway that a row is missing.
+    pub(super) fn told_missing(&self, id: &UpstreamId, removal: Removal, now: Instant) {
+        // That gateway may have been cut off itself.
+        let was_there = self.gateway.board.borrow().store_was_there(now);
+        match was_there {
+            true => self.remove(id, removal.revision, now),
+            false => self.mark_missing(id, removal, Source::Peer, now),
+        }
+    }
+
+    /// Takes over an upstream whose row is missing at another gateway.
+    pub(super) fn copy_missing(&self, upstream: Upstream, removal: Removal, now: Instant) {
+        let id = upstream.id.clone();
+        let known = self.gateway.board.borrow().same_removal(&id, removal.revision);
+        if known.is_none() {
+            self.update(upstream, removal.revision.saturating_sub(1), now);
+        }
+        self.mark_missing(&id, removal, Source::Peer, now);
+    }
+
+    fn mark_missing(&self, id: &UpstreamId, removal: Removal, source: Source, now: Instant) {
+        let mut guard = self.gateway.board.borrow_mut();
+        let board = &mut *guard;
+        let Some(is_new) = board.note_missing(id, removal, now) else {
+            return;
+        };
+        let Some(row) = board.upstreams[id].missing else {
+            return;
+        };
+        let change = UpstreamChange::Missing(id.clone(), row.removal);
+        match is_new {
+            true => board.recent_changes.push(removal.revision, change, now),
+            false => board.recent_changes.amend(id, change),
+        }
+        let lapsed = board.find_lapsed_rows();
+        for (id, removal) in &lapsed {
+            board.recent_changes.amend(id, UpstreamChange::Missing(id.clone(), *removal));
+        }
+        let upstream = board.upstreams[id].upstream.clone();
+        let known_ms = board.store_time(now).saturating_sub(row.removal.known);
+        drop(guard);
+        if is_new {
+            self.log(&upstream, "missing", removal.revision);
+            self.gateway.log(&Event::RowMissing {
+                upstream: id,
+                revision: removal.revision,
+                source: source.name(),
+                known_ms,
+                for_ms: row.until.saturating_duration_since(now).as_millis() as u64,
+                lapsed: row.removal.lapsed,
+            });
+        }
+        for (id, removal) in &lapsed {
+            self.gateway.log(&Event::RowLapsed { upstream: id, revision: removal.revision });
+        }
+    }
+
+    /// Drops upstreams whose rows stayed away. Each process does so by itself: the store has
+    /// no revision for it.
+    pub(super) fn drop_missing(&self, now: Instant) {
+        let board = self.gateway.board.borrow();
+        let was_there = board.store_was_there(now);
+        let over = |v: &UpstreamView| v.missing.is_some_and(|row| was_there || now >= row.until);
+        let missing = board.upstreams.iter().filter(|(_, v)| over(v));
+        let ids: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
+        drop(board);
+        self.drop_upstreams(ids);
+    }
+
+    fn drop_upstreams(&self, ids: Vec<UpstreamId>) {
+        let mut board = self.gateway.board.borrow_mut();
+        let revision = board.upstreams_position();
+        let gone: Vec<UpstreamView> =
+            ids.iter().filter_map(|id| board.upstreams.remove(id)).collect();
+        ids.into_iter().for_each(|id| board.removals.note(revision, id));
+        drop(board);
+        for view in &gone {
+            self.log(&view.upstream, "gone", revision);
+        }
+    }
+}
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -11,6 +11,7 @@
 mod joining;
 mod kept;
 mod leaving;
+mod missing_rows;
 mod peers;
 mod reading;
 mod rollouts;
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -20,6 +20,7 @@
 mod quota;
 mod rate_limit;
 mod reading;
+mod removal;
 mod reporting;
 mod rest;
 mod retry;
@@ -55,6 +56,7 @@
     GRANT_RETRY, Holder, HolderAnswer, LimitBook, LimitMembers, LimitNotice, LimitReport,
 };
 pub use reading::{READERS, Reader, Turn, rank, turn, wait_at_start};
+pub use removal::{Removal, RowCount, have_lapsed};
 pub use reporting::{beats_a_report, wait_after_takeover};
 pub use rest::RestBook;
 pub use retry::{RetryBook, RetryTerms};
--- a/src/gateway/decide/reading.rs
+++ b/src/gateway/decide/reading.rs
@@ -13,9 +13,11 @@
 /// Gateways that read the store for all. Each call is paid for; three leave one when two
 /// are cut off.
 pub const READERS: usize = 3;
-/// Between calls of one reader. Some call has then begun within a third of it, which leaves
+/// Between calls of one reader. Some call has then begun within `CALL_SPACING`, which leaves
 /// time for the news to go round within a second.
-const PERIOD: Duration = Duration::from_millis(1_500);
+const PERIOD: Duration = Duration::from_millis(CALL_SPACING.as_millis() as u64 * READERS as u64);
+/// Between calls of all readers together.
+pub const CALL_SPACING: Duration = Duration::from_millis(500);
 /// Shortest wait of a call.
 const SHORTEST_WAIT: Duration = Duration::from_millis(150);
 /// Age of knowledge at which gateways that are no readers call, too: older than it grows
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -217,7 +217,7 @@
 
 /// First byte of a heartbeat. To be raised with every change of [`Heartbeat`]: its
 /// fields are told by their places, so another version would misread them.
-const FORMAT: u8 = 6;
+const FORMAT: u8 = 7;
 
 /// A heartbeat that another gateway passes on.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/peering/snapshot.rs
+++ b/src/gateway/peering/snapshot.rs
@@ -10,7 +10,7 @@
 use super::WireError;
 use crate::{
     gateway::{
-        decide::Knowledge,
+        decide::{Knowledge, Removal},
         model::{Revision, Upstream},
     },
     ids::UpstreamId,
@@ -28,13 +28,13 @@
     /// The upstreams.
     pub upstreams: Vec<Upstream>,
     /// Those among them whose rows are missing and may be back soon.
-    pub missing: Vec<UpstreamId>,
+    pub missing: Vec<(UpstreamId, Removal)>,
     /// Upstreams that are gone, in a snapshot of changes.
     pub gone: Vec<UpstreamId>,
 }
 
 /// First byte of a snapshot; see the one of heartbeats.
-const SNAPSHOT_FORMAT: u8 = 0x53;
+const SNAPSHOT_FORMAT: u8 = 0x54;
 
 impl UpstreamSnapshot {
     /// Encodes the snapshot by places: of thousands of upstreams, names of fields would be
@@ -68,11 +68,21 @@
     /// It described itself anew.
     Written(Upstream),
     /// Its row is missing and may be back soon.
-    Missing(UpstreamId),
+    Missing(UpstreamId, Removal),
     /// It is gone.
     Gone(UpstreamId),
 }
 
+impl UpstreamChange {
+    /// Returns the upstream.
+    pub fn upstream(&self) -> &UpstreamId {
+        match self {
+            Self::Written(upstream) => &upstream.id,
+            Self::Missing(id, _) | Self::Gone(id) => id,
+        }
+    }
+}
+
 /// All changes of upstreams after one revision of the store, up to another.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecentChanges {
@@ -107,6 +117,15 @@
         }
     }
 
+    /// Replaces what was told of a missing row by what is known of it now.
+    pub fn amend(&mut self, upstream: &UpstreamId, known: UpstreamChange) {
+        let told = self.changes.iter_mut().rev().map(|(_, change)| change);
+        let newest = told.into_iter().find(|change| change.upstream() == upstream);
+        if let Some(change @ UpstreamChange::Missing(..)) = newest {
+            *change = known;
+        }
+    }
+
     /// Forgets changes that have been told for long enough.
     pub fn forget(&mut self, now: Instant, told: Duration) {
         while self.noted.front().is_some_and(|t| now.saturating_duration_since(*t) > told) {
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -109,7 +109,7 @@
     let view = board.upstreams.get(&id)?;
     let (address, revision) = (view.upstream.address, board.upstreams_position());
     let (lifetime, leaving) = (view.lifetime, !view.takes_work());
-    let row_missing = view.missing_until.is_some();
+    let row_missing = view.missing.is_some();
     let side = board.rollouts.side_of(&admitted.service, &view.upstream.version);
     let missing = candidate.missing_tokens as u32;
     if let Some(shared) = shared {
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -119,6 +119,16 @@
         known_ms: u64,
         /// How much longer its row may come back, in milliseconds.
         for_ms: u64,
+        /// Whether it has lapsed, as others that are missing show.
+        lapsed: bool,
+    },
+    /// A row that is missing has lapsed, as others that are missing show: its upstream takes
+    /// work until it has had time to write it again.
+    RowLapsed {
+        /// The upstream.
+        upstream: &'a str,
+        /// Revision of the store that removed the row.
+        revision: u64,
     },
     /// The rate limit of an upstream has begun, changed or ended.
     RateLimit {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -10,8 +10,8 @@
 use tackhollow::gateway::{
     board::{Board, StoreState},
     decide::{
-        CapacityRecord, Kept, Knowledge, OrderKey, OrderReport, QuotaBook, RetryBook, RetryTerms,
-        TrueClock, UsageBook, beats_a_report,
+        CapacityRecord, Kept, Knowledge, OrderKey, OrderReport, QuotaBook, Removal, RetryBook,
+        RetryTerms, TrueClock, UsageBook, beats_a_report,
     },
     request::EventSplitter,
 };
@@ -178,7 +178,7 @@
         let mut board = Board::new(TrueClock::new(start, 0), start);
         board.store = case.store;
         case.answers.iter().for_each(|at| board.steadiness.note(true, start + ms(*at)));
-        assert_eq!(board.lapse_ends(now).is_some(), case.excused, "{}", case.name);
+        assert_eq!(board.removal(7, 0, now).is_some(), case.excused, "{}", case.name);
     }
 }
 
@@ -204,9 +204,9 @@
         board.store = StoreState::Returned(now - ms(1_000));
         board.store_clock.note(60_000, now);
         board.upstreams_knowledge = Some(Knowledge { position: 1, as_of: 60_000 - case.seen_ago });
-        let until = board.lapse_ends(now);
+        let until = board.removal(2, 60_000, now).map(Removal::may_come_back_until);
         assert_eq!(until.is_some(), case.excused, "{}", case.name);
-        assert!(until.is_none_or(|t| t <= now + ms(1_000)), "{}: from the return", case.name);
+        assert!(until.is_none_or(|t| t <= 61_000), "{}: from the return", case.name);
     }
 }
 
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -4,7 +4,11 @@
 
 use support::directory::{Bench, row};
 use tackhollow::{
-    gateway::{decide::Knowledge, model::UpstreamPhase, peering::UpstreamSnapshot},
+    gateway::{
+        decide::{Knowledge, Removal},
+        model::UpstreamPhase,
+        peering::UpstreamSnapshot,
+    },
     platform::{Change, Feed, Snapshot, StoreRow},
 };
 
@@ -62,15 +66,16 @@
     for (position, missing) in [(3, false), (6, true)] {
         let upstreams: Vec<_> =
             bench.gateway.board.borrow().upstreams.values().map(|v| v.upstream.clone()).collect();
+        let removal = Removal { revision: position, known: 4, answered: position, lapsed: false };
         let snapshot = UpstreamSnapshot {
             knowledge: Knowledge { position, as_of: position },
             last_change: 4,
             upstreams,
-            missing: vec!["i-1".to_owned()],
+            missing: vec![("i-1".to_owned(), removal)],
             ..UpstreamSnapshot::default()
         };
         bench.copy(snapshot);
-        let marked = bench.gateway.board.borrow().upstreams["i-1"].missing_until.is_some();
+        let marked = bench.gateway.board.borrow().upstreams["i-1"].missing.is_some();
         assert_eq!(marked, missing, "at {position}");
     }
 }
--- /dev/null
+++ b/tests/gateway_removal_facts.rs
@@ -0,0 +1,189 @@
+//! What is known of removed rows: how it merges, how long it counts, and what it decides.
+
+#[path = "support/upstreams.rs"]
+mod upstreams;
+
+use std::time::{Duration, Instant};
+
+use tackhollow::gateway::{
+    board::Board,
+    decide::{Knowledge, Removal, RowCount, TrueClock, have_lapsed},
+    model::{Upstream, UpstreamPhase},
+};
+use upstreams::upstream;
+
+/// What the store's clock shows at the begin of a case.
+const STORE_START: u64 = 50_000;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn rows_have_lapsed_if_most_went_or_none_of_their_service_is_left() {
+    struct Case {
+        name: &'static str,
+        of_service: RowCount,
+        of_all: RowCount,
+        lapsed: bool,
+    }
+    let rows = |missing, known| RowCount { known, missing };
+    let cases = [
+        Case { name: "one of many", of_service: rows(1, 18), of_all: rows(1, 22), lapsed: false },
+        Case { name: "a third", of_service: rows(7, 18), of_all: rows(7, 22), lapsed: false },
+        Case { name: "half of all", of_service: rows(11, 18), of_all: rows(11, 22), lapsed: false },
+        Case { name: "most of all", of_service: rows(8, 18), of_all: rows(12, 22), lapsed: true },
+        Case {
+            name: "most of a small service",
+            of_service: rows(3, 4),
+            of_all: rows(3, 22),
+            lapsed: false,
+        },
+        Case { name: "a whole service", of_service: rows(4, 4), of_all: rows(4, 22), lapsed: true },
+        Case { name: "the only one", of_service: rows(1, 1), of_all: rows(1, 1), lapsed: true },
+    ];
+    for case in cases {
+        assert_eq!(have_lapsed(case.of_service, case.of_all), case.lapsed, "{}", case.name);
+    }
+}
+
+#[test]
+fn what_gateways_know_of_a_removal_merges_in_any_order() {
+    let facts = [
+        Removal { revision: 7, known: 100, answered: 900, lapsed: false },
+        Removal { revision: 9, known: 400, answered: 950, lapsed: true },
+        Removal { revision: 8, known: 300, answered: 700, lapsed: false },
+    ];
+    let merged = |order: [usize; 4]| {
+        let mut removal = facts[order[0]];
+        for i in order {
+            removal.merge(facts[i]);
+        }
+        removal
+    };
+    let all = Removal { revision: 7, known: 400, answered: 700, lapsed: true };
+    for order in [[0, 1, 2, 0], [2, 1, 0, 2], [1, 0, 2, 1], [1, 2, 0, 0], [0, 2, 1, 1]] {
+        assert_eq!(merged(order), all, "{order:?}");
+    }
+}
+
+/// An upstream that leaves serves on for two seconds from the store's word, so what is sent
+/// to it must not count from any later moment.
+#[test]
+fn a_removed_row_is_expected_back_from_the_first_moment_of_the_stores_return() {
+    struct Case {
+        name: &'static str,
+        known: u64,
+        answered: u64,
+        until: u64,
+    }
+    let cases = [
+        Case { name: "known just before", known: 9_900, answered: 10_000, until: 11_700 },
+        Case { name: "known before a call", known: 9_500, answered: 10_000, until: 11_300 },
+        Case { name: "a long outage", known: 2_000, answered: 10_000, until: 11_300 },
+        Case { name: "never known", known: 0, answered: 100, until: 1_800 },
+    ];
+    for Case { name, known, answered, until } in cases {
+        let removal = Removal { revision: 3, known, answered, lapsed: true };
+        assert_eq!(removal.may_come_back_until(), until, "{name}");
+    }
+}
+
+/// Returns a board that knows so many upstreams of two services since `known_ago`.
+fn board(start: Instant, known_ago: Duration) -> Board {
+    let mut board = Board::new(TrueClock::new(start, 0), start);
+    board.store_clock.note(STORE_START, start);
+    let as_of = STORE_START - known_ago.as_millis() as u64;
+    board.upstreams_knowledge = Some(Knowledge { position: 5, as_of });
+    for (service, count) in [("app", 2), ("llm", 6)] {
+        for n in 0..count {
+            let id = format!("{service}-{n}");
+            let described = upstream(UpstreamPhase::Ready, 1);
+            let described = Upstream { id, service: service.to_owned(), ..described };
+            board.describe_at(described, 5, start);
+        }
+    }
+    board
+}
+
+#[test]
+fn an_upstream_whose_row_is_removed_goes_last_unless_its_row_lapsed() {
+    struct Case {
+        name: &'static str,
+        removed: &'static [&'static str],
+        known_ago: Duration,
+        takes_work: bool,
+        is_last_resort: bool,
+    }
+    let cases = [
+        Case {
+            name: "one of several",
+            removed: &["llm-0"],
+            known_ago: ms(200),
+            takes_work: false,
+            is_last_resort: true,
+        },
+        Case {
+            name: "one of several, known too long ago",
+            removed: &["llm-0"],
+            known_ago: ms(1_000),
+            takes_work: false,
+            is_last_resort: false,
+        },
+        Case {
+            name: "half of a service",
+            removed: &["app-0"],
+            known_ago: ms(200),
+            takes_work: false,
+            is_last_resort: true,
+        },
+        Case {
+            name: "a whole service",
+            removed: &["app-0", "app-1"],
+            known_ago: ms(8_000),
+            takes_work: true,
+            is_last_resort: false,
+        },
+        Case {
+            name: "most of all",
+            removed: &["app-0", "llm-0", "llm-1", "llm-2", "llm-3"],
+            known_ago: ms(8_000),
+            takes_work: true,
+            is_last_resort: false,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut board = board(start, case.known_ago);
+        let known = board.upstreams_knowledge.map_or(0, |k| k.as_of);
+        for (n, id) in case.removed.iter().enumerate() {
+            let revision = 6 + n as u64;
+            let removal = Removal { revision, known, answered: STORE_START, lapsed: false };
+            assert_eq!(board.note_missing(&(*id).to_owned(), removal, start), Some(true));
+        }
+        board.find_lapsed_rows();
+        for id in case.removed {
+            let view = &board.upstreams[*id];
+            assert_eq!(view.takes_work(), case.takes_work, "{}: {id}", case.name);
+            assert_eq!(view.is_last_resort(start), case.is_last_resort, "{}: {id}", case.name);
+        }
+    }
+}
+
+/// The excuse began anew at each gateway that heard of a removal, and with each message.
+#[test]
+fn hearing_again_of_a_removal_excuses_it_no_longer() {
+    let start = Instant::now();
+    let mut board = board(start, ms(600));
+    let removal = Removal { revision: 6, known: 49_400, answered: 49_800, lapsed: true };
+    let id = "llm-0".to_owned();
+    let until = |board: &Board| board.upstreams["llm-0"].missing.expect("missing").until;
+    assert_eq!(board.note_missing(&id, removal, start), Some(true));
+    let first = until(&board);
+    assert_eq!(first, start + ms(1_200));
+    for later in [ms(300), ms(900)] {
+        let told = Removal { answered: removal.answered + 400, ..removal };
+        assert_eq!(board.note_missing(&id, told, start + later), Some(false));
+        assert_eq!(until(&board), first, "heard {later:?} later");
+    }
+}
--- a/tests/gateway_removals.rs
+++ b/tests/gateway_removals.rs
@@ -18,6 +18,9 @@
 /// Upstreams that stay.
 const STAYING: usize = 3;
 
+/// What a request takes at an upstream that stays.
+const WORK: Duration = ms(30);
+
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -62,7 +65,19 @@
     }
 
     fn add_staying(&self) -> Vec<String> {
-        (0..STAYING).map(|_| self.site.add_known_upstream("app")).collect()
+        let ids: Vec<String> =
+            (0..STAYING).map(|_| self.site.add_upstream_of("app", "v1", WORK)).collect();
+        ids.iter().for_each(|id| self.site.wait_known(id));
+        ids
+    }
+
+    /// Sends calls as `Site::send_calls` does, from as many callers as upstreams stay.
+    fn send_at_once(&self, name: &str, time: Duration) -> Vec<String> {
+        thread::scope(|scope| {
+            let send = |n| scope.spawn(move || self.site.send_calls(&format!("{name}-{n}"), time));
+            let callers: Vec<_> = (0..STAYING).map(send).collect();
+            callers.into_iter().flat_map(|c| c.join().expect("no panic")).collect()
+        })
     }
 
     fn begin(&self, outage: Outage) {
@@ -172,7 +187,7 @@
             fleet.write_row(id, true);
         }
         let back = fleet.site.now_ms();
-        failed.extend(fleet.site.send_calls(&format!("after-{n}"), BOUND));
+        failed.extend(fleet.send_at_once(&format!("after-{n}"), BOUND));
         assert!(failed.is_empty(), "{}: {failed:?}", case.name);
         for id in &upstreams {
             assert!(fleet.site.last_run(id) > back, "{}: {id} is used again", case.name);
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -395,11 +395,16 @@
     /// Starts an upstream and waits until all gateways know it.
     pub fn add_known_upstream(&self, service: &str) -> String {
         let id = self.add_upstream(service);
-        let known = |l: &Value| l["event"] == "upstream" && l["upstream"] == id.as_str();
+        self.wait_known(&id);
+        id
+    }
+
+    /// Waits until all gateways know an upstream.
+    pub fn wait_known(&self, id: &str) {
+        let known = |l: &Value| l["event"] == "upstream" && l["upstream"] == id;
         wait_until("all know the upstream", || {
             self.gateways.iter().all(|g| g.log().iter().any(known))
         });
-        id
     }
 
     /// Sends calls that may be repeated at all gateways in turns for a while; returns those
