A gateway that made no call in an outage does not take lapsed rows for removals

What callers would see: after an outage of the store for all, a gateway whose own calls had not failed, since it had made none, took every upstream out that it read of first, and told the others that they were gone.

Cause: 'the store is up' meant that no call of this process had failed; most gateways make none.

Change: whether rows may have lapsed also follows from the list's own age, which all share: 0.8 s in which nobody read it is an outage until shown otherwise.

Measured: the test failed before ('nobody read it'), passes now.

--- a/src/gateway/board/missing.rs
+++ b/src/gateway/board/missing.rs
@@ -8,33 +8,64 @@
 use super::{Board, MissingRow, StoreState, store::LAPSE_SEEN};
 use crate::{
     gateway::{
-        decide::{Removal, RowCount, StoreMillis, have_lapsed},
+        decide::{Removal, RowCount, STALE, StoreMillis, have_lapsed},
         model::Revision,
     },
     ids::UpstreamId,
 };
 
+/// Returns whether so much time passed between two reads of the list, by the store's clock, that
+/// the store may have been away.
+fn is_gap(before: StoreMillis, read: StoreMillis) -> bool {
+    Duration::from_millis(read.saturating_sub(before)) >= STALE
+}
+
 impl Board {
     /// Returns what is known of a row that was removed at a revision, as an answer of the
-    /// store shows at `seen`; `None` if it cannot have lapsed. It may have done so long before
-    /// it shows: the list is not read the moment that some other call finds the store back.
+    /// store shows at `seen`; `None` if it cannot have lapsed.
     pub fn removal(&self, revision: Revision, seen: StoreMillis, now: Instant) -> Option<Removal> {
         if self.store_was_there(now) {
             return None;
         }
-        let answered = match self.store {
-            StoreState::Up => return None,
-            StoreState::Away(_) => seen,
-            StoreState::Returned(at) if now < at + LAPSE_SEEN || self.upstreams_seen(now) <= at => {
-                let ago = now.saturating_duration_since(at).as_millis() as StoreMillis;
-                seen.min(self.store_time(now).saturating_sub(ago))
-            }
-            StoreState::Returned(_) => return None,
-        };
+        let of_calls = self.own_calls_answered_again(seen, now);
+        let answered = of_calls.into_iter().chain(self.list_read_again(seen)).min()?;
         let known = self.upstreams_knowledge.map_or(0, |k| k.as_of);
         Some(Removal { revision, known, answered, lapsed: false })
     }
 
+    /// Returns when calls of this process were answered again, if some had failed of late. Rows
+    /// may have lapsed long before it shows: the list is not read the moment that some other
+    /// call finds the store back.
+    fn own_calls_answered_again(&self, seen: StoreMillis, now: Instant) -> Option<StoreMillis> {
+        match self.store {
+            StoreState::Up => None,
+            StoreState::Away(_) => Some(seen),
+            StoreState::Returned(at) => {
+                let ago = now.saturating_duration_since(at);
+                let is_recent = ago < LAPSE_SEEN || self.upstreams_seen(now) <= at;
+                let at = self.store_time(now).saturating_sub(ago.as_millis() as StoreMillis);
+                is_recent.then_some(seen.min(at))
+            }
+        }
+    }
+
+    /// Returns when any gateway read the list again, if none had for a while. A process that
+    /// made no call in an outage has seen none fail.
+    fn list_read_again(&self, seen: StoreMillis) -> Option<StoreMillis> {
+        if self.upstreams_knowledge.is_some_and(|k| is_gap(k.as_of, seen)) {
+            return Some(seen);
+        }
+        let lapse_seen = LAPSE_SEEN.as_millis() as StoreMillis;
+        self.upstreams_read_again.filter(|at| seen < at + lapse_seen)
+    }
+
+    /// Notes that the list of upstreams is known to be the newest as of a moment.
+    pub fn note_list_read(&mut self, as_of: StoreMillis) {
+        if self.upstreams_knowledge.is_some_and(|k| is_gap(k.as_of, as_of)) {
+            self.upstreams_read_again = Some(as_of);
+        }
+    }
+
     /// Notes that the row of an upstream is missing; returns whether that is new, and `None`
     /// if the upstream is not known.
     pub fn note_missing(
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -30,8 +30,8 @@
     decide::{
         Breaks, CacheBelief, Candidate, CapacityRecord, CrashBook, EngineSpeed, Knowledge,
         LeavingBook, LimitBook, LoadMeter, Mechanism, QuotaBook, RequestCost, RestBook, RetryBook,
-        RolloutBook, SpeedModel, Steadiness, StoreClock, SwitchedOff, TrialTurn, TrueClock,
-        UsageBook,
+        RolloutBook, SpeedModel, Steadiness, StoreClock, StoreMillis, SwitchedOff, TrialTurn,
+        TrueClock, UsageBook,
     },
     model::{Configuration, Followed, Lifetime, Revision, ServiceName, Upstream},
     peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport, UpstreamSnapshot},
@@ -78,6 +78,9 @@
     pub upstreams: BTreeMap<UpstreamId, UpstreamView>,
     /// Up to where the upstreams are known; `None` if they were never read.
     pub upstreams_knowledge: Option<Knowledge>,
+    /// When the list of upstreams was read again, by the store's clock, after a time in which
+    /// nobody read it; `None` if there was none.
+    pub upstreams_read_again: Option<StoreMillis>,
     /// Revision of the newest change of an upstream that is known. Another
     /// gateway that knows a change beyond our position is ahead of us.
     pub upstreams_last_change: Revision,
@@ -153,6 +156,7 @@
             store_clock: StoreClock::default(),
             upstreams: BTreeMap::new(),
             upstreams_knowledge: None,
+            upstreams_read_again: None,
             upstreams_last_change: 0,
             removals: Removals::default(),
             recent_changes: RecentChanges::default(),
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -275,6 +275,7 @@
 
     fn advance(&self, knowledge: Knowledge, last_change: Revision) {
         let mut board = self.gateway.board.borrow_mut();
+        board.note_list_read(knowledge.as_of);
         board.upstreams_knowledge.get_or_insert(knowledge).advance(knowledge);
         board.upstreams_last_change = board.upstreams_last_change.max(last_change);
         board.recent_changes.advance(knowledge);
--- a/src/gateway/decide/reading.rs
+++ b/src/gateway/decide/reading.rs
@@ -22,7 +22,7 @@
 const SHORTEST_WAIT: Duration = Duration::from_millis(150);
 /// Age of knowledge at which gateways that are no readers call, too: older than it grows
 /// between the calls of the readers, until their news is heard.
-const STALE: Duration = Duration::from_millis(800);
+pub const STALE: Duration = Duration::from_millis(800);
 /// Time in which one gateway of those whose knowledge has grown old calls.
 const STAND_IN_PERIOD: Duration = Duration::from_millis(400);
 /// Between looks at whether it is this gateway's turn.
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -193,3 +193,41 @@
         assert_eq!(takes_work, case.takes_work, "{}", case.name);
     }
 }
+
+/// A gateway that had made no call while the store was away took all upstreams out, as none
+/// of its calls had failed.
+#[test]
+fn a_gateway_that_made_no_call_in_an_outage_keeps_upstreams_whose_rows_lapsed() {
+    struct Case {
+        name: &'static str,
+        /// Moments up to which the list is read, after the first one at 5,000.
+        reads: &'static [u64],
+        /// Moment of the answer that shows that all rows are gone.
+        removed: u64,
+        known: bool,
+    }
+    let cases = [
+        Case { name: "read all along", reads: &[5_500, 6_000], removed: 6_400, known: false },
+        Case { name: "nobody read it", reads: &[], removed: 13_000, known: true },
+        Case { name: "just read again", reads: &[13_000], removed: 13_300, known: true },
+        Case {
+            name: "read again for a while",
+            reads: &[13_000, 13_500],
+            removed: 14_000,
+            known: false,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::new();
+        let rows = ["i-1", "i-2"].map(|id| good(id, 4)).into_iter().map(Change::Written);
+        bench.feed(Feed { changes: rows.collect(), revision: 6, as_of: 5_000 });
+        for as_of in case.reads {
+            bench.feed(Feed { changes: Vec::new(), revision: 6, as_of: *as_of });
+        }
+        let changes = [("i-1", 7), ("i-2", 8)].map(|(id, r)| Change::Removed(id.to_owned(), r));
+        bench.feed(Feed { changes: changes.into(), revision: 8, as_of: case.removed });
+        for id in ["i-1", "i-2"] {
+            assert_eq!(bench.knows(id), case.known, "{}: {id}", case.name);
+        }
+    }
+}
