Test: not run, a case begins once all ends of the one before are known

None of the five had run.

Cause: how an attempt ended goes to the owner of the upstream by a message of its own, after the caller has its answer. The test waited until no upstream rests, and found none where the failures of the case before were still on their way; they brought the rest into the next case. A race of the test: what was said was true, and resting upstreams take nothing.

Change: the test waits until the owners have all slots back, which is when the ends are counted. All checks stay.

--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -43,7 +43,8 @@
 fn what_was_said_not_to_run_is_in_no_journal() {
     let mut cluster = Cluster::start(Plan { entries_each: 1, ..Plan::default() });
     for case in cases() {
-        // Services that failed in the case before rest for a while.
+        // Services that failed in the case before rest for a while, once that is known.
+        cluster.wait_slots_returned();
         cluster.wait_working();
         if case.kill {
             cluster.services.iter_mut().for_each(|s| s.proc.kill());
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -253,6 +253,17 @@
         wait_until("all running upstreams take work", || self.working() >= expected);
     }
 
+    /// Waits until how all attempts ended has reached the owners of the upstreams: callers may
+    /// have their answers before.
+    pub fn wait_slots_returned(&self) {
+        wait_until("all slots are given back", || {
+            (0..self.entries.len()).all(|i| {
+                let upstreams = self.status(i)["upstreams"].as_array().cloned().unwrap_or_default();
+                upstreams.iter().all(|u| u["in_use"] == 0)
+            })
+        });
+    }
+
     /// Returns how many upstreams take work.
     fn working(&self) -> usize {
         let of = |i| {
