A side of a roll-out whose upstreams all leave is served by the other side

What callers would see: 503 no_room for requests of the earlier versions while all of these leave or have lost their rows, though the new ones take work. Found in reading, looking for upstreams that count as there though they take nothing; rows that are missing now stay listed like draining ones, which made it likelier.

Cause: the other side served only if no upstream of the side was listed.

Measured: the test failed before ('all leave'), passes now; the models and tests of roll-outs pass as before (17 tests).

--- a/src/gateway/board/rollouts.rs
+++ b/src/gateway/board/rollouts.rs
@@ -41,7 +41,7 @@
     }
 
     /// Returns the upstreams of a service that a request for `side` may go to. Where none of
-    /// that side are listed, those of the other side serve: the earlier ones have stopped, or
+    /// that side takes it, those of the other side serve: the earlier ones have stopped, or
     /// the new ones are gone.
     pub fn open_to<'a>(
         &'a self,
@@ -60,7 +60,7 @@
         let of_side =
             |v: &&UpstreamView| self.rollouts.side_of(service, &v.upstream.version) == Some(side);
         let (own, other): (Vec<_>, Vec<_>) = all.into_iter().partition(of_side);
-        if own.is_empty() {
+        if !own.iter().any(|v| v.takes_work() || v.is_last_resort(now)) {
             return other;
         }
         match side {
--- a/tests/gateway_removal_facts.rs
+++ b/tests/gateway_removal_facts.rs
@@ -3,11 +3,16 @@
 #[path = "support/upstreams.rs"]
 mod upstreams;
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use tackhollow::gateway::{
     board::Board,
-    decide::{Knowledge, Removal, RowCount, TrueClock, have_lapsed},
+    decide::{
+        ExposureTerms, Knowledge, Removal, RolloutOrder, RowCount, Side, TrueClock, have_lapsed,
+    },
     model::{Upstream, UpstreamPhase},
 };
 use upstreams::upstream;
@@ -187,3 +192,47 @@
         assert_eq!(until(&board), first, "heard {later:?} later");
     }
 }
+
+/// Requests for one side of a roll-out were refused while all its upstreams left, though those
+/// of the other side served.
+#[test]
+fn a_side_of_a_rollout_whose_upstreams_all_leave_is_served_by_the_other() {
+    struct Case {
+        name: &'static str,
+        /// Upstreams of the earlier version that take work.
+        earlier_ready: usize,
+        side: Side,
+        versions: &'static [&'static str],
+    }
+    let cases = [
+        Case { name: "all there", earlier_ready: 2, side: Side::Earlier, versions: &["v1"] },
+        Case { name: "one leaves", earlier_ready: 1, side: Side::Earlier, versions: &["v1"] },
+        Case { name: "all leave", earlier_ready: 0, side: Side::Earlier, versions: &["v2"] },
+        Case { name: "the new side", earlier_ready: 0, side: Side::New, versions: &["v2"] },
+    ];
+    let terms = ExposureTerms { share: 0.1, slack: 50.0 };
+    for case in cases {
+        let start = Instant::now();
+        let mut board = Board::new(TrueClock::new(start, 0), start);
+        board.store_clock.note(STORE_START, start);
+        for (n, version) in ["v1", "v1", "v2", "v2"].into_iter().enumerate() {
+            let phase = match version == "v1" && n >= case.earlier_ready {
+                true => UpstreamPhase::Draining,
+                false => UpstreamPhase::Ready,
+            };
+            let (id, version) = (format!("i-{n}"), version.to_owned());
+            board.describe(Upstream { id, version, ..upstream(phase, 1) }, start);
+        }
+        let order = RolloutOrder {
+            service: "app".to_owned(),
+            destination: "v2".to_owned(),
+            duration: ms(20_000),
+            revision: 9,
+            started: STORE_START,
+        };
+        board.rollouts.take_order(order, true, 0.5);
+        let open = board.open_to("app", Some(case.side), terms, start + ms(5_000));
+        let versions: BTreeSet<&str> = open.iter().map(|v| v.upstream.version.as_str()).collect();
+        assert_eq!(versions, case.versions.iter().copied().collect(), "{}", case.name);
+    }
+}
