Soak: rows that disappear in an outage after the faults

Both promises side by side: one upstream leaves without a word just before the store is back and gets nothing two seconds later; then all rows lapse and come back one by one, and no request is refused untried for want of an upstream.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -16,6 +16,8 @@
 mod freshness;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "soak/removals.rs"]
+mod removals;
 #[path = "soak/signals.rs"]
 mod signals;
 
@@ -368,6 +370,10 @@
     let (_, engines, _) = SIZES;
     let mut rng = fastrand::Rng::with_seed(seed);
     let late = freshness::changes_known_late(&site, &mut rng, version, &upstreams[engines]);
+    let removals = match silences {
+        true => removals::broken_by_removals(&site, &upstreams),
+        false => Vec::new(),
+    };
     let sent = callers.finish();
     hostile.into_iter().for_each(HostileCaller::finish);
     recovers(&site, seed);
@@ -382,6 +388,7 @@
     println!("seed {seed}: {} requests, {answered} answered, faults {counts:?}", sent.len());
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
     assert!(late.is_empty(), "seed {seed}: known too late: {late:#?}");
+    assert!(removals.is_empty(), "seed {seed}: {removals:#?}");
     assert!(answered > 0, "seed {seed}: nothing was served");
 }
 
