--- a/src/gateway/board/missing.rs
+++ b/src/gateway/board/missing.rs
@@ -14,6 +14,17 @@
     ids::UpstreamId,
 };
 
+/// What the word on a missing row changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Noted {
+    /// The row was not known to be missing.
+    New(MissingRow),
+    /// More is known of its removal.
+    Changed(MissingRow),
+    /// Nothing: as much was known, or the upstream is not.
+    Known,
+}
+
 /// Returns whether so much time passed between two reads of the list, by the store's clock, that
 /// the store may have been away.
 fn is_gap(before: StoreMillis, read: StoreMillis) -> bool {
@@ -28,9 +39,9 @@
             return None;
         }
         let of_calls = self.own_calls_answered_again(seen, now);
-        let answered = of_calls.into_iter().chain(self.list_read_again(seen)).min()?;
-        let known = self.upstreams_knowledge.map_or(0, |k| k.as_of);
-        Some(Removal { revision, known, answered, lapsed: false })
+        let store_back = of_calls.into_iter().chain(self.list_read_again(seen)).min()?;
+        let last_seen = self.upstreams_knowledge.map_or(0, |k| k.as_of);
+        Some(Removal { revision, last_seen, store_back, lapsed: false })
     }
 
     /// Returns when calls of this process were answered again, if some had failed of late. Rows
@@ -66,16 +77,12 @@
         }
     }
 
-    /// Notes that the row of an upstream is missing; returns whether that is new, and `None`
-    /// if the upstream is not known.
-    pub fn note_missing(
-        &mut self,
-        id: &UpstreamId,
-        removal: Removal,
-        now: Instant,
-    ) -> Option<bool> {
+    /// Notes that the row of an upstream is missing.
+    pub fn note_missing(&mut self, id: &UpstreamId, removal: Removal, now: Instant) -> Noted {
         let store_now = self.store_time(now);
-        let view = self.upstreams.get_mut(id)?;
+        let Some(view) = self.upstreams.get_mut(id) else {
+            return Noted::Known;
+        };
         let is_new = view.missing.is_none();
         let mut row = view.missing.unwrap_or(MissingRow {
             removal,
@@ -83,22 +90,24 @@
             since: now,
             until: now,
         });
-        row.removal.merge(removal);
-        let age = Duration::from_millis(store_now.saturating_sub(row.removal.known));
+        if !row.removal.merge(removal) && !is_new {
+            return Noted::Known;
+        }
+        let age = Duration::from_millis(store_now.saturating_sub(row.removal.last_seen));
         row.since = now.checked_sub(age).unwrap_or(row.since);
-        let left = row.removal.may_come_back_until().saturating_sub(store_now);
+        let left = row.removal.expected_until().saturating_sub(store_now);
         row.until = now + Duration::from_millis(left);
         view.missing = Some(row);
         view.changed = view.changed.max(removal.revision);
-        Some(is_new)
+        if is_new { Noted::New(row) } else { Noted::Changed(row) }
     }
 
-    /// Finds the missing rows that have lapsed, by what is missing beside them; returns those
+    /// Marks the missing rows that have lapsed, by what is missing beside them; returns those
     /// that were not known to have.
-    pub fn find_lapsed_rows(&mut self) -> Vec<(UpstreamId, Removal)> {
+    pub fn mark_lapsed_rows(&mut self) -> Vec<(UpstreamId, Removal)> {
         let mut of_all = RowCount::default();
         let mut of_services: BTreeMap<&str, RowCount> = BTreeMap::new();
-        for view in self.upstreams.values().filter(|v| !v.has_said_that_it_leaves()) {
+        for view in self.upstreams.values().filter(|v| !v.is_leaving()) {
             let is_missing = view.missing.is_some();
             of_all.add(is_missing);
             of_services.entry(&view.upstream.service).or_default().add(is_missing);
@@ -127,7 +136,7 @@
     }
 
     /// Returns when the first of the missing rows is no longer expected back.
-    pub fn next_row_given_up(&self) -> Option<Instant> {
+    pub fn next_missing_expiry(&self) -> Option<Instant> {
         self.upstreams.values().filter_map(|v| v.missing).map(|row| row.until).min()
     }
 }
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -44,6 +44,7 @@
 use removals::Removals;
 
 pub use lease::{LeaseView, OwnLease};
+pub use missing::Noted;
 pub use peers::PeerView;
 pub use store::StoreState;
 pub use upstream::{Described, Load, MissingRow, UpstreamView};
--- a/src/gateway/board/upstream.rs
+++ b/src/gateway/board/upstream.rs
@@ -89,11 +89,11 @@
     /// Returns whether it takes new work.
     pub fn takes_work(&self) -> bool {
         let may_have_left = self.missing.is_some_and(|row| !row.removal.lapsed);
-        !self.has_said_that_it_leaves() && !may_have_left
+        !self.is_leaving() && !may_have_left
     }
 
     /// Returns whether it has said that it leaves, in its row or in its answers.
-    pub fn has_said_that_it_leaves(&self) -> bool {
+    pub fn is_leaving(&self) -> bool {
         self.upstream.phase == UpstreamPhase::Draining || self.said_leaving.is_some()
     }
 
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -7,6 +7,7 @@
 //! it is known.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet, HashSet},
     rc::Rc,
     time::{Duration, Instant},
@@ -38,6 +39,8 @@
     timer: stakker::MaxTimerKey,
     /// Rows that name no upstream, each with the cause that was logged.
     rejected: BTreeMap<UpstreamId, &'static str>,
+    /// Whether more is known of missing rows since it was last looked which of them lapsed.
+    pub(super) missing_changed: Cell<bool>,
 }
 
 impl Directory {
@@ -45,7 +48,7 @@
     pub fn init(cx: CX![], gateway: Rc<Gateway>) -> Option<Self> {
         call!([cx], tick());
         let timer = stakker::MaxTimerKey::default();
-        Some(Self { gateway, timer, rejected: BTreeMap::new() })
+        Some(Self { gateway, timer, rejected: BTreeMap::new(), missing_changed: Cell::default() })
     }
 
     /// Takes over all rows as read from the store.
@@ -62,7 +65,7 @@
         let snapshot =
             UpstreamSnapshot { knowledge, last_change, upstreams, ..UpstreamSnapshot::default() };
         let seen = knowledge.as_of;
-        let absent = |id: &UpstreamId, now| self.removed(id, position, seen, now);
+        let absent = |id: &UpstreamId, now| self.handle_removal(id, position, seen, now);
         let replaced = self.replace(&snapshot, cx.now(), absent);
         // These rows are there, so no lapse excuses what they no longer name.
         for id in self.rejected.keys().filter(|_| replaced) {
@@ -111,13 +114,13 @@
         let mut last_change = 0;
         for (revision, change) in recent.changes {
             if revision <= known {
-                self.told_again(revision, &change, now);
+                self.merge_peer_change(revision, &change, now);
                 continue;
             }
             last_change = revision;
             match change {
                 UpstreamChange::Written(upstream) => self.update(upstream, revision, now),
-                UpstreamChange::Missing(id, removal) => self.told_missing(&id, removal, now),
+                UpstreamChange::Missing(id, removal) => self.handle_peer_removal(&id, removal, now),
                 UpstreamChange::Gone(id) => self.remove(&id, revision, now),
             }
         }
@@ -157,7 +160,7 @@
             snapshot.missing.iter().map(|(id, removal)| (id, *removal)).collect();
         for upstream in &snapshot.upstreams {
             match missing.get(&upstream.id) {
-                Some(removal) => self.copy_missing(upstream.clone(), *removal, now),
+                Some(removal) => self.copy_missing_upstream(upstream.clone(), *removal, now),
                 None => self.update(upstream.clone(), position, now),
             }
         }
@@ -182,7 +185,7 @@
                 Change::Removed(id, revision) if revision > known => {
                     last_change = last_change.max(revision);
                     self.rejected.remove(&id);
-                    self.removed(&id, revision, feed.as_of, now);
+                    self.handle_removal(&id, revision, feed.as_of, now);
                 }
                 Change::Written(_) | Change::Removed(..) => {}
             }
@@ -194,8 +197,8 @@
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
         self.drop_missing(now);
-        let given_up = self.gateway.board.borrow().next_row_given_up();
-        let next = given_up.map_or(now + PERIOD, |at| at.min(now + PERIOD));
+        let expiry = self.gateway.board.borrow().next_missing_expiry();
+        let next = expiry.map_or(now + PERIOD, |at| at.min(now + PERIOD));
         timer_max!(&mut self.timer, next, [cx], tick());
         let mut board = self.gateway.board.borrow_mut();
         board.forget_lifetimes(now);
@@ -233,7 +236,13 @@
         None
     }
 
-    pub(super) fn update(&self, upstream: Upstream, revision: Revision, now: Instant) {
+    fn update(&self, upstream: Upstream, revision: Revision, now: Instant) {
+        // Rows that were missing together tell whether they lapsed, so before one is back.
+        self.mark_lapsed();
+        self.describe(upstream, revision, now);
+    }
+
+    pub(super) fn describe(&self, upstream: Upstream, revision: Revision, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
         board.recent_changes.push(revision, UpstreamChange::Written(upstream.clone()), now);
         let known = board.upstreams.get(&upstream.id);
@@ -274,6 +283,7 @@
     }
 
     fn advance(&self, knowledge: Knowledge, last_change: Revision) {
+        self.mark_lapsed();
         let mut board = self.gateway.board.borrow_mut();
         board.note_list_read(knowledge.as_of);
         board.upstreams_knowledge.get_or_insert(knowledge).advance(knowledge);
--- a/src/gateway/controllers/missing_rows.rs
+++ b/src/gateway/controllers/missing_rows.rs
@@ -5,7 +5,7 @@
 use super::{Source, directory::Directory};
 use crate::{
     gateway::{
-        board::UpstreamView,
+        board::{MissingRow, Noted, UpstreamView},
         decide::{Removal, StoreMillis},
         model::{Revision, Upstream},
         peering::UpstreamChange,
@@ -16,7 +16,7 @@
 
 impl Directory {
     /// Handles the removal of a row that an answer of the store shows at `seen`.
-    pub(super) fn removed(
+    pub(super) fn handle_removal(
         &self,
         id: &UpstreamId,
         revision: Revision,
@@ -25,7 +25,7 @@
     ) {
         let board = self.gateway.board.borrow();
         let removal = board.removal(revision, seen, now);
-        let serves = board.upstreams.get(id).is_some_and(|v| !v.has_said_that_it_leaves());
+        let serves = board.upstreams.get(id).is_some_and(|v| !v.is_leaving());
         drop(board);
         match removal.filter(|_| serves) {
             Some(removal) => self.mark_missing(id, removal, Source::Store, now),
@@ -34,7 +34,7 @@
     }
 
     /// Handles the word of another gateway that a row is missing.
-    pub(super) fn told_missing(&self, id: &UpstreamId, removal: Removal, now: Instant) {
+    pub(super) fn handle_peer_removal(&self, id: &UpstreamId, removal: Removal, now: Instant) {
         // That gateway may have been cut off itself.
         let was_there = self.gateway.board.borrow().store_was_there(now);
         match was_there {
@@ -44,18 +44,23 @@
     }
 
     /// Takes over an upstream whose row is missing at another gateway.
-    pub(super) fn copy_missing(&self, upstream: Upstream, removal: Removal, now: Instant) {
+    pub(super) fn copy_missing_upstream(&self, upstream: Upstream, removal: Removal, now: Instant) {
         let id = upstream.id.clone();
         let known = self.gateway.board.borrow().same_removal(&id, removal.revision);
         if known.is_none() {
-            self.update(upstream, removal.revision.saturating_sub(1), now);
+            self.describe(upstream, removal.revision.saturating_sub(1), now);
         }
         self.mark_missing(&id, removal, Source::Peer, now);
     }
 
     /// Takes over what another gateway tells of a change up to which all is known here. It
     /// may know more of a removal: whichever word is more certain holds, in any order.
-    pub(super) fn told_again(&self, revision: Revision, change: &UpstreamChange, now: Instant) {
+    pub(super) fn merge_peer_change(
+        &self,
+        revision: Revision,
+        change: &UpstreamChange,
+        now: Instant,
+    ) {
         let id = change.upstream();
         if self.gateway.board.borrow().same_removal(id, revision).is_none() {
             return;
@@ -65,49 +70,69 @@
             UpstreamChange::Missing(id, removal) => {
                 self.mark_missing(id, *removal, Source::Peer, now);
             }
-            UpstreamChange::Gone(id) => self.give_up(id),
+            UpstreamChange::Gone(id) => self.drop_upstream(id),
         }
     }
 
     fn mark_missing(&self, id: &UpstreamId, removal: Removal, source: Source, now: Instant) {
         let mut guard = self.gateway.board.borrow_mut();
         let board = &mut *guard;
-        let Some(is_new) = board.note_missing(id, removal, now) else {
-            return;
+        let missing = |row: MissingRow| UpstreamChange::Missing(id.clone(), row.removal);
+        let new = match board.note_missing(id, removal, now) {
+            Noted::Known => return,
+            Noted::Changed(row) => {
+                board.recent_changes.amend(id, missing(row));
+                None
+            }
+            Noted::New(row) => {
+                board.recent_changes.push(removal.revision, missing(row), now);
+                Some(row)
+            }
         };
-        let Some(row) = board.upstreams[id].missing else {
+        drop(guard);
+        self.missing_changed.set(true);
+        if let Some(row) = new {
+            self.log_missing(id, row, source, now);
+        }
+    }
+
+    fn log_missing(&self, id: &UpstreamId, row: MissingRow, source: Source, now: Instant) {
+        let board = self.gateway.board.borrow();
+        let Some(upstream) = board.upstreams.get(id).map(|v| v.upstream.clone()) else {
             return;
         };
-        let change = UpstreamChange::Missing(id.clone(), row.removal);
-        match is_new {
-            true => board.recent_changes.push(removal.revision, change, now),
-            false => board.recent_changes.amend(id, change),
+        let last_seen_ms = board.store_time(now).saturating_sub(row.removal.last_seen);
+        drop(board);
+        self.log(&upstream, "missing", row.removal.revision);
+        self.gateway.log(&Event::RowMissing {
+            upstream: id,
+            revision: row.removal.revision,
+            source: source.name(),
+            last_seen_ms,
+            for_ms: row.until.saturating_duration_since(now).as_millis() as u64,
+            lapsed: row.removal.lapsed,
+        });
+    }
+
+    /// Marks the rows that have lapsed, if others went missing since: once for all changes of
+    /// a message, as each look goes through all upstreams.
+    pub(super) fn mark_lapsed(&self) {
+        if !self.missing_changed.take() {
+            return;
         }
-        let lapsed = board.find_lapsed_rows();
+        let mut board = self.gateway.board.borrow_mut();
+        let lapsed = board.mark_lapsed_rows();
         for (id, removal) in &lapsed {
             board.recent_changes.amend(id, UpstreamChange::Missing(id.clone(), *removal));
         }
-        let upstream = board.upstreams[id].upstream.clone();
-        let known_ms = board.store_time(now).saturating_sub(row.removal.known);
-        drop(guard);
-        if is_new {
-            self.log(&upstream, "missing", removal.revision);
-            self.gateway.log(&Event::RowMissing {
-                upstream: id,
-                revision: removal.revision,
-                source: source.name(),
-                known_ms,
-                for_ms: row.until.saturating_duration_since(now).as_millis() as u64,
-                lapsed: row.removal.lapsed,
-            });
-        }
+        drop(board);
         for (id, removal) in &lapsed {
             self.gateway.log(&Event::RowLapsed { upstream: id, revision: removal.revision });
         }
     }
 
     /// Drops an upstream whose row is missing, as another gateway knows that it is gone.
-    fn give_up(&self, id: &UpstreamId) {
+    fn drop_upstream(&self, id: &UpstreamId) {
         let mut board = self.gateway.board.borrow_mut();
         board.recent_changes.amend(id, UpstreamChange::Gone(id.clone()));
         drop(board);
--- a/src/gateway/decide/removal.rs
+++ b/src/gateway/decide/removal.rs
@@ -22,10 +22,10 @@
 pub struct Removal {
     /// Revision of the store at which the row is gone.
     pub revision: Revision,
-    /// Moment at which the row was last known to be there.
-    pub known: StoreMillis,
+    /// Moment at which the row was last known to be there, by the store's clock.
+    pub last_seen: StoreMillis,
     /// Moment by which the store answered again.
-    pub answered: StoreMillis,
+    pub store_back: StoreMillis,
     /// Whether other rows went with it that show that it lapsed.
     pub lapsed: bool,
 }
@@ -36,8 +36,8 @@
     pub fn merge(&mut self, other: Self) -> bool {
         let merged = Self {
             revision: self.revision.min(other.revision),
-            known: self.known.max(other.known),
-            answered: self.answered.min(other.answered),
+            last_seen: self.last_seen.max(other.last_seen),
+            store_back: self.store_back.min(other.store_back),
             lapsed: self.lapsed || other.lapsed,
         };
         std::mem::replace(self, merged) != merged
@@ -45,9 +45,9 @@
 
     /// Returns until when the upstream's row may come back. It counts from the first moment
     /// at which the store can have been back, which is before anybody saw it.
-    pub fn may_come_back_until(self) -> StoreMillis {
+    pub fn expected_until(self) -> StoreMillis {
         let unseen = CALL_SPACING.as_millis() as StoreMillis;
-        let back = self.known.max(self.answered.saturating_sub(unseen));
+        let back = self.last_seen.max(self.store_back.saturating_sub(unseen));
         back + LAPSE_GRACE.as_millis() as StoreMillis
     }
 }
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -116,7 +116,7 @@
         /// Who said so: the store, or another gateway.
         source: &'a str,
         /// Time since its row was last known to be there, in milliseconds.
-        known_ms: u64,
+        last_seen_ms: u64,
         /// How much longer its row may come back, in milliseconds.
         for_ms: u64,
         /// Whether it has lapsed, as others that are missing show.
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -204,7 +204,7 @@
         board.store = StoreState::Returned(now - ms(1_000));
         board.store_clock.note(60_000, now);
         board.upstreams_knowledge = Some(Knowledge { position: 1, as_of: 60_000 - case.seen_ago });
-        let until = board.removal(2, 60_000, now).map(Removal::may_come_back_until);
+        let until = board.removal(2, 60_000, now).map(Removal::expected_until);
         assert_eq!(until.is_some(), case.excused, "{}", case.name);
         assert!(until.is_none_or(|t| t <= 61_000), "{}: from the return", case.name);
     }
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -68,7 +68,8 @@
     for (position, missing) in [(3, false), (6, true)] {
         let upstreams: Vec<_> =
             bench.gateway.board.borrow().upstreams.values().map(|v| v.upstream.clone()).collect();
-        let removal = Removal { revision: position, known: 4, answered: position, lapsed: false };
+        let removal =
+            Removal { revision: position, last_seen: 4, store_back: position, lapsed: false };
         let snapshot = UpstreamSnapshot {
             knowledge: Knowledge { position, as_of: position },
             last_change: 4,
@@ -180,7 +181,7 @@
                     bench.feed(Feed { changes, revision: 7, as_of: 7 });
                 }
                 Word::Missing(revision, lapsed) => {
-                    let removal = Removal { revision, known: 6, answered: 7, lapsed };
+                    let removal = Removal { revision, last_seen: 6, store_back: 7, lapsed };
                     bench.hear(told(revision, UpstreamChange::Missing(id, removal)));
                 }
                 Word::Gone(revision) => bench.hear(told(revision, UpstreamChange::Gone(id))),
--- a/tests/gateway_removal_facts.rs
+++ b/tests/gateway_removal_facts.rs
@@ -9,7 +9,7 @@
 };
 
 use tackhollow::gateway::{
-    board::Board,
+    board::{Board, Noted},
     decide::{
         ExposureTerms, Knowledge, Removal, RolloutOrder, RowCount, Side, TrueClock, have_lapsed,
     },
@@ -55,9 +55,9 @@
 #[test]
 fn what_gateways_know_of_a_removal_merges_in_any_order() {
     let facts = [
-        Removal { revision: 7, known: 100, answered: 900, lapsed: false },
-        Removal { revision: 9, known: 400, answered: 950, lapsed: true },
-        Removal { revision: 8, known: 300, answered: 700, lapsed: false },
+        Removal { revision: 7, last_seen: 100, store_back: 900, lapsed: false },
+        Removal { revision: 9, last_seen: 400, store_back: 950, lapsed: true },
+        Removal { revision: 8, last_seen: 300, store_back: 700, lapsed: false },
     ];
     let merged = |order: [usize; 4]| {
         let mut removal = facts[order[0]];
@@ -66,7 +66,7 @@
         }
         removal
     };
-    let all = Removal { revision: 7, known: 400, answered: 700, lapsed: true };
+    let all = Removal { revision: 7, last_seen: 400, store_back: 700, lapsed: true };
     for order in [[0, 1, 2, 0], [2, 1, 0, 2], [1, 0, 2, 1], [1, 2, 0, 0], [0, 2, 1, 1]] {
         assert_eq!(merged(order), all, "{order:?}");
     }
@@ -78,19 +78,19 @@
 fn a_removed_row_is_expected_back_from_the_first_moment_of_the_stores_return() {
     struct Case {
         name: &'static str,
-        known: u64,
-        answered: u64,
+        last_seen: u64,
+        store_back: u64,
         until: u64,
     }
     let cases = [
-        Case { name: "known just before", known: 9_900, answered: 10_000, until: 11_800 },
-        Case { name: "known before a call", known: 9_500, answered: 10_000, until: 11_400 },
-        Case { name: "a long outage", known: 2_000, answered: 10_000, until: 11_400 },
-        Case { name: "never known", known: 0, answered: 100, until: 1_900 },
+        Case { name: "known just before", last_seen: 9_900, store_back: 10_000, until: 11_800 },
+        Case { name: "known before a call", last_seen: 9_500, store_back: 10_000, until: 11_400 },
+        Case { name: "a long outage", last_seen: 2_000, store_back: 10_000, until: 11_400 },
+        Case { name: "never known", last_seen: 0, store_back: 100, until: 1_900 },
     ];
-    for Case { name, known, answered, until } in cases {
-        let removal = Removal { revision: 3, known, answered, lapsed: true };
-        assert_eq!(removal.may_come_back_until(), until, "{name}");
+    for Case { name, last_seen, store_back, until } in cases {
+        let removal = Removal { revision: 3, last_seen, store_back, lapsed: true };
+        assert_eq!(removal.expected_until(), until, "{name}");
     }
 }
 
@@ -163,10 +163,12 @@
         let known = board.upstreams_knowledge.map_or(0, |k| k.as_of);
         for (n, id) in case.removed.iter().enumerate() {
             let revision = 6 + n as u64;
-            let removal = Removal { revision, known, answered: STORE_START, lapsed: false };
-            assert_eq!(board.note_missing(&(*id).to_owned(), removal, start), Some(true));
+            let removal =
+                Removal { revision, last_seen: known, store_back: STORE_START, lapsed: false };
+            let noted = board.note_missing(&(*id).to_owned(), removal, start);
+            assert!(matches!(noted, Noted::New(_)), "{noted:?}");
         }
-        board.find_lapsed_rows();
+        board.mark_lapsed_rows();
         for id in case.removed {
             let view = &board.upstreams[*id];
             assert_eq!(view.takes_work(), case.takes_work, "{}: {id}", case.name);
@@ -180,15 +182,15 @@
 fn hearing_again_of_a_removal_excuses_it_no_longer() {
     let start = Instant::now();
     let mut board = board(start, ms(600));
-    let removal = Removal { revision: 6, known: 49_400, answered: 49_800, lapsed: true };
+    let removal = Removal { revision: 6, last_seen: 49_400, store_back: 49_800, lapsed: true };
     let id = "llm-0".to_owned();
     let until = |board: &Board| board.upstreams["llm-0"].missing.expect("missing").until;
-    assert_eq!(board.note_missing(&id, removal, start), Some(true));
+    assert!(matches!(board.note_missing(&id, removal, start), Noted::New(_)));
     let first = until(&board);
     assert_eq!(first, start + ms(1_300));
     for later in [ms(300), ms(900)] {
-        let told = Removal { answered: removal.answered + 400, ..removal };
-        assert_eq!(board.note_missing(&id, told, start + later), Some(false));
+        let told = Removal { store_back: removal.store_back + 400, ..removal };
+        assert_eq!(board.note_missing(&id, told, start + later), Noted::Known);
         assert_eq!(until(&board), first, "heard {later:?} later");
     }
 }
