A list that is read whole excuses a missing row no longer

Cause: the row is absent from the list again, which counted as a new removal, last seen when the list was last read: after it had been removed.

Measured: the test failed before (last seen moved), passes now.

--- a/src/gateway/controllers/missing_rows.rs
+++ b/src/gateway/controllers/missing_rows.rs
@@ -26,8 +26,11 @@
         let board = self.gateway.board.borrow();
         let removal = board.removal(revision, seen, now);
         let serves = board.upstreams.get(id).is_some_and(|v| !v.is_leaving());
+        let is_known = board.same_removal(id, revision).is_some();
         drop(board);
         match removal.filter(|_| serves) {
+            // A list that is read whole lacks the row again.
+            Some(_) if is_known => {}
             Some(removal) => self.mark_missing(id, removal, Source::Store, now),
             None => self.remove(id, revision, now),
         }
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -232,3 +232,24 @@
         }
     }
 }
+
+/// A list that was read whole took a row that was missing already for one that had just been
+/// there, and excused it anew.
+#[test]
+fn a_list_read_whole_excuses_a_missing_row_no_longer() {
+    let mut bench = Bench::new();
+    let rows = || ["i-1", "i-2", "i-3"].map(|id| good(id, 4));
+    bench.feed(Feed { changes: rows().map(Change::Written).into(), revision: 6, as_of: 5_000 });
+    bench.gateway.board.borrow_mut().store = StoreState::Away(clock::now());
+    let changes = vec![Change::Removed("i-1".to_owned(), 7)];
+    bench.feed(Feed { changes, revision: 7, as_of: 5_400 });
+    let removal = |bench: &Bench| {
+        let board = bench.gateway.board.borrow();
+        board.upstreams["i-1"].missing.map(|row| row.removal)
+    };
+    let first = removal(&bench);
+    assert_eq!(first.map(|r| r.last_seen), Some(5_000));
+    let rows = rows().into_iter().skip(1).collect();
+    bench.snapshot(Snapshot { rows, revision: 8, as_of: 6_000 });
+    assert_eq!(removal(&bench), first);
+}
