A removal with one or two gateways is no lapse for the pause between their calls

Cause: 0.8 s without a read of the list counted as an outage, whatever the number of gateways. A single one calls every 1.5 s, so its removals were in doubt in calm.

Change: the longest gap in calm follows from how many gateways there are.

--- a/src/gateway/board/missing.rs
+++ b/src/gateway/board/missing.rs
@@ -8,7 +8,7 @@
 use super::{Board, MissingRow, StoreState, store::LAPSE_SEEN};
 use crate::{
     gateway::{
-        decide::{Removal, RowCount, STALE, StoreMillis, have_lapsed},
+        decide::{Removal, RowCount, StoreMillis, have_lapsed, longest_calm_gap},
         model::Revision,
     },
     ids::UpstreamId,
@@ -25,12 +25,6 @@
     Known,
 }
 
-/// Returns whether so much time passed between two reads of the list, by the store's clock, that
-/// the store may have been away.
-fn is_gap(before: StoreMillis, read: StoreMillis) -> bool {
-    Duration::from_millis(read.saturating_sub(before)) >= STALE
-}
-
 impl Board {
     /// Returns what is known of a row that was removed at a revision, as an answer of the
     /// store shows at `seen`; `None` if it cannot have lapsed.
@@ -63,16 +57,24 @@
     /// Returns when any gateway read the list again, if none had for a while. A process that
     /// made no call in an outage has seen none fail.
     fn list_read_again(&self, seen: StoreMillis) -> Option<StoreMillis> {
-        if self.upstreams_knowledge.is_some_and(|k| is_gap(k.as_of, seen)) {
+        if self.was_unread_until(seen) {
             return Some(seen);
         }
         let lapse_seen = LAPSE_SEEN.as_millis() as StoreMillis;
         self.upstreams_read_again.filter(|at| seen < at + lapse_seen)
     }
 
+    /// Returns whether nobody had read the list for so long before `read` that the store may have
+    /// been away.
+    fn was_unread_until(&self, read: StoreMillis) -> bool {
+        let calm = longest_calm_gap(1 + self.peers.len());
+        let unread = |as_of: StoreMillis| Duration::from_millis(read.saturating_sub(as_of));
+        self.upstreams_knowledge.is_some_and(|k| unread(k.as_of) >= calm)
+    }
+
     /// Notes that the list of upstreams is known to be the newest as of a moment.
     pub fn note_list_read(&mut self, as_of: StoreMillis) {
-        if self.upstreams_knowledge.is_some_and(|k| is_gap(k.as_of, as_of)) {
+        if self.was_unread_until(as_of) {
             self.upstreams_read_again = Some(as_of);
         }
     }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -55,7 +55,7 @@
 pub use rate_limit::{
     GRANT_RETRY, Holder, HolderAnswer, LimitBook, LimitMembers, LimitNotice, LimitReport,
 };
-pub use reading::{READERS, Reader, STALE, Turn, rank, turn, wait_at_start};
+pub use reading::{READERS, Reader, Turn, longest_calm_gap, rank, turn, wait_at_start};
 pub use removal::{Removal, RowCount, have_lapsed};
 pub use reporting::{beats_a_report, wait_after_takeover};
 pub use rest::RestBook;
--- a/src/gateway/decide/reading.rs
+++ b/src/gateway/decide/reading.rs
@@ -18,11 +18,13 @@
 const PERIOD: Duration = Duration::from_millis(CALL_SPACING.as_millis() as u64 * READERS as u64);
 /// Between calls of all readers together.
 pub const CALL_SPACING: Duration = Duration::from_millis(500);
+/// Time in which the news of a call goes round.
+const NEWS: Duration = Duration::from_millis(300);
 /// Shortest wait of a call.
 const SHORTEST_WAIT: Duration = Duration::from_millis(150);
 /// Age of knowledge at which gateways that are no readers call, too: older than it grows
 /// between the calls of the readers, until their news is heard.
-pub const STALE: Duration = Duration::from_millis(800);
+const STALE: Duration = Duration::from_millis(800);
 /// Time in which one gateway of those whose knowledge has grown old calls.
 const STAND_IN_PERIOD: Duration = Duration::from_millis(400);
 /// Between looks at whether it is this gateway's turn.
@@ -40,6 +42,12 @@
     STARTERS_STEP * (rank / STARTERS) as u32
 }
 
+/// Returns the longest time between two reads of a table while the store answers so many
+/// gateways: few of them make fewer calls.
+pub fn longest_calm_gap(gateways: usize) -> Duration {
+    PERIOD / READERS.min(gateways.max(1)) as u32 + NEWS
+}
+
 /// A process that might read the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Reader<'a> {
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -209,6 +209,7 @@
     }
     let cases = [
         Case { name: "read all along", reads: &[5_500, 6_000], removed: 6_400, known: false },
+        Case { name: "a single gateway's calls", reads: &[6_500], removed: 8_000, known: false },
         Case { name: "nobody read it", reads: &[], removed: 13_000, known: true },
         Case { name: "just read again", reads: &[13_000], removed: 13_300, known: true },
         Case {
