Upstreams whose rows lapsed are sent health checks before they are given up

Cause: only time told a lapse from an end, and the two promises leave no time that is right for both.

Change: from 0.9 s before such an upstream is given up, two gateways (the next ones on a ring of hashes) send it a health check. Passed: used until 1.5 s later, 3.5 s after the return at most. Refused, or another id: gone at once. Anything else changes nothing. Results go with heartbeats and are passed on by those to whom they are new. The emulator answers health checks; the model's gateways make them, one in 50 without a clear answer.

--- a/src/bin/tackhollow-emulator/upstream.rs
+++ b/src/bin/tackhollow-emulator/upstream.rs
@@ -32,6 +32,8 @@
 const DEFAULT_EVENTS: u64 = 10;
 /// Start of a request body that crashes every upstream that starts to run it.
 const CRASH_BODY: &[u8] = b"crash";
+/// Path of the health check.
+const HEALTH_PATH: &str = "/healthz";
 /// Tokens per event.
 const TOKENS_PER_EVENT: u64 = 3;
 
@@ -51,6 +53,9 @@
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let (parts, body) = request.into_parts();
         let headers = parts.headers;
+        if parts.uri.path() == HEALTH_PATH {
+            return self.health();
+        }
         if header(&headers, "x-expect-instance") != self.id {
             return empty(StatusCode::MISDIRECTED_REQUEST);
         }
@@ -74,6 +79,18 @@
 }
 
 impl UpstreamService {
+    /// Answers a health check, which counts neither as an arrival nor as a run.
+    fn health(&self) -> Response<AnswerBody> {
+        let state = self.platform.state.borrow();
+        let leaves = state.upstreams.get(&self.id).is_some_and(|u| u.row["state"] == "draining");
+        let status = if leaves { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
+        let mut response = empty(status);
+        if let Ok(id) = HeaderValue::from_str(&self.id) {
+            response.headers_mut().insert("x-instance-id", id);
+        }
+        response
+    }
+
     async fn handle(
         &self,
         behaviour: Behaviour,
--- a/src/gateway/board/missing.rs
+++ b/src/gateway/board/missing.rs
@@ -5,10 +5,10 @@
     time::{Duration, Instant},
 };
 
-use super::{Board, MissingRow, StoreState, store::LAPSE_DETECTION_WINDOW};
+use super::{Board, MissingRow, StoreState, UpstreamView, store::LAPSE_DETECTION_WINDOW};
 use crate::{
     gateway::{
-        decide::{Removal, RowCount, StoreMillis, max_read_interval, rows_lapsed},
+        decide::{CheckRange, Removal, RowCount, StoreMillis, max_read_interval, rows_lapsed},
         model::Revision,
     },
     ids::UpstreamId,
@@ -35,7 +35,7 @@
         let own_recovery = self.own_recovery_time(seen, now);
         let store_back = own_recovery.into_iter().chain(self.list_reread_time(seen)).min()?;
         let last_seen = self.upstreams_knowledge.map_or(0, |k| k.as_of);
-        Some(Removal { revision, last_seen, store_back, lapsed: false })
+        Some(Removal { revision, last_seen, store_back, lapsed: false, passed_check: 0 })
     }
 
     /// Returns when this process's calls to the store were answered again, if some failed recently.
@@ -142,6 +142,21 @@
         (revision > row.last_present).then_some(row.removal)
     }
 
+    /// Returns the upstreams with lapsed rows that this gateway has to check now.
+    pub fn upstreams_to_check(&self, range: CheckRange, now: Instant) -> Vec<UpstreamId> {
+        let store_now = self.store_time(now);
+        let due = |v: &&UpstreamView| {
+            v.missing.is_some_and(|row| row.removal.needs_check(store_now))
+                && range.contains(v.lifetime)
+        };
+        self.upstreams.values().filter(due).map(|v| v.upstream.id.clone()).collect()
+    }
+
+    /// Returns whether any row has lapsed and may come back.
+    pub fn has_lapsed_rows(&self) -> bool {
+        self.upstreams.values().any(|v| v.missing.is_some_and(|row| row.removal.lapsed))
+    }
+
     /// Returns when the first of the missing rows is no longer expected to return.
     pub fn next_missing_expiry(&self) -> Option<Instant> {
         self.upstreams.values().filter_map(|v| v.missing).map(|row| row.until).min()
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod removals;
 mod rollouts;
+mod row_checks;
 mod store;
 mod upstream;
 
@@ -43,6 +44,7 @@
 use loads::PeerLoads;
 use outcomes::SharedOutcomes;
 use removals::Removals;
+use row_checks::RowChecks;
 
 pub use lease::{LeaseView, OwnLease};
 pub use missing::MissingRowChange;
@@ -90,6 +92,8 @@
     pub removals: Removals,
     /// Recent changes of upstreams, sent with heartbeats.
     pub recent_changes: RecentChanges,
+    /// Results of this process's health checks of upstreams with lapsed rows.
+    pub row_checks: RowChecks,
     /// Other gateway processes, as last heard from.
     pub peers: BTreeMap<ProcessId, PeerView>,
     /// Number of hosts that were announced in the store when this process started.
@@ -162,6 +166,7 @@
             upstreams_last_change: 0,
             removals: Removals::default(),
             recent_changes: RecentChanges::default(),
+            row_checks: RowChecks::default(),
             peers: BTreeMap::new(),
             announced_hosts: 0,
             peer_snapshot_deadline: None,
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -130,6 +130,16 @@
         self.advance(recent.knowledge, last_change);
     }
 
+    /// Applies another gateway's results of health checks of upstreams with lapsed rows.
+    pub fn apply_row_checks(&mut self, cx: CX![], checks: Vec<(Revision, UpstreamChange)>) {
+        let now = cx.now();
+        for (revision, change) in checks {
+            if self.merge_peer_change(revision, &change, now) {
+                self.gateway.board.borrow_mut().row_checks.note(revision, change, now);
+            }
+        }
+    }
+
     /// Replaces the list with a snapshot and calls `absent` for each known upstream that it lacks;
     /// returns false, and changes nothing, if the snapshot is older than the list.
     fn replace(
--- a/src/gateway/controllers/missing_rows.rs
+++ b/src/gateway/controllers/missing_rows.rs
@@ -3,12 +3,14 @@
 
 use std::time::Instant;
 
+use stakker::{CX, call};
+
 use super::{Source, directory::Directory};
 use crate::{
     gateway::{
         board::{MissingRow, MissingRowChange, UpstreamView},
-        decide::{Removal, StoreMillis},
-        model::{Revision, Upstream},
+        decide::{CheckResult, Removal, StoreMillis},
+        model::{Lifetime, Revision, Upstream},
         peering::UpstreamChange,
         telemetry::Event,
     },
@@ -32,7 +34,9 @@
         match removal.filter(|_| serves) {
             // Already recorded: every further snapshot lacks the row too.
             Some(_) if is_known => {}
-            Some(removal) => self.mark_missing(id, removal, Source::Store, now),
+            Some(removal) => {
+                self.mark_missing(id, removal, Source::Store, now);
+            }
             None => self.remove(id, revision, now),
         }
     }
@@ -44,7 +48,9 @@
         let store_was_up = self.gateway.board.borrow().store_was_available(now);
         match store_was_up {
             true => self.remove(id, removal.revision, now),
-            false => self.mark_missing(id, removal, Source::Peer, now),
+            false => {
+                self.mark_missing(id, removal, Source::Peer, now);
+            }
         }
     }
 
@@ -60,32 +66,65 @@
 
     /// Merges another gateway's report of a change up to whose revision all is known here. That
     /// gateway may know more about a removal. The more certain report always wins, so the order in
-    /// which they arrive does not matter.
+    /// which they arrive does not matter. Returns whether the report was new.
     pub(super) fn merge_peer_change(
         &self,
         revision: Revision,
         change: &UpstreamChange,
         now: Instant,
-    ) {
+    ) -> bool {
         let id = change.upstream();
         if self.gateway.board.borrow().same_removal(id, revision).is_none() {
-            return;
+            return false;
         }
         match change {
-            UpstreamChange::Written(_) => {}
+            UpstreamChange::Written(_) => false,
             UpstreamChange::Missing(id, removal) => {
-                self.mark_missing(id, *removal, Source::Peer, now);
+                self.mark_missing(id, *removal, Source::Peer, now)
+            }
+            UpstreamChange::Gone(id) => {
+                self.drop_upstream(id);
+                true
             }
-            UpstreamChange::Gone(id) => self.drop_upstream(id),
         }
     }
 
-    fn mark_missing(&self, id: &UpstreamId, removal: Removal, source: Source, now: Instant) {
+    /// Applies the result of this process's health check of an upstream whose row is missing, and
+    /// records it for the other gateways.
+    pub fn row_checked(&mut self, cx: CX![], id: UpstreamId, of: Lifetime, result: CheckResult) {
+        let now = cx.now();
+        let mut board = self.gateway.board.borrow_mut();
+        let store_now = board.store_time(now);
+        let view = board.upstreams.get(&id).filter(|v| v.lifetime == of);
+        let Some(row) = view.and_then(|v| v.missing) else {
+            // Its row is back, or it was removed meanwhile.
+            return;
+        };
+        let change = match result {
+            CheckResult::Unclear => return,
+            CheckResult::Ended => UpstreamChange::Gone(id),
+            CheckResult::Passed => {
+                UpstreamChange::Missing(id, Removal { passed_check: store_now, ..row.removal })
+            }
+        };
+        board.row_checks.note(row.removal.revision, change.clone(), now);
+        drop(board);
+        self.merge_peer_change(row.removal.revision, &change, now);
+    }
+
+    /// Records that a row is missing; returns whether anything about that was new.
+    fn mark_missing(
+        &self,
+        id: &UpstreamId,
+        removal: Removal,
+        source: Source,
+        now: Instant,
+    ) -> bool {
         let mut guard = self.gateway.board.borrow_mut();
         let board = &mut *guard;
         let missing = |row: MissingRow| UpstreamChange::Missing(id.clone(), row.removal);
         let new = match board.note_missing(id, removal, now) {
-            MissingRowChange::Known => return,
+            MissingRowChange::Known => return false,
             MissingRowChange::Changed(row) => {
                 board.recent_changes.amend(id, missing(row));
                 None
@@ -100,6 +139,7 @@
         if let Some(row) = new {
             self.log_missing(id, row, source, now);
         }
+        true
     }
 
     fn log_missing(&self, id: &UpstreamId, row: MissingRow, source: Source, now: Instant) {
@@ -131,7 +171,12 @@
         for (id, removal) in &lapsed {
             board.recent_changes.amend(id, UpstreamChange::Missing(id.clone(), *removal));
         }
+        // Some may have been marked by other gateways.
+        let has_lapsed = board.has_lapsed_rows();
         drop(board);
+        if has_lapsed {
+            self.gateway.send_to_controllers(|c| call!([c.row_checks], rows_lapsed()));
+        }
         for (id, removal) in &lapsed {
             self.gateway.log(&Event::RowLapsed { upstream: id, revision: removal.revision });
         }
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod persisted_state;
 mod rollouts;
+mod row_checks;
 mod source;
 mod startup;
 mod table_reader;
@@ -34,6 +35,7 @@
 pub use graceful_shutdown::GracefulShutdown;
 pub use peers::Peers;
 pub use rollouts::Rollouts;
+pub use row_checks::RowChecks;
 pub use source::Source;
 pub use startup::{register_member, restore_state};
 pub use table_reader::follow_table;
@@ -52,6 +54,8 @@
     pub duties: ActorOwn<Duties>,
     /// Orders engines while this process holds the lease.
     pub capacity: ActorOwn<Capacity>,
+    /// Checks the health of upstreams whose rows lapsed.
+    pub row_checks: ActorOwn<RowChecks>,
     /// Follows roll-outs of versions.
     pub rollouts: ActorOwn<Rollouts>,
     /// Shuts the process down without interrupting requests.
@@ -75,6 +79,7 @@
             crashes: actor!(s, Crashes::init(cx(), heartbeats), ret_nop!()),
             duties: actor!(s, Duties::init(cx()), ret_nop!()),
             capacity: actor!(s, Capacity::init(cx()), ret_nop!()),
+            row_checks: actor!(s, RowChecks::init(cx()), ret_nop!()),
             rollouts: actor!(s, Rollouts::init(cx()), ret_nop!()),
             graceful_shutdown: actor!(s, GracefulShutdown::init(cx()), ret_nop!()),
         }
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -103,6 +103,11 @@
     /// Applies a heartbeat that was sent at `sent`; returns whether its process was unknown.
     fn apply(&mut self, heartbeat: Heartbeat, sent: Instant, now: Instant) -> bool {
         self.sender.add_address(heartbeat.heartbeats);
+        if !heartbeat.row_checks.is_empty() {
+            // Kept in the heartbeat too, which is relayed.
+            let checks = heartbeat.row_checks.clone();
+            self.gateway.send_to_controllers(|c| call!([c.directory], apply_row_checks(checks)));
+        }
         self.adopt_knowledge(&heartbeat);
         self.apply_reports(&heartbeat, now);
         let process = heartbeat.process();
--- a/src/gateway/decide/rate_limit.rs
+++ b/src/gateway/decide/rate_limit.rs
@@ -45,6 +45,11 @@
     pub fn new(host: &str) -> Self {
         Self(prefix::hash(host.as_bytes()))
     }
+
+    /// Returns a seed for hashes that must differ between gateways.
+    pub fn seed(self) -> u64 {
+        self.0
+    }
 }
 
 /// Answer of a holder that was asked to grant a request from its share.
@@ -118,14 +123,9 @@
     }
 }
 
-/// Rendezvous hash of a gateway for an upstream: a mix of both identifiers in which each bit
-/// affects the result.
+/// Rendezvous hash of a gateway for an upstream.
 fn score(upstream: Lifetime, gateway: ShareHolder) -> u64 {
-    let mut mixed = gateway.0 ^ upstream.seed();
-    for multiplier in [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb] {
-        mixed = (mixed ^ (mixed >> 29)).wrapping_mul(multiplier);
-    }
-    mixed ^ (mixed >> 32)
+    prefix::mix(gateway.0 ^ upstream.seed())
 }
 
 /// Token bucket of a gateway's share of a limit; one token is one request.
--- a/src/gateway/model/configuration.rs
+++ b/src/gateway/model/configuration.rs
@@ -76,6 +76,8 @@
     pub name: ServiceName,
     /// Maximum number of connections that one upstream accepts from all its clients together.
     pub max_connections: u32,
+    /// Path of an upstream's health check; `None` if there is none.
+    pub health_path: Option<String>,
     /// Properties of its model engines; `None` if the service does not run model engines.
     pub engine: Option<EngineKind>,
     /// Bounds for ordering engines; `None` if their number is fixed.
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -157,6 +157,16 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
 
+/// Builds a GET request without a body.
+pub fn get_request(path: &str, host: &str) -> Request<RequestBody> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    if let Ok(host) = HeaderValue::from_str(host) {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
+
 /// Builds a request with a JSON body, which may be empty.
 pub fn json_request(method: Method, path: &str, host: &str, body: Bytes) -> Request<RequestBody> {
     let mut request = Request::new(Full::new(body));
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -7,7 +7,8 @@
 mod shutdown;
 
 pub use connect::{
-    Answer, CallError, ConnectError, HttpConnection, RequestBody, connect, json_request,
+    Answer, CallError, ConnectError, HttpConnection, RequestBody, connect, get_request,
+    json_request,
 };
 pub use pool::{Pool, PoolError, PooledConnection};
 pub use server::{AnswerBody, BodyError, Service, channel_body, full_body, serve};
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::RecentChanges;
+use super::{RecentChanges, UpstreamChange};
 use crate::{
     control::LeaseClaim,
     gateway::{
@@ -183,6 +183,9 @@
     pub leaving: Vec<LeavingReport>,
     /// Rate limits of upstreams that it knows, and those that have just ended.
     pub limits: Vec<LimitReport>,
+    /// Results of its recent health checks of upstreams with lapsed rows, as changes of these
+    /// upstreams, each with the revision of the removal.
+    pub row_checks: Vec<(Revision, UpstreamChange)>,
     /// Shared prefixes that it sent recently, repeated until most others have received them.
     pub prefixes: Vec<PrefixReport>,
     /// Tokens that it has admitted since its start, by customer.
@@ -218,7 +221,7 @@
 
 /// First byte of a heartbeat. It must be raised with every change of [`Heartbeat`]: postcard
 /// encodes fields by position, so that another version would misread them.
-const HEARTBEAT_FORMAT: u8 = 7;
+const HEARTBEAT_FORMAT: u8 = 8;
 
 /// A heartbeat that was relayed by another gateway.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -130,6 +130,13 @@
         /// Revision of the store that removed the row.
         revision: u64,
     },
+    /// An upstream whose row lapsed was sent a health check.
+    RowChecked {
+        /// Identifier of the upstream.
+        upstream: &'a str,
+        /// Result of the check.
+        result: &'a str,
+    },
     /// The rate limit of an upstream was set, changed or removed.
     RateLimit {
         /// Identifier of the upstream.
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -70,6 +70,8 @@
     pub upstreams: Gauge,
     /// Number of upstreams whose row is missing but which may still serve.
     pub missing_rows: Gauge,
+    /// Number of health checks of upstreams with lapsed rows, by result.
+    pub row_checks: Family<Labels, Counter>,
     /// Number of gateways that this process receives heartbeats from.
     pub peers: Gauge,
     /// Fencing token of the lease that this process holds; 0 if it holds none.
@@ -114,6 +116,7 @@
             knowledge_age: Family::default(),
             upstreams: Gauge::default(),
             missing_rows: Gauge::default(),
+            row_checks: Family::default(),
             peers: Gauge::default(),
             lease: Gauge::default(),
             in_progress: Gauge::default(),
@@ -141,6 +144,7 @@
         r.register("knowledge_age_seconds", "Age of knowledge", self.knowledge_age.clone());
         r.register("upstreams", "Upstreams that take work", self.upstreams.clone());
         r.register("missing_rows", "Rows that may come back", self.missing_rows.clone());
+        r.register("row_checks", "Health checks after lapses", self.row_checks.clone());
         r.register("peers", "Gateways that are heard", self.peers.clone());
         r.register("lease_fence", "Fencing number of the lease", self.lease.clone());
         r.register("in_progress", "Requests in progress", self.in_progress.clone());
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -73,6 +73,7 @@
     name: String,
     #[serde(default)]
     max_connections: u32,
+    health_path: Option<String>,
     engine: Option<WireEngine>,
     scaling: Option<WireScaling>,
 }
@@ -185,7 +186,13 @@
         reclaimable_price: s.spot_price,
         prices: s.zone_prices,
     });
-    Service { name: wire.name, max_connections: wire.max_connections, engine, scaling }
+    Service {
+        name: wire.name,
+        max_connections: wire.max_connections,
+        health_path: wire.health_path,
+        engine,
+        scaling,
+    }
 }
 
 fn customer(wire: WireTenant) -> Customer {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -20,6 +20,8 @@
 const CUSTOMER: HeaderName = HeaderName::from_static("x-tenant");
 /// Identifier of the only upstream that may run the request; any other rejects it.
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
+/// Identifier of the upstream that answers a health check.
+const INSTANCE: HeaderName = HeaderName::from_static("x-instance-id");
 /// Scheduling priority at the engine, 0 to 9; 0 is the most urgent.
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 /// Set by the upstream on an answer to a request that it did not run.
@@ -185,6 +187,11 @@
     headers.get(REQUEST_ID).is_none_or(|v| v.as_bytes() == id.as_bytes())
 }
 
+/// Returns the identifier of the upstream that answered a health check; `None` for other answers.
+pub fn answering_instance(headers: &HeaderMap) -> Option<&str> {
+    headers.get(INSTANCE).and_then(|v| v.to_str().ok())
+}
+
 /// Returns whether an answer carries the signature of its upstream.
 pub fn is_signed(headers: &HeaderMap) -> bool {
     headers.contains_key(RESPONSE_SEAL)
--- a/src/prefix.rs
+++ b/src/prefix.rs
@@ -21,6 +21,14 @@
     fnv1a(FNV_OFFSET, bytes)
 }
 
+/// Mixes the bits of a hash so that each of them affects the whole result: hashes of similar
+/// names differ in few bits.
+pub fn mix(hash: u64) -> u64 {
+    let multipliers = [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb];
+    let mixed = multipliers.iter().fold(hash, |h, m| (h ^ (h >> 29)).wrapping_mul(*m));
+    mixed ^ (mixed >> 32)
+}
+
 /// Returns the fingerprints of all prefixes of `text` that consist of complete blocks,
 /// shortest first, at most [`MAX_BLOCKS`]. Each covers all bytes up to its end.
 pub fn fingerprints(text: &str) -> Vec<Fingerprint> {
--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -80,8 +80,13 @@
     for (position, missing) in [(3, false), (6, true)] {
         let upstreams: Vec<_> =
             bench.gateway.board.borrow().upstreams.values().map(|v| v.upstream.clone()).collect();
-        let removal =
-            Removal { revision: position, last_seen: 4, store_back: position, lapsed: false };
+        let removal = Removal {
+            revision: position,
+            last_seen: 4,
+            store_back: position,
+            lapsed: false,
+            passed_check: 0,
+        };
         let snapshot = UpstreamSnapshot {
             knowledge: SyncPoint { position, as_of: position },
             last_change: 4,
@@ -193,7 +198,8 @@
                     bench.feed(Feed { changes, revision: 7, as_of: 7 });
                 }
                 Report::Missing(revision, lapsed) => {
-                    let removal = Removal { revision, last_seen: 6, store_back: 7, lapsed };
+                    let removal =
+                        Removal { revision, last_seen: 6, store_back: 7, lapsed, passed_check: 0 };
                     bench.hear(recent_changes(revision, UpstreamChange::Missing(id, removal)));
                 }
                 Report::Gone(revision) => {
--- a/tests/gateway_removals.rs
+++ b/tests/gateway_removals.rs
@@ -200,3 +200,29 @@
         }
     }
 }
+
+#[test]
+fn a_living_upstream_whose_row_returns_late_is_used_and_an_ended_one_is_not() {
+    let fleet = Fleet::start();
+    let upstreams = fleet.add_staying();
+    let (ended, living) = upstreams.split_first().expect("there are several upstreams");
+    fleet.site.send_calls("before", ms(400));
+    let outage = Outage { kind: Kind::Silent, gateways: GATEWAYS, duration: ms(3_000) };
+    fleet.start_outage(outage);
+    fleet.site.send_calls("during", outage.duration);
+    upstreams.iter().for_each(|id| fleet.write_row(id, false));
+    fleet.site.control("/down", &json!({ "ms": 60_000 }));
+    fleet.site.control("/crash", &json!({ "id": ended }));
+    fleet.end_outage(outage);
+    let returned = fleet.site.now_ms();
+    // Rows are given up 1.9 s after the return at the latest, unless their upstreams answer.
+    fleet.site.send_calls("before-the-rows", ms(2_000));
+    let failed = fleet.send_concurrently("without-rows", ms(700));
+    living.iter().for_each(|id| fleet.write_row(id, true));
+    assert!(failed.is_empty(), "{failed:?}");
+    assert!(fleet.site.last_run(ended) < returned, "the ended upstream ran a request");
+    for id in living {
+        let last = fleet.site.last_run(id);
+        assert!(last > returned + 2_000, "{id}: last used {} ms after the return", last - returned);
+    }
+}
--- a/tests/support/directory.rs
+++ b/tests/support/directory.rs
@@ -9,9 +9,9 @@
         Gateway,
         board::Board,
         controllers::Directory,
-        decide::PeerCorrectedClock,
-        model::UpstreamPhase,
-        peering::{RecentChanges, UpstreamSnapshot},
+        decide::{CheckResult, PeerCorrectedClock},
+        model::{Lifetime, UpstreamPhase},
+        peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
         telemetry::Journal,
     },
     platform::{Feed, Snapshot, StoreRow},
@@ -93,6 +93,16 @@
         self.run();
     }
 
+    pub fn hear_row_checks(&mut self, checks: Vec<(u64, UpstreamChange)>) {
+        call!([self.directory], apply_row_checks(checks));
+        self.run();
+    }
+
+    pub fn check_row(&mut self, id: &str, of: Lifetime, result: CheckResult) {
+        call!([self.directory], row_checked(id.to_owned(), of, result));
+        self.run();
+    }
+
     pub fn copy(&mut self, snapshot: UpstreamSnapshot) {
         call!([self.directory], apply_peer_snapshot(snapshot));
         self.run();
