--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -88,7 +88,8 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        timer_max!(&mut self.heartbeat_timer, now + HEARTBEAT_PERIOD, [cx], tick());
+        let interval = self.gateway.board.borrow().check_interval(HEARTBEAT_PERIOD, now);
+        timer_max!(&mut self.heartbeat_timer, now + interval, [cx], tick());
         self.heartbeats = self.heartbeats.wrapping_add(1);
         let mut board = self.gateway.board.borrow_mut();
         let silence = board.peer_silence();
--- a/src/gateway/controllers/persisted_state.rs
+++ b/src/gateway/controllers/persisted_state.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     clock,
-    gateway::{context::Gateway, decide::DurableState, peering::WireError},
+    gateway::{
+        context::Gateway,
+        decide::{DurableState, StateError},
+    },
     platform::{RowWrite, StoreRow, Table},
     telemetry::count,
 };
@@ -26,12 +29,17 @@
         let now = clock::now();
         let share = board.quota_share(now);
         let levels = board.quotas.levels(share, now);
-        DurableState::of(levels, &board.usage, board.capacity.clone())
+        DurableState::of(board.fleet_size(now), levels, &board.usage, board.capacity.clone())
     };
-    let mut value = Vec::new();
-    if let Err(e) = ciborium::into_writer(&kept, &mut value) {
-        log::error!("the state to persist cannot be encoded: {e}");
-        return None;
+    let (value, left_out) = match kept.encode() {
+        Ok(encoded) => encoded,
+        Err(e) => {
+            log::error!("the state to persist cannot be encoded: {e}");
+            return None;
+        }
+    };
+    if left_out > 0 {
+        log::warn!("the persisted state lacks {left_out} usage windows: it is too large for a row");
     }
     Some(RowWrite { table: Table::Duties, key: STATE_KEY.to_owned(), value, expected: None })
 }
@@ -51,10 +59,11 @@
 /// # Errors
 ///
 /// Fails if the row cannot be decoded.
-pub fn restore(gateway: &Gateway, row: &StoreRow) -> Result<(), WireError> {
-    let kept: DurableState = ciborium::from_reader(&row.value[..])?;
+pub fn restore(gateway: &Gateway, row: &StoreRow) -> Result<(), StateError> {
+    let kept = DurableState::decode(&row.value)?;
     let mut guard = gateway.board.borrow_mut();
     let board = &mut *guard;
+    board.announced_hosts = board.announced_hosts.max(kept.gateways());
     let capacity = kept.restore(&mut board.quotas, &mut board.usage, clock::now());
     board.previous_holder_needs = capacity.needs;
     // Orders already received from a holder's heartbeat are newer than the row.
--- a/src/gateway/decide/durable_state.rs
+++ b/src/gateway/decide/durable_state.rs
@@ -2,31 +2,55 @@
 //! they are stored so that they outlast the processes.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Instant,
 };
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
-use super::{OrderReport, QuotaLimiter, UsageCounters, UsageCounts, WindowNumber};
-use crate::gateway::{
-    model::{CustomerName, ServiceName},
-    peering::ProcessId,
-};
+use super::{OrderReport, ProcessKey, QuotaLimiter, UsageCounters, UsageCounts, WindowNumber};
+use crate::gateway::model::{CustomerName, ServiceName};
 
 /// Number of usage windows that are stored. Windows are reported two window lengths after their
 /// end.
 const STORED_WINDOWS: usize = 4;
+/// Largest encoded state, in bytes. The store refuses rows above its bound of 64 KiB, and with
+/// them the renewal of the lease in the same transaction.
+const MAX_STATE_BYTES: usize = 60_000;
+/// First byte of the encoded state, to be changed with its format.
+const STATE_FORMAT: u8 = 2;
+
+/// Reason why stored state cannot be encoded or decoded.
+#[derive(Debug, Error)]
+pub enum StateError {
+    /// The first byte, given here, is not a known format; `None` for an empty value.
+    #[error("unknown format of stored state: {0:?}")]
+    Format(Option<u8>),
+    /// Encoding or decoding failed.
+    #[error("stored state: {0}")]
+    Postcard(#[from] postcard::Error),
+}
+
+/// Counts of one usage window.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct StoredWindow {
+    window: WindowNumber,
+    /// Each process that counted anything, with the numbers of customers and their counts.
+    processes: Vec<(ProcessKey, Vec<(u32, u64)>)>,
+}
 
 /// Stored state. Usage counts are stored by process, since processes that are still running
 /// report their own counts again.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DurableState {
+    /// Number of gateways, for processes that start together and know of no others yet.
+    gateways: u32,
     levels: BTreeMap<CustomerName, f64>,
+    /// Names of the customers with usage, by number.
     customers: Vec<CustomerName>,
-    /// Each entry has a window, a process, and a count for each of `customers`.
-    usage: Vec<(WindowNumber, ProcessId, Vec<u64>)>,
-    #[serde(default)]
+    /// Newest window first.
+    usage: Vec<StoredWindow>,
     capacity: CapacityRecord,
 }
 
@@ -42,27 +66,68 @@
 impl DurableState {
     /// Captures the state that is to be stored.
     pub fn of(
+        gateways: usize,
         levels: BTreeMap<CustomerName, f64>,
         usage: &UsageCounters,
         capacity: CapacityRecord,
     ) -> Self {
-        let usage: Vec<_> = usage.of_all(STORED_WINDOWS).collect();
         let customers: BTreeSet<&CustomerName> =
-            usage.iter().flat_map(|(_, _, counts)| counts.keys()).collect();
-        let count =
-            |counts: &UsageCounts, customer| counts.get(customer).copied().unwrap_or_default();
-        let row = |(window, process, counts): &(WindowNumber, &str, &UsageCounts)| {
-            let counts = customers.iter().map(|c| count(counts, *c)).collect();
-            (*window, (*process).to_owned(), counts)
-        };
+            usage.of_all(STORED_WINDOWS).flat_map(|(_, _, counts)| counts.keys()).collect();
+        let numbers: HashMap<&CustomerName, u32> = customers.iter().copied().zip(0..).collect();
+        let mut windows: Vec<StoredWindow> = Vec::new();
+        for (window, process, counts) in usage.of_all(STORED_WINDOWS) {
+            if windows.last().is_none_or(|w| w.window != window) {
+                // A window in which nobody counted anything is due as well.
+                windows.push(StoredWindow { window, processes: Vec::new() });
+            }
+            let counts: Vec<(u32, u64)> = counts.iter().map(|(c, n)| (numbers[c], *n)).collect();
+            if let Some(stored) = windows.last_mut().filter(|_| !counts.is_empty()) {
+                stored.processes.push((process, counts));
+            }
+        }
         Self {
+            gateways: gateways as u32,
             levels,
-            usage: usage.iter().map(row).collect(),
             customers: customers.into_iter().cloned().collect(),
+            usage: windows,
             capacity,
         }
     }
 
+    /// Encodes the state, without its oldest usage windows if it would be too large for a row;
+    /// returns it with the number of windows left out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value cannot be encoded.
+    pub fn encode(mut self) -> Result<(Vec<u8>, usize), StateError> {
+        let mut left_out = 0;
+        loop {
+            let bytes = postcard::to_extend(&self, vec![STATE_FORMAT])?;
+            if bytes.len() <= MAX_STATE_BYTES || self.usage.pop().is_none() {
+                return Ok((bytes, left_out));
+            }
+            left_out += 1;
+        }
+    }
+
+    /// Decodes stored state.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not state in this format.
+    pub fn decode(bytes: &[u8]) -> Result<Self, StateError> {
+        match bytes.split_first() {
+            Some((&STATE_FORMAT, state)) => Ok(postcard::from_bytes(state)?),
+            other => Err(StateError::Format(other.map(|(format, _)| *format))),
+        }
+    }
+
+    /// Returns the number of gateways when the state was stored.
+    pub fn gateways(&self) -> usize {
+        self.gateways as usize
+    }
+
     /// Restores quotas and usage, and returns the capacity record.
     pub fn restore(
         self,
@@ -71,9 +136,14 @@
         now: Instant,
     ) -> CapacityRecord {
         quotas.restore(&self.levels, now);
-        for (window, process, counts) in self.usage {
-            let counts = self.customers.iter().cloned().zip(counts).filter(|(_, n)| *n > 0);
-            usage.merge_counts(&process, window, &counts.collect());
+        for StoredWindow { window, processes } in self.usage {
+            usage.merge_key_counts(ProcessKey::default(), window, &UsageCounts::new());
+            for (process, counts) in processes {
+                let named = counts
+                    .into_iter()
+                    .filter_map(|(c, n)| Some((self.customers.get(c as usize)?.clone(), n)));
+                usage.merge_key_counts(process, window, &named.collect());
+            }
         }
         self.capacity
     }
--- a/src/gateway/decide/usage.rs
+++ b/src/gateway/decide/usage.rs
@@ -2,34 +2,48 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::gateway::model::CustomerName;
+use serde::{Deserialize, Serialize};
+
+use crate::{gateway::model::CustomerName, prefix};
 
 /// Number of a window: window `k` begins `k` window lengths after the Unix epoch.
 pub type WindowNumber = u64;
 /// Number of requests that began, by customer.
 pub type UsageCounts = BTreeMap<CustomerName, u64>;
 
+/// Identifies a process in usage counts by a hash of its id, which is several times as long.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct ProcessKey([u8; 8]);
+
+impl ProcessKey {
+    fn new(process: &str) -> Self {
+        Self(prefix::hash(process.as_bytes()).to_le_bytes())
+    }
+}
+
 /// Number of windows that are kept. Windows are reported two window lengths after their end.
 const KEPT_WINDOWS: u64 = 8;
 
 /// Counts of all known processes, by window.
 #[derive(Debug, Default)]
 pub struct UsageCounters {
-    windows: BTreeMap<WindowNumber, HashMap<String, UsageCounts>>,
+    windows: BTreeMap<WindowNumber, HashMap<ProcessKey, UsageCounts>>,
 }
 
 impl UsageCounters {
     /// Counts a request of `customer` that began at this process, `own`.
     pub fn count(&mut self, own: &str, window: WindowNumber, customer: &CustomerName) {
         let process_counts =
-            self.windows.entry(window).or_default().entry(own.to_owned()).or_default();
+            self.windows.entry(window).or_default().entry(ProcessKey::new(own)).or_default();
         *process_counts.entry(customer.clone()).or_default() += 1;
         self.drop_expired(window);
     }
 
     /// Records that `own` is counting in a window, even if no request begins in it.
     pub fn open_window(&mut self, own: &str, window: WindowNumber) {
-        self.windows.entry(window).or_default().entry(own.to_owned()).or_default();
+        self.windows.entry(window).or_default().entry(ProcessKey::new(own)).or_default();
         self.drop_expired(window);
     }
 
@@ -41,12 +55,22 @@
     /// Merges counts that a process reports for itself. Counts only increase, so an outdated
     /// message changes nothing.
     pub fn merge_counts(&mut self, process: &str, window: WindowNumber, counts: &UsageCounts) {
+        self.merge_key_counts(ProcessKey::new(process), window, counts);
+    }
+
+    /// Merges counts of a process that is known by its key alone.
+    pub(super) fn merge_key_counts(
+        &mut self,
+        process: ProcessKey,
+        window: WindowNumber,
+        counts: &UsageCounts,
+    ) {
         let oldest = self.newest().saturating_sub(KEPT_WINDOWS);
         if window < oldest {
             return;
         }
         let processes = self.windows.entry(window).or_default();
-        let known = processes.entry(process.to_owned()).or_default();
+        let known = processes.entry(process).or_default();
         for (customer, count) in counts {
             let current = known.entry(customer.clone()).or_default();
             *current = (*current).max(*count);
@@ -56,17 +80,17 @@
 
     /// Returns the counts of `process` in the windows that are kept, newest first.
     pub fn process_windows(&self, process: &str) -> Vec<(WindowNumber, UsageCounts)> {
-        let windows = self.windows.iter().rev();
-        windows.filter_map(|(w, all)| Some((*w, all.get(process)?.clone()))).collect()
+        let (windows, process) = (self.windows.iter().rev(), ProcessKey::new(process));
+        windows.filter_map(|(w, all)| Some((*w, all.get(&process)?.clone()))).collect()
     }
 
-    /// Returns the counts of each process in the newest `windows` windows.
+    /// Returns the counts of each process in the newest `windows` windows, newest window first.
     pub fn of_all(
         &self,
         windows: usize,
-    ) -> impl Iterator<Item = (WindowNumber, &str, &UsageCounts)> {
+    ) -> impl Iterator<Item = (WindowNumber, ProcessKey, &UsageCounts)> {
         let newest = self.windows.iter().rev().take(windows);
-        newest.flat_map(|(w, all)| all.iter().map(move |(p, counts)| (*w, p.as_str(), counts)))
+        newest.flat_map(|(w, all)| all.iter().map(move |(p, counts)| (*w, *p, counts)))
     }
 
     /// Returns the sum of the counts of all processes.
--- a/tests/gateway_removals.rs
+++ b/tests/gateway_removals.rs
@@ -217,7 +217,7 @@
     let returned = fleet.site.now_ms();
     // Rows are given up 1.9 s after the return at the latest, unless their upstreams answer.
     fleet.site.send_calls("before-the-rows", ms(2_000));
-    let failed = fleet.send_concurrently("without-rows", ms(700));
+    let failed = fleet.send_concurrently("without-rows", ms(400));
     living.iter().for_each(|id| fleet.write_row(id, true));
     assert!(failed.is_empty(), "{failed:?}");
     assert!(fleet.site.last_run(ended) < returned, "the ended upstream ran a request");
--- a/tests/gateway_row_checks.rs
+++ b/tests/gateway_row_checks.rs
@@ -52,7 +52,7 @@
     let gateways = 100;
     // Each knows all but every tenth of the others.
     let range = |own: usize| {
-        let known = (0..gateways).filter(move |n| (n + own) % 10 != 0);
+        let known = (0..gateways).filter(move |n| !(n + own).is_multiple_of(10));
         CheckRange::new(gateway(own), known.map(gateway))
     };
     let ranges: Vec<CheckRange> = (0..gateways).map(range).collect();
--- a/tests/platform_entries.rs
+++ b/tests/platform_entries.rs
@@ -149,7 +149,7 @@
         prop_assert!(decode_configuration(&bytes).is_err());
         drop(Datagram::decode(&bytes));
         drop(UpstreamSnapshot::decode(&bytes));
-        drop(ciborium::from_reader::<DurableState, _>(&bytes[..]));
+        drop(DurableState::decode(&bytes));
     }
 
     /// A valid document with some bytes changed decodes to an error or to a message whose
