Periodic checks of a large fleet are spaced out like its heartbeats

Change: timers that look whether something is due use the interval of the heartbeats as their scale; a new configuration wakes the sender.

Not measured on the whole fleet.

--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -211,7 +211,8 @@
         let now = cx.now();
         self.drop_missing(now);
         let expiry = self.gateway.board.borrow().next_missing_expiry();
-        let next = expiry.map_or(now + CHECK_PERIOD, |at| at.min(now + CHECK_PERIOD));
+        let period = self.gateway.board.borrow().check_interval(CHECK_PERIOD, now);
+        let next = expiry.map_or(now + period, |at| at.min(now + CHECK_PERIOD));
         timer_max!(&mut self.timer, next, [cx], tick());
         let mut board = self.gateway.board.borrow_mut();
         board.forget_lifetimes(now);
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -15,7 +15,7 @@
     gateway::{
         board::{PEER_TIMEOUT, PeerView},
         context::Gateway,
-        decide::{PeerTotal, startup_read_delay},
+        decide::{MIN_HEARTBEAT_INTERVAL, PeerTotal, startup_read_delay},
         model::WatchedData,
         net::Phase,
         peering::{Heartbeat, ProcessId, RelayedHeartbeat},
@@ -135,6 +135,16 @@
         self.sender.send(cx.now());
     }
 
+    /// Sends a heartbeat with news, such as a configuration just applied, if the next check would
+    /// come late.
+    pub fn send_news(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let waits = self.sender.check_interval(now) > MIN_HEARTBEAT_INTERVAL;
+        if waits && self.sender.is_due(now) {
+            self.sender.send(now);
+        }
+    }
+
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
         let next = now + self.sender.check_interval(now);
--- a/src/gateway/decide/fan_out.rs
+++ b/src/gateway/decide/fan_out.rs
@@ -35,7 +35,7 @@
 
 /// Returns the interval between heartbeats of one of `gateways` gateways, without news.
 pub fn heartbeat_interval(gateways: usize) -> Duration {
-    MIN_HEARTBEAT_INTERVAL.mul_f64((gateways as f64 / FULL_RATE_GATEWAYS as f64).max(1.0))
+    check_interval(MIN_HEARTBEAT_INTERVAL, gateways)
 }
 
 /// Returns the interval between heartbeats of a gateway with news.
@@ -46,7 +46,7 @@
 /// Returns the interval between periodic checks that are made each `base` in a fleet that is not
 /// large. Each check wakes the process; in a large fleet, what they act on changes less often.
 pub fn check_interval(base: Duration, gateways: usize) -> Duration {
-    base.max(news_interval(gateways))
+    base.mul_f64((gateways as f64 / FULL_RATE_GATEWAYS as f64).max(1.0))
 }
 
 /// Returns the age of a heartbeat up to which it is relayed.
