--- a/src/gateway/controllers/heartbeat_sender.rs
+++ b/src/gateway/controllers/heartbeat_sender.rs
@@ -38,8 +38,8 @@
 /// Most recipients of each of these heartbeats: more would delay other traffic on a slow link
 /// during startup.
 const MAX_STARTUP_FAN_OUT: usize = 48;
-/// Number of these heartbeats that the gateways of a fleet send at most, for each fan-out. With
-/// more, a large fleet would start late; what they do not reach is relayed.
+/// Datagrams that all gateways of a fleet together send for one round of these heartbeats. With
+/// more, a large fleet starts late; with fewer, more of it is learnt from relayed heartbeats.
 const STARTUP_MESSAGES: usize = 9_600;
 /// One in this many heartbeats carries usage counts to gateways that do not hold the lease.
 const USAGE_INTERVAL: u32 = 4;
--- a/src/gateway/controllers/startup.rs
+++ b/src/gateway/controllers/startup.rs
@@ -69,9 +69,9 @@
     let began = clock::now();
     let read = gateway.store.snapshot(Table::Duties).await;
     record_store_call(&gateway, "recall", began, read.as_ref().err());
+    // If the read fails, the quarantine verdicts are fetched from another gateway instead.
     if let Ok(snapshot) = read {
         apply_duty_rows(&gateway, snapshot.rows);
-        // If the read fails, the quarantine verdicts are fetched from another gateway instead.
         gateway.send_to_controllers(|c| call!([c.crashes], crash_verdicts_known()));
     }
 }
--- a/src/gateway/decide/reading.rs
+++ b/src/gateway/decide/reading.rs
@@ -42,7 +42,8 @@
 const STARTUP_BATCH_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time that a starting gateway waits to hear from another one, which tells it the size of the
-/// fleet. It is longer than the differences between the start times of most gateways.
+/// fleet. With a longer one, small fleets serve later after a restart of all; with a shorter one,
+/// gateways of a large fleet read the store before they learn its size.
 pub const FIRST_CONTACT_TIME: Duration = Duration::from_millis(150);
 /// Largest fleet in which every starting gateway reads the store. In a larger one the calls cost
 /// more than the time that it takes to get the same from other gateways.
@@ -151,8 +152,8 @@
     if let Some(rank) = reader_rank(own, others()) {
         return ReadAction::LongPoll(until_next_call(rank, now));
     }
-    let slower = news_interval(gateways).saturating_sub(MIN_HEARTBEAT_INTERVAL);
-    let fallback_age = FALLBACK_AGE + slower * NEWS_ROUNDS;
+    let extra_delay = news_interval(gateways).saturating_sub(MIN_HEARTBEAT_INTERVAL);
+    let fallback_age = FALLBACK_AGE + extra_delay * NEWS_ROUNDS;
     if age < fallback_age {
         let recheck = check_interval(RECHECK_INTERVAL, gateways);
         return ReadAction::Recheck(recheck.min(fallback_age - age));
--- a/src/gateway/peering/datagram.rs
+++ b/src/gateway/peering/datagram.rs
@@ -9,7 +9,7 @@
 /// A decoded datagram from another gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Datagram {
-    /// The sender's heartheartbeat, and heartbeats of other gateways that it relays.
+    /// The sender's heartbeat, and heartbeats of other gateways that it relays.
     Heartbeats(Box<Heartbeat>, Vec<RelayedHeartbeat>),
     /// A report about requests that crash upstreams.
     Crashes(CrashNotice),
@@ -33,7 +33,7 @@
     }
 }
 
-/// Builds one datagram for each receiver: the sender's heartheartbeat, followed by as many of the
+/// Builds one datagram for each receiver: the sender's heartbeat, followed by as many of the
 /// relayed heartbeats as fit into `max_bytes`. Receivers get different relayed heartbeats, as
 /// long as there are enough.
 pub fn datagrams(
