--- a/benches/hearing.rs
+++ b/benches/hearing.rs
@@ -60,7 +60,6 @@
         recent: RecentChanges::default(),
         store_answers: true,
         store_steady: true,
-        fleet_size: 195,
         up_ms: 20_000,
         time: 1_700_000_000_000,
         lease: None,
--- a/src/gateway/board/knowledge.rs
+++ b/src/gateway/board/knowledge.rs
@@ -52,6 +52,6 @@
                 process,
             })
         };
-        Some(next_read_action(own, others, age, self.fleet_size(now), store_now))
+        Some(next_read_action(own, others, age, store_now))
     }
 }
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -30,10 +30,10 @@
 use super::{
     decide::{
         Candidate, CapacityRecord, CooldownTracker, CrashTracker, DisabledMechanisms, EngineSpeed,
-        InterruptedAttempts, LeavingTracker, LoadMeter, MIN_HEARTBEAT_INTERVAL, Mechanism,
-        PeerCorrectedClock, PrefixCacheEstimate, QuotaLimiter, RateLimiter, RequestCost,
-        RolloutTracker, ServiceRetryBudgets, SpeedModel, StoreClock, StoreMillis, StoreStability,
-        SyncPoint, TrialTurn, UsageCounters,
+        InterruptedAttempts, LeavingTracker, LoadMeter, Mechanism, PeerCorrectedClock,
+        PrefixCacheEstimate, QuotaLimiter, RateLimiter, RequestCost, RolloutTracker,
+        ServiceRetryBudgets, SpeedModel, StoreClock, StoreMillis, StoreStability, SyncPoint,
+        TrialTurn, UsageCounters,
     },
     model::{Configuration, Lifetime, Revision, ServiceName, Upstream, WatchedData},
     peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport, UpstreamSnapshot},
@@ -52,9 +52,8 @@
 pub use store::StoreState;
 pub use upstream::{DescriptionChange, Load, MissingRow, UpstreamView};
 
-/// Interval between heartbeats in a fleet that is not large, and between checks of what has to be
-/// sent.
-pub const HEARTBEAT_PERIOD: Duration = MIN_HEARTBEAT_INTERVAL;
+/// Interval between heartbeats. Load figures that are older lead to bad choices of engines.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(150);
 /// Number of gateways that each heartbeat reaches within one or two periods, directly or relayed.
 /// In a larger fleet a gateway receives only every few heartbeats of each other gateway, so that
 /// the cost of a process does not grow with the number of gateways.
@@ -97,14 +96,8 @@
     pub row_checks: RowChecks,
     /// Other gateway processes, as last heard from.
     pub peers: BTreeMap<ProcessId, PeerView>,
-    /// Number of hosts that were announced when this process started, in the store or by other
-    /// gateways.
+    /// Number of hosts that were announced in the store when this process started.
     pub announced_hosts: usize,
-    /// Whether this process reads the store itself at its start; it otherwise waits for other
-    /// gateways to send it what it needs.
-    pub reads_store_at_start: bool,
-    /// Whether this process has read the state that earlier lease holders stored.
-    pub state_restored: bool,
     /// Until when this process waits for other gateways to send it the upstreams; `None` while the
     /// number of other gateways is unknown.
     pub peer_snapshot_deadline: Option<Instant>,
@@ -176,8 +169,6 @@
             row_checks: RowChecks::default(),
             peers: BTreeMap::new(),
             announced_hosts: 0,
-            reads_store_at_start: false,
-            state_restored: false,
             peer_snapshot_deadline: None,
             cache: PrefixCacheEstimate::default(),
             sent_prefixes: Vec::new(),
--- a/src/gateway/board/outcomes.rs
+++ b/src/gateway/board/outcomes.rs
@@ -38,12 +38,9 @@
         }
         let mut services: HashMap<ServiceName, Outcomes> = HashMap::new();
         for view in self.upstreams.values() {
-            let mut seen = view.outcomes.read(now);
-            seen.add(others.get(&view.lifetime).copied().unwrap_or_default());
-            match services.get_mut(&view.upstream.service) {
-                Some(service) => service.add(seen),
-                None => drop(services.insert(view.upstream.service.clone(), seen)),
-            }
+            let service = services.entry(view.upstream.service.clone()).or_default();
+            service.add(view.outcomes.read(now));
+            service.add(others.get(&view.lifetime).copied().unwrap_or_default());
         }
         self.shared_outcomes = SharedOutcomes { others, services };
     }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,15 +1,11 @@
 //! Shared context of a gateway process.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{cell::RefCell, rc::Rc, time::Instant};
 
 use super::{
     board::{Board, StoreState},
     controllers::Controllers,
-    decide::{LimitAnnouncement, QuarantineChange, spreads_transfers},
+    decide::{LimitAnnouncement, QuarantineChange},
     model::{Lifetime, WatchedData},
     net::{Phase, Pool, Shutdown},
     peering::ProcessId,
@@ -24,10 +20,6 @@
     settings::GatewaySettings,
 };
 
-/// Shortest interval between transfers of long documents in a large fleet. With a longer one, a
-/// start takes longer; with a shorter one, several share a link of 10 Mbit/s.
-const TRANSFER_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Shared context of a gateway process: settings, state, clients and telemetry. Controllers and
 /// request tasks hold it in an `Rc`.
 #[derive(Debug)]
@@ -60,8 +52,6 @@
     pub metrics: GatewayMetrics,
     /// Wakes the task that runs the controllers.
     pub waker: ControllerWaker,
-    /// When this process last began to send a long document to another gateway.
-    last_transfer: Cell<Option<Instant>>,
     controllers: RefCell<Option<Rc<Controllers>>>,
 }
 
@@ -92,7 +82,6 @@
             journal,
             metrics: GatewayMetrics::new(),
             waker: ControllerWaker::default(),
-            last_transfer: Cell::default(),
             controllers: RefCell::new(None),
         }
     }
@@ -121,20 +110,6 @@
         self.board.borrow().age(of, now).map(|age| age.as_millis() as u64)
     }
 
-    /// Returns whether this process may send a long document to another gateway now, and counts it
-    /// as sent. In a large fleet transfers are spaced out: many at the same time would all be slow
-    /// on a narrow link, while those that have finished could pass the document on.
-    pub fn may_transfer(&self, now: Instant) -> bool {
-        if !spreads_transfers(self.board.borrow().fleet_size(now)) {
-            return true;
-        }
-        let is_due = self.last_transfer.get().is_none_or(|at| now >= at + TRANSFER_INTERVAL);
-        if is_due {
-            self.last_transfer.set(Some(now));
-        }
-        is_due
-    }
-
     /// Returns whether this process is ready for callers' requests: it is not shutting down, and
     /// knows the configuration, the upstreams and the quarantine verdicts.
     pub fn is_ready(&self) -> bool {
--- a/src/gateway/controllers/capacity.rs
+++ b/src/gateway/controllers/capacity.rs
@@ -60,20 +60,12 @@
 
     /// Plans at once after a change of the list of upstreams: some engines may be draining.
     pub fn fleet_changed(&mut self, cx: CX![]) {
-        if self.gateway.board.borrow().lease.may_act(cx.now()).is_some() {
-            self.plan(cx.now());
-        }
+        self.plan(cx.now());
     }
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        let board = self.gateway.board.borrow();
-        let period = match board.lease.may_act(now) {
-            Some(_) => PLAN_PERIOD,
-            None => board.check_interval(PLAN_PERIOD, now),
-        };
-        drop(board);
-        timer_max!(&mut self.timer, now + period, [cx], tick());
+        timer_max!(&mut self.timer, now + PLAN_PERIOD, [cx], tick());
         self.plan(now);
     }
 
--- a/src/gateway/controllers/configuration.rs
+++ b/src/gateway/controllers/configuration.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use stakker::{CX, call};
+use stakker::CX;
 
 use super::Source;
 use crate::{
@@ -52,6 +52,5 @@
         self.gateway.metrics.configuration.set(version as i64);
         let source = source.name();
         self.gateway.log(&Event::Configuration { version, before, source });
-        self.gateway.send_to_controllers(|c| call!([c.peers], send_news()));
     }
 }
--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -88,8 +88,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        let interval = self.gateway.board.borrow().check_interval(HEARTBEAT_PERIOD, now);
-        timer_max!(&mut self.heartbeat_timer, now + interval, [cx], tick());
+        timer_max!(&mut self.heartbeat_timer, now + HEARTBEAT_PERIOD, [cx], tick());
         self.heartbeats = self.heartbeats.wrapping_add(1);
         let mut board = self.gateway.board.borrow_mut();
         let silence = board.peer_silence();
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -211,8 +211,7 @@
         let now = cx.now();
         self.drop_missing(now);
         let expiry = self.gateway.board.borrow().next_missing_expiry();
-        let period = self.gateway.board.borrow().check_interval(CHECK_PERIOD, now);
-        let next = expiry.map_or(now + period, |at| at.min(now + CHECK_PERIOD));
+        let next = expiry.map_or(now + CHECK_PERIOD, |at| at.min(now + CHECK_PERIOD));
         timer_max!(&mut self.timer, next, [cx], tick());
         let mut board = self.gateway.board.borrow_mut();
         board.forget_lifetimes(now);
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -15,15 +15,14 @@
 
 use super::{
     persisted_state::{PERSIST_PERIOD, persist, state_row},
-    startup::apply_duty_rows,
     usage_report::send_usage_report,
 };
 use crate::{
     control::{HeardClaim, Lease, LeaseAction, LeaseRow, LeaseTiming},
     gateway::{
-        board::{HEARTBEAT_REACH, OwnLease},
+        board::{HEARTBEAT_PERIOD, HEARTBEAT_REACH, OwnLease},
         context::Gateway,
-        decide::{WindowNumber, heartbeat_interval, wait_after_takeover},
+        decide::{WindowNumber, wait_after_takeover},
         net::Phase,
         telemetry::Event,
     },
@@ -50,8 +49,6 @@
 /// Added to [`SUSPECT_AFTER`] for each process that precedes this one, so that they do not all read
 /// the row at once.
 const SUSPECT_STEP: Duration = Duration::from_millis(150);
-/// Time after its start in which a process that does not read the store leaves the lease to others.
-const DISCOVERY_TIME: Duration = Duration::from_secs(5);
 /// Time after the end of a window at which its counts are final: processes send theirs several
 /// times a second, but some may be partitioned for a while.
 const SETTLE_TIME: Duration = Duration::from_millis(3_500);
@@ -110,13 +107,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        let board = self.gateway.board.borrow();
-        let interval = match board.lease.may_act(now) {
-            Some(_) => CHECK_PERIOD,
-            None => board.check_interval(CHECK_PERIOD, now),
-        };
-        drop(board);
-        timer_max!(&mut self.timer, now + interval, [cx], tick());
+        timer_max!(&mut self.timer, now + CHECK_PERIOD, [cx], tick());
         let window = self.window(now);
         self.gateway.board.borrow_mut().usage.open_window(&self.gateway.process, window);
         self.check_lease(now);
@@ -131,9 +122,8 @@
     /// Returns whether the other processes have had time to send their usage counts since this one
     /// acquired the lease.
     fn has_received_counts(&self, now: Instant) -> bool {
-        let processes = self.gateway.board.borrow().fleet_size(now);
-        let period = heartbeat_interval(processes);
-        let wait = wait_after_takeover(processes, HEARTBEAT_REACH, period);
+        let processes = 1 + self.gateway.board.borrow().peers.len();
+        let wait = wait_after_takeover(processes, HEARTBEAT_REACH, HEARTBEAT_PERIOD);
         now.saturating_duration_since(self.acquired) >= wait
     }
 
@@ -174,9 +164,6 @@
             return;
         }
         let leaving = self.gateway.shutdown.phase() > Phase::Serving;
-        if !self.may_seek_lease(now) {
-            return;
-        }
         if leaving || self.held_recently(now) || self.hears_holder(now) {
             return;
         }
@@ -197,7 +184,7 @@
         let Some(own) = board.lease.own.filter(|own| !own.given_up) else {
             return false;
         };
-        let others_reach = board.recently_reported(now).any(|p| p.last.store_answers);
+        let others_reach = board.recently_heard(now).any(|p| p.last.store_answers);
         let old = now.saturating_duration_since(own.sent) >= GIVE_UP_AFTER;
         now >= own.until || (others_reach && old)
     }
@@ -221,14 +208,6 @@
         others && own.is_some_and(|own| own.given_up && now < own.until + self.timing.ttl)
     }
 
-    /// Returns whether this process may take over the lease: not while it has just started and waits
-    /// for what others send, since it knows neither the other gateways nor their holder.
-    fn may_seek_lease(&self, now: Instant) -> bool {
-        let board = self.gateway.board.borrow();
-        let up = now.saturating_duration_since(self.gateway.started);
-        board.reads_store_at_start || up >= DISCOVERY_TIME
-    }
-
     /// Records the claim to the lease from another process's heartbeat.
     pub fn claim_received(&mut self, _: CX![], claim: HeardClaim) {
         self.lease.hear(claim);
@@ -236,7 +215,7 @@
 
     /// Returns whether recent heartbeats show that another process holds the lease.
     fn hears_holder(&mut self, now: Instant) -> bool {
-        let heard = self.gateway.board.borrow().lease_holder(now).is_some();
+        let heard = self.gateway.board.borrow().recently_heard(now).any(|p| p.last.holds_lease());
         if heard {
             self.holder_last_heard = now;
             // An observation of the row says nothing about the holder that follows this one.
@@ -253,8 +232,7 @@
         let own = &self.gateway.process;
         let before =
             board.recently_heard(now).filter(|p| p.last.store_answers && p.last.process() < *own);
-        let given_up =
-            board.recently_reported(now).any(|p| p.last.lease.is_some_and(|c| c.given_up));
+        let given_up = board.recently_heard(now).any(|p| p.last.lease.is_some_and(|c| c.given_up));
         let silence = if given_up { Duration::ZERO } else { SUSPECT_AFTER };
         let wait = silence + SUSPECT_STEP * before.count() as u32;
         now.saturating_duration_since(self.holder_last_heard) >= wait
@@ -275,12 +253,6 @@
                 &gateway.metrics.platform_calls,
                 if read.is_ok() { "lease_read" } else { "lease_read_failed" },
             );
-            // A process that started without reading the store restores the state before it may
-            // act on it.
-            let is_restored = gateway.board.borrow().state_restored;
-            if let Some(snapshot) = read.as_ref().ok().filter(|_| !is_restored) {
-                apply_duty_rows(&gateway, snapshot.rows.clone());
-            }
             let row = read.map(|s| s.rows.into_iter().find(|r| r.key == LEASE_KEY));
             gateway.send_to_controllers(|c| call!([c.duties], lease_read(row)));
         });
--- a/src/gateway/controllers/heartbeat_sender.rs
+++ b/src/gateway/controllers/heartbeat_sender.rs
@@ -13,15 +13,13 @@
 use super::peer_requests::sample;
 use crate::{
     gateway::{
-        board::{Board, HEARTBEAT_REACH, PeerView, StoreState},
+        board::{HEARTBEAT_REACH, PeerView, StoreState},
         context::Gateway,
         decide::{
-            HEARTBEAT_FAN_OUT, MAX_FAR_DATAGRAM_BYTES, MAX_NEAR_DATAGRAM_BYTES,
-            MIN_HEARTBEAT_INTERVAL, ReceiverCount, UsageCounts, WindowNumber,
-            choose_receiver_count, heartbeat_interval, heartbeats_per_report, news_interval,
+            HEARTBEAT_FAN_OUT, MAX_FAR_DATAGRAM_BYTES, MAX_NEAR_DATAGRAM_BYTES, ReceiverCount,
+            UsageCounts, WindowNumber, choose_receiver_count, heartbeats_per_report,
             receivers_per_data_centre, rotating_receivers,
         },
-        net::Phase,
         peering::{Heartbeat, PrefixReport, datagrams},
     },
     ids::DataCentre,
@@ -37,10 +35,7 @@
 const STARTUP_HEARTBEATS: u32 = 4;
 /// Most recipients of each of these heartbeats: more would delay other traffic on a slow link
 /// during startup.
-const MAX_STARTUP_FAN_OUT: usize = 48;
-/// Datagrams that all gateways of a fleet together send for one round of these heartbeats. With
-/// more, a large fleet starts late; with fewer, more of it is learnt from relayed heartbeats.
-const STARTUP_MESSAGES: usize = 9_600;
+const STARTUP_FAN_OUT: usize = 48;
 /// One in this many heartbeats carries usage counts to gateways that do not hold the lease.
 const USAGE_INTERVAL: u32 = 4;
 /// How long heartbeats carry a change of upstreams: until each gateway has received it from several
@@ -62,16 +57,6 @@
     is_partial: bool,
 }
 
-/// What other gateways are to learn soon. A heartbeat that reports a change of it is sent earlier.
-/// Changes of upstreams are not among it: a large fleet has some at any time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct News {
-    phase: Phase,
-    configuration: u64,
-    /// Fencing token of the lease, and whether it was given up.
-    lease: Option<(u64, bool)>,
-}
-
 /// Composes heartbeats and chooses their recipients.
 #[derive(Debug)]
 pub(super) struct HeartbeatSender {
@@ -82,8 +67,6 @@
     number: u32,
     /// How many of the [`STARTUP_HEARTBEATS`] are left.
     startup_left: u32,
-    /// When the last heartbeat was sent, and what it reported.
-    last: Option<(Instant, News)>,
     /// Shared prefixes first reported in each of the last heartbeats, newest first.
     recent_prefixes: VecDeque<Vec<PrefixReport>>,
 }
@@ -99,41 +82,7 @@
         // different phases.
         let number = fastrand::u32(..MAX_FIRST_NUMBER);
         let (startup_left, recent_prefixes) = (STARTUP_HEARTBEATS, VecDeque::new());
-        Self { gateway, socket, addresses, number, startup_left, last: None, recent_prefixes }
-    }
-
-    /// Returns the interval between checks of whether a heartbeat is due.
-    pub(super) fn check_interval(&self, now: Instant) -> Duration {
-        let board = self.gateway.board.borrow();
-        match self.startup_left > 0 || board.lease.may_act(now).is_some() {
-            true => MIN_HEARTBEAT_INTERVAL,
-            false => board.check_interval(MIN_HEARTBEAT_INTERVAL, now),
-        }
-    }
-
-    /// Returns whether the next heartbeat is due.
-    pub(super) fn is_due(&self, now: Instant) -> bool {
-        let Some((sent, reported)) = self.last else {
-            return true;
-        };
-        let board = self.gateway.board.borrow();
-        let gateways = board.fleet_size(now);
-        let is_urgent = self.startup_left > 0 || board.lease.may_act(now).is_some();
-        let interval = match is_urgent {
-            true => MIN_HEARTBEAT_INTERVAL,
-            false if self.news(&board, now) != reported => news_interval(gateways),
-            false => heartbeat_interval(gateways),
-        };
-        // Checks are half a period apart at worst.
-        now.saturating_duration_since(sent) + MIN_HEARTBEAT_INTERVAL / 2 >= interval
-    }
-
-    fn news(&self, board: &Board, now: Instant) -> News {
-        News {
-            phase: self.gateway.shutdown.phase(),
-            configuration: board.configuration_version(),
-            lease: board.lease.claim(now).map(|claim| (claim.fence, claim.given_up)),
-        }
+        Self { gateway, socket, addresses, number, startup_left, recent_prefixes }
     }
 
     /// Adds the addresses of registered gateways, and starts the [`STARTUP_HEARTBEATS`] again so
@@ -150,11 +99,9 @@
     }
 
     /// Replies to the first heartbeat of a new process, which waits for heartbeats of the others.
-    /// Skipped while this process is starting too, as it then sends to everybody anyway, unless the
-    /// new one knows of far fewer gateways.
-    pub(super) fn reply_to_new(&self, to: SocketAddr, known_there: usize, now: Instant) {
-        let fleet = self.gateway.board.borrow().fleet_size(now);
-        if self.startup_left == 0 || 2 * known_there < fleet {
+    /// Skipped while this process is starting too: it then sends to everybody anyway.
+    pub(super) fn reply_to_new(&self, to: SocketAddr, now: Instant) {
+        if self.startup_left == 0 {
             self.send_to(&self.compose(now), &[to], &[], 0);
         }
     }
@@ -163,15 +110,13 @@
     pub(super) fn send(&mut self, now: Instant) {
         self.number = self.number.wrapping_add(1);
         self.startup_left = self.startup_left.saturating_sub(1);
-        self.last = Some((now, self.news(&self.gateway.board.borrow(), now)));
         let mut heartbeat = self.compose(now);
         // The holder of the lease adds up usage. The others receive it less often, since one of
         // them may be the next holder.
-        let processes = self.gateway.board.borrow().fleet_size(now);
+        let processes = 1 + self.gateway.board.borrow().peers.len();
         heartbeat.prefixes = self.prefix_reports(processes);
-        let per_report =
-            heartbeats_per_report(processes, HEARTBEAT_REACH, heartbeat_interval(processes));
-        let reports_usage = self.number.is_multiple_of(per_report);
+        let reports_usage =
+            self.number.is_multiple_of(heartbeats_per_report(processes, HEARTBEAT_REACH));
         let recipients = self.recipients(reports_usage, now);
         if self.number.is_multiple_of(USAGE_INTERVAL) {
             heartbeat.usage = self.usage();
@@ -252,13 +197,12 @@
     fn recipients(&self, reports_usage: bool, now: Instant) -> Recipients {
         let own = self.gateway.settings.borrow().data_centre.clone();
         let board = self.gateway.board.borrow();
-        let holder = board.lease_holder(now);
+        let holder = board.recently_heard(now).find(|p| p.last.holds_lease());
         let holder = holder.map(|p| p.last.heartbeats).filter(|_| reports_usage);
         if self.startup_left > 0 {
             let others = self.addresses.iter().filter(|a| Some(**a) != holder);
             let all: Vec<SocketAddr> = others.copied().collect();
-            let fan_out = STARTUP_MESSAGES / board.fleet_size(now).max(1);
-            let far = sample(&all, fan_out.clamp(HEARTBEAT_FAN_OUT, MAX_STARTUP_FAN_OUT));
+            let far = sample(&all, STARTUP_FAN_OUT);
             return Recipients { far, holder, ..Recipients::default() };
         }
         let heard: Vec<&PeerView> = board.recently_heard(now).collect();
@@ -309,7 +253,6 @@
             recent: board.recent_changes.clone(),
             store_answers: !matches!(board.store, StoreState::OutageSince(_)),
             store_steady: board.steadiness.is_steady(now),
-            fleet_size: board.fleet_size(now) as u32,
             up_ms: now.saturating_duration_since(self.gateway.started).as_millis() as u64,
             time: board.clock.unix_millis(now),
             lease: board.lease.claim(now),
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -37,7 +37,7 @@
 pub use rollouts::Rollouts;
 pub use row_checks::RowChecks;
 pub use source::Source;
-pub use startup::start_reading;
+pub use startup::{register_member, restore_state};
 pub use table_reader::follow_table;
 
 /// Owning handles of all controllers, through which they are sent messages.
--- a/src/gateway/controllers/peer_sync.rs
+++ b/src/gateway/controllers/peer_sync.rs
@@ -116,18 +116,11 @@
     // Cleared before the read of the store: another gateway may have the data by now, so the next
     // fetch need not wait for the store.
     fetching.set(false);
-    if !fetched && may_read_store(&gateway, followed) {
+    if !fetched {
         read_once(gateway, followed).await;
     }
 }
 
-/// Returns whether the store may be read in place of another gateway: not by a process that starts
-/// and leaves that to others.
-fn may_read_store(gateway: &Gateway, followed: WatchedData) -> bool {
-    let board = gateway.board.borrow();
-    board.knowledge(followed).is_some() || board.reads_store_at_start
-}
-
 /// Fetches the configuration; returns whether the gateway answered in time. On a slow link a large
 /// document takes long, so the first gateways to have a new one cannot serve all others.
 async fn fetch_configuration(gateway: &Gateway, from: SocketAddr) -> bool {
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -13,9 +13,9 @@
 use crate::{
     control::HeardClaim,
     gateway::{
-        board::{PEER_TIMEOUT, PeerView},
+        board::{HEARTBEAT_PERIOD, PEER_TIMEOUT, PeerView},
         context::Gateway,
-        decide::{MIN_HEARTBEAT_INTERVAL, PeerTotal, startup_read_delay},
+        decide::{PeerTotal, startup_read_delay},
         model::WatchedData,
         net::Phase,
         peering::{Heartbeat, ProcessId, RelayedHeartbeat},
@@ -55,7 +55,7 @@
         let order = |a: &SocketAddr| prefix::hash(a.to_string().as_bytes());
         let rank = addresses.iter().filter(|a| order(a) < order(&own)).count();
         let mut board = self.gateway.board.borrow_mut();
-        board.announced_hosts = board.announced_hosts.max(addresses.len());
+        board.announced_hosts = addresses.len();
         board.peer_snapshot_deadline = Some(cx.now() + startup_read_delay(rank));
         drop(board);
         self.sender.add_members(addresses);
@@ -69,7 +69,7 @@
         if process == self.gateway.process {
             return;
         }
-        let (from, fleet) = (heartbeat.heartbeats, heartbeat.fleet_size as usize);
+        let from = heartbeat.heartbeats;
         let recent = std::mem::take(&mut heartbeat.recent);
         self.gateway.send_to_controllers(|c| call!([c.directory], apply_peer_changes(recent)));
         if let Some(reading) = heartbeat.store_now {
@@ -79,7 +79,7 @@
             return;
         }
         if self.apply(heartbeat, now, now) {
-            self.sender.reply_to_new(from, fleet, now);
+            self.sender.reply_to_new(from, now);
         }
     }
 
@@ -116,7 +116,6 @@
             self.gateway.send_to_controllers(|c| call!([c.duties], claim_received(heard)));
         }
         let mut board = self.gateway.board.borrow_mut();
-        board.announced_hosts = board.announced_hosts.max(heartbeat.fleet_size as usize);
         let before = board.record_heartbeat(process.clone(), heartbeat, sent);
         let silence = board.peer_silence();
         let limits = board.merge_limit_reports(&process, now);
@@ -135,24 +134,9 @@
         self.sender.send(cx.now());
     }
 
-    /// Sends a heartbeat with news, such as a configuration just applied, if the next check would
-    /// come late.
-    pub fn send_news(&mut self, cx: CX![]) {
-        let now = cx.now();
-        let waits = self.sender.check_interval(now) > MIN_HEARTBEAT_INTERVAL;
-        if waits && self.sender.is_due(now) {
-            self.sender.send(now);
-        }
-    }
-
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
-        let next = now + self.sender.check_interval(now);
-        timer_max!(&mut self.timer, next, [cx], tick());
-        self.syncs.iter_mut().for_each(|sync| sync.check(now));
-        if !self.sender.is_due(now) {
-            return;
-        }
+        timer_max!(&mut self.timer, now + HEARTBEAT_PERIOD, [cx], tick());
         self.forget_silent(now);
         self.knowledge_ages.update(&self.gateway, now);
         let mut board = self.gateway.board.borrow_mut();
@@ -162,6 +146,7 @@
         board.divide_limits(&self.gateway.settings.borrow().id, leaving, now);
         drop(board);
         self.sender.send(now);
+        self.syncs.iter_mut().for_each(|sync| sync.check(now));
     }
 
     fn apply_reports(&self, heartbeat: &Heartbeat, now: Instant) {
--- a/src/gateway/controllers/persisted_state.rs
+++ b/src/gateway/controllers/persisted_state.rs
@@ -29,7 +29,7 @@
         let now = clock::now();
         let share = board.quota_share(now);
         let levels = board.quotas.levels(share, now);
-        DurableState::of(board.fleet_size(now), levels, &board.usage, board.capacity.clone())
+        DurableState::of(levels, &board.usage, board.capacity.clone())
     };
     let (value, left_out) = match kept.encode() {
         Ok(encoded) => encoded,
@@ -63,7 +63,6 @@
     let kept = DurableState::decode(&row.value)?;
     let mut guard = gateway.board.borrow_mut();
     let board = &mut *guard;
-    board.announced_hosts = board.announced_hosts.max(kept.gateways());
     let capacity = kept.restore(&mut board.quotas, &mut board.usage, clock::now());
     board.previous_holder_needs = capacity.needs;
     // Orders already received from a holder's heartbeat are newer than the row.
--- a/src/gateway/controllers/startup.rs
+++ b/src/gateway/controllers/startup.rs
@@ -5,10 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use stakker::call;
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::time::{sleep, timeout};
 
 use super::{
     duties::LEASE_KEY,
@@ -17,15 +14,10 @@
 };
 use crate::{
     clock,
-    gateway::{
-        context::Gateway,
-        decide::{Backoff, FIRST_CONTACT_TIME, READ_ATTEMPT_INTERVAL, reads_store_at_start},
-    },
+    gateway::{context::Gateway, decide::Backoff},
     platform::{PlatformError, RowWrite, StoreRow, Table},
 };
 
-/// Shortest interval between checks of whether to read the store.
-const RECHECK: Duration = Duration::from_millis(5);
 /// Timeout of reading the list of gateways.
 const MEMBERS_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -35,54 +27,17 @@
     heartbeats: SocketAddr,
 }
 
-/// Decides whether this process reads the store, as long as it lacks something that it needs to
-/// serve. If so, restores what earlier processes persisted and registers this process.
-pub async fn start_reading(gateway: Rc<Gateway>) {
-    while !gateway.board.borrow().is_informed() {
-        let waited = clock::now().saturating_duration_since(gateway.started);
-        let fleet = gateway.board.borrow().fleet_size(clock::now());
-        if reads_store_at_start(fleet, waited, fastrand::f64()) {
-            read_at_start(gateway).await;
-            return;
-        }
-        sleep(next_attempt(waited)).await;
-    }
-}
-
-/// Returns the time until the next decision whether to read the store.
-fn next_attempt(waited: Duration) -> Duration {
-    match FIRST_CONTACT_TIME.checked_sub(waited) {
-        Some(left) => left.clamp(RECHECK, READ_ATTEMPT_INTERVAL),
-        None => READ_ATTEMPT_INTERVAL,
-    }
-}
-
-async fn read_at_start(gateway: Rc<Gateway>) {
-    gateway.board.borrow_mut().reads_store_at_start = true;
-    spawn_local(register_member(gateway.clone()));
-    restore_state(gateway).await;
-}
-
 /// Restores the state that earlier processes persisted in the store. A process that cannot read it
 /// starts with empty quotas.
-async fn restore_state(gateway: Rc<Gateway>) {
+pub async fn restore_state(gateway: Rc<Gateway>) {
     let began = clock::now();
     let read = gateway.store.snapshot(Table::Duties).await;
     record_store_call(&gateway, "recall", began, read.as_ref().err());
-    // If the read fails, the quarantine verdicts are fetched from another gateway instead.
-    if let Ok(snapshot) = read {
-        apply_duty_rows(&gateway, snapshot.rows);
-        gateway.send_to_controllers(|c| call!([c.crashes], crash_verdicts_known()));
-    }
-}
-
-/// Applies the rows of the duties, as they are when this process first reads them.
-pub(super) fn apply_duty_rows(gateway: &Gateway, rows: Vec<StoreRow>) {
-    gateway.board.borrow_mut().state_restored = true;
-    for row in rows {
+    let was_read = read.is_ok();
+    for row in read.map(|s| s.rows).unwrap_or_default() {
         match row.key.as_str() {
             STATE_KEY => {
-                if let Err(e) = restore(gateway, &row) {
+                if let Err(e) = restore(&gateway, &row) {
                     log::error!(
                         "persisted quotas, usage and engine orders cannot be restored: {e}"
                     );
@@ -95,6 +50,10 @@
             _ => {}
         }
     }
+    // If the read failed, the quarantine verdicts are fetched from another gateway instead.
+    if was_read {
+        gateway.send_to_controllers(|c| call!([c.crashes], crash_verdicts_known()));
+    }
 }
 
 fn member_address(row: &StoreRow) -> Option<SocketAddr> {
@@ -107,7 +66,7 @@
 
 /// Registers this process's address in the store, then reads the addresses of the other gateways.
 /// Retries each with backoff until it has succeeded once.
-async fn register_member(gateway: Rc<Gateway>) {
+pub async fn register_member(gateway: Rc<Gateway>) {
     let (host, heartbeats) = {
         let settings = gateway.settings.borrow();
         (settings.id.clone(), settings.listen.heartbeats)
--- a/src/gateway/controllers/table_reader.rs
+++ b/src/gateway/controllers/table_reader.rs
@@ -92,17 +92,11 @@
         }
     }
 
-    /// Returns how long to wait before the next check of whether other gateways have sent the
-    /// contents of the table; `None` once they are known, or time to read the store.
+    /// Returns how long to wait before the next check of whether other gateways have sent the list
+    /// of upstreams; `None` once it is known, or time to read the store.
     fn wait_at_start(&self) -> Option<Duration> {
         let board = self.gateway.board.borrow();
-        if board.knowledge(self.followed).is_some() {
-            return None;
-        }
-        if !board.reads_store_at_start {
-            return Some(STARTUP_POLL_INTERVAL);
-        }
-        if self.followed != WatchedData::Upstreams {
+        if self.followed != WatchedData::Upstreams || board.upstreams_knowledge.is_some() {
             return None;
         }
         let now = clock::now();
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,7 +14,7 @@
 use super::{
     board::Board,
     context::Gateway,
-    controllers::{Controllers, follow_table, start_reading},
+    controllers::{Controllers, follow_table, register_member, restore_state},
     decide::PeerCorrectedClock,
     model::WatchedData,
     net::{Phase, serve},
@@ -86,7 +86,8 @@
     for followed in WatchedData::ALL {
         spawn_local(follow_table(gateway.clone(), followed));
     }
-    spawn_local(start_reading(gateway.clone()));
+    spawn_local(restore_state(gateway.clone()));
+    spawn_local(register_member(gateway.clone()));
     signals.spawn(&gateway);
     gateway.log(&Event::Started { version: env!("CARGO_PKG_VERSION") });
     reactor::drive(stakker, gateway.clone()).await;
--- a/src/gateway/decide/durable_state.rs
+++ b/src/gateway/decide/durable_state.rs
@@ -44,8 +44,6 @@
 /// report their own counts again.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DurableState {
-    /// Number of gateways, for processes that start together and know of no others yet.
-    gateways: u32,
     levels: BTreeMap<CustomerName, f64>,
     /// Names of the customers with usage, by number.
     customers: Vec<CustomerName>,
@@ -66,7 +64,6 @@
 impl DurableState {
     /// Captures the state that is to be stored.
     pub fn of(
-        gateways: usize,
         levels: BTreeMap<CustomerName, f64>,
         usage: &UsageCounters,
         capacity: CapacityRecord,
@@ -86,7 +83,6 @@
             }
         }
         Self {
-            gateways: gateways as u32,
             levels,
             customers: customers.into_iter().cloned().collect(),
             usage: windows,
@@ -123,11 +119,6 @@
         }
     }
 
-    /// Returns the number of gateways when the state was stored.
-    pub fn gateways(&self) -> usize {
-        self.gateways as usize
-    }
-
     /// Restores quotas and usage, and returns the capacity record.
     pub fn restore(
         self,
--- a/src/gateway/decide/fan_out.rs
+++ b/src/gateway/decide/fan_out.rs
@@ -4,28 +4,14 @@
 //! period as there are gateways. Instead it is sent to a few, most of them in the sender's data
 //! centre, and the receivers relay what they heard recently. Few messages cross data centres,
 //! and each carries the heartbeats of the sender's data centre.
-//!
-//! In a large fleet each gateway sends less often, so that the messages of all gateways together
-//! do not grow with their number. A gateway then knows many others only from seconds ago; those
-//! that all depend on, the holder of the lease and the readers of the store, are relayed first.
 
 use std::time::Duration;
 
 /// Gateways that each heartbeat is sent to.
 pub const HEARTBEAT_FAN_OUT: usize = 6;
-/// Shortest interval between heartbeats. Load figures that are older lead to bad choices of
-/// engines.
-pub const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
-/// Largest fleet that sends heartbeats at the shortest interval. With a smaller figure, gateways
-/// of mid-size fleets know less of each other's load; with a larger one, the processor time for
-/// heartbeats exceeds that for requests in fleets where each gateway has few.
-const FULL_RATE_GATEWAYS: usize = 300;
-/// How much shorter the interval is for a gateway with news, such as a new configuration: news
-/// reach all gateways in some four intervals.
-const NEWS_SPEEDUP: u32 = 3;
-/// Age of a heartbeat up to which it is relayed, in intervals. An older one has reached most
-/// gateways already, or its sender is gone.
-const RELAY_INTERVALS: u32 = 4;
+/// Age of a heartbeat up to which it is relayed. An older one has reached most gateways already,
+/// or its sender is gone.
+pub const MAX_RELAY_AGE: Duration = Duration::from_millis(600);
 /// Size up to which relayed heartbeats are added to a datagram for another data centre, in
 /// bytes: traffic between data centres is billed.
 pub const MAX_FAR_DATAGRAM_BYTES: usize = 1_400;
@@ -33,27 +19,6 @@
 /// two packets, as one is rarely lost there.
 pub const MAX_NEAR_DATAGRAM_BYTES: usize = 2_800;
 
-/// Returns the interval between heartbeats of one of `gateways` gateways, without news.
-pub fn heartbeat_interval(gateways: usize) -> Duration {
-    check_interval(MIN_HEARTBEAT_INTERVAL, gateways)
-}
-
-/// Returns the interval between heartbeats of a gateway with news.
-pub fn news_interval(gateways: usize) -> Duration {
-    (heartbeat_interval(gateways) / NEWS_SPEEDUP).max(MIN_HEARTBEAT_INTERVAL)
-}
-
-/// Returns the interval between periodic checks that are made each `base` in a fleet that is not
-/// large. Each check wakes the process; in a large fleet, what they act on changes less often.
-pub fn check_interval(base: Duration, gateways: usize) -> Duration {
-    base.mul_f64((gateways as f64 / FULL_RATE_GATEWAYS as f64).max(1.0))
-}
-
-/// Returns the age of a heartbeat up to which it is relayed.
-pub fn max_relay_age(gateways: usize) -> Duration {
-    heartbeat_interval(gateways) * RELAY_INTERVALS
-}
-
 /// Number of gateways in the sender's data centre and elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReceiverCount {
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -47,9 +47,9 @@
 pub use durable_state::{CapacityRecord, DurableState, StateError};
 pub use engine::{Candidate, choose_engine, choose_fewest_running, predicted_wait};
 pub use fan_out::{
-    HEARTBEAT_FAN_OUT, MAX_FAR_DATAGRAM_BYTES, MAX_NEAR_DATAGRAM_BYTES, MIN_HEARTBEAT_INTERVAL,
-    ReceiverCount, check_interval, choose_receiver_count, heartbeat_interval, max_relay_age,
-    news_interval, receivers_per_data_centre, relay_order, rotating_receivers,
+    HEARTBEAT_FAN_OUT, MAX_FAR_DATAGRAM_BYTES, MAX_NEAR_DATAGRAM_BYTES, MAX_RELAY_AGE,
+    ReceiverCount, choose_receiver_count, receivers_per_data_centre, relay_order,
+    rotating_receivers,
 };
 pub use knowledge::{KNOWLEDGE_OLD_AFTER, StoreClock, StoreMillis, SyncPoint};
 pub use leaving::{LeavingReport, LeavingTracker};
@@ -67,8 +67,7 @@
     ShareHolder,
 };
 pub use reading::{
-    FIRST_CONTACT_TIME, READ_ATTEMPT_INTERVAL, READER_COUNT, ReadAction, ReaderCandidate,
-    max_read_interval, next_read_action, reader_rank, reads_store_at_start, spreads_transfers,
+    READER_COUNT, ReadAction, ReaderCandidate, max_read_interval, next_read_action, reader_rank,
     startup_read_delay,
 };
 pub use removal::{Removal, RowCount, rows_lapsed};
--- a/src/gateway/decide/reading.rs
+++ b/src/gateway/decide/reading.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::{MIN_HEARTBEAT_INTERVAL, StoreMillis, check_interval, news_interval};
+use super::StoreMillis;
 use crate::prefix;
 
 /// Number of gateways that read the store on behalf of all. Each call is billed; with three
@@ -27,8 +27,6 @@
 /// this old while readers are answered: the limit is above the interval between their calls plus
 /// the propagation time.
 const FALLBACK_AGE: Duration = Duration::from_millis(800);
-/// Intervals between heartbeats with news after which all gateways of a large fleet know them.
-const NEWS_ROUNDS: u32 = 10;
 /// Interval in which one of the gateways whose knowledge has grown old calls.
 const FALLBACK_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval in which a gateway that does not call checks whether it has to.
@@ -41,38 +39,6 @@
 /// Interval between such batches, made of gateways that have not received the list meanwhile.
 const STARTUP_BATCH_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time that a starting gateway waits to hear from another one, which tells it the size of the
-/// fleet. With a longer one, small fleets serve later after a restart of all; with a shorter one,
-/// gateways of a large fleet read the store before they learn its size.
-pub const FIRST_CONTACT_TIME: Duration = Duration::from_millis(150);
-/// Largest fleet in which every starting gateway reads the store. In a larger one the calls cost
-/// more than the time that it takes to get the same from other gateways.
-const MAX_STARTING_READERS: usize = 200;
-/// Expected number of gateways of a larger fleet that begin to read the store in each interval
-/// between attempts. With fewer, a start may wait for several intervals; with more, many have read
-/// the store before the first ones can pass on what they have read.
-const READERS_PER_ATTEMPT: f64 = 4.0;
-/// Interval between the attempts of a gateway that waits for others to send what it needs.
-pub const READ_ATTEMPT_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which a starting gateway reads the store, whatever it hears: the others may be cut
-/// off from the store, or from it.
-const MAX_START_WAIT: Duration = Duration::from_secs(4);
-
-/// Returns whether a starting gateway reads the store now, rather than wait for other gateways to
-/// send it what it needs. It has heard of `fleet` gateways, and started `waited` ago. `chance` is a
-/// random number between 0 and 1.
-pub fn reads_store_at_start(fleet: usize, waited: Duration, chance: f64) -> bool {
-    let is_due = waited >= FIRST_CONTACT_TIME || fleet > 1;
-    let is_chosen = fleet <= MAX_STARTING_READERS || chance * (fleet as f64) < READERS_PER_ATTEMPT;
-    (is_due && is_chosen) || waited >= MAX_START_WAIT
-}
-
-/// Returns whether a gateway answers a few others at a time that ask for all upstreams or for the
-/// configuration: in a large fleet all would ask the first ones that have it.
-pub fn spreads_transfers(fleet: usize) -> bool {
-    fleet > MAX_STARTING_READERS
-}
-
 /// Returns how long a starting gateway waits to receive the list of upstreams from others before
 /// it reads the list itself. `rank` is its place among all gateways that have announced
 /// themselves, from 0.
@@ -146,17 +112,13 @@
     own: ReaderCandidate<'a>,
     others: impl Fn() -> I,
     age: Duration,
-    gateways: usize,
     now: StoreMillis,
 ) -> ReadAction {
     if let Some(rank) = reader_rank(own, others()) {
         return ReadAction::LongPoll(until_next_call(rank, now));
     }
-    let extra_delay = news_interval(gateways).saturating_sub(MIN_HEARTBEAT_INTERVAL);
-    let fallback_age = FALLBACK_AGE + extra_delay * NEWS_ROUNDS;
-    if age < fallback_age {
-        let recheck = check_interval(RECHECK_INTERVAL, gateways);
-        return ReadAction::Recheck(recheck.min(fallback_age - age));
+    if age < FALLBACK_AGE {
+        return ReadAction::Recheck(RECHECK_INTERVAL.min(FALLBACK_AGE - age));
     }
     let next_interval = FALLBACK_INTERVAL - Duration::from_millis(now % millis(FALLBACK_INTERVAL));
     match is_fallback_reader(own, others(), now / millis(FALLBACK_INTERVAL)) {
--- a/src/gateway/decide/reporting.rs
+++ b/src/gateway/decide/reporting.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-/// Upper limit of the time between two reports in a fleet whose reports the holder can receive at
-/// that rate: a window is reported some seconds after its end, and a report may be lost.
-const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(1_200);
-/// Most reports that the holder receives a second. It may run on a small host.
-const MAX_REPORTS_PER_SECOND: f64 = 600.0;
+/// Upper limit of the heartbeats between two reports: a window is reported some seconds after
+/// its end, and a report may be lost.
+const MAX_HEARTBEATS: usize = 8;
 
 /// Time within which all processes learn who holds the lease.
 const HOLDER_DISCOVERY_TIME: Duration = Duration::from_millis(600);
@@ -17,17 +15,13 @@
 /// of a window is final, and before a process holds the lease it receives the counts of only a
 /// few others.
 pub fn wait_after_takeover(processes: usize, fan_out: usize, period: Duration) -> Duration {
-    HOLDER_DISCOVERY_TIME
-        + period * heartbeats_per_report(processes, fan_out, period) * AWAITED_REPORTS
+    HOLDER_DISCOVERY_TIME + period * heartbeats_per_report(processes, fan_out) * AWAITED_REPORTS
 }
 
 /// Returns the number of heartbeats for each usage report to the holder of the lease, where
-/// each heartbeat goes to `fan_out` of `processes` processes, and one is sent each `period`. With
-/// it the holder receives at most twice as many messages as any other process. On a small host it
-/// could not receive a report of every process with every heartbeat, and usage windows would lack
-/// requests.
-pub fn heartbeats_per_report(processes: usize, fan_out: usize, period: Duration) -> u32 {
-    let most = MAX_REPORT_INTERVAL.as_secs_f64().max(processes as f64 / MAX_REPORTS_PER_SECOND);
-    let most = (most / period.as_secs_f64()).ceil() as usize;
-    processes.div_ceil(fan_out.max(1)).clamp(1, most.max(1)) as u32
+/// each heartbeat goes to `fan_out` of `processes` processes. With it the holder receives at
+/// most twice as many messages as any other process. On a small host it could not receive a
+/// report of every process with every heartbeat, and usage windows would lack requests.
+pub fn heartbeats_per_report(processes: usize, fan_out: usize) -> u32 {
+    processes.div_ceil(fan_out.max(1)).clamp(1, MAX_HEARTBEATS) as u32
 }
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -169,8 +169,6 @@
     pub store_answers: bool,
     /// Whether the store has answered it without interruption.
     pub store_steady: bool,
-    /// Number of gateways that it knows of.
-    pub fleet_size: u32,
     /// Milliseconds since its start.
     pub up_ms: u64,
     /// Its clock when the heartbeat was sent.
--- a/src/gateway/request/endpoints.rs
+++ b/src/gateway/request/endpoints.rs
@@ -1,6 +1,6 @@
 //! Request handlers of the addresses that the process listens on.
 
-use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Instant};
+use std::{net::SocketAddr, rc::Rc, time::Instant};
 
 use hyper::{
     Request, Response, StatusCode,
@@ -12,7 +12,6 @@
 use crate::{
     clock,
     gateway::{
-        board::PeerView,
         context::Gateway,
         net::{AnswerBody, Phase, Service, full_body},
         peering::encode_verdicts,
@@ -90,15 +89,11 @@
     with_type(encode_addresses(&addresses, DIRECTORY_TTL_SECONDS.min(longest)), "application/json")
 }
 
-/// Returns the addresses of gateways that callers may use, shuffled to spread load: those that were
-/// heard last, which are the least likely to be gone. This process is included while it serves and
-/// has a configuration.
+/// Returns the addresses of gateways that callers may use, shuffled to spread load. This process is
+/// included while it serves and has a configuration.
 fn addresses(gateway: &Gateway, now: Instant) -> Vec<SocketAddr> {
     let board = gateway.board.borrow();
-    let mut peers: Vec<&PeerView> = board.serving_peers(now).collect();
-    peers.sort_unstable_by_key(|p| Reverse(p.last_heard));
-    peers.truncate(MAX_ADDRESSES);
-    let mut addresses: Vec<SocketAddr> = peers.iter().map(|p| p.last.callers).collect();
+    let mut addresses: Vec<SocketAddr> = board.serving_peers(now).map(|p| p.last.callers).collect();
     if gateway.shutdown.phase() == Phase::Serving && board.configuration.is_some() {
         addresses.push(gateway.settings.borrow().listen.callers);
     }
@@ -129,7 +124,6 @@
         "/peer/configuration" => {
             let document = gateway.board.borrow().document.clone();
             match document.is_empty() {
-                false if !gateway.may_transfer(clock::now()) => busy(),
                 true => with_status(StatusCode::NOT_FOUND, "no configuration yet\n"),
                 false => with_type(document, "application/json"),
             }
@@ -150,9 +144,6 @@
 }
 
 fn quarantine_verdicts(gateway: &Gateway) -> Response<AnswerBody> {
-    if !gateway.board.borrow().crash_verdicts_known {
-        return with_status(StatusCode::NOT_FOUND, "no verdicts yet\n");
-    }
     match encode_verdicts(&gateway.board.borrow().crashes.verdicts()) {
         Ok(bytes) => with_type(bytes, "application/octet-stream"),
         Err(e) => {
@@ -162,19 +153,12 @@
     }
 }
 
-fn busy() -> Response<AnswerBody> {
-    with_status(StatusCode::SERVICE_UNAVAILABLE, "busy; another gateway may have it\n")
-}
-
 /// Answers with all upstreams, or with those changed after the requested revision.
 fn upstreams(gateway: &Gateway, after: &str) -> Response<AnswerBody> {
     let after = match after.strip_prefix('/').map_or(Ok(0), str::parse) {
         Ok(after) => after,
         Err(e) => return with_status(StatusCode::BAD_REQUEST, format!("no revision: {e}\n")),
     };
-    if after == 0 && !gateway.may_transfer(clock::now()) {
-        return busy();
-    }
     match gateway.board.borrow().upstream_snapshot(after).encode() {
         Ok(bytes) => with_type(bytes, "application/octet-stream"),
         Err(e) => {
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -11,8 +11,7 @@
     board::{Board, StoreState},
     decide::{
         CapacityRecord, DurableState, OrderKey, OrderReport, PeerCorrectedClock, QuotaLimiter,
-        Removal, RetryPolicy, ServiceRetryBudgets, SyncPoint, UsageCounters, heartbeat_interval,
-        heartbeats_per_report,
+        Removal, RetryPolicy, ServiceRetryBudgets, SyncPoint, UsageCounters, heartbeats_per_report,
     },
     request::EventSplitter,
 };
@@ -96,16 +95,10 @@
         Case { processes: 77, every: 4 },
         Case { processes: 91, every: 4 },
         // Several reports must arrive before a window is reported.
-        Case { processes: 195, every: 8 },
-        // Heartbeats are sent less often there.
-        Case { processes: 1_500, every: 4 },
+        Case { processes: 1_500, every: 8 },
     ];
     for case in cases {
-        let interval = heartbeat_interval(case.processes);
-        let every = heartbeats_per_report(case.processes, 24, interval);
-        assert_eq!(every, case.every, "{}", case.processes);
-        let reports_per_second = case.processes as f64 / (interval * every).as_secs_f64();
-        assert!(reports_per_second <= 600.0, "{}: {reports_per_second}", case.processes);
+        assert_eq!(heartbeats_per_report(case.processes, 24), case.every, "{}", case.processes);
     }
 }
 
@@ -121,7 +114,7 @@
     let order = OrderReport { key, count: 4, refused: true, age_ms: 900 };
     let needs = BTreeMap::from([("chat".to_owned(), 7.5)]);
     let capacity = CapacityRecord { needs, orders: vec![order] };
-    let kept = DurableState::of(1, BTreeMap::new(), &before, capacity.clone());
+    let kept = DurableState::of(BTreeMap::new(), &before, capacity.clone());
     let mut after = UsageCounters::default();
     after.merge_counts("alive", 7, &BTreeMap::from([(customer(), 3)]));
     assert_eq!(kept.restore(&mut QuotaLimiter::new(now), &mut after, now), capacity);
--- a/tests/gateway_durable_state.rs
+++ b/tests/gateway_durable_state.rs
@@ -52,7 +52,7 @@
         let usage = usage(case);
         let customers = (0..case.customers).map(|n| (format!("hule{n:03}"), 9_000.0));
         let levels: BTreeMap<_, _> = customers.collect();
-        let state = DurableState::of(case.gateways, levels, &usage, CapacityRecord::default());
+        let state = DurableState::of(levels, &usage, CapacityRecord::default());
         let (bytes, left_out) = state.encode().expect("the state is encoded");
         println!("{case:?}: {} bytes, {left_out} windows left out", bytes.len());
         assert!(bytes.len() < ROW_BYTES, "{case:?}: {} bytes", bytes.len());
@@ -73,7 +73,7 @@
     let mut usage = UsageCounters::default();
     usage.open_window("gateway-1", 6);
     usage.count("gateway-1", 7, &"temple".to_owned());
-    let state = DurableState::of(1, BTreeMap::new(), &usage, CapacityRecord::default());
+    let state = DurableState::of(BTreeMap::new(), &usage, CapacityRecord::default());
     let mut restored = UsageCounters::default();
     state.restore(&mut QuotaLimiter::new(now), &mut restored, now);
     assert_eq!(restored.windows_before(8), vec![6, 7]);
--- a/tests/gateway_heartbeats.rs
+++ b/tests/gateway_heartbeats.rs
@@ -4,20 +4,16 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
-use tackhollow::{
-    control::LeaseClaim,
-    gateway::{
-        board::Board,
-        decide::{
-            HEARTBEAT_FAN_OUT, MAX_FAR_DATAGRAM_BYTES, MAX_NEAR_DATAGRAM_BYTES,
-            MIN_HEARTBEAT_INTERVAL, PeerCorrectedClock, ReceiverCount, ServiceLoad,
-            choose_receiver_count, heartbeat_interval, receivers_per_data_centre, relay_order,
-            rotating_receivers,
-        },
-        model::Lifetime,
-        net::Phase,
-        peering::{Datagram, Demand, Heartbeat, LoadReport, RecentChanges, datagrams},
+use tackhollow::gateway::{
+    board::{Board, HEARTBEAT_PERIOD},
+    decide::{
+        HEARTBEAT_FAN_OUT, MAX_FAR_DATAGRAM_BYTES, MAX_NEAR_DATAGRAM_BYTES, PeerCorrectedClock,
+        ReceiverCount, ServiceLoad, choose_receiver_count, receivers_per_data_centre, relay_order,
+        rotating_receivers,
     },
+    model::Lifetime,
+    net::Phase,
+    peering::{Datagram, Demand, Heartbeat, LoadReport, RecentChanges, datagrams},
 };
 
 /// Step of simulated time, in milliseconds.
@@ -26,12 +22,10 @@
 const DATA_CENTRES: usize = 4;
 /// One datagram in this many is lost.
 const LOSS_INTERVAL: u32 = 50;
-/// Simulated time in intervals between heartbeats.
-const DURATION_INTERVALS: u64 = 60;
-/// Simulated time after which the ages are sampled, in intervals between heartbeats.
-const SETTLED_INTERVALS: u64 = 40;
-/// The gateway that holds the lease in the simulation.
-const HOLDER: usize = 0;
+/// Simulated time, in milliseconds.
+const DURATION_MS: u64 = 9_000;
+/// Simulated time after which the ages are sampled, in milliseconds.
+const SETTLED_MS: u64 = 6_000;
 
 /// A simulated fleet of gateways that send each other heartbeats.
 struct Fleet {
@@ -40,9 +34,6 @@
     boards: Vec<Board>,
     /// Simulated time in milliseconds at which each gateway stops sending.
     stops_at_ms: Vec<u64>,
-    /// Interval between the heartbeats of a gateway, in milliseconds; the holder of the lease sends
-    /// at the shortest one.
-    interval_ms: u64,
     rng: fastrand::Rng,
     in_flight: Vec<(usize, Vec<u8>)>,
     costs: Costs,
@@ -70,7 +61,6 @@
             now: 0,
             boards: (0..gateways).map(board).collect(),
             stops_at_ms: vec![u64::MAX; gateways],
-            interval_ms: heartbeat_interval(gateways).as_millis() as u64 / STEP_MS * STEP_MS,
             rng: fastrand::Rng::with_seed(seed),
             in_flight: Vec::new(),
             costs: Costs::default(),
@@ -85,7 +75,6 @@
     fn heartbeat(&self, gateway: usize) -> Heartbeat {
         let address = ([10, 1, (gateway >> 8) as u8, gateway as u8], 8_221).into();
         let loads = (0..4).map(|n| LoadReport(Lifetime::new(&format!("i-{n}"), None), 2, 900));
-        let claim = LeaseClaim { fence: 3, renewal: 5, age_ms: 100, given_up: false };
         let demand = |service: &str| Demand::new(&service.to_owned(), ServiceLoad::default());
         Heartbeat {
             host: format!("frontend-bkk-{gateway}"),
@@ -102,10 +91,9 @@
             recent: RecentChanges::default(),
             store_answers: true,
             store_steady: true,
-            fleet_size: self.boards.len() as u32,
             up_ms: self.now,
             time: 1_700_000_000_000 + self.now,
-            lease: (gateway == HOLDER).then_some(claim),
+            lease: None,
             loads: loads.collect(),
             outcomes: Vec::new(),
             leaving: Vec::new(),
@@ -121,11 +109,6 @@
         }
     }
 
-    fn interval(&self, gateway: usize) -> u64 {
-        let shortest = MIN_HEARTBEAT_INTERVAL.as_millis() as u64;
-        if gateway == HOLDER { shortest } else { self.interval_ms }
-    }
-
     fn sample(&mut self, all: &[usize], most: usize) -> Vec<usize> {
         self.rng.choose_multiple(all.iter().copied(), most)
     }
@@ -137,7 +120,7 @@
             others.partition(|g| data_centre(*g) == data_centre(from));
         let ReceiverCount { near: max_near, far: max_far } =
             choose_receiver_count(near.len(), far.len());
-        let beat = (self.now / self.interval(from)) as u32 + 7 * from as u32;
+        let beat = (self.now / HEARTBEAT_PERIOD.as_millis() as u64) as u32 + 7 * from as u32;
         let near: Vec<usize> =
             rotating_receivers(near.len(), max_near, beat).map(|i| near[i]).collect();
         let mut by_data_centre = vec![Vec::new(); DATA_CENTRES];
@@ -203,10 +186,10 @@
     }
 
     fn run(&mut self, until: u64, mut observe: impl FnMut(&Self)) {
+        let period = HEARTBEAT_PERIOD.as_millis() as u64;
         while self.now < until {
             self.deliver();
             for gateway in 0..self.boards.len() {
-                let period = self.interval(gateway);
                 let offset = gateway as u64 * 7 % period / STEP_MS * STEP_MS;
                 if self.now % period == offset && self.now < self.stops_at_ms[gateway] {
                     self.send(gateway);
@@ -217,17 +200,6 @@
         }
     }
 
-    /// Returns the age of each gateway's knowledge of the holder of the lease, in milliseconds, and
-    /// how many gateways know of none.
-    fn holder_ages(&self) -> (Vec<u64>, usize) {
-        let now = self.instant();
-        let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-        let known = self.boards[1..].iter().filter_map(|b| b.lease_holder(now));
-        let ages: Vec<u64> = known.map(|p| age(p.last_heard)).collect();
-        let unknown = self.boards.len() - 1 - ages.len();
-        (ages, unknown)
-    }
-
     /// Returns the ages of what gateways know of each other, in milliseconds, and how many gateways
     /// count as silent, summed over all observers.
     fn ages(&self) -> (Vec<u64>, usize) {
@@ -253,129 +225,49 @@
     max_far_bytes: u64,
 }
 
-const fn case(gateways: usize, max_mean_age_ms: u64, max_far_bytes: u64) -> Case {
-    Case { gateways, max_mean_age_ms, max_far_bytes }
-}
-
 const CASES: [Case; 5] = [
-    case(7, 150, 25_000),
-    case(30, 500, 12_000),
-    case(77, 1_000, 12_000),
-    case(195, 1_500, 12_000),
-    case(300, 2_000, 12_000),
+    Case { gateways: 7, max_mean_age_ms: 150, max_far_bytes: 25_000 },
+    Case { gateways: 30, max_mean_age_ms: 500, max_far_bytes: 12_000 },
+    Case { gateways: 77, max_mean_age_ms: 1_000, max_far_bytes: 12_000 },
+    Case { gateways: 195, max_mean_age_ms: 1_500, max_far_bytes: 12_000 },
+    Case { gateways: 300, max_mean_age_ms: 2_000, max_far_bytes: 12_000 },
 ];
 
-/// Figures of a fleet, over all pairs of gateways.
-#[derive(Debug)]
-struct Measured {
-    mean_age_ms: u64,
-    /// Worst age of what a gateway knows of the holder of the lease.
-    holder_age_ms: u64,
-    /// Gateways that know no holder of the lease, summed over the samples.
-    without_holder: usize,
-    silent: usize,
-    pairs: usize,
-    datagrams: u64,
-    far_bytes: u64,
-}
-
-/// Simulates a fleet, prints its figures and returns them. `interval_ms` replaces the interval
-/// between heartbeats.
-fn measure(gateways: usize, interval_ms: Option<u64>) -> Measured {
-    let mut fleet = Fleet::new(gateways, 7);
-    fleet.interval_ms = interval_ms.unwrap_or(fleet.interval_ms);
-    let interval = fleet.interval_ms;
-    let duration = DURATION_INTERVALS * interval;
-    let (mut ages, mut silent, mut pairs) = (Vec::new(), 0, 0);
-    let (mut holder_ages, mut without_holder) = (Vec::new(), 0);
-    fleet.run(duration, |fleet| {
-        if fleet.now >= SETTLED_INTERVALS * interval && fleet.now % (5 * interval) == 0 {
-            let (seen, is_silent) = fleet.ages();
-            silent += is_silent;
-            pairs += gateways * (gateways - 1);
-            ages.extend(seen);
-            let (of_holder, unknown) = fleet.holder_ages();
-            holder_ages.extend(of_holder);
-            without_holder += unknown;
-        }
-    });
-    ages.sort_unstable();
-    holder_ages.sort_unstable();
-    let each = |sum: u64| sum * 1_000 / duration / gateways as u64;
-    let Costs { datagrams, near_bytes, far_bytes, max_datagram_bytes } = fleet.costs;
-    assert!(max_datagram_bytes <= MAX_NEAR_DATAGRAM_BYTES, "{max_datagram_bytes} bytes");
-    let measured = Measured {
-        mean_age_ms: ages.iter().sum::<u64>() / ages.len() as u64,
-        holder_age_ms: holder_ages.last().copied().unwrap_or_default(),
-        without_holder,
-        silent,
-        pairs,
-        datagrams: each(datagrams),
-        far_bytes: each(far_bytes),
-    };
-    println!(
-        "| {gateways} | {interval} | {} | {} | {:.5} | {} | {} | {} | {} | {} | {without_holder} |",
-        measured.mean_age_ms,
-        ages[ages.len() * 95 / 100],
-        silent as f64 / pairs as f64,
-        measured.datagrams,
-        each(near_bytes),
-        measured.far_bytes,
-        holder_ages[holder_ages.len() / 2],
-        measured.holder_age_ms,
-    );
-    measured
-}
-
-fn print_heading() {
-    println!(
-        "| gateways | interval (ms) | mean age (ms) | 95th | silent share | datagrams/s \
-         | near B/s | far B/s | holder: middle age (ms) | worst | without |"
-    );
-    println!("|{}", " ---: |".repeat(11));
-}
-
-impl Measured {
-    /// Checks that at most one gateway in a hundred knows no holder of the lease.
-    fn check_holder(&self, gateways: usize) {
-        let seen = self.pairs / gateways;
-        assert!(self.without_holder * 100 <= seen, "{gateways} gateways: {self:?}");
-    }
-}
-
 #[test]
 fn heartbeat_age_and_cost_stay_bounded_as_the_fleet_grows() {
-    print_heading();
+    println!(
+        "| gateways | mean age (ms) | 95th | silent share | datagrams/s | near B/s | far B/s |"
+    );
+    println!("| ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
     for case in CASES {
-        let measured = measure(case.gateways, None);
-        let Measured { mean_age_ms, silent, pairs, datagrams, far_bytes, .. } = measured;
-        assert!(mean_age_ms <= case.max_mean_age_ms, "{} gateways: {measured:?}", case.gateways);
-        assert!(silent * 100 <= pairs, "{} gateways: {measured:?}", case.gateways);
-        assert!(far_bytes <= case.max_far_bytes, "{} gateways: {measured:?}", case.gateways);
-        assert!(datagrams <= HEARTBEAT_FAN_OUT as u64 * 7, "{} gateways", case.gateways);
-        measured.check_holder(case.gateways);
-    }
-}
-
-#[test]
-fn a_gateway_of_a_large_fleet_sends_less_and_still_knows_the_holder_of_the_lease() {
-    print_heading();
-    let gateways = 600;
-    let measured = measure(gateways, None);
-    // Half as many as in a fleet of 300.
-    assert!(measured.datagrams <= HEARTBEAT_FAN_OUT as u64 * 7 / 2, "{measured:?}");
-    measured.check_holder(gateways);
-}
-
-#[test]
-#[ignore = "takes minutes and gigabytes of memory; its table is in docs/design/fleet.md"]
-fn designs_side_by_side_at_twice_the_size() {
-    print_heading();
-    for gateways in [195, 300, 985, 2_000] {
-        measure(gateways, Some(MIN_HEARTBEAT_INTERVAL.as_millis() as u64));
-    }
-    for gateways in [985, 2_000] {
-        measure(gateways, None).check_holder(gateways);
+        let mut fleet = Fleet::new(case.gateways, 7);
+        let (mut ages, mut silent, mut pairs) = (Vec::new(), 0, 0);
+        fleet.run(DURATION_MS, |fleet| {
+            if fleet.now >= SETTLED_MS && fleet.now % 750 == 0 {
+                let (seen, is_silent) = fleet.ages();
+                silent += is_silent;
+                pairs += case.gateways * (case.gateways - 1);
+                ages.extend(seen);
+            }
+        });
+        ages.sort_unstable();
+        let mean = ages.iter().sum::<u64>() / ages.len() as u64;
+        let each = |sum: u64| sum * 1_000 / DURATION_MS / case.gateways as u64;
+        let Costs { datagrams, near_bytes, far_bytes, max_datagram_bytes } = fleet.costs;
+        println!(
+            "| {} | {mean} | {} | {:.5} | {} | {} | {} |",
+            case.gateways,
+            ages[ages.len() * 95 / 100],
+            silent as f64 / pairs as f64,
+            each(datagrams),
+            each(near_bytes),
+            each(far_bytes),
+        );
+        assert!(mean <= case.max_mean_age_ms, "{} gateways: mean age {mean} ms", case.gateways);
+        assert!(silent * 100 <= pairs, "{} gateways: {silent} pairs silent", case.gateways);
+        assert!(each(far_bytes) <= case.max_far_bytes, "{} gateways", case.gateways);
+        assert!(each(datagrams) <= HEARTBEAT_FAN_OUT as u64 * 7, "{} gateways", case.gateways);
+        assert!(max_datagram_bytes <= MAX_NEAR_DATAGRAM_BYTES, "{max_datagram_bytes} bytes");
     }
 }
 
--- a/tests/gateway_lifetimes.rs
+++ b/tests/gateway_lifetimes.rs
@@ -56,7 +56,6 @@
         recent: RecentChanges::default(),
         store_answers: true,
         store_steady: true,
-        fleet_size: 2,
         up_ms: 1,
         time: 1,
         lease: None,
--- a/tests/gateway_usage.rs
+++ b/tests/gateway_usage.rs
@@ -169,7 +169,7 @@
     let mut rng = fastrand::Rng::with_seed(7);
     for gateways in [7, 77, 195, 300] {
         let period = PERIOD.as_millis() as u64;
-        let interval = period * u64::from(heartbeats_per_report(gateways, FAN_OUT, PERIOD));
+        let interval = period * u64::from(heartbeats_per_report(gateways, FAN_OUT));
         let waits = wait_after_takeover(gateways, FAN_OUT, PERIOD).as_millis() as u64;
         let mut received = 0;
         for _ in 1..gateways {
--- a/tests/readers/mod.rs
+++ b/tests/readers/mod.rs
@@ -234,7 +234,7 @@
         let believed =
             gateway.clock.now(self.instant()).expect("every gateway has a clock reading");
         let age = self.ages(i).0;
-        let (wait, next) = match next_read_action(own, others, age, self.gateways.len(), believed) {
+        let (wait, next) = match next_read_action(own, others, age, believed) {
             ReadAction::LongPoll(wait) => {
                 let wait = wait.as_millis() as u64;
                 (Some(wait), now + wait + NEXT_CALL_MARGIN_MS)
