--- a/src/gateway/board/row_checks.rs
+++ b/src/gateway/board/check_reports.rs
@@ -5,7 +5,8 @@
 
 use crate::gateway::{model::Revision, peering::UpstreamChange};
 
-/// Most results in a heartbeat. If there are more, they take turns.
+/// Most results in a heartbeat; more take turns. With a larger bound, a heartbeat needs another
+/// packet; with a smaller one, results take longer to reach all gateways after a large outage.
 const MAX_REPORTS: usize = 32;
 
 /// A result, as the change of the upstream that follows from it.
@@ -21,11 +22,11 @@
 
 /// Results that were learnt recently.
 #[derive(Clone, Debug, Default)]
-pub struct RowChecks {
+pub struct CheckReports {
     reports: Vec<Report>,
 }
 
-impl RowChecks {
+impl CheckReports {
     /// Records a result, which replaces earlier ones of the same upstream.
     pub fn note(&mut self, revision: Revision, change: UpstreamChange, now: Instant) {
         self.reports.retain(|r| r.change.upstream() != change.upstream());
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -1,6 +1,7 @@
 //! The blackboard: shared in-memory state of this gateway process. Controllers write it and
 //! request tasks read it, all on one thread.
 
+mod check_reports;
 mod demand;
 mod hold_off;
 mod knowledge;
@@ -14,7 +15,6 @@
 mod peers;
 mod removals;
 mod rollouts;
-mod row_checks;
 mod store;
 mod upstream;
 
@@ -40,11 +40,11 @@
 };
 use crate::ids::{DataCentre, UpstreamId};
 
+use check_reports::CheckReports;
 use lifetimes::Lifetimes;
 use loads::PeerLoads;
 use outcomes::SharedOutcomes;
 use removals::Removals;
-use row_checks::RowChecks;
 
 pub use lease::{LeaseView, OwnLease};
 pub use missing::MissingRowChange;
@@ -92,8 +92,8 @@
     pub removals: Removals,
     /// Recent changes of upstreams, sent with heartbeats.
     pub recent_changes: RecentChanges,
-    /// Results of this process's health checks of upstreams with lapsed rows.
-    pub row_checks: RowChecks,
+    /// Recent results of health checks of upstreams with lapsed rows, to be passed on.
+    pub check_reports: CheckReports,
     /// Other gateway processes, as last heard from.
     pub peers: BTreeMap<ProcessId, PeerView>,
     /// Number of hosts that were announced in the store when this process started.
@@ -166,7 +166,7 @@
             upstreams_last_change: 0,
             removals: Removals::default(),
             recent_changes: RecentChanges::default(),
-            row_checks: RowChecks::default(),
+            check_reports: CheckReports::default(),
             peers: BTreeMap::new(),
             announced_hosts: 0,
             peer_snapshot_deadline: None,
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -135,7 +135,7 @@
         let now = cx.now();
         for (revision, change) in checks {
             if self.merge_peer_change(revision, &change, now) {
-                self.gateway.board.borrow_mut().row_checks.note(revision, change, now);
+                self.gateway.board.borrow_mut().check_reports.note(revision, change, now);
             }
         }
     }
--- a/src/gateway/controllers/heartbeat_sender.rs
+++ b/src/gateway/controllers/heartbeat_sender.rs
@@ -237,7 +237,7 @@
         let settings = self.gateway.settings.borrow();
         let mut board = self.gateway.board.borrow_mut();
         board.recent_changes.forget(now, CHANGE_RETENTION);
-        board.row_checks.forget(now, CHANGE_RETENTION);
+        board.check_reports.forget(now, CHANGE_RETENTION);
         Heartbeat {
             host: settings.id.clone(),
             incarnation: self.gateway.incarnation,
@@ -260,7 +260,7 @@
             outcomes: board.own_outcomes(now),
             leaving: board.leaving_reports(now),
             limits: board.limits.reports(now),
-            row_checks: board.row_checks.select_for_heartbeat(),
+            row_checks: board.check_reports.select_for_heartbeat(),
             prefixes: Vec::new(),
             admitted: board.quotas.own_totals().map(|(c, n)| (c.clone(), n)).collect(),
             usage: Vec::new(),
--- a/src/gateway/controllers/missing_rows.rs
+++ b/src/gateway/controllers/missing_rows.rs
@@ -107,7 +107,7 @@
                 UpstreamChange::Missing(id, Removal { passed_check: store_now, ..row.removal })
             }
         };
-        board.row_checks.note(row.removal.revision, change.clone(), now);
+        board.check_reports.note(row.removal.revision, change.clone(), now);
         drop(board);
         self.merge_peer_change(row.removal.revision, &change, now);
     }
--- a/src/gateway/controllers/persisted_state.rs
+++ b/src/gateway/controllers/persisted_state.rs
@@ -38,8 +38,9 @@
             return None;
         }
     };
-    if left_out > 0 {
-        log::warn!("the persisted state lacks {left_out} usage windows: it is too large for a row");
+    let before = gateway.metrics.windows_left_out.set(left_out as i64);
+    if before != left_out as i64 {
+        log::warn!("the persisted state leaves out {left_out} usage windows ({before} before)");
     }
     Some(RowWrite { table: Table::Duties, key: STATE_KEY.to_owned(), value, expected: None })
 }
--- a/src/gateway/decide/durable_state.rs
+++ b/src/gateway/decide/durable_state.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::{OrderReport, ProcessKey, QuotaLimiter, UsageCounters, UsageCounts, WindowNumber};
+use super::{OrderReport, ProcessKey, QuotaLimiter, UsageCounters, WindowNumber};
 use crate::gateway::model::{CustomerName, ServiceName};
 
 /// Number of usage windows that are stored. Windows are reported two window lengths after their
@@ -128,7 +128,7 @@
     ) -> CapacityRecord {
         quotas.restore(&self.levels, now);
         for StoredWindow { window, processes } in self.usage {
-            usage.merge_key_counts(ProcessKey::default(), window, &UsageCounts::new());
+            usage.add_window(window);
             for (process, counts) in processes {
                 let named = counts
                     .into_iter()
--- a/src/gateway/decide/row_check.rs
+++ b/src/gateway/decide/row_check.rs
@@ -10,7 +10,7 @@
 use crate::{gateway::model::Lifetime, prefix};
 
 /// Gateways that check each upstream: one of them may be gone, or cut off from it.
-const CHECKERS: usize = 2;
+const CHECKERS_PER_UPSTREAM: usize = 2;
 
 /// Delay before a gateway checks an upstream again whose last check had no clear result.
 pub const CHECK_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -57,7 +57,7 @@
         let mut before: Vec<u64> = others.map(distance).filter(|d| *d > 0).collect();
         before.sort_unstable();
         before.dedup();
-        let length = before.get(CHECKERS - 1).copied().unwrap_or(u64::MAX);
+        let length = before.get(CHECKERS_PER_UPSTREAM - 1).copied().unwrap_or(u64::MAX);
         Self { own, length }
     }
 
--- a/src/gateway/decide/usage.rs
+++ b/src/gateway/decide/usage.rs
@@ -12,9 +12,7 @@
 pub type UsageCounts = BTreeMap<CustomerName, u64>;
 
 /// Identifies a process in usage counts by a hash of its id, which is several times as long.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ProcessKey([u8; 8]);
 
 impl ProcessKey {
@@ -47,6 +45,12 @@
         self.drop_expired(window);
     }
 
+    /// Records that a window is due for a report, even if no process has counted in it.
+    pub(super) fn add_window(&mut self, window: WindowNumber) {
+        self.windows.entry(window).or_default();
+        self.drop_expired(window);
+    }
+
     /// Returns the windows before `window` in which any process has counted.
     pub fn windows_before(&self, window: WindowNumber) -> Vec<WindowNumber> {
         self.windows.range(..window).map(|(w, _)| *w).collect()
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -183,8 +183,8 @@
     pub leaving: Vec<LeavingReport>,
     /// Rate limits of upstreams that it knows, and those that have just ended.
     pub limits: Vec<LimitReport>,
-    /// Results of its recent health checks of upstreams with lapsed rows, as changes of these
-    /// upstreams, each with the revision of the removal.
+    /// Recent results of health checks of upstreams with lapsed rows, its own and others', as
+    /// changes of these upstreams, each with the revision of the removal.
     pub row_checks: Vec<(Revision, UpstreamChange)>,
     /// Shared prefixes that it sent recently, repeated until most others have received them.
     pub prefixes: Vec<PrefixReport>,
--- a/tests/removals/mod.rs
+++ b/tests/removals/mod.rs
@@ -1,20 +1,17 @@
 //! Simulation of gateways that learn of removed rows: the product's controllers of the list of
 //! upstreams process the messages that the simulation of readers delivers.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+mod health_checks;
+
+use std::time::{Duration, Instant};
 
 use tackhollow::{
-    gateway::{
-        board::StoreState,
-        decide::{CHECK_RETRY_DELAY, CheckRange, CheckResult, ShareHolder},
-        model::{Lifetime, UpstreamPhase},
-    },
+    gateway::{board::StoreState, decide::CheckResult, model::UpstreamPhase},
     platform::{Change, Feed},
 };
 
+use health_checks::HealthChecks;
+
 use crate::{
     readers::{Delivery, Outages, Plan, World},
     support::directory::{DirectoryHarness, row_of},
@@ -35,10 +32,6 @@
 /// Time after the store's return in which upstreams with lapsed rows must not be left out, in
 /// milliseconds.
 const NONE_LEFT_OUT_MS: u64 = 1_400;
-/// Longest time that an upstream takes to answer a health check, in milliseconds.
-const CHECK_MS: u64 = 60;
-/// One in this many health checks has no clear result.
-const UNCLEAR_ONE_IN: u32 = 50;
 /// How long a gateway is behind another before it asks that one for the list, in milliseconds.
 const CATCH_UP_DELAY_MS: u64 = 300;
 
@@ -247,20 +240,7 @@
     start: Instant,
     /// When the store first answered a gateway after the outage.
     first_answer: Option<u64>,
-    /// Upstreams that each gateway checks.
-    check_ranges: Vec<CheckRange>,
-    /// When each gateway last checked each upstream, in milliseconds.
-    last_checks: HashMap<(usize, Lifetime), u64>,
-    checks: Vec<HealthCheck>,
-    rng: fastrand::Rng,
-}
-
-/// A health check that has not been answered.
-struct HealthCheck {
-    answered: u64,
-    gateway: usize,
-    upstream: String,
-    lifetime: Lifetime,
+    health_checks: HealthChecks,
 }
 
 impl Fleet {
@@ -280,18 +260,8 @@
             gateway.feed(Feed { changes, revision: 1, as_of: 0 });
         }
         let behind = vec![None; scenario.gateways];
-        let holder = |i| ShareHolder::new(&format!("gateway-{i:03}"));
-        let all = || (0..scenario.gateways).map(holder);
-        Self {
-            gateways,
-            behind,
-            start,
-            first_answer: None,
-            check_ranges: all().map(|own| CheckRange::new(own, all())).collect(),
-            last_checks: HashMap::new(),
-            checks: Vec::new(),
-            rng,
-        }
+        let health_checks = HealthChecks::new(scenario.gateways, rng);
+        Self { gateways, behind, start, first_answer: None, health_checks }
     }
 
     fn pass_time(&mut self, now: u64) {
@@ -327,9 +297,9 @@
                 let mut board = self.gateways[from].gateway.board.borrow_mut();
                 // As in the product, where sending heartbeats removes old changes.
                 board.recent_changes.forget(instant, Duration::from_millis(2_500));
-                board.row_checks.forget(instant, Duration::from_millis(2_500));
+                board.check_reports.forget(instant, Duration::from_millis(2_500));
                 let (recent, reading) = (board.recent_changes.clone(), board.store_time(instant));
-                let row_checks = board.row_checks.select_for_heartbeat();
+                let row_checks = board.check_reports.select_for_heartbeat();
                 drop(board);
                 let gateway = &mut self.gateways[to];
                 gateway.gateway.board.borrow_mut().store_clock.note(reading, instant);
@@ -340,30 +310,10 @@
         }
     }
 
-    /// Sends the health checks that are due, and delivers those that are answered.
     fn check_rows(&mut self, scenario: &Scenario, now: u64) {
         let instant = self.start + Duration::from_millis(now);
-        let retry = CHECK_RETRY_DELAY.as_millis() as u64;
-        for (i, range) in self.check_ranges.iter().enumerate() {
-            let board = self.gateways[i].gateway.board.borrow();
-            for upstream in board.upstreams_to_check(*range, instant) {
-                let lifetime = board.upstreams[&upstream].lifetime;
-                let last = self.last_checks.get(&(i, lifetime));
-                if last.is_some_and(|at| now - at < retry) {
-                    continue;
-                }
-                self.last_checks.insert((i, lifetime), now);
-                let answered = now + self.rng.u64(STEP_MS..CHECK_MS);
-                self.checks.push(HealthCheck { answered, gateway: i, upstream, lifetime });
-            }
-        }
-        for check in self.checks.extract_if(.., |c| c.answered <= now).collect::<Vec<_>>() {
-            let result = match self.rng.u32(..UNCLEAR_ONE_IN) {
-                0 => CheckResult::Unclear,
-                _ => scenario.health(&check.upstream, now),
-            };
-            self.gateways[check.gateway].check_row(&check.upstream, check.lifetime, result);
-        }
+        self.health_checks.send(&self.gateways, now, instant);
+        self.health_checks.deliver(&mut self.gateways, now, |id| scenario.health(id, now));
     }
 
     /// Copies the list from another gateway, if this one has been behind for long enough.
