--- a/src/bin/tackhollow/gateways.rs
+++ b/src/bin/tackhollow/gateways.rs
@@ -26,6 +26,8 @@
     configuration: u64,
     configuration_age_ms: Option<u64>,
     upstreams: usize,
+    #[serde(default)]
+    unreachable: usize,
     upstreams_age_ms: Option<u64>,
     store_answers: bool,
     lease_fence: u64,
@@ -170,6 +172,8 @@
     }
     if s.upstreams == 0 {
         note("knows no upstream that takes work".to_owned());
+    } else if s.unreachable > 0 {
+        note(format!("could not reach {} of {} upstreams last time", s.unreachable, s.upstreams));
     }
     for r in s.rollouts.iter().filter(|r| r.is_late()) {
         note(format!("the roll-out of {} to {} is late: {}", r.service, r.destination, r.doubt));
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -231,6 +231,11 @@
         self.of_service(service).filter(|v| v.takes_work())
     }
 
+    /// Returns the upstreams that take new requests but could not be reached last time.
+    pub fn unreachable_upstreams(&self) -> impl Iterator<Item = &UpstreamView> {
+        self.upstreams.values().filter(|v| v.takes_work() && v.breaker.is_unreachable())
+    }
+
     /// Returns all known upstreams of a service.
     pub fn of_service<'a>(
         &'a self,
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -217,7 +217,9 @@
         board.forget_lifetimes(now);
         let known: HashSet<Lifetime> = board.upstreams.values().map(|v| v.lifetime).collect();
         let serving = board.upstreams.values().filter(|v| v.takes_work()).count();
+        let unreachable = board.unreachable_upstreams().count();
         let missing = board.upstreams.values().filter(|v| v.missing.is_some()).count();
+        self.gateway.metrics.unreachable.set(unreachable as i64);
         self.gateway.metrics.missing_rows.set(missing as i64);
         self.gateway.metrics.rate_limited.set(board.limits.count_limited() as i64);
         self.gateway.metrics.resting.set(board.rests.count_active(now) as i64);
--- a/src/gateway/decide/upstream_health.rs
+++ b/src/gateway/decide/upstream_health.rs
@@ -83,6 +83,11 @@
         self.avoid_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the latest attempt could not reach the upstream.
+    pub fn is_unreachable(&self) -> bool {
+        self.consecutive_unreachable > 0
+    }
+
     /// Returns the number of recent failures, weighted by age with exponential decay.
     pub fn recent_failures(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.updated_at).as_secs_f64();
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -45,6 +45,19 @@
     Http(#[from] hyper::Error),
 }
 
+impl ConnectError {
+    /// Returns the name of the failure in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Socket(e) if e.kind() == io::ErrorKind::ConnectionRefused => "refused",
+            Self::Socket(e) if e.kind() == io::ErrorKind::ConnectionReset => "reset",
+            Self::Socket(_) => "socket",
+            Self::Timeout => "timeout",
+            Self::Http(_) => "http",
+        }
+    }
+}
+
 /// Why a call returned no complete answer.
 #[derive(Debug, Error)]
 pub enum CallError {
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -14,7 +14,7 @@
     gateway::{
         context::Gateway,
         model::RequestDigest,
-        net::{PoolError, PooledConnection, RequestBody},
+        net::{ConnectError, PoolError, PooledConnection, RequestBody},
     },
     platform::{self, Attempt, RequestHead},
 };
@@ -65,14 +65,13 @@
 /// Failure cause: the upstream restarted and lost the request.
 pub const UPSTREAM_RESTARTED: &str = "upstream_started_again";
 
-/// Failure cause: no connection to the upstream could be opened.
-pub const UNREACHABLE: &str = "unreachable";
-
 /// Result of an attempt.
 #[derive(Debug)]
 pub enum AttemptEnd {
     /// The head of the answer arrived; its body follows on the leased connection.
     Answer(Response<Incoming>, PooledConnection),
+    /// No connection could be opened.
+    Unreachable(ConnectError),
     /// Nothing was sent, for this cause.
     Unsent(&'static str),
     /// The upstream states that it did not run the request.
@@ -99,7 +98,7 @@
     let mut lease = match acquired {
         Ok(lease) => lease,
         Err(PoolError::Full) => return AttemptEnd::Unsent("no_connection_free"),
-        Err(PoolError::Connect(_)) => return AttemptEnd::Unsent(UNREACHABLE),
+        Err(PoolError::Connect(e)) => return AttemptEnd::Unreachable(e),
     };
     if lease.connection().ready().await.is_err() {
         return AttemptEnd::Unsent("connection_ended");
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Admitted, Outcome, Refusal, admit,
-    attempt::{AttemptEnd, OutgoingRequest, UNREACHABLE, attempt},
+    attempt::{AttemptEnd, OutgoingRequest, attempt},
     in_flight::InProgress,
     relay::relay,
     report::refuse,
@@ -28,7 +28,7 @@
         context::Gateway,
         decide::{AttemptOutcome, RetryPolicy, RouteKey, VersionGroup},
         model::{RequestDigest, RequestKind, WatchedData},
-        net::{AnswerBody, Phase, PooledConnection, full_body},
+        net::{AnswerBody, ConnectError, Phase, PooledConnection, full_body},
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -198,9 +198,13 @@
                         return Ok(reply);
                     }
                 }
+                AttemptEnd::Unreachable(e) => {
+                    self.runs -= 1;
+                    self.unreachable(&selected, &e);
+                }
                 AttemptEnd::Unsent(cause) => {
                     self.runs -= 1;
-                    self.unsent(&selected, cause);
+                    self.log_unsent(&selected.id, cause);
                 }
                 AttemptEnd::NotExecuted(status) => {
                     self.runs -= 1;
@@ -354,12 +358,10 @@
         allowed
     }
 
-    /// Notes that an attempt failed before anything was sent, which costs no retry budget.
-    pub(super) fn unsent(&mut self, selected: &Selected, cause: &'static str) {
-        if cause == UNREACHABLE {
-            self.verdict(&selected.id, selected.lifetime, AttemptOutcome::Unreachable);
-        }
-        self.log_failed(&selected.id, cause, false, true);
+    /// Notes that no connection to the upstream could be opened, which costs no retry budget.
+    pub(super) fn unreachable(&self, selected: &Selected, error: &ConnectError) {
+        self.verdict(&selected.id, selected.lifetime, AttemptOutcome::Unreachable);
+        self.log_unreachable(&selected.id, error);
     }
 
     fn take_retry(&self) -> bool {
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -206,9 +206,8 @@
                         return None;
                     }
                 }
-                AttemptEnd::Unsent(cause) => {
-                    self.forwarding.unsent(&selected, cause);
-                }
+                AttemptEnd::Unreachable(e) => self.forwarding.unreachable(&selected, &e),
+                AttemptEnd::Unsent(cause) => self.forwarding.log_unsent(&selected.id, cause),
                 AttemptEnd::NotExecuted(_) => {
                     if !self.forwarding.may_send_again(&selected.id, "not_executed") {
                         return None;
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -11,7 +11,7 @@
         context::Gateway,
         decide::{AttemptOutcome, FirstTokenSample, RouteKey, VersionGroup},
         model::{Lifetime, RequestKind, WatchedData},
-        net::AnswerBody,
+        net::{AnswerBody, ConnectError},
         telemetry::{Event, RequestLabels},
     },
     ids::UpstreamId,
@@ -66,6 +66,29 @@
         cause: &'static str,
         may_have_run: bool,
         retrying: bool,
+    ) {
+        let next = if retrying { "again" } else { "give_up" };
+        self.log_attempt_failed(upstream, cause, "", may_have_run, next);
+    }
+
+    /// Logs and counts an attempt for which nothing was sent. Another one follows, since it costs
+    /// no retry budget.
+    pub(super) fn log_unsent(&self, upstream: &str, cause: &'static str) {
+        self.log_attempt_failed(upstream, cause, "", false, "again");
+    }
+
+    /// Logs and counts an attempt for which no connection could be opened.
+    pub(super) fn log_unreachable(&self, upstream: &str, error: &ConnectError) {
+        self.log_attempt_failed(upstream, "unreachable", error.name(), false, "again");
+    }
+
+    fn log_attempt_failed(
+        &self,
+        upstream: &str,
+        cause: &'static str,
+        connect_error: &'static str,
+        may_have_run: bool,
+        next: &'static str,
     ) {
         count(&self.gateway.metrics.failed_attempts, cause);
         self.gateway.log(&Event::AttemptFailed {
@@ -74,8 +97,9 @@
             upstream,
             after_ms: clock::now().saturating_duration_since(self.attempted_at).as_millis() as u64,
             cause,
+            connect_error,
             may_have_run,
-            next: if retrying { "again" } else { "give_up" },
+            next,
         });
     }
 
--- a/src/gateway/request/status.rs
+++ b/src/gateway/request/status.rs
@@ -35,6 +35,8 @@
     configuration_age_ms: Option<u64>,
     /// Number of upstreams that take work.
     upstreams: usize,
+    /// Number of those that could not be reached last time.
+    unreachable: usize,
     /// Store revision up to which the upstreams are known.
     upstreams_position: Revision,
     /// Milliseconds since that revision was last known to be the newest; `null` if it never was.
@@ -123,6 +125,7 @@
         configuration: board.configuration_version(),
         configuration_age_ms: gateway.knowledge_age_ms(WatchedData::Configuration, now),
         upstreams: board.upstreams.values().filter(|v| v.takes_work()).count(),
+        unreachable: board.unreachable_upstreams().count(),
         upstreams_position: board.upstreams_position(),
         upstreams_age_ms: gateway.knowledge_age_ms(WatchedData::Upstreams, now),
         store_answers: !matches!(board.store, StoreState::OutageSince(_)),
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -338,6 +338,9 @@
         after_ms: u64,
         /// How the attempt failed.
         cause: &'a str,
+        /// Why no connection could be opened; empty if one was.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        connect_error: &'a str,
         /// Whether the upstream may have run the request.
         may_have_run: bool,
         /// Next step, such as a retry.
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -68,6 +68,8 @@
     pub knowledge_age: Family<KnowledgeLabels, Gauge<f64, AtomicU64>>,
     /// Number of upstreams that accept new requests.
     pub upstreams: Gauge,
+    /// Number of upstreams that accept new requests but could not be reached last time.
+    pub unreachable: Gauge,
     /// Number of upstreams whose row is missing but which may still serve.
     pub missing_rows: Gauge,
     /// Number of health checks of upstreams with lapsed rows, by result.
@@ -117,6 +119,7 @@
             configuration: Gauge::default(),
             knowledge_age: Family::default(),
             upstreams: Gauge::default(),
+            unreachable: Gauge::default(),
             missing_rows: Gauge::default(),
             row_checks: Family::default(),
             peers: Gauge::default(),
@@ -146,6 +149,7 @@
         r.register("configuration_version", "Configuration", self.configuration.clone());
         r.register("knowledge_age_seconds", "Age of knowledge", self.knowledge_age.clone());
         r.register("upstreams", "Upstreams that take work", self.upstreams.clone());
+        r.register("unreachable_upstreams", "Upstreams out of reach", self.unreachable.clone());
         r.register("missing_rows", "Rows that may come back", self.missing_rows.clone());
         r.register("row_checks", "Health checks after lapses", self.row_checks.clone());
         r.register("peers", "Gateways that are heard", self.peers.clone());
