--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    net::Ipv4Addr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -14,6 +15,7 @@
 
 use crate::{
     answer::{empty, json as answer, read_json},
+    network::Cut,
     platform::{Behaviour, Platform, StoreMode, Upstream, upstream_row},
     process, rollout,
 };
@@ -41,6 +43,7 @@
             "/down" => self.set_down_time(&body),
             "/store" => self.set_store(&body),
             "/forget" => self.discard_history(),
+            "/cut" => self.cut(&body),
             "/rollout" => self.roll_out(&body),
             "/seen" => return self.recorded(),
             _ => None,
@@ -191,6 +194,21 @@
         Some(())
     }
 
+    /// Cuts IP addresses off from all upstreams, in place of earlier cuts. Fields: `sources`, the
+    /// addresses, and `cut`.
+    fn cut(&self, body: &Value) -> Option<()> {
+        let sources: Vec<Ipv4Addr> = serde_json::from_value(body["sources"].clone()).ok()?;
+        let cut: Cut = serde_json::from_value(body["cut"].clone()).ok()?;
+        let cuts = sources.into_iter().map(|source| (source, cut)).collect();
+        match self.platform.network.set_cuts(cuts) {
+            Ok(()) => Some(()),
+            Err(e) => {
+                eprintln!("the cut is not applied: {e}");
+                None
+            }
+        }
+    }
+
     fn set_store(&self, body: &Value) -> Option<()> {
         let mode: StoreMode = serde_json::from_value(body["mode"].clone()).ok()?;
         let mut state = self.platform.state.borrow_mut();
--- a/src/bin/tackhollow-emulator/platform.rs
+++ b/src/bin/tackhollow-emulator/platform.rs
@@ -16,6 +16,8 @@
     task::AbortHandle,
 };
 
+use crate::network::Network;
+
 /// Behaviour of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -189,6 +191,8 @@
     pub state: RefCell<State>,
     /// Notified of every change in the store.
     pub changed: Notify,
+    /// Network between callers and upstreams.
+    pub network: Rc<Network>,
     /// Receives the ids of upstreams that are to crash.
     pub crashing: UnboundedSender<String>,
     started: Instant,
@@ -212,7 +216,7 @@
             store_calls: 0,
         };
         let (state, changed, started) = (RefCell::new(state), Notify::new(), Instant::now());
-        Rc::new(Self { state, changed, crashing, started })
+        Rc::new(Self { state, changed, network: Rc::default(), crashing, started })
     }
 
     /// Returns the store's monotonic clock in milliseconds.
--- a/src/bin/tackhollow-emulator/process.rs
+++ b/src/bin/tackhollow-emulator/process.rs
@@ -10,10 +10,7 @@
 use anyhow::Result;
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use serde_json::json;
-use tackhollow::{
-    gateway::net::{Shutdown, serve},
-    time::unix_millis,
-};
+use tackhollow::time::unix_millis;
 use tokio::{
     net::TcpListener,
     sync::mpsc::UnboundedReceiver,
@@ -37,8 +34,9 @@
 /// their own, which is dropped when the process is aborted.
 pub fn start(platform: &Rc<Platform>, id: &str, listener: TcpListener) -> AbortHandle {
     let service = Rc::new(UpstreamService { platform: platform.clone(), id: id.to_owned() });
+    let network = platform.network.clone();
     let process = async move {
-        LocalSet::new().run_until(serve(listener, service, Shutdown::default())).await;
+        LocalSet::new().run_until(network.serve(listener, service)).await;
     };
     spawn_local(process).abort_handle()
 }
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -1,6 +1,10 @@
 //! HTTP/1.1 client connections.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -13,7 +17,11 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
-use tokio::{net::TcpStream, task::spawn_local, time::timeout};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::spawn_local,
+    time::timeout,
+};
 
 /// Idle time after which the kernel sends TCP keepalive probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -147,7 +155,21 @@
 ///
 /// Fails if the peer refuses the connection or does not accept it within `limit`.
 pub async fn connect(address: SocketAddr, limit: Duration) -> Result<HttpConnection, ConnectError> {
-    let opened = timeout(limit, TcpStream::connect(address)).await;
+    connect_from(None, address, limit).await
+}
+
+/// Opens a connection to `address` from the IP address `source`, or from one that the system
+/// chooses.
+///
+/// # Errors
+///
+/// Fails if the peer refuses the connection or does not accept it within `limit`.
+pub async fn connect_from(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<HttpConnection, ConnectError> {
+    let opened = timeout(limit, open_stream(source, address)).await;
     let stream = opened.map_err(|_elapsed| ConnectError::Timeout)??;
     detect_dead_peer(&stream)?;
     let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
@@ -158,6 +180,15 @@
     Ok(HttpConnection { sender })
 }
 
+async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Configures the socket so that the kernel detects a peer that vanished without closing it.
 pub(super) fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -7,9 +7,11 @@
 mod shutdown;
 
 pub use connect::{
-    Answer, CallError, ConnectError, HttpConnection, RequestBody, connect, get_request,
-    json_request,
+    Answer, CallError, ConnectError, HttpConnection, RequestBody, connect, connect_from,
+    get_request, json_request,
 };
 pub use pool::{Pool, PoolError, PooledConnection};
-pub use server::{AnswerBody, BodyError, Service, channel_body, full_body, serve};
+pub use server::{
+    AnswerBody, BodyError, Service, channel_body, full_body, serve, serve_connection,
+};
 pub use shutdown::{Phase, Shutdown};
--- a/src/gateway/net/pool.rs
+++ b/src/gateway/net/pool.rs
@@ -3,14 +3,14 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use thiserror::Error;
 
-use super::{ConnectError, HttpConnection, connect};
+use super::{ConnectError, HttpConnection, connect_from};
 use crate::clock;
 use crate::gateway::model::Lifetime;
 
@@ -54,9 +54,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     shared: Shared,
+    source: Option<IpAddr>,
 }
 
 impl Pool {
+    /// Creates an empty pool, whose connections come from the IP address `source`, or from one that
+    /// the system chooses.
+    pub fn new(source: Option<IpAddr>) -> Self {
+        Self { shared: Shared::default(), source }
+    }
+
     /// Returns the most recently used idle connection, or opens a new one.
     ///
     /// # Errors
@@ -72,7 +79,7 @@
         let mut pooled =
             PooledConnection { upstream, shared: self.shared.clone(), connection: idle };
         if pooled.connection.is_none() {
-            pooled.connection = Some(connect(address, CONNECT_TIMEOUT).await?);
+            pooled.connection = Some(connect_from(self.source, address, CONNECT_TIMEOUT).await?);
         }
         Ok(pooled)
     }
@@ -96,7 +103,7 @@
         }
         let mut pooled =
             PooledConnection { upstream, shared: self.shared.clone(), connection: None };
-        pooled.connection = Some(connect(address, CONNECT_TIMEOUT).await?);
+        pooled.connection = Some(connect_from(self.source, address, CONNECT_TIMEOUT).await?);
         Ok(pooled)
     }
 
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -20,7 +20,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use thiserror::Error;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    io::{AsyncRead, AsyncWrite},
+    net::TcpListener,
     sync::mpsc::Receiver,
     task::spawn_local,
     time::sleep,
@@ -97,7 +98,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                spawn_local(serve_one(stream, peer, service.clone(), shutdown.clone()));
+                if let Err(e) = detect_dead_peer(&stream) {
+                    log::debug!("{peer}: {e}");
+                }
+                spawn_local(serve_connection(stream, peer, service.clone(), shutdown.clone()));
             }
             Err(e) => {
                 log::warn!("accept failed: {e}");
@@ -107,15 +111,12 @@
     }
 }
 
-async fn serve_one<S: Service>(
-    stream: TcpStream,
-    peer: SocketAddr,
-    service: Rc<S>,
-    shutdown: Shutdown,
-) {
-    if let Err(e) = detect_dead_peer(&stream) {
-        log::debug!("{peer}: {e}");
-    }
+/// Serves one connection until it ends.
+pub async fn serve_connection<T, S>(stream: T, peer: SocketAddr, service: Rc<S>, shutdown: Shutdown)
+where
+    T: AsyncRead + AsyncWrite + Unpin,
+    S: Service,
+{
     let answer = service_fn(|request| {
         let service = service.clone();
         async move { Ok::<_, std::convert::Infallible>(service.answer(request).await) }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -80,6 +80,8 @@
     pub log_level: LevelFilter,
     /// Listen addresses.
     pub listen: ListenSettings,
+    /// IP address that connections to upstreams come from; `None` lets the system choose.
+    pub outgoing: Option<IpAddr>,
     /// Hosts contacted first to discover the other gateways.
     pub seeds: Vec<IpAddr>,
     /// Address of the platform's store.
@@ -114,6 +116,7 @@
             data_centre: s.text("data_centre"),
             log_level: s.one_of("log_level", &LOG_LEVELS, LevelFilter::Warn),
             listen: s.section("listen", listen),
+            outgoing: s.optional_ip("outgoing_ip"),
             seeds: seeds.iter().map(SocketAddr::ip).collect(),
             store,
             api,
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeSet,
     fmt, fs,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -157,6 +157,13 @@
             .unwrap_or_else(|| self.invalid(key, "an IP number and a port", value.as_ref(), unset))
     }
 
+    /// Returns an IP address, or `None` if the key is missing.
+    pub fn optional_ip(&mut self, key: &str) -> Option<IpAddr> {
+        let value = self.lookup(key)?;
+        let parsed = value.as_str().and_then(|s| s.parse().ok());
+        parsed.or_else(|| self.invalid(key, "an IP number", Some(&value), None))
+    }
+
     /// Returns a list of IP addresses with ports, empty if the key is missing.
     pub fn addrs(&mut self, key: &str) -> Vec<SocketAddr> {
         let texts = self.texts(key);
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -295,7 +295,9 @@
         let n = self.gateways.len() + 1;
         let settings = self.dir.path().join(format!("gateway-{n}.toml"));
         let ports: Vec<SocketAddr> = (0..5).map(|i| loopback_address(n, FIRST_PORT + i)).collect();
-        let mut text = format!("id = \"gateway-{n}\"\ndata_centre = \"bkk-nont\"\n[listen]\n");
+        let ip = ports[0].ip();
+        let mut text = format!("id = \"gateway-{n}\"\ndata_centre = \"bkk-nont\"\n");
+        write!(text, "outgoing_ip = \"{ip}\"\n[listen]\n").expect("writing to a string succeeds");
         let names = ["callers", "directory", "readiness", "peers", "heartbeats"];
         for (name, address) in names.iter().zip(&ports) {
             writeln!(text, "{name} = \"{address}\"").expect("writing to a string succeeds");
@@ -367,6 +369,17 @@
         self.control("/behaviour", &json!({ "id": id, "behaviour": behaviour }));
     }
 
+    /// Cuts some gateways off from all upstreams, in place of an earlier cut.
+    pub fn cut_off(&self, gateways: &[usize], cut: &str) {
+        let sources: Vec<_> = gateways.iter().map(|n| self.gateways[*n].callers.ip()).collect();
+        self.control("/cut", &json!({ "sources": sources, "cut": cut }));
+    }
+
+    /// Ends the cuts.
+    pub fn end_cuts(&self) {
+        self.cut_off(&[], "hang");
+    }
+
     /// Restarts an upstream under the same id; `born` is its start time in Unix milliseconds by
     /// its own clock.
     pub fn restart_upstream(&self, id: &str, born: u64) {
