Gateways that are cut off from upstreams reach them through other gateways

Cause: a gateway knew one path to an upstream, its own, and put each failure of it down to the upstream. Cut off, it tried five upstreams in turn, 600 ms each, and refused; callers were sent there all the while.

Change: a connection that fails, or takes 150 ms, is also opened through another gateway, and the first that opens is used. All decisions on the request stay where it came in; the other gateway passes bytes on (chunked, so that a tunnel that breaks is no complete answer), to known upstreams only, never through a third one. A gateway that reaches none of three upstreams that others reach is cut off: it says so in heartbeats (format 9), leaves the directory unless fewer than three tenths would remain, and probes two upstreams each 400 ms until one answers. What failed on its own path is no longer an outcome of the upstream, an end of it, or a failure of a roll-out's version.

Ruled out: leaving the directory alone.

--- a/benches/hearing.rs
+++ b/benches/hearing.rs
@@ -52,6 +52,7 @@
         callers: address,
         peers: address,
         heartbeats: address,
+        cut_off: false,
         phase: Phase::Serving,
         configuration: 7,
         configuration_knowledge: None,
--- a/src/bin/tackhollow-emulator/network.rs
+++ b/src/bin/tackhollow-emulator/network.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     io,
     net::{IpAddr, Ipv4Addr},
     pin::Pin,
@@ -29,7 +29,7 @@
 pub enum Cut {
     /// Drops all packets: open connections hang, and new ones are not accepted.
     Hang,
-    /// Resets open connections, and new ones as soon as they are accepted.
+    /// Resets open connections, and drops the packets of new ones.
     Reset,
     /// Drops the packets of new connections only.
     HangNew,
@@ -106,9 +106,7 @@
     }
 
     fn filter_listener(&self, listener: &TcpListener) -> io::Result<()> {
-        let cuts = self.cuts.borrow();
-        let hanging = cuts.iter().filter(|(_, cut)| **cut != Cut::Reset).map(|(source, _)| *source);
-        drop_packets(&SockRef::from(listener), hanging.collect::<BTreeSet<_>>())
+        drop_packets(&SockRef::from(listener), self.cuts.borrow().keys().copied())
     }
 
     /// Accepts and serves the connections of an upstream.
@@ -125,11 +123,10 @@
         loop {
             match listener.accept().await {
                 Ok((stream, peer)) => match self.open(stream, peer.ip()) {
-                    Ok(Some(stream)) => {
+                    Ok(stream) => {
                         let shutdown = Shutdown::default();
                         spawn_local(serve_connection(stream, peer, service.clone(), shutdown));
                     }
-                    Ok(None) => {}
                     Err(e) => eprintln!("a connection from {peer} is not served: {e}"),
                 },
                 Err(e) => {
@@ -140,23 +137,19 @@
         }
     }
 
-    /// Registers an accepted connection; `None` if it is reset at once.
-    fn open(self: &Rc<Self>, stream: TcpStream, source: IpAddr) -> io::Result<Option<CutStream>> {
+    /// Registers an accepted connection.
+    fn open(self: &Rc<Self>, stream: TcpStream, source: IpAddr) -> io::Result<CutStream> {
         stream.set_nodelay(true)?;
         let IpAddr::V4(source) = source else {
             return Err(io::Error::from(io::ErrorKind::Unsupported));
         };
-        if self.cut_of(source) == Some(Cut::Reset) {
-            reset_on_close(&SockRef::from(&stream))?;
-            return Ok(None);
-        }
         let number = self.last_connection.get() + 1;
         self.last_connection.set(number);
         let (socket, gate) = (SockRef::from(&stream).try_clone()?, Rc::<Gate>::default());
         let connection = Connection { source, socket, gate: gate.clone() };
         self.connections.borrow_mut().insert(number, connection);
         let open = OpenConnection { network: self.clone(), number };
-        Ok(Some(CutStream { open, gate, stream }))
+        Ok(CutStream { open, gate, stream })
     }
 }
 
--- a/src/bin/tackhollow/gateways.rs
+++ b/src/bin/tackhollow/gateways.rs
@@ -28,6 +28,8 @@
     upstreams: usize,
     #[serde(default)]
     unreachable: usize,
+    #[serde(default)]
+    cut_off: bool,
     upstreams_age_ms: Option<u64>,
     store_answers: bool,
     lease_fence: u64,
@@ -172,6 +174,8 @@
     }
     if s.upstreams == 0 {
         note("knows no upstream that takes work".to_owned());
+    } else if s.cut_off {
+        note("is cut off from all upstreams, and reaches them through other gateways".to_owned());
     } else if s.unreachable > 0 {
         note(format!("could not reach {} of {} upstreams last time", s.unreachable, s.upstreams));
     }
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -20,6 +20,7 @@
 
 use std::{
     collections::{BTreeMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -33,7 +34,7 @@
         InterruptedAttempts, LeavingTracker, LoadMeter, Mechanism, PeerCorrectedClock,
         PrefixCacheEstimate, QuotaLimiter, RateLimiter, RequestCost, RolloutTracker,
         ServiceRetryBudgets, SpeedModel, StoreClock, StoreMillis, StoreStability, SyncPoint,
-        TrialTurn, UsageCounters,
+        TrialTurn, TunnelPeers, UpstreamPaths, UsageCounters,
     },
     model::{Configuration, Lifetime, Revision, ServiceName, Upstream, WatchedData},
     peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport, UpstreamSnapshot},
@@ -113,6 +114,10 @@
     pub limits: RateLimiter,
     /// Upstreams that asked this process to pause requests.
     pub rests: CooldownTracker,
+    /// Paths from this process to the upstreams.
+    pub paths: UpstreamPaths,
+    /// Outcomes of connections through other gateways, by their addresses for other gateways.
+    pub tunnel_outcomes: TunnelPeers<SocketAddr>,
     /// Roll-outs of new upstream versions.
     pub rollouts: RolloutTracker,
     /// Retry budget.
@@ -176,6 +181,8 @@
             leaving: LeavingTracker::default(),
             limits: RateLimiter::default(),
             rests: CooldownTracker::default(),
+            paths: UpstreamPaths::default(),
+            tunnel_outcomes: TunnelPeers::default(),
             rollouts: RolloutTracker::default(),
             retries: ServiceRetryBudgets::default(),
             crashes: CrashTracker::default(),
--- a/src/gateway/board/peers.rs
+++ b/src/gateway/board/peers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cmp::Reverse,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -157,6 +158,16 @@
         }
     }
 
+    /// Returns the addresses of up to `max` gateways through which upstreams may be reached, in the
+    /// order in which they are to be asked.
+    pub fn tunnel_peers(&self, own: &DataCentre, max: usize, now: Instant) -> Vec<SocketAddr> {
+        let connected = || self.serving_peers(now).filter(|p| !p.last.cut_off).map(|p| &p.last);
+        let near = connected().filter(|p| p.data_centre == *own).map(|p| p.peers);
+        let all: Vec<SocketAddr> = connected().map(|p| p.peers).collect();
+        let near: Vec<SocketAddr> = near.collect();
+        self.tunnel_outcomes.choose(&near, &all, max, now, &mut fastrand::Rng::new())
+    }
+
     /// Returns the gateways that callers may use.
     pub fn serving_peers(&self, now: Instant) -> impl Iterator<Item = &PeerView> {
         let serves = |p: &&PeerView| p.last.phase == Phase::Serving && p.last.configuration > 0;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -67,14 +67,13 @@
         board.quotas.set_terms(settings.bounds.quotas);
         let store = StoreClient::new(settings.store);
         let duties = DutyClient::new(settings.api, settings.id.clone());
-        let pool = Pool::new(settings.outgoing);
         Self {
             settings: RefCell::new(settings),
             process,
             incarnation,
             started: clock::now(),
             board: RefCell::new(board),
-            pool,
+            pool: Pool::default(),
             upstream_probes: UpstreamProbes::default(),
             permit_requests: PermitRequests::default(),
             store,
--- a/src/gateway/controllers/heartbeat_sender.rs
+++ b/src/gateway/controllers/heartbeat_sender.rs
@@ -246,6 +246,7 @@
             peers: settings.listen.peers,
             heartbeats: settings.listen.heartbeats,
             phase: self.gateway.shutdown.phase(),
+            cut_off: board.paths.is_cut_off(),
             configuration: board.configuration_version(),
             configuration_knowledge: board.configuration_knowledge,
             store_now: board.store_clock.now(now),
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -9,6 +9,7 @@
 mod heartbeat_sender;
 mod knowledge_age;
 mod missing_rows;
+mod path_probes;
 mod peer_requests;
 mod peer_sync;
 mod peers;
@@ -33,6 +34,7 @@
 pub use directory::Directory;
 pub use duties::Duties;
 pub use graceful_shutdown::GracefulShutdown;
+pub use path_probes::PathProbes;
 pub use peers::Peers;
 pub use rollouts::Rollouts;
 pub use row_checks::RowChecks;
@@ -56,6 +58,8 @@
     pub capacity: ActorOwn<Capacity>,
     /// Checks the health of upstreams whose rows lapsed.
     pub row_checks: ActorOwn<RowChecks>,
+    /// Probes the paths to upstreams while they are suspect.
+    pub path_probes: ActorOwn<PathProbes>,
     /// Follows roll-outs of versions.
     pub rollouts: ActorOwn<Rollouts>,
     /// Shuts the process down without interrupting requests.
@@ -80,6 +84,7 @@
             duties: actor!(s, Duties::init(cx()), ret_nop!()),
             capacity: actor!(s, Capacity::init(cx()), ret_nop!()),
             row_checks: actor!(s, RowChecks::init(cx()), ret_nop!()),
+            path_probes: actor!(s, PathProbes::init(cx()), ret_nop!()),
             rollouts: actor!(s, Rollouts::init(cx()), ret_nop!()),
             graceful_shutdown: actor!(s, GracefulShutdown::init(cx()), ret_nop!()),
         }
--- a/src/gateway/controllers/row_checks.rs
+++ b/src/gateway/controllers/row_checks.rs
@@ -83,7 +83,7 @@
 }
 
 async fn check(gateway: Rc<Gateway>, target: CheckTarget) {
-    let result = check_upstream(&gateway.pool, &target).await;
+    let result = check_upstream(&gateway, &target).await;
     count(&gateway.metrics.row_checks, result.name());
     gateway.log(&Event::RowChecked { upstream: &target.id, result: result.name() });
     let CheckTarget { id, lifetime, .. } = target;
--- a/src/gateway/decide/mechanism.rs
+++ b/src/gateway/decide/mechanism.rs
@@ -17,13 +17,15 @@
     Avoidance,
     /// Engines on demand that cover the loss of one more data centre.
     LossCover,
+    /// Connections to upstreams through other gateways.
+    Tunnels,
     /// Use of the largest recent requirement in place of the current one.
     NeedPeak,
 }
 
 impl Mechanism {
     /// All mechanisms with their names in the settings.
-    pub const NAMES: [(&'static str, Self); 8] = [
+    pub const NAMES: [(&'static str, Self); 9] = [
         ("learnt_speed", Self::LearntSpeed),
         ("known_caches", Self::KnownCaches),
         ("prefix_home", Self::PrefixHome),
@@ -31,6 +33,7 @@
         ("shared_outcomes", Self::SharedOutcomes),
         ("avoidance", Self::Avoidance),
         ("loss_cover", Self::LossCover),
+        ("tunnels", Self::Tunnels),
         ("need_peak", Self::NeedPeak),
     ];
 }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -29,7 +29,9 @@
 mod row_check;
 mod speed;
 mod store_stability;
+mod tunnel_peers;
 mod upstream_health;
+mod upstream_paths;
 mod usage;
 mod window_sum;
 
@@ -81,6 +83,8 @@
 pub use row_check::{CHECK_RETRY_DELAY, CheckRange, CheckResult};
 pub use speed::{EngineSpeed, FirstTokenSample, SpeedModel};
 pub use store_stability::StoreStability;
+pub use tunnel_peers::{TunnelPeers, choose_listed_gateways};
 pub use upstream_health::{AttemptOutcome, UpstreamHealth};
+pub use upstream_paths::{PathChange, UpstreamPaths};
 pub use usage::{ProcessKey, UsageCounters, UsageCounts, WindowNumber};
 pub use window_sum::WindowSum;
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -18,6 +18,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::{TcpSocket, TcpStream},
     task::spawn_local,
     time::timeout,
@@ -88,13 +89,45 @@
     pub body: Bytes,
 }
 
+/// Which way a connection takes to its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// From this process to the upstream.
+    Direct,
+    /// Through another gateway.
+    Tunnel,
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: SendRequest<RequestBody>,
+    path: Path,
 }
 
 impl HttpConnection {
+    /// Begins to speak HTTP on an open stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream ends at once.
+    pub async fn over<T>(stream: T, path: Path) -> Result<Self, ConnectError>
+    where
+        T: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
+        let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
+        spawn_local(async move {
+            // The error is dropped: users of the connection get it from `sender`.
+            drop(connection.await);
+        });
+        Ok(Self { sender, path })
+    }
+
+    /// Returns which way the connection takes.
+    pub fn path(&self) -> Path {
+        self.path
+    }
+
     /// Returns whether the connection has not been closed.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -169,15 +202,25 @@
     address: SocketAddr,
     limit: Duration,
 ) -> Result<HttpConnection, ConnectError> {
+    let stream = connect_stream(source, address, limit).await?;
+    HttpConnection::over(stream, Path::Direct).await
+}
+
+/// Opens a TCP connection to `address` from the IP address `source`, or from one that the system
+/// chooses.
+///
+/// # Errors
+///
+/// Fails if the peer refuses the connection or does not accept it within `limit`.
+pub async fn connect_stream(
+    source: Option<IpAddr>,
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<TcpStream, ConnectError> {
     let opened = timeout(limit, open_stream(source, address)).await;
     let stream = opened.map_err(|_elapsed| ConnectError::Timeout)??;
     detect_dead_peer(&stream)?;
-    let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
-    spawn_local(async move {
-        // The error is dropped: users of the connection get it from `sender`.
-        drop(connection.await);
-    });
-    Ok(HttpConnection { sender })
+    Ok(stream)
 }
 
 async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -5,13 +5,17 @@
 mod pool;
 mod server;
 mod shutdown;
+mod tunnel;
 
 pub use connect::{
-    Answer, CallError, ConnectError, HttpConnection, RequestBody, connect, connect_from,
-    get_request, json_request,
+    Answer, CallError, ConnectError, HttpConnection, Path, RequestBody, connect, connect_from,
+    connect_stream, get_request, json_request,
 };
 pub use pool::{Pool, PoolError, PooledConnection};
 pub use server::{
     AnswerBody, BodyError, Service, channel_body, full_body, serve, serve_connection,
 };
 pub use shutdown::{Phase, Shutdown};
+pub use tunnel::{
+    TUNNEL_PATH, TunnelError, TunnelRefusal, open_tunnel, tunnel_response, tunnelled_request,
+};
--- a/src/gateway/net/pool.rs
+++ b/src/gateway/net/pool.rs
@@ -3,20 +3,16 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use thiserror::Error;
 
-use super::{ConnectError, HttpConnection, connect_from};
+use super::{ConnectError, HttpConnection, Path};
 use crate::clock;
 use crate::gateway::model::Lifetime;
 
-/// Timeout for opening a connection to an upstream. Upstreams accept within a few
-/// milliseconds; one that takes longer is on a host that is gone.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Idle timeout of a connection if the upstream states none. Upstreams state whole seconds,
 /// so one that states none keeps connections for less than a second.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -54,17 +50,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     shared: Shared,
-    source: Option<IpAddr>,
 }
 
 impl Pool {
-    /// Creates an empty pool, whose connections come from the IP address `source`, or from one that
-    /// the system chooses.
-    pub fn new(source: Option<IpAddr>) -> Self {
-        Self { shared: Shared::default(), source }
-    }
-
-    /// Returns the most recently used idle connection, or opens a new one.
+    /// Returns the most recently used idle connection, or the one that `open` opens.
     ///
     /// # Errors
     ///
@@ -72,20 +61,20 @@
     pub async fn acquire(
         &self,
         upstream: Lifetime,
-        address: SocketAddr,
         max_open: usize,
+        open: impl Future<Output = Result<HttpConnection, ConnectError>>,
     ) -> Result<PooledConnection, PoolError> {
         let idle = self.reserve(upstream, max_open)?;
         let mut pooled =
             PooledConnection { upstream, shared: self.shared.clone(), connection: idle };
         if pooled.connection.is_none() {
-            pooled.connection = Some(connect_from(self.source, address, CONNECT_TIMEOUT).await?);
+            pooled.connection = Some(open.await?);
         }
         Ok(pooled)
     }
 
-    /// Opens a new connection even if one is idle, which tests whether the upstream still
-    /// accepts connections.
+    /// Returns the connection that `open` opens, even if one is idle, which tests whether the
+    /// upstream still accepts connections.
     ///
     /// # Errors
     ///
@@ -93,8 +82,8 @@
     pub async fn open_new(
         &self,
         upstream: Lifetime,
-        address: SocketAddr,
         max_open: usize,
+        open: impl Future<Output = Result<HttpConnection, ConnectError>>,
     ) -> Result<PooledConnection, PoolError> {
         {
             let mut shared = self.shared.borrow_mut();
@@ -103,7 +92,7 @@
         }
         let mut pooled =
             PooledConnection { upstream, shared: self.shared.clone(), connection: None };
-        pooled.connection = Some(connect_from(self.source, address, CONNECT_TIMEOUT).await?);
+        pooled.connection = Some(open.await?);
         Ok(pooled)
     }
 
@@ -144,6 +133,18 @@
         shared.retain(|_, connections| connections.open > 0);
     }
 
+    /// Closes the idle connections to an upstream.
+    pub fn close_idle(&self, upstream: Lifetime) {
+        if let Some(connections) = self.shared.borrow_mut().get_mut(&upstream) {
+            connections.close_idle();
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.shared.borrow_mut().values_mut().for_each(Connections::close_idle);
+    }
+
     /// Returns the number of open connections, idle ones included.
     pub fn open(&self) -> usize {
         self.shared.borrow().values().map(|c| c.open).sum()
@@ -159,6 +160,11 @@
         Ok(())
     }
 
+    fn close_idle(&mut self) {
+        self.open -= self.idle.len();
+        self.idle.clear();
+    }
+
     fn close_expired(&mut self, now: Instant) {
         let before = self.idle.len();
         self.idle.retain(|idle| idle.until > now && idle.connection.is_open());
@@ -180,12 +186,19 @@
         self.connection.as_mut().expect("the connection is present until it is given back")
     }
 
+    /// Returns which way the connection takes to the upstream.
+    pub fn path(&self) -> Path {
+        self.connection.as_ref().map_or(Path::Direct, HttpConnection::path)
+    }
+
     /// Returns the connection to the pool if it is still open; `keep_alive` is the idle
-    /// timeout that the upstream stated.
+    /// timeout that the upstream stated. A tunnel is closed: kept open, it would hold up the
+    /// shutdown of the gateway in between.
     pub fn give_back(mut self, keep_alive: Option<Duration>) {
         let idle_time = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |t| t.saturating_sub(IDLE_MARGIN));
         let until = clock::now() + idle_time;
-        let Some(connection) = self.connection.take().filter(HttpConnection::is_open) else {
+        let reusable = |c: &HttpConnection| c.is_open() && c.path() == Path::Direct;
+        let Some(connection) = self.connection.take().filter(reusable) else {
             return;
         };
         let mut shared = self.shared.borrow_mut();
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -155,6 +155,8 @@
     pub heartbeats: SocketAddr,
     /// Phase of serving or shutting down.
     pub phase: Phase,
+    /// Whether it can reach upstreams only through other gateways.
+    pub cut_off: bool,
     /// Version of its configuration; 0 if it has none.
     pub configuration: u64,
     /// Revision and time up to which it knows the configuration.
@@ -221,7 +223,7 @@
 
 /// First byte of a heartbeat. It must be raised with every change of [`Heartbeat`]: postcard
 /// encodes fields by position, so that another version would misread them.
-const HEARTBEAT_FORMAT: u8 = 8;
+const HEARTBEAT_FORMAT: u8 = 9;
 
 /// A heartbeat that was relayed by another gateway.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -8,13 +8,13 @@
 };
 use std::{rc::Rc, time::Instant};
 
-use super::{Admitted, select::Selected, signals::note_signals};
+use super::{Admitted, DialTarget, select::Selected, signals::note_signals};
 use crate::{
     clock,
     gateway::{
         context::Gateway,
         model::RequestDigest,
-        net::{ConnectError, PoolError, PooledConnection, RequestBody},
+        net::{ConnectError, Path, PoolError, PooledConnection, RequestBody},
     },
     platform::{self, Attempt, RequestHead},
 };
@@ -93,8 +93,9 @@
     let Some(permit) = gateway.find_permit(lifetime).await else {
         return AttemptEnd::Unsent("rate_limited");
     };
-    let max = selected.max_connections;
-    let acquired = gateway.pool.acquire(selected.lifetime, selected.address, max).await;
+    let target = DialTarget { lifetime, address: selected.address, request: &outgoing.head.id };
+    let dialling = gateway.dial(target);
+    let acquired = gateway.pool.acquire(lifetime, selected.max_connections, dialling).await;
     let mut lease = match acquired {
         Ok(lease) => lease,
         Err(PoolError::Full) => return AttemptEnd::Unsent("no_connection_free"),
@@ -129,6 +130,9 @@
         Err(e) if e.unsent => return AttemptEnd::Unsent("connection_ended"),
         Err(_) => return AttemptEnd::Broken("no_answer"),
     };
+    if lease.path() == Path::Direct {
+        gateway.note_reached(lifetime);
+    }
     let (status, headers) = (response.status(), response.headers());
     note_signals(gateway, outgoing, selected, status, headers);
     if !platform::same_request(headers, &outgoing.head.id) {
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -8,14 +8,16 @@
 use stakker::call;
 use tokio::sync::OnceCell;
 
-use super::{Refusal, attempt::UPSTREAM_RESTARTED, forward::Forwarding, select::Selected};
+use super::{
+    DialTarget, Refusal, attempt::UPSTREAM_RESTARTED, forward::Forwarding, select::Selected,
+};
 use crate::{
     clock,
     gateway::{
         context::Gateway,
         decide::{AttemptOutcome, InterruptedAttempt, Permission},
         model::{Lifetime, RequestDigest},
-        net::{ConnectError, PoolError},
+        net::{ConnectError, Path, PoolError},
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -25,39 +27,54 @@
 /// verdict on another request of its customer may cause a second wait; nothing should cause more.
 const MAX_VERDICT_WAITS: u32 = 2;
 
+/// What a probe of an upstream shows after a run there was interrupted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeResult {
+    /// The upstream has ended.
+    Ended,
+    /// The upstream is alive, or out of reach for everybody, which proves no end.
+    NotEnded,
+    /// The upstream is alive, and this gateway has lost its path to it.
+    OwnPathLost,
+}
+
 /// Probes whether upstreams have ended. At most one probe runs for each lifetime; requests that are
 /// interrupted together share its result.
 #[derive(Debug, Default)]
 pub struct UpstreamProbes {
-    running: RefCell<HashMap<Lifetime, Rc<OnceCell<bool>>>>,
+    running: RefCell<HashMap<Lifetime, Rc<OnceCell<ProbeResult>>>>,
 }
 
 impl UpstreamProbes {
-    /// Returns whether the upstream at `address` has ended, which is the case if its host refuses
-    /// the connection. A host that does not answer may be unreachable, which proves no end.
-    async fn has_ended(
+    /// Probes the upstream at `address`. It has ended if its host refuses the connection. A host
+    /// that does not answer may be unreachable, which proves no end.
+    async fn probe(
         &self,
         gateway: &Gateway,
         lifetime: Lifetime,
         address: SocketAddr,
         max_connections: usize,
-    ) -> bool {
+    ) -> ProbeResult {
         let check = self.running.borrow_mut().entry(lifetime).or_default().clone();
         let probe = || async {
-            match gateway.pool.open_new(lifetime, address, max_connections).await {
+            let dialling = gateway.dial(DialTarget { lifetime, address, request: "" });
+            match gateway.pool.open_new(lifetime, max_connections, dialling).await {
+                Ok(lease) if lease.path() == Path::Tunnel => ProbeResult::OwnPathLost,
                 Ok(lease) => {
                     lease.give_back(None);
-                    false
+                    ProbeResult::NotEnded
                 }
-                Err(PoolError::Connect(ConnectError::Socket(e))) => {
-                    e.kind() == ErrorKind::ConnectionRefused
+                Err(PoolError::Connect(ConnectError::Socket(e)))
+                    if e.kind() == ErrorKind::ConnectionRefused =>
+                {
+                    ProbeResult::Ended
                 }
-                Err(PoolError::Connect(_) | PoolError::Full) => false,
+                Err(PoolError::Connect(_) | PoolError::Full) => ProbeResult::NotEnded,
             }
         };
-        let ended = *check.get_or_init(probe).await;
+        let result = *check.get_or_init(probe).await;
         self.running.borrow_mut().remove(&lifetime);
-        ended
+        result
     }
 }
 
@@ -101,25 +118,35 @@
     /// Handles an interrupted run and finds out whether its upstream ended.
     pub(super) async fn handle_interrupted(&self, selected: &Selected, cause: &'static str) {
         let (id, lifetime) = (&selected.id, selected.lifetime);
-        self.verdict(id, lifetime, AttemptOutcome::Failed);
         let restarted = cause == UPSTREAM_RESTARTED;
         if !restarted && !self.serves(id, lifetime) {
             // It had announced that it leaves, so its end says nothing about the request.
+            self.verdict(id, lifetime, AttemptOutcome::Failed);
             return;
         }
         self.note_interruption(lifetime);
-        let (gateway, checks) = (&self.gateway, &self.gateway.upstream_probes);
+        let (gateway, probes) = (&self.gateway, &self.gateway.upstream_probes);
         let (address, max) = (selected.address, selected.max_connections);
-        if restarted || checks.has_ended(gateway, lifetime, address, max).await {
-            gateway.upstream_ended(id, lifetime);
-        } else {
-            // The upstream is alive, so the runs were interrupted for another reason. They are
+        let result = match restarted {
+            true => ProbeResult::Ended,
+            false => probes.probe(gateway, lifetime, address, max).await,
+        };
+        if result != ProbeResult::OwnPathLost {
+            self.verdict(id, lifetime, AttemptOutcome::Failed);
+        }
+        match result {
+            ProbeResult::Ended => gateway.upstream_ended(id, lifetime),
+            // The runs were interrupted for another reason than an end of the upstream. They are
             // forgotten, lest a later restart of an upstream with faulty answers be attributed
             // to them.
-            self.note_failure(selected.version_group);
-            // The run counts as usage although its answer reaches nobody.
-            self.count_usage(clock::now());
-            gateway.board.borrow_mut().breaks.take(lifetime);
+            ProbeResult::NotEnded | ProbeResult::OwnPathLost => {
+                if result == ProbeResult::NotEnded {
+                    self.note_failure(selected.version_group);
+                }
+                // The run counts as usage although its answer reaches nobody.
+                self.count_usage(clock::now());
+                gateway.board.borrow_mut().breaks.take(lifetime);
+            }
         }
     }
 
--- a/src/gateway/request/endpoints.rs
+++ b/src/gateway/request/endpoints.rs
@@ -8,12 +8,13 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 
-use super::{forward::forward, quarantine, status};
+use super::{forward::forward, quarantine, status, tunnel::tunnel};
 use crate::{
     clock,
     gateway::{
         context::Gateway,
-        net::{AnswerBody, Phase, Service, full_body},
+        decide::choose_listed_gateways,
+        net::{AnswerBody, Phase, Service, TUNNEL_PATH, full_body},
         peering::encode_verdicts,
     },
     platform::{decode_lookup, encode_addresses, is_ready_probe},
@@ -57,7 +58,7 @@
             EndpointKind::Callers => forward(self.gateway.clone(), request).await,
             EndpointKind::Directory => directory(&self.gateway, &request),
             EndpointKind::Readiness => readiness(&self.gateway, &request),
-            EndpointKind::Peers => peers(&self.gateway, &request),
+            EndpointKind::Peers => peers(&self.gateway, request).await,
         }
     }
 }
@@ -93,10 +94,12 @@
 /// included while it serves and has a configuration.
 fn addresses(gateway: &Gateway, now: Instant) -> Vec<SocketAddr> {
     let board = gateway.board.borrow();
-    let mut addresses: Vec<SocketAddr> = board.serving_peers(now).map(|p| p.last.callers).collect();
+    let mut serving: Vec<(SocketAddr, bool)> =
+        board.serving_peers(now).map(|p| (p.last.callers, p.last.cut_off)).collect();
     if gateway.shutdown.phase() == Phase::Serving && board.configuration.is_some() {
-        addresses.push(gateway.settings.borrow().listen.callers);
+        serving.push((gateway.settings.borrow().listen.callers, board.paths.is_cut_off()));
     }
+    let mut addresses = choose_listed_gateways(&serving);
     fastrand::shuffle(&mut addresses);
     addresses.truncate(MAX_ADDRESSES);
     addresses
@@ -112,15 +115,18 @@
     }
 }
 
-fn peers(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
-    let path = request.uri().path();
+async fn peers(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let path = request.uri().path().to_owned();
+    if let Some(upstream) = path.strip_prefix(TUNNEL_PATH) {
+        return tunnel(gateway, request, upstream).await;
+    }
     if let Some(rest) = path.strip_prefix(quarantine::QUARANTINE_PATH) {
         return quarantine::quarantine(gateway, request.method(), rest);
     }
     if let Some(after) = path.strip_prefix(UPSTREAMS_PATH) {
         return upstreams(gateway, after);
     }
-    match path {
+    match path.as_str() {
         "/peer/configuration" => {
             let document = gateway.board.borrow().document.clone();
             match document.is_empty() {
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -143,7 +143,7 @@
         Ok(Err(refusal)) => forwarding.refused(refusal),
         Err(_) => {
             let not_run = forwarding.runs == 0;
-            if !not_run {
+            if !not_run && !forwarding.is_own_path_suspect() {
                 forwarding.note_failure(forwarding.version_group);
             }
             forwarding.refused(if not_run { Refusal::TimeOverNotRun } else { Refusal::TimeOver })
@@ -326,6 +326,14 @@
         }
     }
 
+    /// Returns whether the latest attempt may have got no answer because this gateway lost its path
+    /// to the upstream.
+    fn is_own_path_suspect(&self) -> bool {
+        let board = self.gateway.board.borrow();
+        let latest = self.tried.last().and_then(|id| board.upstreams.get(id));
+        latest.is_some_and(|v| board.paths.is_bypassed(v.lifetime, clock::now()))
+    }
+
     /// Returns whether an upstream may have run the request.
     pub(super) fn has_run(&self) -> bool {
         self.runs > 0
--- a/src/gateway/request/health_check.rs
+++ b/src/gateway/request/health_check.rs
@@ -5,12 +5,14 @@
 use hyper::StatusCode;
 use tokio::time::timeout;
 
+use super::DialTarget;
 use crate::{
     gateway::{
         board::UpstreamView,
+        context::Gateway,
         decide::CheckResult,
         model::{Lifetime, Service},
-        net::{ConnectError, Pool, PoolError, get_request},
+        net::{ConnectError, PoolError, get_request},
     },
     ids::UpstreamId,
     platform::{answering_instance, keep_alive},
@@ -45,12 +47,14 @@
 }
 
 /// Checks an upstream once, on an idle connection if there is one.
-pub async fn check_upstream(pool: &Pool, target: &CheckTarget) -> CheckResult {
-    timeout(CHECK_TIMEOUT, call(pool, target)).await.unwrap_or(CheckResult::Unclear)
+pub async fn check_upstream(gateway: &Gateway, target: &CheckTarget) -> CheckResult {
+    timeout(CHECK_TIMEOUT, call(gateway, target)).await.unwrap_or(CheckResult::Unclear)
 }
 
-async fn call(pool: &Pool, target: &CheckTarget) -> CheckResult {
-    let acquired = pool.acquire(target.lifetime, target.address, target.max_connections).await;
+async fn call(gateway: &Gateway, target: &CheckTarget) -> CheckResult {
+    let lifetime = target.lifetime;
+    let dialling = gateway.dial(DialTarget { lifetime, address: target.address, request: "" });
+    let acquired = gateway.pool.acquire(lifetime, target.max_connections, dialling).await;
     let mut connection = match acquired {
         Ok(connection) => connection,
         Err(e) => {
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod attempt;
 mod crash;
+mod dial;
 mod endpoints;
 mod events;
 mod forward;
@@ -17,9 +18,11 @@
 mod select;
 mod signals;
 mod status;
+mod tunnel;
 
 pub use admit::{Admitted, admit};
 pub use crash::UpstreamProbes;
+pub use dial::DialTarget;
 pub use endpoints::{Endpoint, EndpointKind};
 pub use events::EventSplitter;
 pub use health_check::{CheckTarget, check_upstream};
--- a/src/gateway/request/status.rs
+++ b/src/gateway/request/status.rs
@@ -37,6 +37,8 @@
     upstreams: usize,
     /// Number of those that could not be reached last time.
     unreachable: usize,
+    /// Whether it reaches upstreams only through other gateways.
+    cut_off: bool,
     /// Store revision up to which the upstreams are known.
     upstreams_position: Revision,
     /// Milliseconds since that revision was last known to be the newest; `null` if it never was.
@@ -94,6 +96,7 @@
     process: String,
     phase: Phase,
     configuration: u64,
+    cut_off: bool,
     store_answers: bool,
     holds_lease: bool,
     /// Milliseconds since the last heartbeat.
@@ -125,6 +128,7 @@
         configuration: board.configuration_version(),
         configuration_age_ms: gateway.knowledge_age_ms(WatchedData::Configuration, now),
         upstreams: board.upstreams.values().filter(|v| v.takes_work()).count(),
+        cut_off: board.paths.is_cut_off(),
         unreachable: board.unreachable_upstreams().count(),
         upstreams_position: board.upstreams_position(),
         upstreams_age_ms: gateway.knowledge_age_ms(WatchedData::Upstreams, now),
@@ -171,6 +175,7 @@
         process: process.to_owned(),
         phase: peer.last.phase,
         configuration: peer.last.configuration,
+        cut_off: peer.last.cut_off,
         store_answers: peer.last.store_answers,
         holds_lease: peer.last.holds_lease(),
         heard_ms: heard.as_millis() as u64,
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -209,6 +209,29 @@
         /// New state.
         state: &'a str,
     },
+    /// This process has lost its paths to all upstreams, or has one again.
+    Paths {
+        /// New state.
+        state: &'a str,
+        /// Time without a path, in milliseconds.
+        after_ms: u64,
+    },
+    /// A connection to an upstream was opened through another gateway.
+    Tunnel {
+        /// Identifier of the request that it is for; empty for a probe.
+        request: &'a str,
+        /// Identifier of the upstream.
+        upstream: &'a str,
+        /// Why the connection could not be opened from here.
+        direct: &'a str,
+    },
+    /// A connection to an upstream was opened for another gateway.
+    TunnelServed {
+        /// Identifier of the request that it is for; empty for a probe.
+        request: &'a str,
+        /// Address of the upstream.
+        upstream: &'a str,
+    },
     /// The state of the lease on the duties changed.
     Lease {
         /// Fencing token; 0 if there is none.
@@ -406,7 +429,9 @@
     /// Returns the class whose budget the event counts against.
     pub fn class(&self) -> EventClass {
         match self {
-            Self::Attempt { .. } => EventClass::Request,
+            Self::Attempt { .. } | Self::Tunnel { .. } | Self::TunnelServed { .. } => {
+                EventClass::Request
+            }
             Self::AttemptFailed { .. } | Self::QuotaUsedUp { .. } | Self::NotSent { .. } => {
                 EventClass::Failure
             }
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -70,6 +70,13 @@
     pub upstreams: Gauge,
     /// Number of upstreams that accept new requests but could not be reached last time.
     pub unreachable: Gauge,
+    /// Whether this process has lost its paths to all upstreams.
+    pub cut_off: Gauge,
+    /// Number of connections to upstreams that were opened through other gateways, by the failure
+    /// of the direct attempt.
+    pub tunnels: Family<Labels, Counter>,
+    /// Number of open connections to upstreams that other gateways use.
+    pub tunnels_served: Gauge,
     /// Number of upstreams whose row is missing but which may still serve.
     pub missing_rows: Gauge,
     /// Number of health checks of upstreams with lapsed rows, by result.
@@ -120,6 +127,9 @@
             knowledge_age: Family::default(),
             upstreams: Gauge::default(),
             unreachable: Gauge::default(),
+            cut_off: Gauge::default(),
+            tunnels: Family::default(),
+            tunnels_served: Gauge::default(),
             missing_rows: Gauge::default(),
             row_checks: Family::default(),
             peers: Gauge::default(),
@@ -150,6 +160,9 @@
         r.register("knowledge_age_seconds", "Age of knowledge", self.knowledge_age.clone());
         r.register("upstreams", "Upstreams that take work", self.upstreams.clone());
         r.register("unreachable_upstreams", "Upstreams out of reach", self.unreachable.clone());
+        r.register("cut_off", "No path to any upstream", self.cut_off.clone());
+        r.register("tunnels", "Connections through other gateways", self.tunnels.clone());
+        r.register("tunnels_served", "Tunnels of other gateways", self.tunnels_served.clone());
         r.register("missing_rows", "Rows that may come back", self.missing_rows.clone());
         r.register("row_checks", "Health checks after lapses", self.row_checks.clone());
         r.register("peers", "Gateways that are heard", self.peers.clone());
--- a/tests/gateway_cut_off.rs
+++ b/tests/gateway_cut_off.rs
@@ -28,6 +28,7 @@
     cut_off: usize,
     cut: &'static str,
     stream: bool,
+    disabled: &'static [&'static str],
 }
 
 fn served_share(calls: &[&CallResult]) -> f64 {
@@ -38,7 +39,10 @@
 /// Returns a description of the failure, if there is one.
 fn failure(case: &Case) -> Option<String> {
     let (engines, plain) = if case.stream { (4, 0) } else { (0, 4) };
-    let site = Site::start(case.gateways, engines, plain);
+    let mut site = Site::start(0, engines, plain);
+    site.disabled_mechanisms = case.disabled.to_vec();
+    (0..case.gateways).for_each(|_| site.add_gateway());
+    site.wait_ready();
     let cut_off: Vec<usize> = (0..case.cut_off).collect();
     // Opens fewer connections than are needed later.
     call_repeatedly(&site, 1, case.stream, || thread::sleep(Duration::from_millis(500)));
@@ -52,22 +56,44 @@
     (!enough).then(|| format!("{}: {share:.3} served, others {reference:.3}", case.name))
 }
 
+const CASE: Case = Case {
+    name: "new and open connections hang",
+    gateways: 5,
+    cut_off: 2,
+    cut: "hang",
+    stream: false,
+    disabled: &[],
+};
+
+/// Without the mechanism, the check must fail.
+#[test]
+fn callers_of_gateways_cut_off_are_not_served_without_tunnels() {
+    let failed = failure(&Case { disabled: &["tunnels"], ..CASE });
+    assert!(failed.is_some(), "the check passes without tunnels");
+}
+
 #[test]
 fn callers_of_gateways_cut_off_from_all_upstreams_are_served() {
-    let case = Case {
-        name: "new and open connections hang",
-        gateways: 5,
-        cut_off: 2,
-        cut: "hang",
-        stream: false,
-    };
     let cases = [
-        Case { name: "streams", stream: true, ..case },
-        Case { name: "connections are reset", cut: "reset", ..case },
-        Case { name: "open connections live on", cut: "hang_new", ..case },
-        Case { name: "most gateways", cut_off: 4, ..case },
-        case,
+        Case { name: "streams", stream: true, ..CASE },
+        Case { name: "open connections are reset", cut: "reset", ..CASE },
+        Case { name: "open connections live on", cut: "hang_new", ..CASE },
+        Case { name: "most gateways", cut_off: 4, ..CASE },
+        CASE,
     ];
     let failures: Vec<String> = cases.iter().filter_map(failure).collect();
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+#[test]
+fn callers_of_a_gateway_whose_connections_fail_at_once_are_served() {
+    let mut site = Site::start(2, 2, 2);
+    site.add_gateway_without_upstreams();
+    site.wait_ready();
+    for stream in [false, true] {
+        let calls = call_repeatedly(&site, CALLERS, stream, || thread::sleep(OBSERVED / 2));
+        let (there, others): (Vec<_>, Vec<_>) = calls.iter().partition(|c| c.gateway == 2);
+        assert!(!there.is_empty(), "calls arrive at the gateway");
+        assert_eq!((served_share(&there), served_share(&others)), (1.0, 1.0), "stream: {stream}");
+    }
+}
--- a/tests/gateway_heartbeats.rs
+++ b/tests/gateway_heartbeats.rs
@@ -83,6 +83,7 @@
             callers: address,
             peers: address,
             heartbeats: address,
+            cut_off: false,
             phase: Phase::Serving,
             configuration: 7,
             configuration_knowledge: None,
--- a/tests/gateway_lifetimes.rs
+++ b/tests/gateway_lifetimes.rs
@@ -48,6 +48,7 @@
         callers: address,
         peers: address,
         heartbeats: address,
+        cut_off: false,
         phase: Phase::Serving,
         configuration: 1,
         configuration_knowledge: None,
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt::Write as _,
     fs,
-    net::SocketAddr,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command},
     thread,
@@ -243,6 +243,8 @@
     emulator: Proc,
     pub gateways: Vec<GatewayProc>,
     dir: TempDir,
+    /// Mechanisms that are disabled at gateways that start from now on.
+    pub disabled_mechanisms: Vec<&'static str>,
 }
 
 impl Site {
@@ -263,21 +265,26 @@
     pub fn bare() -> Self {
         let none: [&str; 0] = [];
         let emulator = Proc::start(env!("CARGO_BIN_EXE_tackhollow-emulator"), none);
-        Self { emulator, gateways: Vec::new(), dir: TempDir::new().expect("a temporary directory") }
+        let dir = TempDir::new().expect("a temporary directory");
+        Self { emulator, gateways: Vec::new(), dir, disabled_mechanisms: Vec::new() }
     }
 
     pub fn wait_ready(&self) {
         let all = self.gateways.len().min(MAX_LOOKUP_ADDRESSES);
-        let running = || self.gateways.iter().for_each(GatewayProc::assert_running);
-        wait_until("all gateways are ready", || {
-            running();
-            self.gateways.iter().all(GatewayProc::is_ready)
-        });
+        self.wait_serving();
         wait_until("all gateways know each other", || {
             self.gateways.iter().all(|g| g.told().len() == all)
         });
     }
 
+    /// Waits until all gateways are ready, whether they know each other or not.
+    pub fn wait_serving(&self) {
+        wait_until("all gateways are ready", || {
+            self.gateways.iter().for_each(GatewayProc::assert_running);
+            self.gateways.iter().all(GatewayProc::is_ready)
+        });
+    }
+
     /// Starts a gateway that connects to the platform directly.
     pub fn add_gateway(&mut self) {
         let (store, api) = (self.emulator.address("store"), self.emulator.address("api"));
@@ -292,12 +299,27 @@
     /// Starts a gateway that connects to the platform at the given addresses, such as those of
     /// proxies.
     pub fn add_gateway_at(&mut self, store: SocketAddr, api: SocketAddr) {
+        let n = self.gateways.len() + 1;
+        let outgoing = loopback_address(n, FIRST_PORT).ip();
+        self.add_gateway_from(outgoing, store, api);
+    }
+
+    /// Starts a gateway whose connections to upstreams cannot be opened and fail at once: its host
+    /// does not have the address that they should come from.
+    pub fn add_gateway_without_upstreams(&mut self) {
+        let (store, api) = (self.emulator.address("store"), self.emulator.address("api"));
+        self.add_gateway_from(Ipv4Addr::new(192, 0, 2, 1).into(), store, api);
+    }
+
+    fn add_gateway_from(&mut self, outgoing: IpAddr, store: SocketAddr, api: SocketAddr) {
         let n = self.gateways.len() + 1;
         let settings = self.dir.path().join(format!("gateway-{n}.toml"));
         let ports: Vec<SocketAddr> = (0..5).map(|i| loopback_address(n, FIRST_PORT + i)).collect();
-        let ip = ports[0].ip();
         let mut text = format!("id = \"gateway-{n}\"\ndata_centre = \"bkk-nont\"\n");
-        write!(text, "outgoing_ip = \"{ip}\"\n[listen]\n").expect("writing to a string succeeds");
+        writeln!(text, "off = {:?}", self.disabled_mechanisms)
+            .expect("writing to a string succeeds");
+        write!(text, "outgoing_ip = \"{outgoing}\"\n[listen]\n")
+            .expect("writing to a string succeeds");
         let names = ["callers", "directory", "readiness", "peers", "heartbeats"];
         for (name, address) in names.iter().zip(&ports) {
             writeln!(text, "{name} = \"{address}\"").expect("writing to a string succeeds");
