The room of brittle upstreams is granted by one gateway each

Change: the announcement is decoded in the adapter and told with heartbeats (format 10), like rate limits; an upstream of which nothing is known is taken for brittle if others of its service are. One gateway, found by rendezvous hashing, grants the room of each such upstream: a datagram to ask, one to give back, granted as often as 0.85 of the slots. A rejection pauses the grants for a second and reduces them for five. Where no upstream grants room, the request is refused at once.

--- a/benches/hearing.rs
+++ b/benches/hearing.rs
@@ -68,6 +68,7 @@
         outcomes: Vec::new(),
         leaving: Vec::new(),
         limits: Vec::new(),
+        brittle: Vec::new(),
         row_checks: Vec::new(),
         prefixes: vec![PrefixReport(0x9abc_def0_1234_5678, 13_300, engine_of(0))],
         admitted: customers.map(|c| (c, 123_456)).collect(),
--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -18,6 +18,7 @@
     network::Cut,
     platform::{Behaviour, Platform, StoreMode, Upstream, upstream_row},
     process, rollout,
+    room::Room,
 };
 
 /// Service that answers control calls.
@@ -34,6 +35,8 @@
             "/configuration" => self.configure(&body),
             "/engine" => return self.start_upstream(&body).await,
             "/behaviour" => self.set_behaviour(&body),
+            "/row" => self.set_slots(&body),
+            "/room" => self.set_room(&body),
             "/signals" => self.set_signals(&body),
             "/state" => self.set_state(&body),
             "/remove" => self.remove(&body),
@@ -79,6 +82,7 @@
             work: Duration::from_millis(body["workMs"].as_u64().unwrap_or_default()),
             only_path: String::new(),
             signals: HeaderMap::new(),
+            room: None,
             row: row.clone(),
             reading_until: Instant::now(),
             cache: HashSet::new(),
@@ -118,6 +122,29 @@
         Some(())
     }
 
+    /// Sets the number of slots in the row of an upstream. Fields: `id`, `slots`.
+    fn set_slots(&self, body: &Value) -> Option<()> {
+        let id = body["id"].as_str()?;
+        let row = {
+            let mut state = self.platform.state.borrow_mut();
+            let upstream = state.upstreams.get_mut(id)?;
+            upstream.row["slots"] = body["slots"].clone();
+            upstream.row.to_string()
+        };
+        self.platform.put("servers", id, Some(STANDARD.encode(row)));
+        Some(())
+    }
+
+    /// Limits the room of an upstream. Fields: `id`, `slots`, `waiting` and, if it falls over when
+    /// it rejects more requests in a second, `brittle`.
+    fn set_room(&self, body: &Value) -> Option<()> {
+        let number = |name: &str| body[name].as_u64().map(|n| n as usize);
+        let room = Room::new(number("slots")?, number("waiting")?, number("brittle"));
+        let mut state = self.platform.state.borrow_mut();
+        state.upstreams.get_mut(body["id"].as_str()?)?.room = Some(room);
+        Some(())
+    }
+
     /// Writes a roll-out order in place of the operator, or removes it if `order` is null.
     /// Fields: `service`, `order`. The upstreams then react to the status of the roll-out.
     fn roll_out(&self, body: &Value) -> Option<()> {
@@ -232,6 +259,7 @@
         let state = self.platform.state.borrow();
         let body = json!({
             "arrivals": state.arrivals,
+            "falls": state.falls,
             "runs": state.runs,
             "duties": state.api_calls,
             "store_calls": state.store_calls,
--- a/src/bin/tackhollow-emulator/main.rs
+++ b/src/bin/tackhollow-emulator/main.rs
@@ -10,6 +10,7 @@
 mod platform;
 mod process;
 mod rollout;
+mod room;
 mod store;
 mod upstream;
 
--- a/src/bin/tackhollow-emulator/platform.rs
+++ b/src/bin/tackhollow-emulator/platform.rs
@@ -16,7 +16,7 @@
     task::AbortHandle,
 };
 
-use crate::network::Network;
+use crate::{network::Network, room::Room};
 
 /// Behaviour of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
@@ -138,6 +138,8 @@
     pub only_path: String,
     /// Headers added to every response.
     pub signals: HeaderMap,
+    /// Room for requests; `None` if it is unlimited.
+    pub room: Option<Room>,
     /// Row by which it describes itself, without the current sequence number.
     pub row: serde_json::Value,
     /// Time at which all prompts received so far are processed.
@@ -177,6 +179,8 @@
     pub down_time: Duration,
     /// Requests that reached upstreams.
     pub arrivals: Vec<Arrival>,
+    /// Upstreams that fell over for want of room, with the times by the store's clock.
+    pub falls: Vec<(String, u64)>,
     /// Requests that upstreams ran.
     pub runs: Vec<Run>,
     /// Calls to the API, each with path, lease holder, fencing token and body.
@@ -211,6 +215,7 @@
             upstreams: BTreeMap::new(),
             down_time: DEFAULT_DOWN_TIME,
             arrivals: Vec::new(),
+            falls: Vec::new(),
             runs: Vec::new(),
             api_calls: Vec::new(),
             store_calls: 0,
--- a/src/bin/tackhollow-emulator/process.rs
+++ b/src/bin/tackhollow-emulator/process.rs
@@ -80,6 +80,9 @@
         upstream.reading_until = Instant::now();
         upstream.cache.clear();
         upstream.starts += 1;
+        if let Some(room) = &mut upstream.room {
+            room.restart();
+        }
         upstream.row.to_string()
     };
     platform.put("servers", &id, Some(STANDARD.encode(row)));
--- a/src/bin/tackhollow-emulator/upstream.rs
+++ b/src/bin/tackhollow-emulator/upstream.rs
@@ -20,6 +20,7 @@
 use crate::{
     answer::empty,
     platform::{Behaviour, Platform, Run},
+    room::{Place, Rejection, Room},
 };
 
 /// Prompt tokens processed per millisecond.
@@ -100,18 +101,46 @@
         body: Incoming,
     ) -> Response<AnswerBody> {
         if behaviour == Behaviour::Full {
-            let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
-            response.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
-            return response;
+            return not_executed();
         }
+        let Ok(place) = self.admit() else {
+            return not_executed();
+        };
+        // Held until the head of the response is ready: only plain requests need room.
+        let slot = match &place {
+            Some(place) => place.slot().await,
+            None => None,
+        };
         let body = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
         let target = format!("{method} {uri}");
         let run = self.begin(headers, target, body.len());
         let crashes = body.starts_with(CRASH_BODY);
-        self.respond(behaviour, headers, run, crashes).await
+        let response = self.respond(behaviour, headers, run, crashes).await;
+        drop((slot, place));
+        response
+    }
+
+    /// Takes a place for a request; `None` if the room is unlimited.
+    fn admit(&self) -> Result<Option<Place>, Rejection> {
+        let mut state = self.platform.state.borrow_mut();
+        let room = state.upstreams.get_mut(&self.id).and_then(|u| u.room.as_mut());
+        let admitted = room.map(Room::admit).transpose();
+        if admitted.as_ref().is_err_and(|rejection| rejection.falls) {
+            let at = self.platform.now_ms();
+            state.falls.push((self.id.clone(), at));
+            drop(state);
+            drop(self.platform.crashing.send(self.id.clone()));
+        }
+        admitted
     }
 }
 
+fn not_executed() -> Response<AnswerBody> {
+    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    response.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
+    response
+}
+
 /// A running request. It is recorded as aborted when dropped, unless `end` was set.
 struct Running {
     platform: Rc<Platform>,
--- a/src/gateway/board/hold_off.rs
+++ b/src/gateway/board/hold_off.rs
@@ -28,11 +28,18 @@
         upstream: Lifetime,
         now: Instant,
     ) -> Option<(ShareHolder, SocketAddr)> {
-        let address = |holder: ShareHolder| {
-            let peer = self.recently_heard(now).find(|p| p.holder == holder)?;
-            Some((holder, peer.last.heartbeats))
-        };
-        self.limits.holders_to_ask(upstream, now).find_map(address)
+        let mut holders = self.limits.holders_to_ask(upstream, now);
+        holders.find_map(|holder| self.heartbeat_address(holder, now))
+    }
+
+    /// Returns a gateway with its heartbeat address, if it is heard.
+    pub(super) fn heartbeat_address(
+        &self,
+        holder: ShareHolder,
+        now: Instant,
+    ) -> Option<(ShareHolder, SocketAddr)> {
+        let peer = self.recently_heard(now).find(|p| p.holder == holder)?;
+        Some((holder, peer.last.heartbeats))
     }
 
     /// Returns the time until this gateway may send a request to an upstream of the service;
--- a/src/gateway/board/limits.rs
+++ b/src/gateway/board/limits.rs
@@ -15,10 +15,10 @@
 const MIN_KNOWN_SHARE: f64 = 0.75;
 
 impl Board {
-    /// Divides the rate limits of upstreams among the known gateways. `own` is the name of this
+    /// Divides the rate limits and the room of brittle upstreams among the known gateways. `own` is the name of this
     /// gateway's host. A gateway that is leaving gets no share, unless it is the only one.
     pub fn divide_limits(&mut self, own: &str, leaving: bool, now: Instant) {
-        if self.limits.count_limited() == 0 {
+        if self.limits.count_limited() + self.brittle.count_limited() == 0 {
             return;
         }
         let serving = || self.peers.values().filter(|p| p.last.phase == Phase::Serving);
@@ -26,7 +26,8 @@
         let is_alone = serving().next().is_none();
         let takes_part = self.knows_most_gateways(now) && (!leaving || is_alone);
         let members = LimitMembers::new(ShareHolder::new(own), others, takes_part);
-        self.limits.divide(members, now);
+        self.limits.divide(members.clone(), now);
+        self.divide_room(members, now);
     }
 
     /// Returns whether this process has heard from most of the gateways that were announced at its
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -1,6 +1,7 @@
 //! The blackboard: shared in-memory state of this gateway process. Controllers write it and
 //! request tasks read it, all on one thread.
 
+mod brittle;
 mod check_reports;
 mod demand;
 mod hold_off;
@@ -32,7 +33,7 @@
     decide::{
         Candidate, CapacityRecord, CooldownTracker, CrashTracker, DisabledMechanisms, EngineSpeed,
         InterruptedAttempts, LeavingTracker, LoadMeter, Mechanism, PeerCorrectedClock,
-        PrefixCacheEstimate, QuotaLimiter, RateLimiter, RequestCost, RolloutTracker,
+        PrefixCacheEstimate, QuotaLimiter, RateLimiter, RequestCost, RolloutTracker, RoomGrants,
         ServiceRetryBudgets, SpeedModel, StoreClock, StoreMillis, StoreStability, SyncPoint,
         TrialTurn, TunnelPeers, UpstreamPaths, UsageCounters,
     },
@@ -47,6 +48,7 @@
 use outcomes::SharedOutcomes;
 use removals::Removals;
 
+pub use brittle::RoomOwner;
 pub use lease::{LeaseView, OwnLease};
 pub use missing::MissingRowChange;
 pub use peers::PeerView;
@@ -112,6 +114,10 @@
     pub leaving: LeavingTracker,
     /// Rate limits announced by upstreams.
     pub limits: RateLimiter,
+    /// Brittle upstreams, with the rejections in a second that they bear. One gateway holds each.
+    pub brittle: RateLimiter,
+    /// Room of brittle upstreams that this process grants.
+    pub room_grants: RoomGrants,
     /// Upstreams that asked this process to pause requests.
     pub rests: CooldownTracker,
     /// Paths from this process to the upstreams.
@@ -180,6 +186,8 @@
             quotas: QuotaLimiter::new(now),
             leaving: LeavingTracker::default(),
             limits: RateLimiter::default(),
+            brittle: RateLimiter::with_single_holders(),
+            room_grants: RoomGrants::default(),
             rests: CooldownTracker::default(),
             paths: UpstreamPaths::default(),
             tunnel_outcomes: TunnelPeers::default(),
@@ -347,6 +355,8 @@
         self.leaving.retain(|lifetime| known.contains(&lifetime), now);
         self.rests.remove_expired(now);
         self.limits.retain(|lifetime| known.contains(&lifetime), now);
+        self.brittle.retain(|lifetime| known.contains(&lifetime), now);
+        self.room_grants.retain(|lifetime| self.brittle.is_holder(lifetime));
         self.lifetimes.retain(|id| self.upstreams.contains_key(id));
     }
 
--- a/src/gateway/controllers/heartbeat_sender.rs
+++ b/src/gateway/controllers/heartbeat_sender.rs
@@ -261,6 +261,7 @@
             outcomes: board.own_outcomes(now),
             leaving: board.leaving_reports(now),
             limits: board.limits.reports(now),
+            brittle: board.brittle.reports(now),
             row_checks: board.check_reports.select_for_heartbeat(),
             prefixes: Vec::new(),
             admitted: board.quotas.own_totals().map(|(c, n)| (c.clone(), n)).collect(),
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -119,6 +119,7 @@
         let before = board.record_heartbeat(process.clone(), heartbeat, sent);
         let silence = board.peer_silence();
         let limits = board.merge_limit_reports(&process, now);
+        board.merge_brittle_reports(&process, now);
         let leaving = board.merge_leaving_reports(&process, now);
         drop(board);
         leaving.into_iter().for_each(|upstream| self.gateway.log_upstream_leaving(upstream, ""));
--- a/src/gateway/decide/mechanism.rs
+++ b/src/gateway/decide/mechanism.rs
@@ -19,13 +19,15 @@
     LossCover,
     /// Connections to upstreams through other gateways.
     Tunnels,
+    /// Care for upstreams that fall over when they have to reject requests.
+    Brittleness,
     /// Use of the largest recent requirement in place of the current one.
     NeedPeak,
 }
 
 impl Mechanism {
     /// All mechanisms with their names in the settings.
-    pub const NAMES: [(&'static str, Self); 9] = [
+    pub const NAMES: [(&'static str, Self); 10] = [
         ("learnt_speed", Self::LearntSpeed),
         ("known_caches", Self::KnownCaches),
         ("prefix_home", Self::PrefixHome),
@@ -34,6 +36,7 @@
         ("avoidance", Self::Avoidance),
         ("loss_cover", Self::LossCover),
         ("tunnels", Self::Tunnels),
+        ("brittleness", Self::Brittleness),
         ("need_peak", Self::NeedPeak),
     ];
 }
--- a/src/gateway/decide/rate_limit.rs
+++ b/src/gateway/decide/rate_limit.rs
@@ -104,9 +104,10 @@
 
     /// Returns this gateway's share of an upstream's rate, in requests a second, and other holders
     /// that it may ask.
-    fn divide(&self, upstream: Lifetime, rate: f64) -> (f64, Vec<ShareHolder>) {
+    fn divide(&self, upstream: Lifetime, rate: f64, max_holders: usize) -> (f64, Vec<ShareHolder>) {
         // Each holder may be up to one request ahead of its share, so their number is bounded.
         let holders = (rate as usize).saturating_add(1).min(self.others.len() + 1);
+        let holders = holders.min(max_holders);
         let rank = |holder: &ShareHolder| Reverse(score(upstream, *holder));
         let mut others = self.others.clone();
         let own = rank(&self.own);
@@ -205,14 +206,27 @@
 }
 
 /// The newest known limit of each upstream that announced one, and this gateway's share of it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RateLimiter {
     limits: HashMap<Lifetime, Limit>,
     /// Members of the last division; `None` before the first.
     members: Option<LimitMembers>,
+    /// Most holders of one limit.
+    max_holders: usize,
+}
+
+impl Default for RateLimiter {
+    fn default() -> Self {
+        Self { limits: HashMap::new(), members: None, max_holders: usize::MAX }
+    }
 }
 
 impl RateLimiter {
+    /// Creates a limiter in which one gateway holds each limit.
+    pub fn with_single_holders() -> Self {
+        Self { max_holders: 1, ..Self::default() }
+    }
+
     /// Takes an upstream's announcement unless a newer one is known; returns whether the
     /// upstream's limit changes.
     pub fn learn(&mut self, upstream: Lifetime, notice: LimitAnnouncement, now: Instant) -> bool {
@@ -251,7 +265,8 @@
     pub fn divide(&mut self, members: LimitMembers, now: Instant) {
         let are_new = self.members.as_ref() != Some(&members);
         for (upstream, limit) in self.limits.iter_mut().filter(|(_, l)| are_new || !l.is_divided) {
-            let divided = limit.rate().map(|rate| members.divide(*upstream, rate));
+            let divided =
+                limit.rate().map(|rate| members.divide(*upstream, rate, self.max_holders));
             let (share, holders) = divided.unwrap_or_default();
             limit.bucket.set_share(share, now);
             limit.holders =
@@ -278,6 +293,16 @@
         }
     }
 
+    /// Returns whether this gateway holds a share of an upstream's limit.
+    pub fn is_holder(&self, upstream: Lifetime) -> bool {
+        self.limits.get(&upstream).is_some_and(|l| l.bucket.share > 0.0)
+    }
+
+    /// Returns the newest announcement of an upstream; `None` if it made none.
+    pub fn announcement(&self, upstream: Lifetime) -> Option<LimitAnnouncement> {
+        self.limits.get(&upstream).map(|l| l.notice)
+    }
+
     /// Takes a token from this gateway's share for a request of another gateway.
     ///
     /// # Errors
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -185,6 +185,9 @@
     pub leaving: Vec<LeavingReport>,
     /// Rate limits of upstreams that it knows, and those that have just ended.
     pub limits: Vec<LimitReport>,
+    /// Brittle upstreams that it knows, with their permits in a second, and those that have just
+    /// ceased to be brittle.
+    pub brittle: Vec<LimitReport>,
     /// Recent results of health checks of upstreams with lapsed rows, its own and others', as
     /// changes of these upstreams, each with the revision of the removal.
     pub row_checks: Vec<(Revision, UpstreamChange)>,
@@ -223,7 +226,7 @@
 
 /// First byte of a heartbeat. It must be raised with every change of [`Heartbeat`]: postcard
 /// encodes fields by position, so that another version would misread them.
-const HEARTBEAT_FORMAT: u8 = 9;
+const HEARTBEAT_FORMAT: u8 = 10;
 
 /// A heartbeat that was relayed by another gateway.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/peering/limit_share.rs
+++ b/src/gateway/peering/limit_share.rs
@@ -1,4 +1,4 @@
-//! The datagrams with which a gateway asks another for one request of its share of a rate limit.
+//! The datagrams with which a gateway asks another for a permit for one request.
 
 use std::time::Duration;
 
@@ -8,9 +8,9 @@
 use crate::gateway::model::Lifetime;
 
 /// First byte of the datagram.
-pub(super) const LIMIT_FORMAT: u8 = 65;
+pub(super) const LIMIT_FORMAT: u8 = 66;
 
-/// Asks for one request of another gateway's share of a rate limit, or answers that.
+/// Asks for a permit out of another gateway's share, or answers that.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LimitShareMessage {
     /// Asks whether the sender may send one request to the upstream.
@@ -20,6 +20,20 @@
         /// The upstream, in one lifetime.
         upstream: Lifetime,
     },
+    /// Asks for room for one request at a brittle upstream.
+    AskRoom {
+        /// Request number, repeated in the answer.
+        number: u64,
+        /// The upstream, in one lifetime.
+        upstream: Lifetime,
+    },
+    /// Gives room back that was granted.
+    GiveBackRoom {
+        /// The upstream, in one lifetime.
+        upstream: Lifetime,
+        /// Whether the upstream rejected the request for want of room.
+        rejected: bool,
+    },
     /// Grants the request, or denies it for some time.
     Answer {
         /// Number of the answered request.
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -8,7 +8,7 @@
 };
 use std::{rc::Rc, time::Instant};
 
-use super::{Admitted, DialTarget, select::Selected, signals::note_signals};
+use super::{Admitted, DialTarget, permits::RoomAnswer, select::Selected, signals::note_signals};
 use crate::{
     clock,
     gateway::{
@@ -93,6 +93,11 @@
     let Some(permit) = gateway.find_permit(lifetime).await else {
         return AttemptEnd::Unsent("rate_limited");
     };
+    match gateway.find_room(lifetime).await {
+        RoomAnswer::NotNeeded => {}
+        RoomAnswer::Granted(lease) => selected.in_flight.hold_room(lease),
+        RoomAnswer::Denied => return AttemptEnd::Unsent("no_room"),
+    }
     let target = DialTarget { lifetime, address: selected.address, request: &outgoing.head.id };
     let dialling = gateway.dial(target);
     let acquired = gateway.pool.acquire(lifetime, selected.max_connections, dialling).await;
@@ -139,6 +144,9 @@
         return AttemptEnd::Broken("answer_of_another_request");
     }
     if platform::is_not_executed(status, headers) {
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            selected.in_flight.note_rejected();
+        }
         drain_and_release(response, lease).await;
         return AttemptEnd::NotExecuted(status);
     }
--- a/src/gateway/request/in_flight.rs
+++ b/src/gateway/request/in_flight.rs
@@ -1,10 +1,11 @@
 //! Guards that count requests in progress and in flight, and undo the count when dropped.
 
-use std::{future::pending, rc::Rc};
+use std::{cell::RefCell, future::pending, rc::Rc};
 
 use stakker::call;
 use tokio::sync::watch::Receiver;
 
+use super::permits::RoomLease;
 use crate::{
     clock,
     gateway::{
@@ -45,6 +46,8 @@
     lifetime: Lifetime,
     newest: Option<Receiver<Lifetime>>,
     pending_tokens: u32,
+    /// Room granted for it, if the upstream is brittle.
+    room: RefCell<Option<RoomLease>>,
 }
 
 impl InFlight {
@@ -73,11 +76,24 @@
             lifetime,
             newest,
             pending_tokens,
+            room: RefCell::new(None),
         };
         in_flight.announce_copy(matters);
         in_flight
     }
 
+    /// Keeps the room that was granted for the request until the request ends.
+    pub(super) fn hold_room(&self, lease: RoomLease) {
+        *self.room.borrow_mut() = Some(lease);
+    }
+
+    /// Notes that the upstream rejected the request for want of room.
+    pub(super) fn note_rejected(&self) {
+        if let Some(lease) = self.room.borrow_mut().as_mut() {
+            lease.note_rejected();
+        }
+    }
+
     /// Informs the other gateways if a copy of a suspected request began or ended.
     fn announce_copy(&self, matters: bool) {
         if matters {
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -9,7 +9,7 @@
 use super::{Admitted, in_flight::InFlight};
 use crate::{
     gateway::{
-        board::{Board, UpstreamView},
+        board::{Board, RoomOwner, UpstreamView},
         context::Gateway,
         decide::{
             Candidate, DisabledMechanisms, EngineSpeed, Mechanism, VersionGroup, choose_engine,
@@ -183,6 +183,7 @@
     let mut open =
         board.upstreams_for_version_group(&admitted.service, criteria.version_group, exposure, now);
     open.retain(|v| !criteria.tried.contains(&v.upstream.id));
+    let open = with_room(&board, open, &off, now);
     let open = with_capacity(&board, open, now);
     let views = in_service(open, &off, now);
     let views = away_from_suspects(&board, views, criteria.isolated);
@@ -224,6 +225,20 @@
     })
 }
 
+/// Returns the upstreams that are not known to have no room: those that are not brittle, and those
+/// whose room this gateway grants or may ask for.
+fn with_room<'a>(
+    board: &Board,
+    mut open: Vec<&'a UpstreamView>,
+    off: &DisabledMechanisms,
+    now: Instant,
+) -> Vec<&'a UpstreamView> {
+    if off.is_enabled(Mechanism::Brittleness) && board.brittle.count_limited() > 0 {
+        open.retain(|v| board.room_owner(v.lifetime, now) != RoomOwner::Unavailable);
+    }
+    open
+}
+
 /// Returns the upstreams that have not asked for a pause and whose rate limit leaves a permit in
 /// this gateway's share. If none of them takes work, adds those for which another gateway may grant
 /// one.
--- a/src/gateway/request/signals.rs
+++ b/src/gateway/request/signals.rs
@@ -34,6 +34,8 @@
     if platform::same_request(headers, request) {
         let limit = note_rate_limit(gateway, request, selected, headers);
         log_rejected(gateway, request, selected, limit);
+        let brittle = note_brittle(gateway, request, selected, headers);
+        log_rejected(gateway, request, selected, brittle);
     }
 }
 
@@ -81,6 +83,30 @@
     Ok(())
 }
 
+fn note_brittle(
+    gateway: &Gateway,
+    request: &str,
+    selected: &Selected,
+    headers: &HeaderMap,
+) -> Result<(), SignalError> {
+    let max_rejections = platform::decode_max_rejections(headers)?;
+    // As with rate limits: an unsigned answer may come from an intermediary, and the upstream may
+    // have answered without the header as soon as the request was sent.
+    if max_rejections.is_none() && !platform::is_signed(headers) {
+        return Ok(());
+    }
+    let now = clock::now();
+    let at = if max_rejections.is_some() { now } else { selected.at };
+    let mut board = gateway.board.borrow_mut();
+    let changed = board.note_brittle(selected.lifetime, max_rejections, at, now);
+    drop(board);
+    if changed {
+        let upstream = &selected.id;
+        gateway.log(&Event::Brittle { upstream, max_rejections, request });
+    }
+    Ok(())
+}
+
 fn log_rejected(
     gateway: &Gateway,
     request: &str,
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -146,6 +146,16 @@
         /// Request whose answer carried the signal; empty if another gateway reported it.
         request: &'a str,
     },
+    /// An upstream announced that it falls over when it rejects too many requests, or no longer
+    /// announces it.
+    Brittle {
+        /// Identifier of the upstream.
+        upstream: &'a str,
+        /// Rejections in a second that it bears; `null` if it is not brittle.
+        max_rejections: Option<f64>,
+        /// Request whose answer carried the signal.
+        request: &'a str,
+    },
     /// An upstream announced in an answer that it is leaving.
     SaidLeaving {
         /// Identifier of the upstream.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -27,6 +27,8 @@
     RolloutDocument, RolloutState, decode_rollout, decode_rollout_status, encode_rollout_status,
     rollout_key, rollout_service,
 };
-pub use signals::{SignalError, announces_leaving, decode_rate_limit, decode_retry_after};
+pub use signals::{
+    SignalError, announces_leaving, decode_max_rejections, decode_rate_limit, decode_retry_after,
+};
 pub use store::{Change, Feed, RowWrite, Snapshot, StoreClient, StoreRow, Table, WriteOutcome};
 pub use upstreams::{EntryError, decode_upstream};
--- a/src/platform/signals.rs
+++ b/src/platform/signals.rs
@@ -13,6 +13,8 @@
 
 /// Rate limit of the upstream for all callers together, in requests per second.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Rejections for want of room in a second above which the upstream falls over.
+const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 /// Whether the upstream is leaving: it finishes its work and accepts no more.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Maximum number of characters of an invalid signal that an error message quotes.
@@ -24,7 +26,7 @@
 /// Why a signal of an upstream is invalid.
 #[derive(Debug, Error)]
 pub enum SignalError {
-    /// The rate limit is not a finite number that is zero or more.
+    /// A rate is not a finite number that is zero or more.
     #[error("{0:?} is not a rate of requests")]
     Rate(String),
     /// The `Retry-After` value is neither a number of seconds nor an HTTP date.
@@ -94,8 +96,22 @@
 ///
 /// Fails if a value is not a number, infinite or negative.
 pub fn decode_rate_limit(headers: &HeaderMap) -> Result<Option<f64>, SignalError> {
+    decode_lowest_rate(headers, &RATE_LIMIT)
+}
+
+/// Decodes how many rejections in a second the upstream bears, for all callers together; `None` if
+/// it states no such number. If there are several values, the lowest one applies.
+///
+/// # Errors
+///
+/// Fails if a value is not a number, infinite or negative.
+pub fn decode_max_rejections(headers: &HeaderMap) -> Result<Option<f64>, SignalError> {
+    decode_lowest_rate(headers, &BRITTLE)
+}
+
+fn decode_lowest_rate(headers: &HeaderMap, name: &HeaderName) -> Result<Option<f64>, SignalError> {
     let mut lowest: Option<f64> = None;
-    for value in headers.get_all(RATE_LIMIT) {
+    for value in headers.get_all(name) {
         let rate = decode_rate(value)?;
         lowest = Some(lowest.map_or(rate, |l| l.min(rate)));
     }
--- a/tests/gateway_heartbeats.rs
+++ b/tests/gateway_heartbeats.rs
@@ -99,6 +99,7 @@
             outcomes: Vec::new(),
             leaving: Vec::new(),
             limits: Vec::new(),
+            brittle: Vec::new(),
             row_checks: Vec::new(),
             prefixes: Vec::new(),
             admitted: (0..16).map(|c| (format!("hule{c:03}"), 123_456)).collect(),
--- a/tests/gateway_lifetimes.rs
+++ b/tests/gateway_lifetimes.rs
@@ -64,6 +64,7 @@
         outcomes: Vec::new(),
         leaving: Vec::new(),
         limits: Vec::new(),
+        brittle: Vec::new(),
         row_checks: Vec::new(),
         prefixes: Vec::new(),
         admitted: Vec::new(),
--- a/tests/support/signals.rs
+++ b/tests/support/signals.rs
@@ -107,6 +107,24 @@
         self.control("/signals", &json!({ "id": id, "headers": headers }));
     }
 
+    /// Limits the room of an upstream. If it is `brittle`, it says so in all its responses and falls
+    /// over when it rejects more requests in a second.
+    pub fn limit_room(&self, id: &str, slots: u32, waiting: u32, brittle: Option<u32>) {
+        let room = json!({ "id": id, "slots": slots, "waiting": waiting, "brittle": brittle });
+        self.control("/room", &room);
+        match brittle {
+            Some(n) => self.signal(id, &[("server-brittle", &n.to_string())]),
+            None => self.signal(id, &[]),
+        }
+    }
+
+    /// Returns the times by the emulator's clock at which upstreams fell over for want of room.
+    pub fn falls(&self) -> Vec<Duration> {
+        let seen = self.seen();
+        let falls = seen["falls"].as_array().cloned().unwrap_or_default();
+        falls.iter().filter_map(|f| f[1].as_u64()).map(Duration::from_millis).collect()
+    }
+
     /// Returns the time by the emulator's clock.
     pub fn emulator_now(&self) -> Duration {
         Duration::from_millis(self.seen()["now_ms"].as_u64().unwrap_or_default())
