--- /dev/null
+++ b/tests/gateway_silent_upstreams.rs
@@ -0,0 +1,61 @@
+//! Upstreams that fall silent for a second and go on. They are sound.
+
+mod support;
+
+use std::{thread, time::Duration};
+
+use hyper::StatusCode;
+use support::gateways::{Call, Site, configuration};
+
+/// How long the upstreams are silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// Time that a plain request takes; it runs when the silence begins.
+const WORK: Duration = Duration::from_millis(700);
+/// Events of a stream that lasts 2 s.
+const EVENTS: u64 = 100;
+
+#[test]
+fn requests_at_an_upstream_that_is_silent_for_a_second_run_once_and_to_their_end() {
+    let mut site = Site::bare();
+    let mut configuration = configuration(7);
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = 15_000.into();
+    }
+    site.configure(&configuration);
+    site.add_upstream("llm");
+    site.add_upstream_of("app", "v1", WORK);
+    (0..2).for_each(|_| site.add_gateway());
+    site.wait_ready();
+    let calls = [
+        Call::stream("/plan/a", "plan", EVENTS),
+        Call::stream("/digest/a", "digest", EVENTS),
+        Call::new("POST", "/confirm/a", "confirm"),
+        Call::new("GET", "/check/a", "check"),
+    ];
+    let senders: Vec<_> = calls
+        .iter()
+        .map(|call| {
+            let (call, to) = (call.clone(), site.gateways[0].callers);
+            thread::spawn(move || call.send(to).expect("an answer"))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    site.cut_off(&[0, 1], "hang");
+    thread::sleep(SILENCE);
+    site.end_cuts();
+    let answers: Vec<_> = senders.into_iter().map(|s| s.join().expect("a caller")).collect();
+    for (name, answer) in ["plan", "digest", "confirm", "check"].iter().zip(&answers) {
+        assert_eq!(answer.status, StatusCode::OK, "{name}: {}", answer.body);
+        assert!(answer.complete, "{name}: {}", answer.body);
+        assert_eq!(site.runs(name).len(), 1, "{name} ran once");
+    }
+    let events: Vec<u64> = (1..=EVENTS).collect();
+    assert!(answers[..2].iter().all(|a| a.event_ids() == events));
+    for gateway in &site.gateways {
+        let log = gateway.log();
+        let wrong = log.iter().find(|l| {
+            ["upstream_ended", "verdict", "attempt_failed"].iter().any(|e| l["event"] == *e)
+        });
+        assert!(wrong.is_none(), "{wrong:?}");
+    }
+}
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -61,6 +61,8 @@
     store_stalls: bool,
     /// Whether upstreams announce rate limits, leaving and cooldowns in their responses.
     signals: bool,
+    /// Whether gateways are cut off from all upstreams for a while.
+    cuts: bool,
 }
 
 /// Whether a caller sends requests that crash upstreams, and how upstreams are reached.
@@ -75,7 +77,7 @@
     Hidden,
 }
 
-const CASES: [Case; 11] = [
+const CASES: [Case; 13] = [
     Case {
         seed: 1,
         description: "a short run",
@@ -83,6 +85,7 @@
         crashing: Crashing::No,
         store_stalls: false,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 2002,
@@ -91,6 +94,7 @@
         crashing: Crashing::No,
         store_stalls: false,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 3,
@@ -99,6 +103,7 @@
         crashing: Crashing::No,
         store_stalls: false,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 20_263_207,
@@ -107,6 +112,7 @@
         crashing: Crashing::Hidden,
         store_stalls: false,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 20_262_212,
@@ -115,6 +121,7 @@
         crashing: Crashing::Hidden,
         store_stalls: false,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 4_120_101,
@@ -123,6 +130,7 @@
         crashing: Crashing::Direct,
         store_stalls: false,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 4_120_302,
@@ -131,6 +139,7 @@
         crashing: Crashing::Direct,
         store_stalls: false,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 4,
@@ -139,6 +148,7 @@
         crashing: Crashing::Direct,
         store_stalls: false,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 5,
@@ -147,6 +157,7 @@
         crashing: Crashing::No,
         store_stalls: true,
         signals: false,
+        cuts: false,
     },
     Case {
         seed: 38,
@@ -155,6 +166,7 @@
         crashing: Crashing::No,
         store_stalls: true,
         signals: true,
+        cuts: false,
     },
     Case {
         seed: 3_902_004,
@@ -163,6 +175,25 @@
         crashing: Crashing::No,
         store_stalls: true,
         signals: true,
+        cuts: false,
+    },
+    Case {
+        seed: 6,
+        description: "gateways are cut off from all upstreams",
+        restarts: true,
+        crashing: Crashing::No,
+        store_stalls: false,
+        signals: false,
+        cuts: true,
+    },
+    Case {
+        seed: 7,
+        description: "cuts beside requests that crash upstreams and a store that stops answering",
+        restarts: true,
+        crashing: Crashing::Direct,
+        store_stalls: true,
+        signals: false,
+        cuts: true,
     },
 ];
 
@@ -205,8 +236,9 @@
         let signals = number("SOAK_SIGNALS", 0) > 0;
         let crashing = if signals { Crashing::No } else { hidden };
         let restarts = !signals;
+        let cuts = number("SOAK_CUTS", 0) > 0;
         run_soak(
-            &Case { seed, description, restarts, crashing, store_stalls: true, signals },
+            &Case { seed, description, restarts, crashing, store_stalls: true, signals, cuts },
             seconds,
         );
     }
@@ -381,8 +413,8 @@
 }
 
 fn run_soak(case: &Case, time: Duration) {
-    let Case { seed, restarts, crashing, store_stalls, signals, .. } = *case;
-    let (mut site, links, upstreams) = start(crashing == Crashing::Direct || signals);
+    let Case { seed, restarts, crashing, store_stalls, signals, cuts, .. } = *case;
+    let (mut site, links, upstreams) = start(crashing == Crashing::Direct || signals || cuts);
     let addresses: Vec<_> = site.gateways.iter().map(|g| g.callers).collect();
     let gateways = addresses.clone();
     let addresses = Arc::new(Mutex::new(addresses));
@@ -399,6 +431,9 @@
     if signals {
         faults = faults.with_signals(seed);
     }
+    if cuts {
+        faults = faults.with_cuts(seed);
+    }
     faults.inject_for(time);
     let (periods, disturbances) =
         (std::mem::take(&mut faults.periods), std::mem::take(&mut faults.disturbances));
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -19,6 +19,9 @@
 const RESTARTS: u64 = 0x7265_7374_6172_7473;
 const STORE_STALLS: u64 = 0x7369_6c65_6e63_6573;
 const SIGNALS: u64 = 0x7369_676e_616c_7300;
+const CUTS: u64 = 0x6375_7473_0000_0000;
+/// Cuts between some gateways and all upstreams.
+const CUT_KINDS: [&str; 3] = ["hang", "reset", "hang_new"];
 
 /// The action that ends a fault.
 #[derive(Clone, Copy, Debug)]
@@ -37,6 +40,8 @@
     Row(usize),
     /// Ends the signal that an upstream sends.
     Signal(usize),
+    /// Ends the cuts between gateways and upstreams.
+    Cuts,
 }
 
 /// Injects faults into a site and ends them when they are due.
@@ -54,6 +59,8 @@
     store_stalls: Option<fastrand::Rng>,
     /// Draws the signals that upstreams send in responses; `None` if they send none.
     signals: Option<fastrand::Rng>,
+    /// Draws cuts between gateways and upstreams; `None` if there are none.
+    cuts: Option<fastrand::Rng>,
     /// The signals that upstreams sent, with their times.
     pub periods: Vec<SignalPeriod>,
     /// When gateways were killed, stopped, paused, resumed or restarted.
@@ -77,6 +84,7 @@
             restarts: None,
             store_stalls: None,
             signals: None,
+            cuts: None,
             periods: Vec::new(),
             disturbances: Vec::new(),
             counts,
@@ -90,6 +98,13 @@
         self
     }
 
+    /// Adds cuts between some or all gateways and all upstreams. The draws of the other faults of a
+    /// seed stay the same.
+    pub fn with_cuts(mut self, seed: u64) -> Self {
+        self.cuts = Some(fastrand::Rng::with_seed(seed ^ CUTS));
+        self
+    }
+
     /// Adds upstreams that restart under the same id. The draws of the other faults of a seed
     /// stay the same.
     pub fn with_upstream_restarts(mut self, seed: u64) -> Self {
@@ -119,6 +134,7 @@
             self.restart_upstream();
             self.stall_store();
             self.signal_upstream();
+            self.cut_gateways();
         }
         while !self.due.is_empty() {
             std::thread::sleep(Duration::from_millis(20));
@@ -179,6 +195,25 @@
         *self.counts.entry("store_falls_silent").or_default() += 1;
     }
 
+    /// Occasionally cuts gateways off from all upstreams, one, some or all of them, for up to 4 s, or
+    /// for about a second.
+    fn cut_gateways(&mut self) {
+        let Some(rng) = &mut self.cuts else {
+            return;
+        };
+        let is_cut = self.due.iter().any(|(_, end)| matches!(end, FaultEnd::Cuts));
+        if is_cut || rng.u8(..4) > 0 {
+            return;
+        }
+        let count = rng.usize(1..=self.site.gateways.len());
+        let cut_off = rng.choose_multiple(0..self.site.gateways.len(), count);
+        let cut = CUT_KINDS[rng.usize(..CUT_KINDS.len())];
+        let lasts = if rng.bool() { rng.u64(800..1_200) } else { rng.u64(1_500..4_000) };
+        self.site.cut_off(&cut_off, cut);
+        self.due.push((Instant::now() + Duration::from_millis(lasts), FaultEnd::Cuts));
+        *self.counts.entry("cut_off").or_default() += 1;
+    }
+
     /// Occasionally makes an upstream send a signal in its responses.
     fn signal_upstream(&mut self) {
         let Some(rng) = &mut self.signals else {
@@ -362,6 +397,7 @@
             FaultEnd::Store => self.site.store("up"),
             FaultEnd::Behave(n) => self.site.behave(Some(&self.upstreams[n]), "serve"),
             FaultEnd::Signal(n) => self.end_signal(n),
+            FaultEnd::Cuts => self.site.end_cuts(),
             FaultEnd::Row(n) => {
                 let row = json!({ "id": self.upstreams[n], "back": true });
                 self.site.control("/remove", &row);
