Brittle upstreams are shown to operators; one way to ask whether a host refused

/status, 'tackhollow gateways' and the metric brittle_upstreams name them; gateway_status has the case. The adapter's test reads the header with the values of rate limits, bad ones too.

--- a/src/bin/tackhollow/gateways.rs
+++ b/src/bin/tackhollow/gateways.rs
@@ -49,6 +49,7 @@
     limit: Option<f64>,
     rest_ms: u64,
     leaving: bool,
+    max_rejections: Option<f64>,
 }
 
 impl Signal {
@@ -57,7 +58,9 @@
         let leaving = self.leaving.then(|| "said that it leaves".to_owned());
         let rest = (self.rest_ms > 0).then(|| format!("rests for {} ms", self.rest_ms));
         let limit = self.limit.map(|rate| format!("takes {rate} requests a second from all"));
-        let all: Vec<String> = [leaving, rest, limit].into_iter().flatten().collect();
+        let brittle =
+            self.max_rejections.map(|n| format!("falls over if it rejects {n} requests a second"));
+        let all: Vec<String> = [leaving, rest, limit, brittle].into_iter().flatten().collect();
         format!("{} {}", self.upstream, all.join(", "))
     }
 }
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -222,6 +222,7 @@
         self.gateway.metrics.unreachable.set(unreachable as i64);
         self.gateway.metrics.missing_rows.set(missing as i64);
         self.gateway.metrics.rate_limited.set(board.limits.count_limited() as i64);
+        self.gateway.metrics.brittle.set(board.brittle.count_limited() as i64);
         self.gateway.metrics.resting.set(board.rests.count_active(now) as i64);
         drop(board);
         self.gateway.pool.sweep(now, |lifetime| known.contains(&lifetime));
--- a/src/gateway/decide/room.rs
+++ b/src/gateway/decide/room.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -27,7 +28,7 @@
 const DENIAL: Duration = Duration::from_millis(100);
 
 /// Identifies the gateway that was granted room; `None` stands for this one.
-pub type GranteeId = Option<std::net::SocketAddr>;
+pub type GranteeId = Option<SocketAddr>;
 
 /// Grants of one upstream's room.
 #[derive(Clone, Debug)]
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -55,10 +55,15 @@
 }
 
 impl ConnectError {
+    /// Returns whether the peer's host refused the connection.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Socket(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns the name of the failure in the log.
     pub fn name(&self) -> &'static str {
         match self {
-            Self::Socket(e) if e.kind() == io::ErrorKind::ConnectionRefused => "refused",
+            Self::Socket(_) if self.is_refused() => "refused",
             Self::Socket(e) if e.kind() == io::ErrorKind::ConnectionReset => "reset",
             Self::Socket(_) => "socket",
             Self::Timeout => "timeout",
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -1,9 +1,7 @@
 //! Interrupted runs: finds out whether the upstream process ended, and attributes its end to the
 //! requests that ran there. Requests that crash upstreams are quarantined.
 
-use std::{
-    cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use stakker::call;
 use tokio::sync::OnceCell;
@@ -17,7 +15,7 @@
         context::Gateway,
         decide::{AttemptOutcome, InterruptedAttempt, Permission},
         model::{Lifetime, RequestDigest},
-        net::{ConnectError, Path, PoolError},
+        net::{Path, PoolError},
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -64,11 +62,7 @@
                     lease.give_back(None);
                     ProbeResult::NotEnded
                 }
-                Err(PoolError::Connect(ConnectError::Socket(e)))
-                    if e.kind() == ErrorKind::ConnectionRefused =>
-                {
-                    ProbeResult::Ended
-                }
+                Err(PoolError::Connect(e)) if e.is_refused() => ProbeResult::Ended,
                 Err(PoolError::Connect(_) | PoolError::Full) => ProbeResult::NotEnded,
             }
         };
--- a/src/gateway/request/dial.rs
+++ b/src/gateway/request/dial.rs
@@ -5,7 +5,6 @@
 //! unusually long. The first connection that opens is used.
 
 use std::{
-    cell::Cell,
     io::{self, ErrorKind},
     net::SocketAddr,
     time::Duration,
@@ -79,7 +78,8 @@
     pub async fn dial(&self, target: DialTarget<'_>) -> Result<HttpConnection, ConnectError> {
         let source = self.settings.borrow().outgoing;
         let direct = connect_from(source, target.address, CONNECT_TIMEOUT);
-        let (direct_failed, error) = (Notify::new(), Cell::new(None));
+        let direct_failed = Notify::new();
+        let mut direct_error = None;
         let tunnel = self.dial_by_tunnel(target, &direct_failed);
         tokio::pin!(direct, tunnel);
         let outcome = tokio::select! {
@@ -89,14 +89,14 @@
                 // Other gateways had time to answer by now.
                 Err(ConnectError::Timeout) => return Err(ConnectError::Timeout),
                 Err(e) => {
-                    error.set(Some(e));
+                    direct_error = Some(e);
                     direct_failed.notify_one();
                     tunnel.as_mut().await
                 }
             },
             outcome = tunnel.as_mut() => outcome,
         };
-        match (outcome, error.take()) {
+        match (outcome, direct_error) {
             (TunnelOutcome::Open(connection), error) => {
                 self.note_bypassed(target, error);
                 Ok(connection)
--- a/src/gateway/request/health_check.rs
+++ b/src/gateway/request/health_check.rs
@@ -1,6 +1,6 @@
 //! Health check of one upstream.
 
-use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use hyper::StatusCode;
 use tokio::time::timeout;
@@ -12,7 +12,7 @@
         context::Gateway,
         decide::CheckResult,
         model::{Lifetime, Service},
-        net::{ConnectError, PoolError, get_request},
+        net::{PoolError, get_request},
     },
     ids::UpstreamId,
     platform::{answering_instance, keep_alive},
@@ -86,9 +86,7 @@
 
 fn result_of_failure(error: &PoolError) -> CheckResult {
     match error {
-        PoolError::Connect(ConnectError::Socket(e)) if e.kind() == ErrorKind::ConnectionRefused => {
-            CheckResult::Ended
-        }
+        PoolError::Connect(e) if e.is_refused() => CheckResult::Ended,
         PoolError::Connect(_) | PoolError::Full => CheckResult::Unclear,
     }
 }
--- a/src/gateway/request/status.rs
+++ b/src/gateway/request/status.rs
@@ -68,6 +68,9 @@
     rest_ms: u64,
     /// Whether it announced that it leaves.
     leaving: bool,
+    /// Rejections in a second above which it falls over; left out if it is not brittle.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    max_rejections: Option<f64>,
 }
 
 /// A version roll-out, as known to this process.
@@ -148,8 +151,9 @@
     let rest_ms = board.rests.remaining(view.lifetime, now).as_millis() as u64;
     let leaving = view.announced_leaving_since.is_some();
     let upstream = view.upstream.id.clone();
-    let asks = limit.is_some() || rest_ms > 0 || leaving;
-    asks.then_some(SignalStatus { upstream, limit, rest_ms, leaving })
+    let max_rejections = board.brittle.rate(view.lifetime);
+    let asks = limit.is_some() || rest_ms > 0 || leaving || max_rejections.is_some();
+    asks.then_some(SignalStatus { upstream, limit, rest_ms, leaving, max_rejections })
 }
 
 fn rollouts(gateway: &Gateway, board: &Board, now: Instant) -> Vec<RolloutStatus> {
--- a/src/gateway/request/tunnel.rs
+++ b/src/gateway/request/tunnel.rs
@@ -7,10 +7,7 @@
 use super::in_flight::InProgress;
 use crate::gateway::{
     context::Gateway,
-    net::{
-        AnswerBody, ConnectError, Phase, TunnelRefusal, connect_stream, tunnel_response,
-        tunnelled_request,
-    },
+    net::{AnswerBody, Phase, TunnelRefusal, connect_stream, tunnel_response, tunnelled_request},
     telemetry::Event,
 };
 
@@ -61,7 +58,11 @@
         }
         Err(e) => {
             log::debug!("no tunnel to {address}: {e}");
-            refusal(&e).response()
+            let refusal = match e.is_refused() {
+                true => TunnelRefusal::UpstreamRefused,
+                false => TunnelRefusal::UpstreamUnreachable,
+            };
+            refusal.response()
         }
     }
 }
@@ -73,10 +74,3 @@
     let has_room = gateway.metrics.tunnels_served.get() < MAX_TUNNELS as i64;
     is_upstream && has_path && has_room && gateway.shutdown.phase() <= Phase::Leaving
 }
-
-fn refusal(error: &ConnectError) -> TunnelRefusal {
-    match error.name() {
-        "refused" => TunnelRefusal::UpstreamRefused,
-        _ => TunnelRefusal::UpstreamUnreachable,
-    }
-}
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -97,6 +97,8 @@
     pub resting: Gauge,
     /// Number of upstreams that state a rate limit.
     pub rate_limited: Gauge,
+    /// Number of upstreams that state that they are brittle.
+    pub brittle: Gauge,
     /// Number of usage windows left out of the persisted state, which has to fit a row.
     pub windows_left_out: Gauge,
     /// Number of requests in quarantine because upstreams ended while running them.
@@ -140,6 +142,7 @@
             said_leaving: Counter::default(),
             resting: Gauge::default(),
             rate_limited: Gauge::default(),
+            brittle: Gauge::default(),
             windows_left_out: Gauge::default(),
             quarantined: Gauge::default(),
         };
@@ -173,6 +176,7 @@
         r.register("upstreams_said_leaving", "Said that they leave", self.said_leaving.clone());
         r.register("resting_upstreams", "Upstreams that asked for rest", self.resting.clone());
         r.register("rate_limited_upstreams", "Upstreams with a limit", self.rate_limited.clone());
+        r.register("brittle_upstreams", "Upstreams that are brittle", self.brittle.clone());
         r.register("windows_left_out", "Usage not persisted", self.windows_left_out.clone());
         r.register("quarantined_requests", "Quarantined", self.quarantined.clone());
     }
--- a/tests/gateway_status.rs
+++ b/tests/gateway_status.rs
@@ -71,6 +71,18 @@
             },
             output: "i-2 takes 2 requests a second from all",
         },
+        Case {
+            name: "an upstream announces that it is brittle",
+            inject: |s| {
+                s.signal("i-2", &[("server-brittle", "3")]);
+                wait_until("the upstream has announced it", || is_served(s));
+            },
+            repair: |s| {
+                s.signal("i-2", &[]);
+                wait_until("the upstream no longer announces it", || is_served(s));
+            },
+            output: "i-2 falls over if it rejects 3 requests a second",
+        },
     ];
     let mut site = Site::start(3, 1, 1);
     let addresses: Vec<SocketAddr> = site.gateways[..2].iter().map(|g| g.peers).collect();
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -7,8 +7,9 @@
     gateway::model::{RequestKind, UpstreamPhase},
     platform::{
         Attempt, announces_leaving, closes, decode_configuration, decode_head, decode_lookup,
-        decode_rate_limit, decode_retry_after, decode_upstream, encode_addresses, is_not_executed,
-        is_unsigned_success, keep_alive, same_request, stamp_attempt, strip_hop_headers,
+        decode_max_rejections, decode_rate_limit, decode_retry_after, decode_upstream,
+        encode_addresses, is_not_executed, is_unsigned_success, keep_alive, same_request,
+        stamp_attempt, strip_hop_headers,
     },
 };
 
@@ -239,6 +240,13 @@
         }
         let decoded = decode_rate_limit(&headers);
         assert_eq!(decoded.map_err(drop), case.rate, "{:?}", case.values);
+        assert_eq!(decode_max_rejections(&headers).map_err(drop), Ok(None), "another header");
+        let mut headers = HeaderMap::new();
+        for value in case.values {
+            headers.append("server-brittle", HeaderValue::from_static(value));
+        }
+        let decoded = decode_max_rejections(&headers);
+        assert_eq!(decoded.map_err(drop), case.rate, "brittle: {:?}", case.values);
     }
 }
 
