--- a/src/gateway/board/brittle.rs
+++ b/src/gateway/board/brittle.rs
@@ -7,7 +7,7 @@
 
 use super::{Board, UpstreamView};
 use crate::gateway::{
-    decide::{GRANT_RETRY_DELAY, GranteeId, LimitAnnouncement, LimitMembers, ShareHolder},
+    decide::{GRANT_RETRY_DELAY, GrantId, LimitAnnouncement, LimitMembers, ShareHolder},
     model::Lifetime,
     peering::ProcessId,
 };
@@ -73,6 +73,14 @@
         }
     }
 
+    /// Returns whether an upstream may have room, as far as this gateway knows: it is not brittle,
+    /// this gateway grants its room, or the one that does has not denied it a moment ago.
+    pub fn may_have_room(&self, upstream: Lifetime, now: Instant) -> bool {
+        self.brittle.rate(upstream).is_none()
+            || self.brittle.is_holder(upstream)
+            || self.brittle.holders_to_ask(upstream, now).next().is_some()
+    }
+
     /// Returns who grants the room of an upstream.
     pub fn room_owner(&self, upstream: Lifetime, now: Instant) -> RoomOwner {
         if self.brittle.rate(upstream).is_none() {
@@ -95,19 +103,19 @@
     pub fn grant_room(
         &mut self,
         upstream: Lifetime,
-        grantee: GranteeId,
+        id: GrantId,
         now: Instant,
     ) -> Result<(), Duration> {
-        let id = self.lifetimes.upstream(upstream).ok_or(GRANT_RETRY_DELAY)?;
-        let view = self.upstreams.get(id).filter(|v| v.lifetime == upstream);
+        let name = self.lifetimes.upstream(upstream).ok_or(GRANT_RETRY_DELAY)?;
+        let view = self.upstreams.get(name).filter(|v| v.lifetime == upstream);
         let view = view.ok_or(GRANT_RETRY_DELAY)?;
         // A gateway that has not heard that the upstream is brittle grants nothing either.
         if !self.brittle.is_holder(upstream) {
             return Err(GRANT_RETRY_DELAY);
         }
         // The request that asks is counted already if it is this gateway's own.
-        let own = view.own.running.saturating_sub(u32::from(grantee.is_none()));
+        let own = view.own.running.saturating_sub(u32::from(id.grantee.is_none()));
         let reported = own + self.peer_load(view).running;
-        self.room_grants.grant(upstream, grantee, view.upstream.slots, reported, now)
+        self.room_grants.grant(upstream, id, view.upstream.slots, reported, now)
     }
 }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -81,7 +81,7 @@
     RolloutBlocker, RolloutChange, RolloutEnd, RolloutOrder, RolloutReport, RolloutStage,
     RolloutTracker, RolloutView, RouteKey, SentRow, TypicalTimes, VersionGroup,
 };
-pub use room::{GranteeId, RoomGrants};
+pub use room::{GrantId, RoomGrants};
 pub use row_check::{CHECK_RETRY_DELAY, CheckRange, CheckResult};
 pub use speed::{EngineSpeed, FirstTokenSample, SpeedModel};
 pub use store_stability::StoreStability;
--- a/src/gateway/decide/room.rs
+++ b/src/gateway/decide/room.rs
@@ -27,8 +27,14 @@
 /// Time after which a gateway asks again that was denied for want of room.
 const DENIAL: Duration = Duration::from_millis(100);
 
-/// Identifies the gateway that was granted room; `None` stands for this one.
-pub type GranteeId = Option<SocketAddr>;
+/// Identifies a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GrantId {
+    /// Gateway that was granted room; `None` stands for this one.
+    pub grantee: Option<SocketAddr>,
+    /// Number of the question, unique for the gateway that asked.
+    pub number: u64,
+}
 
 /// Grants of one upstream's room.
 #[derive(Clone, Debug)]
@@ -36,7 +42,7 @@
     /// When this gateway began to grant it.
     since: Instant,
     /// Outstanding grants with their expiry, oldest first.
-    outstanding: Vec<(GranteeId, Instant)>,
+    outstanding: Vec<(GrantId, Instant)>,
     /// Most requests that are granted room, and until when; `None` if nothing was rejected lately.
     reduced: Option<(usize, Instant)>,
     paused_until: Option<Instant>,
@@ -58,7 +64,7 @@
     pub fn grant(
         &mut self,
         upstream: Lifetime,
-        grantee: GranteeId,
+        id: GrantId,
         slots: u32,
         reported: u32,
         now: Instant,
@@ -76,25 +82,17 @@
         if taken >= grants.room(slots, now) {
             return Err(DENIAL);
         }
-        grants.outstanding.push((grantee, now + GRANT_LIFETIME));
+        grants.outstanding.push((id, now + GRANT_LIFETIME));
         Ok(())
     }
 
-    /// Takes back the oldest grant of a gateway. If the upstream rejected its request, nothing is
-    /// granted for a while, and less after that.
-    pub fn give_back(
-        &mut self,
-        upstream: Lifetime,
-        grantee: GranteeId,
-        rejected: bool,
-        now: Instant,
-    ) {
+    /// Takes a grant back, if it was given. If the upstream rejected its request, nothing is granted
+    /// for a while, and less after that.
+    pub fn give_back(&mut self, upstream: Lifetime, id: GrantId, rejected: bool, now: Instant) {
         let Some(grants) = self.upstreams.get_mut(&upstream) else {
             return;
         };
-        if let Some(at) = grants.outstanding.iter().position(|(of, _)| *of == grantee) {
-            grants.outstanding.remove(at);
-        }
+        grants.outstanding.retain(|(of, _)| *of != id);
         if rejected {
             let fits = grants.outstanding.len().max(1);
             grants.reduced = Some((fits, now + REDUCTION_TIME));
--- a/src/gateway/peering/limit_share.rs
+++ b/src/gateway/peering/limit_share.rs
@@ -29,6 +29,9 @@
     },
     /// Gives room back that was granted.
     GiveBackRoom {
+        /// Number of the question by which it was granted. Also sent if no answer arrived in time,
+        /// since the room may have been granted.
+        number: u64,
         /// The upstream, in one lifetime.
         upstream: Lifetime,
         /// Whether the upstream rejected the request for want of room.
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -8,7 +8,7 @@
 };
 use std::{rc::Rc, time::Instant};
 
-use super::{Admitted, DialTarget, permits::RoomAnswer, select::Selected, signals::note_signals};
+use super::{Admitted, DialTarget, room::RoomAnswer, select::Selected, signals::note_signals};
 use crate::{
     clock,
     gateway::{
--- a/src/gateway/request/in_flight.rs
+++ b/src/gateway/request/in_flight.rs
@@ -5,7 +5,7 @@
 use stakker::call;
 use tokio::sync::watch::Receiver;
 
-use super::permits::RoomLease;
+use super::room::RoomLease;
 use crate::{
     clock,
     gateway::{
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -15,6 +15,7 @@
 mod refusal;
 mod relay;
 mod report;
+mod room;
 mod select;
 mod signals;
 mod status;
--- a/src/gateway/request/permits.rs
+++ b/src/gateway/request/permits.rs
@@ -1,6 +1,5 @@
-//! Permits under upstreams' rate limits, and room of brittle upstreams. Each gateway holds a share of
-//! a limit; one whose share is used up asks another gateway to grant a request from its share. The
-//! room of a brittle upstream is granted by one gateway.
+//! Permits under upstreams' rate limits. Each gateway holds a share of a limit; one whose share is
+//! used up asks another gateway to grant a request from its share.
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -15,9 +14,8 @@
 use crate::{
     clock,
     gateway::{
-        board::RoomOwner,
         context::Gateway,
-        decide::{GRANT_RETRY_DELAY, GrantAnswer, Mechanism},
+        decide::{GRANT_RETRY_DELAY, GrantAnswer, GrantId},
         model::Lifetime,
         peering::LimitShareMessage,
     },
@@ -43,52 +41,6 @@
     Granted,
 }
 
-/// Room for a request at a brittle upstream, which is given back when dropped.
-#[derive(Debug)]
-pub(super) struct RoomLease {
-    gateway: Rc<Gateway>,
-    upstream: Lifetime,
-    /// Address of the gateway that granted it; `None` if this one did.
-    owner: Option<SocketAddr>,
-    /// Whether the upstream rejected the request.
-    rejected: bool,
-}
-
-impl RoomLease {
-    /// Records that the upstream rejected the request for want of room.
-    pub(super) fn note_rejected(&mut self) {
-        self.rejected = true;
-    }
-}
-
-impl Drop for RoomLease {
-    fn drop(&mut self) {
-        let Self { gateway, upstream, rejected, .. } = self;
-        match self.owner {
-            Some(owner) => {
-                let message =
-                    LimitShareMessage::GiveBackRoom { upstream: *upstream, rejected: *rejected };
-                gateway.permit_requests.send(message, owner);
-            }
-            None => {
-                let mut board = gateway.board.borrow_mut();
-                board.room_grants.give_back(*upstream, None, *rejected, clock::now());
-            }
-        }
-    }
-}
-
-/// Whether a request may be sent to an upstream, as far as its room is concerned.
-#[derive(Debug)]
-pub(super) enum RoomAnswer {
-    /// The upstream is not brittle.
-    NotNeeded,
-    /// There is room.
-    Granted(RoomLease),
-    /// There is no room, or nobody could tell.
-    Denied,
-}
-
 /// Removes an outstanding question when its request is dropped or its wait timed out.
 struct QuestionGuard<'a> {
     grants: &'a PermitRequests,
@@ -109,7 +61,7 @@
         }
     }
 
-    fn send(&self, question: LimitShareMessage, to: SocketAddr) {
+    pub(super) fn send(&self, question: LimitShareMessage, to: SocketAddr) {
         let Some(socket) = self.socket.get() else {
             return;
         };
@@ -121,18 +73,24 @@
         }
     }
 
-    /// Asks a gateway a question, which is given its number; `None` if it does not answer in time.
-    async fn ask(
+    /// Returns the number of the next question.
+    pub(super) fn next_number(&self) -> u64 {
+        let number = self.last_number.get().wrapping_add(1);
+        self.last_number.set(number);
+        number
+    }
+
+    /// Asks a gateway a question with its number; `None` if it does not answer in time.
+    pub(super) async fn ask(
         &self,
-        question: impl Fn(u64) -> LimitShareMessage,
+        number: u64,
+        question: LimitShareMessage,
         holder: SocketAddr,
     ) -> Option<GrantAnswer> {
-        let number = self.last_number.get().wrapping_add(1);
-        self.last_number.set(number);
         let (tx, rx) = oneshot::channel();
         self.pending.borrow_mut().insert(number, tx);
         let _guard = QuestionGuard { grants: self, number };
-        self.send(question(number), holder);
+        self.send(question, holder);
         let wait = timeout(ANSWER_TIMEOUT, rx).await.ok()?.ok()?;
         Some(wait.map_or(GrantAnswer::Granted, GrantAnswer::Denied))
     }
@@ -147,8 +105,9 @@
             return Some(PermitSource::Own);
         }
         let (holder, address) = self.board.borrow().peer_to_ask(upstream, now)?;
-        let question = |number| LimitShareMessage::Ask { number, upstream };
-        let answer = self.permit_requests.ask(question, address).await;
+        let number = self.permit_requests.next_number();
+        let question = LimitShareMessage::Ask { number, upstream };
+        let answer = self.permit_requests.ask(number, question, address).await;
         let answer = answer.unwrap_or(GrantAnswer::Denied(GRANT_RETRY_DELAY));
         let mut board = self.board.borrow_mut();
         board.limits.note_answer(upstream, holder, answer, clock::now());
@@ -163,35 +122,6 @@
         }
     }
 
-    /// Asks for room for a request at an upstream, if that is brittle.
-    pub(super) async fn find_room(self: &Rc<Self>, upstream: Lifetime) -> RoomAnswer {
-        if !self.settings.borrow().off.is_enabled(Mechanism::Brittleness) {
-            return RoomAnswer::NotNeeded;
-        }
-        let now = clock::now();
-        let owner = self.board.borrow().room_owner(upstream, now);
-        let lease = |owner| RoomLease { gateway: self.clone(), upstream, owner, rejected: false };
-        match owner {
-            RoomOwner::None => RoomAnswer::NotNeeded,
-            RoomOwner::Unavailable => RoomAnswer::Denied,
-            RoomOwner::Own => match self.board.borrow_mut().grant_room(upstream, None, now) {
-                Ok(()) => RoomAnswer::Granted(lease(None)),
-                Err(_wait) => RoomAnswer::Denied,
-            },
-            RoomOwner::Peer(holder, address) => {
-                let question = |number| LimitShareMessage::AskRoom { number, upstream };
-                let answer = self.permit_requests.ask(question, address).await;
-                let answer = answer.unwrap_or(GrantAnswer::Denied(GRANT_RETRY_DELAY));
-                let mut board = self.board.borrow_mut();
-                board.brittle.note_answer(upstream, holder, answer, clock::now());
-                match answer {
-                    GrantAnswer::Granted => RoomAnswer::Granted(lease(Some(address))),
-                    GrantAnswer::Denied(_) => RoomAnswer::Denied,
-                }
-            }
-        }
-    }
-
     /// Handles a permit question of another gateway, or another gateway's answer to one of this
     /// gateway's questions.
     pub fn handle_limit_question(&self, question: LimitShareMessage, from: SocketAddr) {
@@ -202,13 +132,14 @@
                 self.permit_requests.send(LimitShareMessage::Answer { number, wait }, from);
             }
             LimitShareMessage::AskRoom { number, upstream } => {
-                let now = clock::now();
-                let wait = self.board.borrow_mut().grant_room(upstream, Some(from), now).err();
+                let (id, now) = (GrantId { grantee: Some(from), number }, clock::now());
+                let wait = self.board.borrow_mut().grant_room(upstream, id, now).err();
                 self.permit_requests.send(LimitShareMessage::Answer { number, wait }, from);
             }
-            LimitShareMessage::GiveBackRoom { upstream, rejected } => {
+            LimitShareMessage::GiveBackRoom { number, upstream, rejected } => {
+                let id = GrantId { grantee: Some(from), number };
                 let mut board = self.board.borrow_mut();
-                board.room_grants.give_back(upstream, Some(from), rejected, clock::now());
+                board.room_grants.give_back(upstream, id, rejected, clock::now());
             }
             LimitShareMessage::Answer { number, wait } => {
                 // A late answer has no receiver any more.
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -9,7 +9,7 @@
 use super::{Admitted, in_flight::InFlight};
 use crate::{
     gateway::{
-        board::{Board, RoomOwner, UpstreamView},
+        board::{Board, UpstreamView},
         context::Gateway,
         decide::{
             Candidate, DisabledMechanisms, EngineSpeed, Mechanism, VersionGroup, choose_engine,
@@ -234,7 +234,7 @@
     now: Instant,
 ) -> Vec<&'a UpstreamView> {
     if off.is_enabled(Mechanism::Brittleness) && board.brittle.count_limited() > 0 {
-        open.retain(|v| board.room_owner(v.lifetime, now) != RoomOwner::Unavailable);
+        open.retain(|v| board.may_have_room(v.lifetime, now));
     }
     open
 }
--- a/tests/brittle/fleet.rs
+++ b/tests/brittle/fleet.rs
@@ -8,7 +8,7 @@
 };
 
 use tackhollow::gateway::{
-    decide::{GranteeId, RoomGrants},
+    decide::{GrantId, RoomGrants},
     model::Lifetime,
 };
 
@@ -71,12 +71,17 @@
     pub utilization: f64,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    gateway: usize,
+    number: u64,
+}
+
 #[derive(Default)]
 struct Upstream {
-    /// Ends of the running requests, with their gateways.
-    running: VecDeque<(Instant, usize)>,
-    /// Gateways of the waiting requests.
-    waiting: VecDeque<usize>,
+    /// Running requests with their ends.
+    running: VecDeque<(Instant, Request)>,
+    waiting: VecDeque<Request>,
     rejections: VecDeque<Instant>,
     down_until: Option<Instant>,
     /// Number of requests at the upstream after each step.
@@ -143,7 +148,7 @@
                 if self.rng.f64() < expected {
                     self.demanded += 1;
                     let gateway = self.rng.usize(..self.gateways.len());
-                    self.call(gateway, now);
+                    self.call(Request { gateway, number: self.demanded as u64 }, now);
                 }
                 expected -= 1.0;
             }
@@ -163,33 +168,34 @@
                 if let Some(next) = upstream.waiting.pop_front() {
                     upstream.running.push_back((now + WORK, next));
                 }
-                if let Some((_, gateway)) = ended {
-                    self.gateways[gateway].running[n] -= 1;
+                if let Some((_, request)) = ended {
+                    self.gateways[request.gateway].running[n] -= 1;
                     self.served += 1;
-                    self.give_back(gateway, n, false, now);
+                    self.give_back(request, n, false, now);
                 }
             }
         }
     }
 
-    fn call(&mut self, gateway: usize, now: Instant) {
+    fn call(&mut self, request: Request, now: Instant) {
         let upstreams = self.upstreams.len();
         let first = self.rng.usize(..upstreams);
         for upstream in (0..upstreams.min(MAX_TRIES)).map(|i| (first + i) % upstreams) {
-            if self.may_send(gateway, upstream, now) && self.send(gateway, upstream, now) {
+            if self.may_send(request, upstream, now) && self.send(request, upstream, now) {
                 return;
             }
         }
     }
 
-    fn may_send(&mut self, gateway: usize, upstream: usize, now: Instant) -> bool {
+    fn may_send(&mut self, request: Request, upstream: usize, now: Instant) -> bool {
+        let gateway = request.gateway;
         let is_paused = self.gateways[gateway].paused_until[upstream].is_some_and(|at| now < at);
         if is_paused && self.strategy != Strategy::Neither {
             return false;
         }
         let own = self.gateways[gateway].running[upstream];
         match self.strategy {
-            Strategy::Owners => self.ask_for_room(gateway, upstream, now),
+            Strategy::Owners => self.ask_for_room(request, upstream, now),
             Strategy::Parts => own < self.part(gateway, upstream),
             Strategy::ReportedLoad => {
                 let propagation = 150 + 150 * self.load.gateways / 24;
@@ -207,30 +213,31 @@
         upstream * 7 % self.gateways.len()
     }
 
-    fn grantee(&self, gateway: usize, upstream: usize) -> GranteeId {
+    fn grant_id(&self, request: Request) -> GrantId {
+        let Request { gateway, number } = request;
         let address = SocketAddr::from(([10, 0, (gateway >> 8) as u8, gateway as u8], 1));
-        (gateway != self.owner(upstream)).then_some(address)
+        GrantId { grantee: Some(address), number }
     }
 
-    fn ask_for_room(&mut self, gateway: usize, upstream: usize, now: Instant) -> bool {
-        let (owner, grantee) = (self.owner(upstream), self.grantee(gateway, upstream));
+    fn ask_for_room(&mut self, request: Request, upstream: usize, now: Instant) -> bool {
+        let (owner, id) = (self.owner(upstream), self.grant_id(request));
         let reported = self.upstreams[upstream].history.last().copied().unwrap_or_default() as u32;
         let grants = &mut self.gateways[owner].grants;
         let lifetime = self.lifetimes[upstream];
-        match grants.grant(lifetime, grantee, SLOTS as u32, reported, now) {
+        match grants.grant(lifetime, id, SLOTS as u32, reported, now) {
             Ok(()) => true,
             Err(wait) => {
-                self.gateways[gateway].paused_until[upstream] = Some(now + wait);
+                self.gateways[request.gateway].paused_until[upstream] = Some(now + wait);
                 false
             }
         }
     }
 
-    fn give_back(&mut self, gateway: usize, upstream: usize, rejected: bool, now: Instant) {
+    fn give_back(&mut self, request: Request, upstream: usize, rejected: bool, now: Instant) {
         if self.strategy == Strategy::Owners {
-            let (owner, grantee) = (self.owner(upstream), self.grantee(gateway, upstream));
+            let (owner, id) = (self.owner(upstream), self.grant_id(request));
             let lifetime = self.lifetimes[upstream];
-            self.gateways[owner].grants.give_back(lifetime, grantee, rejected, now);
+            self.gateways[owner].grants.give_back(lifetime, id, rejected, now);
         }
     }
 
@@ -242,41 +249,41 @@
     }
 
     /// Sends a request; returns whether the upstream takes it.
-    fn send(&mut self, gateway: usize, n: usize, now: Instant) -> bool {
+    fn send(&mut self, request: Request, n: usize, now: Instant) -> bool {
         let upstream = &mut self.upstreams[n];
         if upstream.down_until.is_some_and(|until| now < until) {
-            self.give_back(gateway, n, false, now);
+            self.give_back(request, n, false, now);
             return false;
         }
         if upstream.running.len() < SLOTS - self.load.occupied {
-            upstream.running.push_back((now + WORK, gateway));
+            upstream.running.push_back((now + WORK, request));
         } else if upstream.waiting.len() < WAITING {
-            upstream.waiting.push_back(gateway);
+            upstream.waiting.push_back(request);
         } else {
-            self.gateways[gateway].paused_until[n] = Some(now + PAUSE);
+            self.gateways[request.gateway].paused_until[n] = Some(now + PAUSE);
             upstream.rejections.retain(|at| now.duration_since(*at) < WINDOW);
             upstream.rejections.push_back(now);
             let falls = upstream.rejections.len() > self.load.max_rejections;
-            self.give_back(gateway, n, true, now);
+            self.give_back(request, n, true, now);
             if falls {
                 self.fall(n, now);
             }
             return false;
         }
-        self.gateways[gateway].running[n] += 1;
+        self.gateways[request.gateway].running[n] += 1;
         true
     }
 
     fn fall(&mut self, n: usize, now: Instant) {
         self.falls += 1;
         let upstream = &mut self.upstreams[n];
-        let lost = upstream.running.drain(..).map(|(_, gateway)| gateway);
-        let lost: Vec<usize> = lost.chain(upstream.waiting.drain(..)).collect();
+        let lost = upstream.running.drain(..).map(|(_, request)| request);
+        let lost: Vec<Request> = lost.chain(upstream.waiting.drain(..)).collect();
         upstream.rejections.clear();
         upstream.down_until = Some(now + DOWN);
-        for gateway in lost {
-            self.gateways[gateway].running[n] -= 1;
-            self.give_back(gateway, n, false, now);
+        for request in lost {
+            self.gateways[request.gateway].running[n] -= 1;
+            self.give_back(request, n, false, now);
         }
     }
 }
--- a/tests/gateway_signal_books.rs
+++ b/tests/gateway_signal_books.rs
@@ -149,7 +149,11 @@
     let questions = [
         LimitShareMessage::Ask { number: 7, upstream: upstream_lifetime() },
         LimitShareMessage::AskRoom { number: 7, upstream: upstream_lifetime() },
-        LimitShareMessage::GiveBackRoom { upstream: upstream_lifetime(), rejected: true },
+        LimitShareMessage::GiveBackRoom {
+            number: 7,
+            upstream: upstream_lifetime(),
+            rejected: true,
+        },
         LimitShareMessage::Answer { number: 7, wait: None },
         LimitShareMessage::Answer { number: u64::MAX, wait: Some(SECOND) },
     ];
