--- a/tests/gateway_silent_upstreams.rs
+++ b/tests/gateway_silent_upstreams.rs
@@ -5,6 +5,7 @@
 use std::{thread, time::Duration};
 
 use hyper::StatusCode;
+use serde_json::Value;
 use support::gateways::{Call, Site, configuration};
 
 /// How long the upstreams are silent.
@@ -14,14 +15,19 @@
 /// Events of a stream that lasts 2 s.
 const EVENTS: u64 = 100;
 
-#[test]
-fn requests_at_an_upstream_that_is_silent_for_a_second_run_once_and_to_their_end() {
-    let mut site = Site::bare();
-    let mut configuration = configuration(7);
+/// Returns a configuration whose routes have longer timeouts than the silence.
+fn patient_configuration() -> Value {
+    let mut configuration = configuration(8);
     for route in configuration["routes"].as_array_mut().expect("routes") {
         route["timeoutMs"] = 15_000.into();
     }
-    site.configure(&configuration);
+    configuration
+}
+
+#[test]
+fn requests_at_an_upstream_that_is_silent_for_a_second_run_once_and_to_their_end() {
+    let mut site = Site::bare();
+    site.configure(&patient_configuration());
     site.add_upstream("llm");
     site.add_upstream_of("app", "v1", WORK);
     (0..2).for_each(|_| site.add_gateway());
@@ -59,3 +65,26 @@
         assert!(wrong.is_none(), "{wrong:?}");
     }
 }
+
+/// The request's packets are lost at first, so that the gateway's kernel has to send them again.
+#[test]
+fn a_request_sent_to_an_upstream_that_is_silent_for_a_second_runs_once_and_to_its_end() {
+    let mut site = Site::bare();
+    site.configure(&patient_configuration());
+    site.add_upstream("app");
+    site.add_gateway();
+    site.wait_ready();
+    site.signal("i-1", &[("keep-alive", "timeout=9")]);
+    let call = |id: &str| Call::new("POST", "/confirm/a", id).send(site.gateways[0].callers);
+    let first = call("first").expect("an answer");
+    assert_eq!(first.status, StatusCode::OK, "{}", first.body);
+    site.cut_off(&[0], "hang");
+    thread::scope(|s| {
+        let sending = s.spawn(|| call("silent").expect("an answer"));
+        thread::sleep(SILENCE);
+        site.end_cuts();
+        let answer = sending.join().expect("a caller");
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+    });
+    assert_eq!(site.runs("silent").len(), 1);
+}
