--- a/src/bin/tackhollow-emulator/network.rs
+++ b/src/bin/tackhollow-emulator/network.rs
@@ -31,6 +31,8 @@
     Hang,
     /// Resets open connections, and drops the packets of new ones.
     Reset,
+    /// Resets open connections, and new ones as soon as they are accepted.
+    ResetAccepted,
     /// Drops the packets of new connections only.
     HangNew,
 }
@@ -92,7 +94,7 @@
             let cut = self.cut_of(connection.source);
             match cut {
                 Some(Cut::Hang) => drop_packets(&connection.socket, [connection.source])?,
-                Some(Cut::Reset) => reset_on_close(&connection.socket)?,
+                Some(Cut::Reset | Cut::ResetAccepted) => reset_on_close(&connection.socket)?,
                 // New connections inherit the filter of the listener, so it is removed here too.
                 Some(Cut::HangNew) | None => drop_packets(&connection.socket, [])?,
             }
@@ -106,7 +108,10 @@
     }
 
     fn filter_listener(&self, listener: &TcpListener) -> io::Result<()> {
-        drop_packets(&SockRef::from(listener), self.cuts.borrow().keys().copied())
+        let cuts = self.cuts.borrow();
+        let accepts = |cut: &Cut| *cut == Cut::ResetAccepted;
+        let dropped = cuts.iter().filter(|(_, cut)| !accepts(cut)).map(|(source, _)| *source);
+        drop_packets(&SockRef::from(listener), dropped)
     }
 
     /// Accepts and serves the connections of an upstream.
@@ -123,7 +128,8 @@
         loop {
             match listener.accept().await {
                 Ok((stream, peer)) => match self.open(stream, peer.ip()) {
-                    Ok(stream) => {
+                    Ok(None) => {}
+                    Ok(Some(stream)) => {
                         let shutdown = Shutdown::default();
                         spawn_local(serve_connection(stream, peer, service.clone(), shutdown));
                     }
@@ -137,19 +143,23 @@
         }
     }
 
-    /// Registers an accepted connection.
-    fn open(self: &Rc<Self>, stream: TcpStream, source: IpAddr) -> io::Result<CutStream> {
+    /// Registers an accepted connection; `None` if it is reset at once.
+    fn open(self: &Rc<Self>, stream: TcpStream, source: IpAddr) -> io::Result<Option<CutStream>> {
         stream.set_nodelay(true)?;
         let IpAddr::V4(source) = source else {
             return Err(io::Error::from(io::ErrorKind::Unsupported));
         };
+        if self.cut_of(source) == Some(Cut::ResetAccepted) {
+            reset_on_close(&SockRef::from(&stream))?;
+            return Ok(None);
+        }
         let number = self.last_connection.get() + 1;
         self.last_connection.set(number);
         let (socket, gate) = (SockRef::from(&stream).try_clone()?, Rc::<Gate>::default());
         let connection = Connection { source, socket, gate: gate.clone() };
         self.connections.borrow_mut().insert(number, connection);
         let open = OpenConnection { network: self.clone(), number };
-        Ok(CutStream { open, gate, stream })
+        Ok(Some(CutStream { open, gate, stream }))
     }
 }
 
@@ -183,7 +193,9 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         match self.gate.poll(cx) {
-            Some(Cut::Reset) => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            Some(Cut::Reset | Cut::ResetAccepted) => {
+                Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+            }
             Some(Cut::Hang) => Poll::Pending,
             Some(Cut::HangNew) | None => Pin::new(&mut self.stream).poll_read(cx, buf),
         }
@@ -197,7 +209,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         match self.gate.poll(cx) {
-            Some(Cut::Reset) => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            Some(Cut::Reset | Cut::ResetAccepted) => {
+                Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+            }
             Some(Cut::Hang) => Poll::Pending,
             Some(Cut::HangNew) | None => Pin::new(&mut self.stream).poll_write(cx, buf),
         }
--- a/tests/gateway_cut_off.rs
+++ b/tests/gateway_cut_off.rs
@@ -85,6 +85,12 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+#[test]
+fn callers_of_gateways_whose_new_connections_are_accepted_and_reset_are_served() {
+    let failure = failure(&Case { name: "connections are reset", cut: "reset_accepted", ..CASE });
+    assert!(failure.is_none(), "{failure:?}");
+}
+
 #[test]
 fn callers_of_a_gateway_whose_connections_fail_at_once_are_served() {
     let mut site = Site::start(2, 2, 2);
--- a/tests/gateway_tunnels.rs
+++ b/tests/gateway_tunnels.rs
@@ -10,7 +10,7 @@
 
 use hyper::StatusCode;
 use nix::sys::signal::Signal;
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{
     gateways::{Answer, Call, Site, configuration},
     wait_until,
@@ -201,3 +201,21 @@
     site.end_cuts();
     wait_until("all are listed", || site.gateways.iter().all(|g| g.told().len() == 3));
 }
+
+/// What all gateways see alike is no sign of a gateway's own paths.
+#[test]
+fn no_gateway_counts_as_cut_off_when_upstreams_or_the_store_are_away_for_all() {
+    let site = Site::start(3, 0, 4);
+    site.control("/down", &json!({ "ms": 2_000 }));
+    for n in 1..=4 {
+        site.control("/crash", &json!({ "id": format!("i-{n}") }));
+    }
+    site.send_calls("down", Duration::from_millis(1_500));
+    site.store("silent");
+    site.send_calls("store", Duration::from_millis(2_500));
+    site.store("up");
+    for gateway in &site.gateways {
+        let cut_off = gateway.log().into_iter().find(|l| l["event"] == "paths");
+        assert!(cut_off.is_none(), "{cut_off:?}");
+    }
+}
