The log says how an answer showed its end, and whether a stream ended inside an event

The log of the incident could not tell an upstream's last chunk from the mere end of its connection: both were `completed`. `answered` has `framing` and `inside_event` now. No decision changed.

--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -2,6 +2,7 @@
 //! server for callers.
 
 mod connect;
+mod framing;
 mod pool;
 mod server;
 mod shutdown;
@@ -11,6 +12,7 @@
     Answer, CallError, ConnectError, HttpConnection, Path, RequestBody, connect, connect_from,
     connect_stream, get_request, json_request,
 };
+pub use framing::Framing;
 pub use pool::{Pool, PoolError, PooledConnection};
 pub use server::{
     AnswerBody, BodyError, Service, channel_body, full_body, serve, serve_connection,
--- a/src/gateway/request/events.rs
+++ b/src/gateway/request/events.rs
@@ -35,6 +35,11 @@
         self.buf.split().freeze()
     }
 
+    /// Returns whether the stream stands inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
     /// Discards the incomplete event, which the next run sends from its start.
     pub fn restart(&mut self) {
         self.buf.clear();
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -28,7 +28,7 @@
         context::Gateway,
         decide::{AttemptOutcome, RetryPolicy, RouteKey, VersionGroup},
         model::{RequestDigest, RequestKind, WatchedData},
-        net::{AnswerBody, ConnectError, Phase, PooledConnection, full_body},
+        net::{AnswerBody, ConnectError, Framing, Phase, PooledConnection, full_body},
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -67,6 +67,10 @@
     pub(super) counted: Cell<bool>,
     /// Side of a roll-out that the latest attempt went to; `None` without a roll-out.
     version_group: Option<VersionGroup>,
+    /// Framing of the latest upstream's answer; `None` before one answered.
+    pub(super) framing: Option<Framing>,
+    /// Whether the latest upstream's stream ended inside an event.
+    pub(super) inside_event: bool,
     _in_progress: InProgress,
 }
 
@@ -124,6 +128,8 @@
         runs: 0,
         counted: Cell::new(false),
         version_group: None,
+        framing: None,
+        inside_event: false,
         _in_progress: in_progress,
     };
     forwarding.count_request();
@@ -233,6 +239,7 @@
         lease: PooledConnection,
         selected: Selected,
     ) -> Result<Option<Reply>, Refusal> {
+        self.framing = Some(Framing::of(&response));
         let streaming = self.admitted.route.kind == RequestKind::Streaming;
         if streaming && response.status().is_success() {
             return Ok(Some(Reply::Stream(response, lease, Box::new(selected))));
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -21,7 +21,7 @@
     clock,
     gateway::{
         decide::AttemptOutcome,
-        net::{AnswerBody, BodyError, PooledConnection, channel_body},
+        net::{AnswerBody, BodyError, Framing, PooledConnection, channel_body},
     },
     platform,
 };
@@ -142,11 +142,8 @@
                 self.note_first_data(run);
             }
             run.selected.in_flight.prompt_read();
-            let data = if self.forwarding.admitted.route.resumable {
-                self.events.push(&data)
-            } else {
-                data
-            };
+            let whole = self.events.push(&data);
+            let data = if self.forwarding.admitted.route.resumable { whole } else { data };
             let sent = tokio::select! {
                 sent = self.tx.send(Ok(data)) => sent.is_ok(),
                 () = deadline.as_mut() => return RunEnd::TimeOver,
@@ -167,7 +164,11 @@
 
     /// Relays the bytes after the last complete event.
     async fn finish(&mut self) -> RunEnd {
-        let rest = self.events.rest();
+        self.forwarding.inside_event = self.events.is_inside_event();
+        let rest = match self.forwarding.admitted.route.resumable {
+            true => self.events.rest(),
+            false => Bytes::new(),
+        };
         if rest.is_empty() || self.tx.send(Ok(rest)).await.is_ok() {
             return RunEnd::Complete;
         }
@@ -196,6 +197,7 @@
             };
             match end {
                 AttemptEnd::Answer(response, lease) if response.status().is_success() => {
+                    self.forwarding.framing = Some(Framing::of(&response));
                     let (parts, body) = response.into_parts();
                     return Some(Run::new(&parts.headers, body, lease, selected));
                 }
--- a/src/gateway/request/report.rs
+++ b/src/gateway/request/report.rs
@@ -11,7 +11,7 @@
         context::Gateway,
         decide::{AttemptOutcome, FirstTokenSample, RouteKey, VersionGroup},
         model::{Lifetime, RequestKind, WatchedData},
-        net::{AnswerBody, ConnectError},
+        net::{AnswerBody, ConnectError, Framing},
         telemetry::{Event, RequestLabels},
     },
     ids::UpstreamId,
@@ -41,6 +41,8 @@
         first_ms: took_ms,
         configuration: gateway.board.borrow().configuration_version(),
         configuration_age_ms: gateway.knowledge_age_ms(WatchedData::Configuration, clock::now()),
+        framing: "",
+        inside_event: false,
     });
     let class = admitted.map_or_else(|| "unknown".to_owned(), class);
     let labels = RequestLabels { class, outcome: refusal.cause().to_owned() };
@@ -199,6 +201,8 @@
             configuration_age_ms: self
                 .gateway
                 .knowledge_age_ms(WatchedData::Configuration, clock::now()),
+            framing: self.framing.map_or("", Framing::name),
+            inside_event: self.inside_event,
         });
         let class = class(&self.admitted);
         if let Some(time) = to_first {
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -399,6 +399,10 @@
         configuration: u64,
         /// Age of that configuration at the end, in milliseconds; `None` if it is unknown.
         configuration_age_ms: Option<u64>,
+        /// How the last upstream's answer showed where it ends; empty without an answer.
+        framing: &'a str,
+        /// Whether a stream ended inside an event.
+        inside_event: bool,
     },
     /// The state of a roll-out changed.
     Rollout {
