--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -35,6 +35,7 @@
             "/configuration" => self.configure(&body),
             "/engine" => return self.start_upstream(&body).await,
             "/behaviour" => self.set_behaviour(&body),
+            "/framing" => self.set_framing(&body),
             "/row" => self.set_slots(&body),
             "/room" => self.set_room(&body),
             "/signals" => self.set_signals(&body),
@@ -81,6 +82,7 @@
             behaviour: Behaviour::Serve,
             work: Duration::from_millis(body["workMs"].as_u64().unwrap_or_default()),
             only_path: String::new(),
+            unframed: false,
             signals: HeaderMap::new(),
             room: None,
             row: row.clone(),
@@ -112,6 +114,18 @@
         Some(())
     }
 
+    /// Sets whether the responses of one upstream, or of all if there is no `id`, end with their
+    /// connections. Fields: `id`, `unframed`.
+    fn set_framing(&self, body: &Value) -> Option<()> {
+        let unframed = body["unframed"].as_bool()?;
+        let mut state = self.platform.state.borrow_mut();
+        match body["id"].as_str() {
+            Some(id) => state.upstreams.get_mut(id)?.unframed = unframed,
+            None => state.upstreams.values_mut().for_each(|u| u.unframed = unframed),
+        }
+        Some(())
+    }
+
     /// Sets the headers that an upstream adds to all its responses. Fields: `id` and
     /// `headers`, values by name.
     fn set_signals(&self, body: &Value) -> Option<()> {
--- a/src/bin/tackhollow-emulator/network.rs
+++ b/src/bin/tackhollow-emulator/network.rs
@@ -4,6 +4,7 @@
 //! sees what it would see in a real partition.
 
 use std::{
+    borrow::Cow,
     cell::{Cell, RefCell},
     collections::BTreeMap,
     io,
@@ -213,7 +214,9 @@
                 Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
             }
             Some(Cut::Hang) => Poll::Pending,
-            Some(Cut::HangNew) | None => Pin::new(&mut self.stream).poll_write(cx, buf),
+            Some(Cut::HangNew) | None => {
+                Pin::new(&mut self.stream).poll_write(cx, &with_newest_version(buf))
+            }
         }
     }
 
@@ -226,6 +229,16 @@
     }
 }
 
+/// Replaces the version of an answer by HTTP/1.1. The HTTP library sends answers without framing as
+/// HTTP/1.0 only, and upstreams send them as HTTP/1.1 too.
+fn with_newest_version(buf: &[u8]) -> Cow<'_, [u8]> {
+    const VERSION: &[u8] = b"HTTP/1.0 ";
+    match buf.strip_prefix(VERSION) {
+        Some(rest) => Cow::Owned([b"HTTP/1.1 ", rest].concat()),
+        None => Cow::Borrowed(buf),
+    }
+}
+
 fn reset_on_close(socket: &Socket) -> io::Result<()> {
     socket.set_linger(Some(Duration::ZERO))
 }
--- a/src/bin/tackhollow-emulator/platform.rs
+++ b/src/bin/tackhollow-emulator/platform.rs
@@ -52,6 +52,11 @@
     Lose,
     /// Breaks a stream off in the middle of an event, half-way through.
     BreakMidway,
+    /// Ends an answer as if it were complete: a stream in the middle of an event, half-way through,
+    /// and a plain answer in the middle of its body.
+    EndMidway,
+    /// Ends a stream as if it were complete after an event, half-way through.
+    EndAfterEvent,
     /// Answers with the id of another request.
     Crossed,
     /// Runs the request and never answers.
@@ -136,6 +141,8 @@
     pub work: Duration,
     /// Prefix of the request paths to which `behaviour` applies; others are served normally.
     pub only_path: String,
+    /// Whether its responses have neither a length nor chunks and end with their connections.
+    pub unframed: bool,
     /// Headers added to every response.
     pub signals: HeaderMap,
     /// Room for requests; `None` if it is unlimited.
--- a/src/bin/tackhollow-emulator/upstream.rs
+++ b/src/bin/tackhollow-emulator/upstream.rs
@@ -10,7 +10,9 @@
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header::HeaderValue,
 };
-use tackhollow::gateway::net::{AnswerBody, BodyError, Service, channel_body, full_body};
+use tackhollow::gateway::net::{
+    AnswerBody, BodyError, Service, channel_body, frame_until_close, full_body,
+};
 use tokio::{
     sync::mpsc::{Sender, channel},
     task::spawn_local,
@@ -75,7 +77,11 @@
         if behaviour != Behaviour::Lose {
             self.platform.record_response(arrival, &self.id, &mut response);
         }
-        response
+        let state = self.platform.state.borrow();
+        match state.upstreams.get(&self.id).is_some_and(|u| u.unframed) {
+            true => frame_until_close(response),
+            false => response,
+        }
     }
 }
 
@@ -251,6 +257,10 @@
                 Response::new(channel_body(rx))
             }
             _ if streams => self.stream(behaviour, headers, run),
+            Behaviour::EndMidway => {
+                run.end = "broken";
+                Response::new(full_body("ran at"))
+            }
             _ => {
                 run.end = "complete";
                 Response::new(full_body(format!("ran at {}", self.id)))
@@ -285,6 +295,10 @@
     }
 }
 
+/// Behaviours that end a stream half-way through.
+const ENDS_MIDWAY: [Behaviour; 3] =
+    [Behaviour::BreakMidway, Behaviour::EndMidway, Behaviour::EndAfterEvent];
+
 async fn stream_events(
     tx: Sender<Result<Bytes, BodyError>>,
     mut run: Running,
@@ -294,10 +308,14 @@
 ) {
     let middle = first + (events.saturating_sub(first)) / 2;
     for i in first..=events {
-        if behaviour == Behaviour::BreakMidway && i == middle {
+        if i == middle && ENDS_MIDWAY.contains(&behaviour) {
             run.end = "broken";
-            drop(tx.send(Ok(Bytes::from(format!("id: {i}\nda")))).await);
-            drop(tx.send(Err(BodyError::BrokenOff)).await);
+            if behaviour != Behaviour::EndAfterEvent {
+                drop(tx.send(Ok(Bytes::from(format!("id: {i}\nda")))).await);
+            }
+            if behaviour == Behaviour::BreakMidway {
+                drop(tx.send(Err(BodyError::BrokenOff)).await);
+            }
             return;
         }
         tokio::select! {
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -15,7 +15,8 @@
 pub use framing::Framing;
 pub use pool::{Pool, PoolError, PooledConnection};
 pub use server::{
-    AnswerBody, BodyError, Service, channel_body, full_body, serve, serve_connection,
+    AnswerBody, BodyError, Service, channel_body, frame_until_close, full_body, serve,
+    serve_connection,
 };
 pub use shutdown::{Phase, Shutdown};
 pub use tunnel::{
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -12,8 +12,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body, Frame, Incoming},
+    header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
     server::conn::http1::Builder,
     service::service_fn,
 };
@@ -79,6 +80,30 @@
     ChannelBody { rx }.boxed_unsync()
 }
 
+struct UnknownLengthBody(AnswerBody);
+
+impl Body for UnknownLengthBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.0).poll_frame(cx)
+    }
+}
+
+/// Makes an answer end with its connection, with neither a length nor chunks. Its version has to be
+/// HTTP/1.0 for that: the library sends answers of later versions in chunks.
+pub fn frame_until_close(response: Response<AnswerBody>) -> Response<AnswerBody> {
+    let (mut parts, body) = response.into_parts();
+    parts.version = Version::HTTP_10;
+    parts.headers.remove(CONTENT_LENGTH);
+    parts.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    Response::from_parts(parts, UnknownLengthBody(body).boxed_unsync())
+}
+
 /// Handler of the requests that a server receives.
 pub trait Service {
     /// Handles a request and returns the answer.
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -37,6 +37,7 @@
 use serde_json::{Value, json};
 use signals::{Disturbances, SignalPeriod, UpstreamSignal, ignored_signals};
 use support::gateways::{Answer, Site};
+use tackhollow::gateway::net::Framing;
 
 /// Number of gateways, model engines and plain upstreams in a soak run.
 const GATEWAYS_ENGINES_PLAIN: (usize, usize, usize) = (4, 3, 2);
@@ -328,7 +329,13 @@
         headers.insert("x-response-seal", HeaderValue::from_static(case.seal));
         headers.insert("x-request-id", HeaderValue::from_static("c0-0"));
         let status = StatusCode::from_u16(case.status).expect("a status");
-        let answer = Answer { status, headers, body: case.body.to_owned(), complete: true };
+        let answer = Answer {
+            status,
+            headers,
+            body: case.body.to_owned(),
+            complete: true,
+            framing: Framing::Delimited,
+        };
         let sent = SentRequest {
             id: "c0-0".to_owned(),
             to: ([127, 0, 0, 1], 1).into(),
--- /dev/null
+++ b/tests/gateway_unframed_answers.rs
@@ -0,0 +1,241 @@
+//! Answers that have neither a length nor chunks and end with their connection. Their upstream may
+//! have broken them off.
+
+mod support;
+
+use std::{
+    io::{self, ErrorKind, Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use hyper::StatusCode;
+use support::{
+    gateways::{Answer, Call, HOST, KEY, Site},
+    wait_until,
+};
+use tackhollow::gateway::net::Framing;
+
+/// Events of a stream that lasts 0.8 s.
+const EVENTS: u64 = 40;
+/// Time after which such a stream is half-way through.
+const MIDWAY: Duration = Duration::from_millis(400);
+
+/// Returns a request of each kind, named by its route.
+fn call(route: &str, id: &str) -> Call {
+    let path = format!("/{route}/a");
+    match route {
+        "plan" | "digest" => Call::stream(&path, id, EVENTS),
+        "confirm" => Call::new("POST", &path, id),
+        _ => Call::new("GET", &path, id),
+    }
+}
+
+fn send(site: &Site, route: &str, id: &str) -> Answer {
+    call(route, id).send(site.gateways[0].callers).expect("an answer")
+}
+
+fn is_whole(route: &str, answer: &Answer) -> bool {
+    match route {
+        "plan" | "digest" => answer.event_ids().iter().copied().eq(1..=EVENTS),
+        _ => answer.body.starts_with("ran at i-"),
+    }
+}
+
+/// What a caller may see of an answer that its upstream broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seen {
+    /// An end with an error.
+    Broken,
+    /// All of it, with the rest from another upstream.
+    Whole,
+    /// An end without an error that does not say whether the answer is complete.
+    Unknown,
+}
+
+fn seen(route: &str, answer: &Answer) -> Option<Seen> {
+    match (answer.complete, is_whole(route, answer)) {
+        (false, _) => Some(Seen::Broken),
+        (true, true) => Some(Seen::Whole),
+        (true, false) => (!answer.is_framed_as_complete()).then_some(Seen::Unknown),
+    }
+}
+
+/// Starts a gateway before one upstream of each service, whose answers end with their connections.
+fn unframed_site() -> Site {
+    let site = Site::start(1, 1, 1);
+    site.unframe(true);
+    site
+}
+
+#[test]
+fn broken_answers_without_framing_do_not_reach_callers_as_complete() {
+    struct Case {
+        route: &'static str,
+        behaviour: &'static str,
+        seen: Seen,
+    }
+    let case = |route, behaviour, seen| Case { route, behaviour, seen };
+    let cases = [
+        case("plan", "end_midway", Seen::Broken),
+        case("plan", "break_midway", Seen::Broken),
+        case("plan", "end_after_event", Seen::Unknown),
+        case("digest", "end_after_event", Seen::Unknown),
+        case("confirm", "end_midway", Seen::Unknown),
+        case("check", "end_midway", Seen::Unknown),
+    ];
+    let site = unframed_site();
+    for case in cases {
+        site.behave(None, case.behaviour);
+        let name = format!("{}-{}", case.route, case.behaviour);
+        let answer = send(&site, case.route, &name);
+        assert_eq!(answer.status, StatusCode::OK, "{name}: {}", answer.body);
+        assert_eq!(seen(case.route, &answer), Some(case.seen), "{name}: {answer:?}");
+        assert_eq!(site.runs(&name).len(), 1, "{name}");
+    }
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_is_resumed_or_broken_off() {
+    struct Case {
+        route: &'static str,
+        behaviour: &'static str,
+        unframed: bool,
+        seen: Seen,
+        runs: usize,
+    }
+    let case =
+        |route, behaviour, unframed, seen, runs| Case { route, behaviour, unframed, seen, runs };
+    let cases = [
+        case("digest", "end_midway", true, Seen::Whole, 2),
+        case("digest", "break_midway", true, Seen::Whole, 2),
+        case("digest", "end_midway", false, Seen::Whole, 2),
+        case("plan", "end_midway", false, Seen::Broken, 1),
+    ];
+    for case in cases {
+        let site = Site::start(1, 1, 0);
+        site.unframe(case.unframed);
+        site.behave(None, case.behaviour);
+        let name = format!("{}-{}", case.route, case.behaviour);
+        let answer = thread::scope(|s| {
+            let sending = s.spawn(|| send(&site, case.route, &name));
+            wait_until("the stream runs", || !site.runs(&name).is_empty());
+            site.add_known_upstream("llm");
+            sending.join().expect("a caller")
+        });
+        assert_eq!(seen(case.route, &answer), Some(case.seen), "{name}: {answer:?}");
+        assert_eq!(site.runs(&name).len(), case.runs, "{name}");
+    }
+}
+
+#[test]
+fn whole_answers_without_framing_reach_callers_whole_and_run_once() {
+    let site = unframed_site();
+    for route in ["plan", "digest", "confirm", "check"] {
+        for n in 0..3 {
+            let id = format!("{route}-{n}");
+            let answer = send(&site, route, &id);
+            assert_eq!(answer.status, StatusCode::OK, "{id}: {}", answer.body);
+            assert_eq!(seen(route, &answer), Some(Seen::Whole), "{id}: {answer:?}");
+            assert_eq!(site.runs(&id).len(), 1, "{id}");
+        }
+    }
+}
+
+#[test]
+fn failures_without_framing_are_passed_on_without_framing() {
+    let site = unframed_site();
+    site.behave(None, "fail");
+    let answer = send(&site, "confirm", "fails");
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!((answer.complete, answer.framing), (true, Framing::UntilClose));
+}
+
+/// Sends a request by hand and reads until the connection ends. Returns the error that it ended
+/// with, if any, and calls `meanwhile` once the answer has begun.
+fn read_to_end(
+    to: SocketAddr,
+    version: &str,
+    headers: &str,
+    meanwhile: impl FnOnce(),
+) -> Result<String, ErrorKind> {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    let head = format!(
+        "POST /plan/a {version}\r\nhost: {HOST}\r\nx-key: {KEY}\r\nx-request-id: raw\r\n\
+         x-token-usage: 600,{}\r\nx-prompt-prefix: aa01:100\r\ncontent-length: 0\r\n{headers}\r\n",
+        EVENTS * 3
+    );
+    stream.write_all(head.as_bytes()).expect("the request is sent");
+    let mut text = vec![0; 64 << 10];
+    let mut len = stream.read(&mut text).expect("the answer begins");
+    meanwhile();
+    loop {
+        match stream.read(&mut text[len..]) {
+            Ok(0) => return Ok(String::from_utf8_lossy(&text[..len]).into_owned()),
+            Ok(more) => len += more,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e.kind()),
+        }
+    }
+}
+
+#[test]
+fn an_answer_without_framing_that_the_gateway_breaks_off_ends_with_a_reset() {
+    struct Case {
+        name: &'static str,
+        version: &'static str,
+        headers: &'static str,
+        unframed: bool,
+        behaviour: &'static str,
+        /// Whether the gateway's process is killed half-way through.
+        killed: bool,
+    }
+    let timeout = "x-deadline-ms: 500\r\n";
+    let case = |name, version, headers, unframed, behaviour, killed| Case {
+        name,
+        version,
+        headers,
+        unframed,
+        behaviour,
+        killed,
+    };
+    let cases = [
+        case("ended inside an event", "HTTP/1.1", "", true, "end_midway", false),
+        case("broken off by the upstream", "HTTP/1.1", "", true, "break_midway", false),
+        case("broken off, HTTP/1.0 caller", "HTTP/1.0", "", false, "break_midway", false),
+        case("deadline passed", "HTTP/1.1", timeout, true, "serve", false),
+        case("deadline passed, HTTP/1.0 caller", "HTTP/1.0", timeout, false, "serve", false),
+        case("gateway killed", "HTTP/1.1", "", true, "serve", true),
+        case("gateway killed, HTTP/1.0 caller", "HTTP/1.0", "", false, "serve", true),
+    ];
+    let mut site = Site::start(1, 1, 0);
+    for case in cases {
+        site.unframe(case.unframed);
+        site.behave(None, case.behaviour);
+        let to = site.gateways[0].callers;
+        let ended = read_to_end(to, case.version, case.headers, || {
+            if case.killed {
+                thread::sleep(MIDWAY);
+                site.gateways[0].kill();
+            }
+        });
+        assert_eq!(ended, Err(ErrorKind::ConnectionReset), "{}", case.name);
+        if case.killed {
+            site.gateways[0].restart();
+            site.wait_ready();
+        }
+    }
+}
+
+#[test]
+fn whole_streams_of_unknown_length_end_without_a_reset() {
+    let site = Site::start(1, 1, 0);
+    for (version, unframed) in [("HTTP/1.1", true), ("HTTP/1.0", false), ("HTTP/1.0", true)] {
+        site.unframe(unframed);
+        let text = read_to_end(site.gateways[0].callers, version, "", || {});
+        let text = text.unwrap_or_else(|e| panic!("{version}, unframed {unframed}: {e}"));
+        let last = format!("id: {EVENTS}\ndata: token {EVENTS}\n\n");
+        assert!(text.ends_with(&last), "{version}, unframed {unframed}: {text}");
+    }
+}
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -18,7 +18,7 @@
     unistd::Pid,
 };
 use serde_json::{Value, json};
-use tackhollow::gateway::net::{HttpConnection, connect};
+use tackhollow::gateway::net::{Framing, HttpConnection, connect};
 use tempfile::TempDir;
 use tokio::{runtime::Builder, task::LocalSet, time::timeout};
 
@@ -43,9 +43,15 @@
     pub body: String,
     /// Whether the body was received without an error up to its end.
     pub complete: bool,
+    pub framing: Framing,
 }
 
 impl Answer {
+    /// Returns whether the answer says that it is complete.
+    pub fn is_framed_as_complete(&self) -> bool {
+        self.complete && self.framing == Framing::Delimited
+    }
+
     /// Returns the ids of the events in the body.
     pub fn event_ids(&self) -> Vec<u64> {
         let lines = self.body.lines().filter_map(|l| l.strip_prefix("id: "));
@@ -122,6 +128,7 @@
         }
         let request = request.body(Full::new(Bytes::from(self.body.clone()))).expect("a request");
         let response = connection.send(request).await.ok()?;
+        let framing = Framing::of(&response);
         let (parts, mut body) = response.into_parts();
         let (mut text, mut complete) = (Vec::new(), true);
         while let Some(frame) = body.frame().await {
@@ -134,7 +141,7 @@
             }
         }
         let body = String::from_utf8_lossy(&text).into_owned();
-        Some(Answer { status: parts.status, headers: parts.headers, body, complete })
+        Some(Answer { status: parts.status, headers: parts.headers, body, complete, framing })
     }
 }
 
@@ -391,6 +398,11 @@
         self.control("/behaviour", &json!({ "id": id, "behaviour": behaviour }));
     }
 
+    /// Sets whether the answers of all upstreams end with their connections, without framing.
+    pub fn unframe(&self, unframed: bool) {
+        self.control("/framing", &json!({ "unframed": unframed }));
+    }
+
     /// Cuts some gateways off from all upstreams, in place of an earlier cut.
     pub fn cut_off(&self, gateways: &[usize], cut: &str) {
         let sources: Vec<_> = gateways.iter().map(|n| self.gateways[*n].callers.ip()).collect();
