An end without framing is not taken for the end of the answer

Cause: where an answer has neither a length nor chunks, the end of its connection ends the body. The gateway took that for a complete answer, sent the rest of an incomplete event, and closed the caller's answer with a last chunk; buffered answers got a length. Class: an end has three values (complete, unknown, broken), and the code had two.

- UpstreamBody decodes the end once; Framing says how an answer shows it.
- A stream that ends inside an event is broken off, whatever its framing: it is resumed where the route allows, else broken off to the caller.
- After an unknown end the upstream is probed: if its host refuses, it crashed, and the answer is broken off.
Otherwise the caller gets the answer without framing, too, and the outcome is end_unknown.
The rest of a stream that began in chunks is asked for elsewhere, or broken off.
- An answer without framing that the gateway itself breaks off, or whose process is killed, ends with a reset (AnswerStream): a quiet close would look complete.
So do those to HTTP/1.0 callers.
- Answers no longer carry the upstream's HTTP version.

--- a/src/bin/tackhollow-emulator/network.rs
+++ b/src/bin/tackhollow-emulator/network.rs
@@ -8,7 +8,8 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     io,
-    net::{IpAddr, Ipv4Addr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    os::fd::{AsFd, BorrowedFd},
     pin::Pin,
     rc::{Rc, Weak},
     task::{Context, Poll, Waker},
@@ -104,6 +105,19 @@
         Ok(())
     }
 
+    /// Makes the connections to an upstream close without a reset, as when its process ends, also
+    /// in the middle of an answer.
+    pub fn close_quietly(&self, upstream: SocketAddr) {
+        for connection in self.connections.borrow().values() {
+            let to = connection.socket.local_addr().ok().and_then(|a| a.as_socket());
+            if to == Some(upstream)
+                && let Err(e) = connection.socket.set_linger(None)
+            {
+                eprintln!("a connection to {upstream} may be reset: {e}");
+            }
+        }
+    }
+
     fn cut_of(&self, source: Ipv4Addr) -> Option<Cut> {
         self.cuts.borrow().get(&source).copied()
     }
@@ -187,6 +201,12 @@
     stream: TcpStream,
 }
 
+impl AsFd for CutStream {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
 impl AsyncRead for CutStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/src/bin/tackhollow-emulator/platform.rs
+++ b/src/bin/tackhollow-emulator/platform.rs
@@ -271,7 +271,9 @@
         let mut state = self.state.borrow_mut();
         let upstream = state.upstreams.get_mut(id)?;
         let address = upstream.address;
-        upstream.process.take()?.abort();
+        let process = upstream.process.take()?;
+        self.network.close_quietly(address);
+        process.abort();
         let of_upstream = |r: &&mut Run| r.upstream == id && r.end == "running";
         state.runs.iter_mut().filter(of_upstream).for_each(|r| r.finish("crashed", now_ms));
         Some(address)
--- a/src/bin/tackhollow-trace/timeline.rs
+++ b/src/bin/tackhollow-trace/timeline.rs
@@ -76,6 +76,10 @@
     let outcome = end.text("outcome");
     match outcome {
         "completed" => describe_completed(end, attempt.copied()),
+        "end_unknown" => format!(
+            "upstream {upstream} ended its answer with the connection, without a length or chunks: \
+             whether it is whole is not known"
+        ),
         "quota_used_up" => describe_quota_used_up(own),
         "crashes_upstreams" | "copy_runs" => describe_not_sent(own),
         "unknown_key" | "no_route" => {
--- /dev/null
+++ b/src/gateway/net/answer_stream.rs
@@ -0,0 +1,136 @@
+//! Connections on which answers are sent.
+
+use std::{
+    io,
+    os::fd::AsFd,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Response, Version,
+    body::{Body, Frame},
+    header::CONTENT_LENGTH,
+};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use super::{AnswerBody, BodyError};
+
+/// Whether an answer that ends with its connection has begun on it and is not complete.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UnfinishedAnswer(Arc<AtomicBool>);
+
+impl UnfinishedAnswer {
+    /// Follows an answer to a request of version `requested` until its body is complete, if the end
+    /// of its connection is its only end.
+    pub(super) fn follow(
+        &self,
+        response: Response<AnswerBody>,
+        requested: Version,
+    ) -> Response<AnswerBody> {
+        let has_no_chunks = [requested, response.version()].contains(&Version::HTTP_10);
+        let has_length = response.body().size_hint().exact().is_some()
+            || response.headers().contains_key(CONTENT_LENGTH);
+        if !has_no_chunks || has_length {
+            return response;
+        }
+        self.set(true);
+        response.map(|body| FollowedBody { body, unfinished: self.clone() }.boxed_unsync())
+    }
+
+    fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, unfinished: bool) {
+        self.0.store(unfinished, Ordering::Relaxed);
+    }
+}
+
+struct FollowedBody {
+    body: AnswerBody,
+    unfinished: UnfinishedAnswer,
+}
+
+impl Body for FollowedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) {
+            self.unfinished.set(false);
+        }
+        polled
+    }
+}
+
+/// A connection that is reset, and not closed in the usual way, when it ends before an answer that
+/// ends with it is complete. The socket is prepared for that as soon as such an answer begins, so
+/// that it holds if the process is killed, too.
+#[derive(Debug)]
+pub(super) struct AnswerStream<T: AsFd> {
+    stream: T,
+    unfinished: UnfinishedAnswer,
+    resets: bool,
+}
+
+impl<T: AsFd> AnswerStream<T> {
+    pub(super) fn new(stream: T, unfinished: UnfinishedAnswer) -> Self {
+        Self { stream, unfinished, resets: false }
+    }
+
+    fn reset_on_close(&mut self, resets: bool) -> io::Result<()> {
+        if self.resets != resets {
+            self.resets = resets;
+            SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO))?;
+        }
+        Ok(())
+    }
+}
+
+impl<T: AsFd + AsyncRead + Unpin> AsyncRead for AnswerStream<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<T: AsFd + AsyncWrite + Unpin> AsyncWrite for AnswerStream<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.unfinished.get() {
+            self.reset_on_close(true)?;
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.unfinished.get() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        self.reset_on_close(false)?;
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -1,12 +1,14 @@
 //! Networking: HTTP client connections, the connection pool for upstreams, and the HTTP
 //! server for callers.
 
+mod answer_stream;
 mod connect;
 mod framing;
 mod pool;
 mod server;
 mod shutdown;
 mod tunnel;
+mod upstream_body;
 
 pub use connect::{
     Answer, CallError, ConnectError, HttpConnection, Path, RequestBody, connect, connect_from,
@@ -22,3 +24,4 @@
 pub use tunnel::{
     TUNNEL_PATH, TunnelError, TunnelRefusal, open_tunnel, tunnel_response, tunnelled_request,
 };
+pub use upstream_body::{BodyEnd, BodyPart, UpstreamBody};
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -3,6 +3,7 @@
 use std::{
     future::Future,
     net::SocketAddr,
+    os::fd::AsFd,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -28,7 +29,11 @@
     time::sleep,
 };
 
-use super::{Shutdown, connect::detect_dead_peer};
+use super::{
+    Shutdown,
+    answer_stream::{AnswerStream, UnfinishedAnswer},
+    connect::detect_dead_peer,
+};
 
 /// Timeout for idle connections and incomplete request heads. The operator's limit is 15 s,
 /// and callers reuse connections that have been idle for up to four fifths of it, so a
@@ -94,8 +99,8 @@
     }
 }
 
-/// Makes an answer end with its connection, with neither a length nor chunks. Its version has to be
-/// HTTP/1.0 for that: the library sends answers of later versions in chunks.
+/// Makes an answer end with its connection, with neither a length nor chunks. An answer of HTTP/1.1
+/// would be sent in chunks.
 pub fn frame_until_close(response: Response<AnswerBody>) -> Response<AnswerBody> {
     let (mut parts, body) = response.into_parts();
     parts.version = Version::HTTP_10;
@@ -139,12 +144,18 @@
 /// Serves one connection until it ends.
 pub async fn serve_connection<T, S>(stream: T, peer: SocketAddr, service: Rc<S>, shutdown: Shutdown)
 where
-    T: AsyncRead + AsyncWrite + Unpin,
+    T: AsFd + AsyncRead + AsyncWrite + Unpin,
     S: Service,
 {
-    let answer = service_fn(|request| {
-        let service = service.clone();
-        async move { Ok::<_, std::convert::Infallible>(service.answer(request).await) }
+    let unfinished = UnfinishedAnswer::default();
+    let stream = AnswerStream::new(stream, unfinished.clone());
+    let answer = service_fn(|request: Request<Incoming>| {
+        let (service, unfinished) = (service.clone(), unfinished.clone());
+        async move {
+            let version = request.version();
+            let response = service.answer(request).await;
+            Ok::<_, std::convert::Infallible>(unfinished.follow(response, version))
+        }
     });
     let mut http = Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri, Version, body::Incoming,
-    http::request::Parts,
+    HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
+    body::Incoming,
+    http::{request::Parts, response},
 };
 use std::{rc::Rc, time::Instant};
 
@@ -14,7 +15,7 @@
     gateway::{
         context::Gateway,
         model::RequestDigest,
-        net::{ConnectError, Path, PoolError, PooledConnection, RequestBody},
+        net::{ConnectError, Path, PoolError, PooledConnection, RequestBody, UpstreamBody},
     },
     platform::{self, Attempt, RequestHead},
 };
@@ -65,11 +66,29 @@
 /// Failure cause: the upstream restarted and lost the request.
 pub const UPSTREAM_RESTARTED: &str = "upstream_started_again";
 
+/// An answer whose head has arrived.
+#[derive(Debug)]
+pub struct UpstreamAnswer {
+    /// Status and headers.
+    pub head: response::Parts,
+    /// The body, which follows on the connection.
+    pub body: UpstreamBody,
+    /// The connection.
+    pub lease: PooledConnection,
+}
+
+impl UpstreamAnswer {
+    fn new(response: Response<Incoming>, lease: PooledConnection) -> Self {
+        let (head, body) = UpstreamBody::split(response);
+        Self { head, body, lease }
+    }
+}
+
 /// Result of an attempt.
 #[derive(Debug)]
 pub enum AttemptEnd {
-    /// The head of the answer arrived; its body follows on the leased connection.
-    Answer(Response<Incoming>, PooledConnection),
+    /// The head of the answer arrived.
+    Answer(Box<UpstreamAnswer>),
     /// No connection could be opened.
     Unreachable(ConnectError),
     /// Nothing was sent, for this cause.
@@ -153,7 +172,7 @@
     if platform::is_unsigned_success(status, headers) {
         return AttemptEnd::Broken("answer_without_signature");
     }
-    AttemptEnd::Answer(response, lease)
+    AttemptEnd::Answer(Box::new(UpstreamAnswer::new(response, lease)))
 }
 
 /// Reads and discards the rest of an answer, so that its connection can be reused.
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -144,6 +144,15 @@
         }
     }
 
+    /// Returns whether the upstream of a run has ended, which breaks off the answer without that
+    /// its connection has to say so.
+    pub(super) async fn has_upstream_ended(&self, selected: &Selected) -> bool {
+        let (gateway, lifetime) = (&self.gateway, selected.lifetime);
+        let (address, max) = (selected.address, selected.max_connections);
+        let probe = gateway.upstream_probes.probe(gateway, lifetime, address, max).await;
+        probe == ProbeResult::Ended
+    }
+
     fn serves(&self, upstream: &UpstreamId, lifetime: Lifetime) -> bool {
         let mut board = self.gateway.board.borrow_mut();
         board.in_lifetime(upstream, lifetime).is_some_and(|view| view.takes_work())
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -9,14 +9,14 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
     body::Incoming,
     header::{CONNECTION, HeaderValue},
 };
 
 use super::{
     Admitted, Outcome, Refusal, admit,
-    attempt::{AttemptEnd, OutgoingRequest, attempt},
+    attempt::{AttemptEnd, OutgoingRequest, UpstreamAnswer, attempt},
     in_flight::InProgress,
     relay::relay,
     report::refuse,
@@ -28,7 +28,7 @@
         context::Gateway,
         decide::{AttemptOutcome, RetryPolicy, RouteKey, VersionGroup},
         model::{RequestDigest, RequestKind, WatchedData},
-        net::{AnswerBody, ConnectError, Framing, Phase, PooledConnection, full_body},
+        net::{AnswerBody, BodyEnd, ConnectError, Framing, Phase, frame_until_close, full_body},
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -135,13 +135,12 @@
     forwarding.count_request();
     let tried = clock::timeout_at(deadline, forwarding.first_answer()).await;
     match tried {
-        Ok(Ok(Reply::Stream(response, lease, selected))) => {
-            relay(forwarding, response, lease, *selected)
-        }
+        Ok(Ok(Reply::Stream(answer, selected))) => relay(forwarding, *answer, *selected),
         Ok(Ok(Reply::Buffered(response))) => {
-            let outcome = match response.status().is_success() {
-                true => Outcome::Completed,
-                false => Outcome::UpstreamFailure,
+            let outcome = match (response.status().is_success(), forwarding.framing) {
+                (false, _) => Outcome::UpstreamFailure,
+                (true, Some(Framing::UntilClose)) => Outcome::EndUnknown,
+                (true, Some(Framing::Delimited) | None) => Outcome::Completed,
             };
             forwarding.answered(response.status(), outcome, Some(clock::now()));
             response
@@ -174,8 +173,8 @@
 /// Answer of the first upstream that gives one.
 enum Reply {
     /// A stream, to be relayed as it arrives.
-    Stream(Response<Incoming>, PooledConnection, Box<Selected>),
-    /// A complete answer, read into memory.
+    Stream(Box<UpstreamAnswer>, Box<Selected>),
+    /// An answer read into memory.
     Buffered(Response<AnswerBody>),
 }
 
@@ -199,8 +198,8 @@
             )
             .await;
             match end {
-                AttemptEnd::Answer(response, lease) => {
-                    if let Some(reply) = self.take_answer(response, lease, selected).await? {
+                AttemptEnd::Answer(answer) => {
+                    if let Some(reply) = self.take_answer(answer, selected).await? {
                         return Ok(reply);
                     }
                 }
@@ -235,19 +234,19 @@
     /// `None` if another attempt should be made.
     async fn take_answer(
         &mut self,
-        response: Response<Incoming>,
-        lease: PooledConnection,
+        answer: Box<UpstreamAnswer>,
         selected: Selected,
     ) -> Result<Option<Reply>, Refusal> {
-        self.framing = Some(Framing::of(&response));
+        let framing = answer.body.framing();
+        self.framing = Some(framing);
         let streaming = self.admitted.route.kind == RequestKind::Streaming;
-        if streaming && response.status().is_success() {
-            return Ok(Some(Reply::Stream(response, lease, Box::new(selected))));
+        if streaming && answer.head.status.is_success() {
+            return Ok(Some(Reply::Stream(answer, Box::new(selected))));
         }
-        let (mut parts, body) = response.into_parts();
+        let UpstreamAnswer { mut head, body, lease } = *answer;
         let read = tokio::select! {
             biased;
-            read = Limited::new(body, MAX_BUFFERED_BYTES).collect() => read.ok(),
+            (body, end) = body.collect(MAX_BUFFERED_BYTES) => self.check_end(end, &selected).await.then_some(body),
             () = selected.in_flight.lifetime_end() => None,
         };
         let Some(body) = read else {
@@ -258,11 +257,11 @@
             return Err(Refusal::Broken);
         };
         let now = clock::now();
-        if !platform::closes(&parts.headers) {
-            lease.give_back(platform::keep_alive(&parts.headers));
+        if framing == Framing::Delimited && !platform::closes(&head.headers) {
+            lease.give_back(platform::keep_alive(&head.headers));
         }
         self.count_usage(now);
-        if parts.status.is_server_error() {
+        if head.status.is_server_error() {
             self.note_failure(selected.version_group);
             self.verdict(&selected.id, selected.lifetime, AttemptOutcome::Failed);
             if self.may_run_again(&selected.id, "upstream_failure") {
@@ -274,11 +273,26 @@
             self.note_first_token(&selected, now);
             self.note_slot_time(&selected, now);
         }
-        if parts.status.is_success() {
+        if head.status.is_success() {
             self.note_completed(selected.lifetime);
         }
-        platform::strip_hop_headers(&mut parts.headers);
-        Ok(Some(Reply::Buffered(Response::from_parts(parts, full_body(body.to_bytes())))))
+        platform::strip_hop_headers(&mut head.headers);
+        head.version = Version::HTTP_11;
+        let response = Response::from_parts(head, full_body(body));
+        Ok(Some(Reply::Buffered(match framing {
+            Framing::Delimited => response,
+            Framing::UntilClose => frame_until_close(response),
+        })))
+    }
+
+    /// Returns whether an answer may be taken for whole: its upstream lives on if only the end of
+    /// the connection says so.
+    async fn check_end(&self, end: BodyEnd, selected: &Selected) -> bool {
+        match end {
+            BodyEnd::Complete => true,
+            BodyEnd::Unknown => !self.has_upstream_ended(selected).await,
+            BodyEnd::Broken => false,
+        }
     }
 
     /// Chooses the upstream of the next attempt and logs the choice; `None` if none is left.
--- a/src/gateway/request/outcome.rs
+++ b/src/gateway/request/outcome.rs
@@ -5,6 +5,9 @@
 pub enum Outcome {
     /// The complete answer was relayed.
     Completed,
+    /// The answer was relayed to the end of its connection, and may be incomplete: it had no
+    /// framing.
+    EndUnknown,
     /// The upstream answered with a status other than success, which was relayed.
     UpstreamFailure,
     /// The caller disconnected.
@@ -20,6 +23,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Completed => "completed",
+            Self::EndUnknown => "end_unknown",
             Self::UpstreamFailure => "upstream_failure",
             Self::CallerLeft => "caller_left",
             Self::TimeOver => "time_over_midway",
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -4,8 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming};
+use hyper::{Response, Version};
 use tokio::{
     sync::mpsc::{Sender, channel},
     task::spawn_local,
@@ -13,7 +12,7 @@
 
 use super::{
     EventSplitter, Outcome,
-    attempt::{AttemptEnd, attempt},
+    attempt::{AttemptEnd, UpstreamAnswer, attempt},
     forward::Forwarding,
     select::Selected,
 };
@@ -21,7 +20,10 @@
     clock,
     gateway::{
         decide::AttemptOutcome,
-        net::{AnswerBody, BodyError, Framing, PooledConnection, channel_body},
+        net::{
+            AnswerBody, BodyEnd, BodyError, BodyPart, Framing, PooledConnection, UpstreamBody,
+            channel_body, frame_until_close,
+        },
     },
     platform,
 };
@@ -33,26 +35,32 @@
 /// Starts a task that relays an answer, and returns the response for the caller.
 pub fn relay(
     forwarding: Forwarding,
-    response: Response<Incoming>,
-    lease: PooledConnection,
+    answer: UpstreamAnswer,
     selected: Selected,
 ) -> Response<AnswerBody> {
-    let (mut parts, body) = response.into_parts();
-    let run = Run::new(&parts.headers, body, lease, selected);
-    platform::strip_hop_headers(&mut parts.headers);
+    let mut head = answer.head.clone();
+    let framing = answer.body.framing();
+    let run = Run::new(answer, selected);
+    platform::strip_hop_headers(&mut head.headers);
+    head.version = Version::HTTP_11;
+    let status = head.status;
     let (tx, rx) = channel(QUEUE_FRAMES);
     spawn_local(async move {
         let mut relay =
-            Relay { forwarding, tx, events: EventSplitter::default(), first_data: None };
+            Relay { forwarding, framing, tx, events: EventSplitter::default(), first_data: None };
         let outcome = relay.relay_runs(run).await;
-        relay.forwarding.answered(parts.status, outcome, relay.first_data);
+        relay.forwarding.answered(status, outcome, relay.first_data);
     });
-    Response::from_parts(parts, channel_body(rx))
+    let response = Response::from_parts(head, channel_body(rx));
+    match framing {
+        Framing::Delimited => response,
+        Framing::UntilClose => frame_until_close(response),
+    }
 }
 
 /// A run at an upstream whose answer is being read.
 struct Run {
-    body: Incoming,
+    body: UpstreamBody,
     lease: PooledConnection,
     selected: Selected,
     keep_alive: Option<std::time::Duration>,
@@ -60,20 +68,26 @@
 }
 
 impl Run {
-    fn new(
-        headers: &hyper::HeaderMap,
-        body: Incoming,
-        lease: PooledConnection,
-        selected: Selected,
-    ) -> Self {
-        let (keep_alive, closes) = (platform::keep_alive(headers), platform::closes(headers));
+    fn new(answer: UpstreamAnswer, selected: Selected) -> Self {
+        let UpstreamAnswer { head, body, lease } = answer;
+        let keep_alive = platform::keep_alive(&head.headers);
+        let closes = platform::closes(&head.headers) || body.framing() == Framing::UntilClose;
         Self { body, lease, selected, keep_alive, closes }
     }
+
+    /// Returns the connection to the pool, unless its upstream closes it.
+    fn give_back(self) {
+        if !self.closes {
+            self.lease.give_back(self.keep_alive);
+        }
+    }
 }
 
 /// Why reading the answer of a run stopped.
 enum RunEnd {
     Complete,
+    /// The connection ended between events, and its upstream lives on.
+    Unknown,
     Broken,
     TimeOver,
     CallerLeft,
@@ -81,6 +95,8 @@
 
 struct Relay {
     forwarding: Forwarding,
+    /// Framing of the caller's answer, which is that of the first run.
+    framing: Framing,
     tx: Sender<Result<Bytes, BodyError>>,
     events: EventSplitter,
     first_data: Option<Instant>,
@@ -90,29 +106,33 @@
     async fn relay_runs(&mut self, mut run: Run) -> Outcome {
         loop {
             let end = self.read(&mut run).await;
-            let (id, lifetime) = (run.selected.id.clone(), run.selected.lifetime);
+            let id = run.selected.id.clone();
             match end {
                 RunEnd::Complete => {
-                    self.forwarding.verdict(&id, lifetime, AttemptOutcome::Good);
-                    self.forwarding.note_completed(lifetime);
-                    self.forwarding.note_slot_time(&run.selected, clock::now());
-                    if !run.closes {
-                        run.lease.give_back(run.keep_alive);
-                    }
+                    self.note_completed(&run);
+                    run.give_back();
                     return Outcome::Completed;
                 }
+                RunEnd::Unknown => {
+                    self.note_completed(&run);
+                    drop(run);
+                    if self.framing == Framing::UntilClose {
+                        return Outcome::EndUnknown;
+                    }
+                    // Resumed, since a last chunk would tell the caller that the answer is complete.
+                }
                 RunEnd::CallerLeft => return Outcome::CallerLeft,
                 RunEnd::TimeOver => {
                     self.fail(BodyError::TimeOver).await;
                     return Outcome::TimeOver;
                 }
-                RunEnd::Broken => {}
+                RunEnd::Broken => {
+                    let Run { selected, body, lease, .. } = run;
+                    // Ends the run before the stream is resumed elsewhere.
+                    drop((body, lease));
+                    self.forwarding.handle_interrupted(&selected, "broken_off").await;
+                }
             }
-            // Ends the run before the stream is resumed elsewhere.
-            let Run { selected, body, lease, .. } = run;
-            drop((body, lease));
-            self.forwarding.handle_interrupted(&selected, "broken_off").await;
-            drop(selected);
             let Some(next) = self.resume(&id).await else {
                 self.fail(BodyError::BrokenOff).await;
                 return Outcome::BrokenOff;
@@ -121,22 +141,28 @@
         }
     }
 
+    fn note_completed(&self, run: &Run) {
+        let Selected { id, lifetime, .. } = &run.selected;
+        self.forwarding.verdict(id, *lifetime, AttemptOutcome::Good);
+        self.forwarding.note_completed(*lifetime);
+        self.forwarding.note_slot_time(&run.selected, clock::now());
+    }
+
     async fn read(&mut self, run: &mut Run) -> RunEnd {
         let deadline = clock::sleep_until(self.forwarding.deadline);
         let lifetime_end = run.selected.in_flight.lifetime_end();
         tokio::pin!(deadline, lifetime_end);
         loop {
-            let frame = tokio::select! {
+            let part = tokio::select! {
                 biased;
-                frame = run.body.frame() => frame,
+                part = run.body.next() => part,
                 () = lifetime_end.as_mut() => return RunEnd::Broken,
                 () = self.tx.closed() => return RunEnd::CallerLeft,
                 () = deadline.as_mut() => return RunEnd::TimeOver,
             };
-            let data = match frame {
-                None => return self.finish().await,
-                Some(Err(_)) => return RunEnd::Broken,
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            let data = match part {
+                BodyPart::Data(data) => data,
+                BodyPart::End(end) => return self.run_end(end, run).await,
             };
             if self.first_data.is_none() && !data.is_empty() {
                 self.note_first_data(run);
@@ -162,17 +188,18 @@
         self.forwarding.note_first_token(&run.selected, now);
     }
 
-    /// Relays the bytes after the last complete event.
-    async fn finish(&mut self) -> RunEnd {
+    /// Judges the end of a run's body. A stream that is complete ends with a complete event.
+    async fn run_end(&mut self, end: BodyEnd, run: &Run) -> RunEnd {
         self.forwarding.inside_event = self.events.is_inside_event();
-        let rest = match self.forwarding.admitted.route.resumable {
-            true => self.events.rest(),
-            false => Bytes::new(),
-        };
-        if rest.is_empty() || self.tx.send(Ok(rest)).await.is_ok() {
-            return RunEnd::Complete;
+        match end {
+            BodyEnd::Complete | BodyEnd::Unknown if self.forwarding.inside_event => RunEnd::Broken,
+            BodyEnd::Complete => RunEnd::Complete,
+            BodyEnd::Unknown if self.forwarding.has_upstream_ended(&run.selected).await => {
+                RunEnd::Broken
+            }
+            BodyEnd::Unknown => RunEnd::Unknown,
+            BodyEnd::Broken => RunEnd::Broken,
         }
-        RunEnd::CallerLeft
     }
 
     /// Resumes the stream at another upstream after the last complete event; `None` if that is not
@@ -196,12 +223,11 @@
                 () = clock::sleep_until(self.forwarding.deadline) => return None,
             };
             match end {
-                AttemptEnd::Answer(response, lease) if response.status().is_success() => {
-                    self.forwarding.framing = Some(Framing::of(&response));
-                    let (parts, body) = response.into_parts();
-                    return Some(Run::new(&parts.headers, body, lease, selected));
+                AttemptEnd::Answer(answer) if answer.head.status.is_success() => {
+                    self.forwarding.framing = Some(answer.body.framing());
+                    return Some(Run::new(*answer, selected));
                 }
-                AttemptEnd::Answer(..) => return None,
+                AttemptEnd::Answer(_) => return None,
                 AttemptEnd::Broken(cause) => {
                     self.forwarding.handle_interrupted(&selected, cause).await;
                     if !self.forwarding.may_run_again(&selected.id, cause) {
--- a/tests/gateway_unframed_answers.rs
+++ b/tests/gateway_unframed_answers.rs
@@ -11,6 +11,7 @@
 };
 
 use hyper::StatusCode;
+use serde_json::json;
 use support::{
     gateways::{Answer, Call, HOST, KEY, Site},
     wait_until,
@@ -129,6 +130,38 @@
     }
 }
 
+#[test]
+fn streams_without_framing_are_broken_off_when_their_upstream_ends_between_events() {
+    for (route, expected) in [("plan", Seen::Broken), ("digest", Seen::Whole)] {
+        let site = Site::start(1, 1, 0);
+        site.unframe(true);
+        let answer = thread::scope(|s| {
+            let sending = s.spawn(|| send(&site, route, route));
+            wait_until("the stream runs", || !site.runs(route).is_empty());
+            site.add_known_upstream("llm");
+            site.control("/crash", &json!({ "id": "i-1" }));
+            sending.join().expect("a caller")
+        });
+        assert_eq!(seen(route, &answer), Some(expected), "{answer:?}");
+    }
+}
+
+#[test]
+fn the_rest_of_a_stream_in_chunks_is_not_framed_as_complete_if_its_end_is_unknown() {
+    let site = Site::start(1, 1, 0);
+    site.behave(None, "break_midway");
+    let answer = thread::scope(|s| {
+        let sending = s.spawn(|| send(&site, "digest", "digest"));
+        wait_until("the stream runs", || !site.runs("digest").is_empty());
+        let other = site.add_known_upstream("llm");
+        site.control("/framing", &json!({ "id": other, "unframed": true }));
+        sending.join().expect("a caller")
+    });
+    assert!(answer.event_ids().iter().copied().eq(1..=EVENTS), "{answer:?}");
+    assert_eq!((answer.framing, answer.complete), (Framing::Delimited, false), "{answer:?}");
+    assert_eq!(site.runs("digest").len(), 2);
+}
+
 #[test]
 fn whole_answers_without_framing_reach_callers_whole_and_run_once() {
     let site = unframed_site();
