--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -64,6 +64,8 @@
     signals: bool,
     /// Whether gateways are cut off from all upstreams for a while.
     cuts: bool,
+    /// Whether answers of upstreams have no framing for a while, and some end early.
+    unframed: bool,
 }
 
 /// Whether a caller sends requests that crash upstreams, and how upstreams are reached.
@@ -78,114 +80,93 @@
     Hidden,
 }
 
-const CASES: [Case; 13] = [
-    Case {
-        seed: 1,
-        description: "a short run",
-        restarts: false,
-        crashing: Crashing::No,
-        store_stalls: false,
-        signals: false,
-        cuts: false,
-    },
+/// No faults but those of every run.
+const UNDISTURBED: Case = Case {
+    seed: 0,
+    description: "",
+    restarts: false,
+    crashing: Crashing::No,
+    store_stalls: false,
+    signals: false,
+    cuts: false,
+    unframed: false,
+};
+
+const CASES: [Case; 15] = [
+    Case { seed: 1, description: "a short run", ..UNDISTURBED },
     Case {
         seed: 2002,
         description: "a signal right after the start terminated the process",
-        restarts: false,
-        crashing: Crashing::No,
-        store_stalls: false,
-        signals: false,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 3,
         description: "upstreams restart under the same id",
         restarts: true,
-        crashing: Crashing::No,
-        store_stalls: false,
-        signals: false,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 20_263_207,
         description: "requests that all callers send were quarantined",
         restarts: true,
         crashing: Crashing::Hidden,
-        store_stalls: false,
-        signals: false,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 20_262_212,
         description: "connection breaks before a restart were counted as a crash of the upstream",
         restarts: true,
         crashing: Crashing::Hidden,
-        store_stalls: false,
-        signals: false,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 4_120_101,
         description: "all engines crashed at once, and requests that all callers send were refused for an hour",
         restarts: true,
         crashing: Crashing::Direct,
-        store_stalls: false,
-        signals: false,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 4_120_302,
         description: "the same, with more crashes that no request caused",
         restarts: true,
         crashing: Crashing::Direct,
-        store_stalls: false,
-        signals: false,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 4,
         description: "requests that crash upstreams",
         restarts: true,
         crashing: Crashing::Direct,
-        store_stalls: false,
-        signals: false,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 5,
         description: "the store stops answering",
         restarts: true,
-        crashing: Crashing::No,
         store_stalls: true,
-        signals: false,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 38,
         description: "upstreams announce limits, leaving and cooldowns",
-        restarts: false,
-        crashing: Crashing::No,
         store_stalls: true,
         signals: true,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 3_902_004,
         description: "lost responses were counted as having informed the gateways",
-        restarts: false,
-        crashing: Crashing::No,
         store_stalls: true,
         signals: true,
-        cuts: false,
+        ..UNDISTURBED
     },
     Case {
         seed: 6,
         description: "gateways are cut off from all upstreams",
         restarts: true,
-        crashing: Crashing::No,
-        store_stalls: false,
-        signals: false,
         cuts: true,
+        ..UNDISTURBED
     },
     Case {
         seed: 7,
@@ -193,8 +174,24 @@
         restarts: true,
         crashing: Crashing::Direct,
         store_stalls: true,
-        signals: false,
         cuts: true,
+        ..UNDISTURBED
+    },
+    Case {
+        seed: 8,
+        description: "answers without framing, some of which upstreams end early",
+        unframed: true,
+        restarts: true,
+        ..UNDISTURBED
+    },
+    Case {
+        seed: 5_300_003,
+        description: "a stream without framing that ended before its first event was passed on",
+        restarts: true,
+        crashing: Crashing::Direct,
+        store_stalls: true,
+        unframed: true,
+        ..UNDISTURBED
     },
 ];
 
@@ -237,11 +234,18 @@
         let signals = number("SOAK_SIGNALS", 0) > 0;
         let crashing = if signals { Crashing::No } else { hidden };
         let restarts = !signals;
-        let cuts = number("SOAK_CUTS", 0) > 0;
-        run_soak(
-            &Case { seed, description, restarts, crashing, store_stalls: true, signals, cuts },
-            seconds,
-        );
+        let (cuts, unframed) = (number("SOAK_CUTS", 0) > 0, number("SOAK_UNFRAMED", 0) > 0);
+        let case = Case {
+            seed,
+            description,
+            restarts,
+            crashing,
+            store_stalls: true,
+            signals,
+            cuts,
+            unframed,
+        };
+        run_soak(&case, seconds);
     }
 }
 
@@ -254,6 +258,7 @@
         status: u16,
         seal: &'static str,
         body: &'static str,
+        framing: Framing,
         runs: Value,
         duties: Value,
     }
@@ -268,6 +273,7 @@
         status: 200,
         seal: "i-1.c0-0",
         body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        framing: Framing::Delimited,
         runs: json!([run("c0-0", "/plan/x")]),
         duties: json!([{ "path": "/usage", "fence": 3, "body": { "windowNumber": 7, "counts": {} } }]),
     };
@@ -295,6 +301,12 @@
             body: "id: 1\ndata: a\n\n",
             ..right()
         },
+        Violation {
+            name: "stream without framing that ends inside an event",
+            body: "id: 1\ndata: a\n\nid: 2\nda",
+            framing: Framing::UntilClose,
+            ..right()
+        },
         Violation {
             name: "response without a run",
             kind: Kind::Check,
@@ -334,7 +346,7 @@
             headers,
             body: case.body.to_owned(),
             complete: true,
-            framing: Framing::Delimited,
+            framing: case.framing,
         };
         let sent = SentRequest {
             id: "c0-0".to_owned(),
@@ -420,7 +432,7 @@
 }
 
 fn run_soak(case: &Case, time: Duration) {
-    let Case { seed, restarts, crashing, store_stalls, signals, cuts, .. } = *case;
+    let Case { seed, restarts, crashing, store_stalls, signals, cuts, unframed, .. } = *case;
     let (mut site, links, upstreams) = start(crashing == Crashing::Direct || signals || cuts);
     let addresses: Vec<_> = site.gateways.iter().map(|g| g.callers).collect();
     let gateways = addresses.clone();
@@ -441,6 +453,9 @@
     if cuts {
         faults = faults.with_cuts(seed);
     }
+    if unframed {
+        faults = faults.with_unframed_answers(seed);
+    }
     faults.inject_for(time);
     let (periods, disturbances) =
         (std::mem::take(&mut faults.periods), std::mem::take(&mut faults.disturbances));
--- a/tests/gateway_unframed_answers.rs
+++ b/tests/gateway_unframed_answers.rs
@@ -146,6 +146,15 @@
     }
 }
 
+#[test]
+fn a_stream_without_framing_that_ends_before_its_first_event_is_broken_off() {
+    let site = unframed_site();
+    site.behave(None, "end_after_event");
+    let call = Call::stream("/plan/a", "empty", 1);
+    let answer = call.send(site.gateways[0].callers).expect("an answer");
+    assert_eq!((answer.body.as_str(), answer.complete), ("", false));
+}
+
 #[test]
 fn the_rest_of_a_stream_in_chunks_is_not_framed_as_complete_if_its_end_is_unknown() {
     let site = Site::start(1, 1, 0);
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -81,14 +81,17 @@
     }
     if !matches!(sent.kind, Kind::Plan | Kind::Digest) {
         let is_whole = answer.body.starts_with("ran at ");
-        return (answer.complete && !is_whole).then(|| {
+        return (answer.is_framed_as_complete() && !is_whole).then(|| {
             format!("{}: truncated response reported as complete: {:?}", sent.id, answer.body)
         });
     }
     let ids = answer.event_ids();
     let in_order = ids.iter().copied().eq(1..=ids.len() as u64);
-    let is_whole = ids.len() as u64 == sent.events;
-    (!in_order || (answer.complete && !is_whole)).then(|| {
+    let ends_between_events = answer.body.ends_with("\n\n");
+    let is_whole = ids.len() as u64 == sent.events && ends_between_events;
+    // Without framing, an end between events does not say whether the stream is complete.
+    let ends_unknown = !answer.is_framed_as_complete() && ends_between_events;
+    (!in_order || (answer.complete && !is_whole && !ends_unknown)).then(|| {
         format!(
             "{}: received events {ids:?} of {}, reported as complete: {}",
             sent.id, sent.events, answer.complete
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -20,6 +20,9 @@
 const STORE_STALLS: u64 = 0x7369_6c65_6e63_6573;
 const SIGNALS: u64 = 0x7369_676e_616c_7300;
 const CUTS: u64 = 0x6375_7473_0000_0000;
+const UNFRAMED: u64 = 0x756e_6672_616d_6564;
+/// Ways in which an upstream ends an answer without framing early.
+const EARLY_ENDS: [&str; 3] = ["end_midway", "end_after_event", "break_midway"];
 /// Cuts between some gateways and all upstreams.
 const CUT_KINDS: [&str; 3] = ["hang", "reset", "hang_new"];
 
@@ -42,6 +45,8 @@
     Signal(usize),
     /// Ends the cuts between gateways and upstreams.
     Cuts,
+    /// Makes all upstreams frame their answers again, and this one serve normally.
+    Unframed(usize),
 }
 
 /// Injects faults into a site and ends them when they are due.
@@ -61,6 +66,8 @@
     signals: Option<fastrand::Rng>,
     /// Draws cuts between gateways and upstreams; `None` if there are none.
     cuts: Option<fastrand::Rng>,
+    /// Draws answers without framing; `None` if there are none.
+    unframed: Option<fastrand::Rng>,
     /// The signals that upstreams sent, with their times.
     pub periods: Vec<SignalPeriod>,
     /// When gateways were killed, stopped, paused, resumed or restarted.
@@ -85,6 +92,7 @@
             store_stalls: None,
             signals: None,
             cuts: None,
+            unframed: None,
             periods: Vec::new(),
             disturbances: Vec::new(),
             counts,
@@ -105,6 +113,13 @@
         self
     }
 
+    /// Adds answers without framing, some of which end early. The draws of the other faults of a
+    /// seed stay the same.
+    pub fn with_unframed_answers(mut self, seed: u64) -> Self {
+        self.unframed = Some(fastrand::Rng::with_seed(seed ^ UNFRAMED));
+        self
+    }
+
     /// Adds upstreams that restart under the same id. The draws of the other faults of a seed
     /// stay the same.
     pub fn with_upstream_restarts(mut self, seed: u64) -> Self {
@@ -135,6 +150,7 @@
             self.stall_store();
             self.signal_upstream();
             self.cut_gateways();
+            self.unframe_answers();
         }
         while !self.due.is_empty() {
             std::thread::sleep(Duration::from_millis(20));
@@ -214,6 +230,25 @@
         *self.counts.entry("cut_off").or_default() += 1;
     }
 
+    /// Occasionally lets the answers of all upstreams end with their connections for up to 2 s, and
+    /// one of the upstreams end them early.
+    fn unframe_answers(&mut self) {
+        let Some(rng) = &mut self.unframed else {
+            return;
+        };
+        let is_unframed = self.due.iter().any(|(_, end)| matches!(end, FaultEnd::Unframed(_)));
+        if is_unframed || rng.bool() {
+            return;
+        }
+        let upstream = rng.usize(..self.upstreams.len());
+        let early_end = EARLY_ENDS[rng.usize(..EARLY_ENDS.len())];
+        let lasts = Duration::from_millis(rng.u64(500..2_000));
+        self.site.unframe(true);
+        self.site.behave(Some(&self.upstreams[upstream]), early_end);
+        self.due.push((Instant::now() + lasts, FaultEnd::Unframed(upstream)));
+        *self.counts.entry("unframed").or_default() += 1;
+    }
+
     /// Occasionally makes an upstream send a signal in its responses.
     fn signal_upstream(&mut self) {
         let Some(rng) = &mut self.signals else {
@@ -398,6 +433,10 @@
             FaultEnd::Behave(n) => self.site.behave(Some(&self.upstreams[n]), "serve"),
             FaultEnd::Signal(n) => self.end_signal(n),
             FaultEnd::Cuts => self.site.end_cuts(),
+            FaultEnd::Unframed(n) => {
+                self.site.behave(Some(&self.upstreams[n]), "serve");
+                self.site.unframe(false);
+            }
             FaultEnd::Row(n) => {
                 let row = json!({ "id": self.upstreams[n], "back": true });
                 self.site.control("/remove", &row);
