--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -185,9 +185,7 @@
             let Some(selected) = self.select(isolated) else {
                 return Err(self.give_up());
             };
-            // Counted as run until the outcome of the attempt is known.
-            self.runs += 1;
-            self.version_group = selected.version_group;
+            self.begin_run(&selected);
             let end = attempt(
                 &self.gateway,
                 &self.outgoing,
@@ -204,15 +202,15 @@
                     }
                 }
                 AttemptEnd::Unreachable(e) => {
-                    self.runs -= 1;
+                    self.note_not_run();
                     self.unreachable(&selected, &e);
                 }
                 AttemptEnd::Unsent(cause) => {
-                    self.runs -= 1;
+                    self.note_not_run();
                     self.log_unsent(&selected.id, cause);
                 }
                 AttemptEnd::NotExecuted(status) => {
-                    self.runs -= 1;
+                    self.note_not_run();
                     if status == StatusCode::MISDIRECTED_REQUEST {
                         self.verdict(&selected.id, selected.lifetime, AttemptOutcome::Unreachable);
                     }
@@ -355,6 +353,17 @@
         latest.is_some_and(|v| board.paths.is_bypassed(v.lifetime, clock::now()))
     }
 
+    /// Counts an attempt as a run until its outcome is known.
+    pub(super) fn begin_run(&mut self, selected: &Selected) {
+        self.runs += 1;
+        self.version_group = selected.version_group;
+    }
+
+    /// Takes back the run of an attempt that turned out not to have run.
+    pub(super) fn note_not_run(&mut self) {
+        self.runs -= 1;
+    }
+
     /// Returns whether an upstream may have run the request.
     pub(super) fn has_run(&self) -> bool {
         self.runs > 0
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -216,6 +216,7 @@
         loop {
             let isolated = self.forwarding.await_send_permission().await.ok()?;
             let selected = self.forwarding.select(isolated)?;
+            self.forwarding.begin_run(&selected);
             let Forwarding { gateway, outgoing, admitted, deadline, .. } = &self.forwarding;
             let attempting =
                 attempt(gateway, outgoing, admitted, &selected, after.as_deref(), *deadline);
@@ -236,9 +237,16 @@
                         return None;
                     }
                 }
-                AttemptEnd::Unreachable(e) => self.forwarding.unreachable(&selected, &e),
-                AttemptEnd::Unsent(cause) => self.forwarding.log_unsent(&selected.id, cause),
+                AttemptEnd::Unreachable(e) => {
+                    self.forwarding.note_not_run();
+                    self.forwarding.unreachable(&selected, &e);
+                }
+                AttemptEnd::Unsent(cause) => {
+                    self.forwarding.note_not_run();
+                    self.forwarding.log_unsent(&selected.id, cause);
+                }
                 AttemptEnd::NotExecuted(_) => {
+                    self.forwarding.note_not_run();
                     if !self.forwarding.may_send_again(&selected.id, "not_executed") {
                         return None;
                     }
--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -180,6 +180,15 @@
     }
 }
 
+#[test]
+fn a_stream_runs_at_no_more_upstreams_than_its_route_allows() {
+    let site = Site::start(1, 4, 0);
+    site.behave(None, "break_midway");
+    let answer = Call::stream("/digest/x", "often", 40).send(site.gateways[0].callers);
+    assert!(!answer.expect("an answer").complete);
+    assert_eq!(site.runs("often").len(), 2);
+}
+
 #[test]
 fn a_caller_that_leaves_ends_its_run() {
     let site = Site::start(1, 1, 1);
