--- a/src/gateway/request/events.rs
+++ b/src/gateway/request/events.rs
@@ -3,14 +3,45 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Terminator of an event.
-const END: &[u8] = b"\n\n";
 /// Prefix of the line that holds the id of an event.
 const ID: &str = "id:";
 
+/// Finds the ends of events in a stream that arrives in parts. An event ends with an empty line;
+/// lines end with CR, LF or both.
+#[derive(Debug, Default)]
+struct EventScanner {
+    /// Whether the current line has content.
+    in_line: bool,
+    /// Whether the last byte was a CR, so that an LF belongs to the same line end.
+    after_cr: bool,
+    /// Whether bytes have arrived since the end of the last complete event.
+    inside_event: bool,
+}
+
+impl EventScanner {
+    /// Reads the next bytes, and returns how many of them belong to events that are complete now.
+    fn read(&mut self, bytes: &[u8]) -> usize {
+        let mut complete = 0;
+        for (i, byte) in bytes.iter().enumerate() {
+            let continues_line_end = *byte == b'\n' && self.after_cr;
+            self.after_cr = *byte == b'\r';
+            match byte {
+                b'\n' if continues_line_end => {}
+                b'\n' | b'\r' => self.inside_event = std::mem::take(&mut self.in_line),
+                _ => (self.in_line, self.inside_event) = (true, true),
+            }
+            if !self.inside_event {
+                complete = i + 1;
+            }
+        }
+        complete
+    }
+}
+
 /// Buffers the bytes of a stream and returns them in complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    scanner: EventScanner,
     buf: BytesMut,
     last_id: Option<String>,
 }
@@ -18,31 +49,28 @@
 impl EventSplitter {
     /// Appends bytes and returns all events that are complete now; empty if none is.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let earlier = self.buf.len();
+        let complete = self.scanner.read(bytes);
         self.buf.extend_from_slice(bytes);
-        let end = self.buf.windows(END.len()).rposition(|w| w == END);
-        let Some(end) = end else {
+        if complete == 0 {
             return Bytes::new();
-        };
-        let whole = self.buf.split_to(end + END.len()).freeze();
+        }
+        let whole = self.buf.split_to(earlier + complete).freeze();
         if let Some(id) = last_id(&whole) {
             self.last_id = Some(id);
         }
         whole
     }
 
-    /// Takes the bytes after the last complete event, at the end of the stream.
-    pub fn rest(&mut self) -> Bytes {
-        self.buf.split().freeze()
-    }
-
-    /// Returns whether the stream stands inside an event.
+    /// Returns whether the stream stands inside an event, which a complete stream never ends with.
     pub fn is_inside_event(&self) -> bool {
-        !self.buf.is_empty()
+        self.scanner.inside_event
     }
 
     /// Discards the incomplete event, which the next run sends from its start.
     pub fn restart(&mut self) {
         self.buf.clear();
+        self.scanner = EventScanner::default();
     }
 
     /// Returns the id of the last complete event that had one.
@@ -53,6 +81,6 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(events).ok()?;
-    let mut ids = text.lines().rev().filter_map(|line| line.strip_prefix(ID));
+    let mut ids = text.split(['\n', '\r']).rev().filter_map(|line| line.strip_prefix(ID));
     ids.next().map(|id| id.trim().to_owned())
 }
