--- a/src/gateway/net/tunnel.rs
+++ b/src/gateway/net/tunnel.rs
@@ -240,7 +240,7 @@
             () = pass_to_caller(read, &tx) => {}
             () = pass_to_upstream(body, write) => {
                 // Fails if the other gateway is gone.
-                drop(tx.try_send(Err(BodyError::BrokenOff)));
+                drop(tx.send(Err(BodyError::BrokenOff)).await);
             }
         }
     });
