--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -16,7 +16,7 @@
 use crate::{
     answer::{empty, json as answer, read_json},
     network::Cut,
-    platform::{Behaviour, Platform, StoreMode, Upstream, upstream_row},
+    platform::{Behaviour, Platform, ResponseFraming, StoreMode, Upstream, upstream_row},
     process, rollout,
     room::Room,
 };
@@ -82,7 +82,7 @@
             behaviour: Behaviour::Serve,
             work: Duration::from_millis(body["workMs"].as_u64().unwrap_or_default()),
             only_path: String::new(),
-            unframed: false,
+            framing: ResponseFraming::default(),
             signals: HeaderMap::new(),
             room: None,
             row: row.clone(),
@@ -114,14 +114,14 @@
         Some(())
     }
 
-    /// Sets whether the responses of one upstream, or of all if there is no `id`, end with their
-    /// connections. Fields: `id`, `unframed`.
+    /// Sets how the responses of one upstream, or of all if there is no `id`, show where they end.
+    /// Fields: `id`, `framing`.
     fn set_framing(&self, body: &Value) -> Option<()> {
-        let unframed = body["unframed"].as_bool()?;
+        let framing: ResponseFraming = serde_json::from_value(body["framing"].clone()).ok()?;
         let mut state = self.platform.state.borrow_mut();
         match body["id"].as_str() {
-            Some(id) => state.upstreams.get_mut(id)?.unframed = unframed,
-            None => state.upstreams.values_mut().for_each(|u| u.unframed = unframed),
+            Some(id) => state.upstreams.get_mut(id)?.framing = framing,
+            None => state.upstreams.values_mut().for_each(|u| u.framing = framing),
         }
         Some(())
     }
--- a/src/bin/tackhollow-emulator/platform.rs
+++ b/src/bin/tackhollow-emulator/platform.rs
@@ -63,6 +63,19 @@
     Silent,
 }
 
+/// How the responses of an upstream show where they end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ResponseFraming {
+    /// Streams by chunks, others by a length.
+    #[default]
+    Usual,
+    /// All by a length.
+    Length,
+    /// By the end of their connections.
+    UntilClose,
+}
+
 /// A row of the store.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -141,8 +154,8 @@
     pub work: Duration,
     /// Prefix of the request paths to which `behaviour` applies; others are served normally.
     pub only_path: String,
-    /// Whether its responses have neither a length nor chunks and end with their connections.
-    pub unframed: bool,
+    /// How its responses show where they end.
+    pub framing: ResponseFraming,
     /// Headers added to every response.
     pub signals: HeaderMap,
     /// Room for requests; `None` if it is unlimited.
--- a/src/bin/tackhollow-emulator/upstream.rs
+++ b/src/bin/tackhollow-emulator/upstream.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header::HeaderValue,
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{CONTENT_LENGTH, HeaderValue},
 };
 use tackhollow::gateway::net::{
     AnswerBody, BodyError, Service, channel_body, frame_until_close, full_body,
@@ -21,7 +23,7 @@
 
 use crate::{
     answer::empty,
-    platform::{Behaviour, Platform, Run},
+    platform::{Behaviour, Platform, ResponseFraming, Run},
     room::{Place, Rejection, Room},
 };
 
@@ -77,15 +79,19 @@
         if behaviour != Behaviour::Lose {
             self.platform.record_response(arrival, &self.id, &mut response);
         }
-        let state = self.platform.state.borrow();
-        match state.upstreams.get(&self.id).is_some_and(|u| u.unframed) {
-            true => frame_until_close(response),
-            false => response,
+        match self.framing() {
+            ResponseFraming::UntilClose => frame_until_close(response),
+            ResponseFraming::Usual | ResponseFraming::Length => response,
         }
     }
 }
 
 impl UpstreamService {
+    fn framing(&self) -> ResponseFraming {
+        let state = self.platform.state.borrow();
+        state.upstreams.get(&self.id).map_or_else(Default::default, |u| u.framing)
+    }
+
     /// Answers a health check, which counts neither as an arrival nor as a run.
     fn health(&self) -> Response<AnswerBody> {
         let state = self.platform.state.borrow();
@@ -291,10 +297,19 @@
         let first = header(headers, "last-event-id").parse::<u64>().unwrap_or_default() + 1;
         let (tx, rx) = channel(1);
         spawn_local(stream_events(tx, run, behaviour, first, events));
-        Response::new(channel_body(rx))
+        let mut response = Response::new(channel_body(rx));
+        if self.framing() == ResponseFraming::Length {
+            let bytes: usize = (first..=events).map(|i| event(i).len()).sum();
+            response.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(bytes));
+        }
+        response
     }
 }
 
+fn event(number: u64) -> Bytes {
+    Bytes::from(format!("id: {number}\ndata: token {number}\n\n"))
+}
+
 /// Behaviours that end a stream half-way through.
 const ENDS_MIDWAY: [Behaviour; 3] =
     [Behaviour::BreakMidway, Behaviour::EndMidway, Behaviour::EndAfterEvent];
@@ -322,8 +337,7 @@
             () = run.hang_if_restarted() => {}
             () = tx.closed() => return,
         }
-        let event = Bytes::from(format!("id: {i}\ndata: token {i}\n\n"));
-        if tx.send(Ok(event)).await.is_err() {
+        if tx.send(Ok(event(i))).await.is_err() {
             return;
         }
         tokio::select! {
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hyper::{Response, Version};
+use hyper::{Response, Version, header::CONTENT_LENGTH};
 use tokio::{
     sync::mpsc::{Sender, channel},
     task::spawn_local,
@@ -43,6 +43,10 @@
     let run = Run::new(answer, selected);
     platform::strip_hop_headers(&mut head.headers);
     head.version = Version::HTTP_11;
+    if forwarding.admitted.route.resumable {
+        // The rest from another upstream may have another length.
+        head.headers.remove(CONTENT_LENGTH);
+    }
     let status = head.status;
     let (tx, rx) = channel(QUEUE_FRAMES);
     spawn_local(async move {
--- a/tests/gateway_unframed_answers.rs
+++ b/tests/gateway_unframed_answers.rs
@@ -66,7 +66,7 @@
 /// Starts a gateway before one upstream of each service, whose answers end with their connections.
 fn unframed_site() -> Site {
     let site = Site::start(1, 1, 1);
-    site.unframe(true);
+    site.frame("until_close");
     site
 }
 
@@ -116,7 +116,7 @@
     ];
     for case in cases {
         let site = Site::start(1, 1, 0);
-        site.unframe(case.unframed);
+        site.frame(if case.unframed { "until_close" } else { "usual" });
         site.behave(None, case.behaviour);
         let name = format!("{}-{}", case.route, case.behaviour);
         let answer = thread::scope(|s| {
@@ -134,7 +134,7 @@
 fn streams_without_framing_are_broken_off_when_their_upstream_ends_between_events() {
     for (route, expected) in [("plan", Seen::Broken), ("digest", Seen::Whole)] {
         let site = Site::start(1, 1, 0);
-        site.unframe(true);
+        site.frame("until_close");
         let answer = thread::scope(|s| {
             let sending = s.spawn(|| send(&site, route, route));
             wait_until("the stream runs", || !site.runs(route).is_empty());
@@ -155,6 +155,21 @@
     assert_eq!((answer.body.as_str(), answer.complete), ("", false));
 }
 
+#[test]
+fn a_stream_with_a_length_is_resumed_to_its_end() {
+    let site = Site::start(1, 1, 0);
+    site.frame("length");
+    site.behave(None, "break_midway");
+    let answer = thread::scope(|s| {
+        let sending = s.spawn(|| send(&site, "digest", "digest"));
+        wait_until("the stream runs", || !site.runs("digest").is_empty());
+        site.add_known_upstream("llm");
+        sending.join().expect("a caller")
+    });
+    assert_eq!(seen("digest", &answer), Some(Seen::Whole), "{answer:?}");
+    assert_eq!(answer.header("content-length"), "", "the rest may have another length");
+}
+
 #[test]
 fn the_rest_of_a_stream_in_chunks_is_not_framed_as_complete_if_its_end_is_unknown() {
     let site = Site::start(1, 1, 0);
@@ -163,7 +178,7 @@
         let sending = s.spawn(|| send(&site, "digest", "digest"));
         wait_until("the stream runs", || !site.runs("digest").is_empty());
         let other = site.add_known_upstream("llm");
-        site.control("/framing", &json!({ "id": other, "unframed": true }));
+        site.control("/framing", &json!({ "id": other, "framing": "until_close" }));
         sending.join().expect("a caller")
     });
     assert!(answer.event_ids().iter().copied().eq(1..=EVENTS), "{answer:?}");
@@ -253,7 +268,7 @@
     ];
     let mut site = Site::start(1, 1, 0);
     for case in cases {
-        site.unframe(case.unframed);
+        site.frame(if case.unframed { "until_close" } else { "usual" });
         site.behave(None, case.behaviour);
         let to = site.gateways[0].callers;
         let ended = read_to_end(to, case.version, case.headers, || {
@@ -274,7 +289,7 @@
 fn whole_streams_of_unknown_length_end_without_a_reset() {
     let site = Site::start(1, 1, 0);
     for (version, unframed) in [("HTTP/1.1", true), ("HTTP/1.0", false), ("HTTP/1.0", true)] {
-        site.unframe(unframed);
+        site.frame(if unframed { "until_close" } else { "usual" });
         let text = read_to_end(site.gateways[0].callers, version, "", || {});
         let text = text.unwrap_or_else(|e| panic!("{version}, unframed {unframed}: {e}"));
         let last = format!("id: {EVENTS}\ndata: token {EVENTS}\n\n");
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -243,7 +243,7 @@
         let upstream = rng.usize(..self.upstreams.len());
         let early_end = EARLY_ENDS[rng.usize(..EARLY_ENDS.len())];
         let lasts = Duration::from_millis(rng.u64(500..2_000));
-        self.site.unframe(true);
+        self.site.frame("until_close");
         self.site.behave(Some(&self.upstreams[upstream]), early_end);
         self.due.push((Instant::now() + lasts, FaultEnd::Unframed(upstream)));
         *self.counts.entry("unframed").or_default() += 1;
@@ -435,7 +435,7 @@
             FaultEnd::Cuts => self.site.end_cuts(),
             FaultEnd::Unframed(n) => {
                 self.site.behave(Some(&self.upstreams[n]), "serve");
-                self.site.unframe(false);
+                self.site.frame("usual");
             }
             FaultEnd::Row(n) => {
                 let row = json!({ "id": self.upstreams[n], "back": true });
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -398,9 +398,10 @@
         self.control("/behaviour", &json!({ "id": id, "behaviour": behaviour }));
     }
 
-    /// Sets whether the answers of all upstreams end with their connections, without framing.
-    pub fn unframe(&self, unframed: bool) {
-        self.control("/framing", &json!({ "unframed": unframed }));
+    /// Sets how the answers of all upstreams show where they end: `usual`, `length` or
+    /// `until_close`.
+    pub fn frame(&self, framing: &str) {
+        self.control("/framing", &json!({ "framing": framing }));
     }
 
     /// Cuts some gateways off from all upstreams, in place of an earlier cut.
