The log names the version that an attempt goes to, and the stream that a caller takes up

The log of the incident could not tell resumed runs from streams that callers took up, nor at which version they ran. `attempt` has `version` and `resumes`. No decision changed.

--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -327,6 +327,8 @@
             upstreams_age_ms: self.gateway.knowledge_age_ms(WatchedData::Upstreams, now),
             leaving: selected.leaving,
             row_missing: selected.row_missing,
+            version: &selected.version,
+            resumes: self.outgoing.head.resumed.as_ref().map(|r| r.began_as.as_str()),
         });
         Some(selected)
     }
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -15,7 +15,7 @@
             Candidate, DisabledMechanisms, EngineSpeed, Mechanism, VersionGroup, choose_engine,
             choose_fewest_running, predicted_wait,
         },
-        model::{Lifetime, RequestDigest},
+        model::{Lifetime, RequestDigest, UpstreamVersion},
         peering::PrefixReport,
     },
     ids::UpstreamId,
@@ -58,6 +58,8 @@
     pub leaving: bool,
     /// Whether the upstream's row is missing from the store.
     pub row_missing: bool,
+    /// Version of the upstream's software.
+    pub version: UpstreamVersion,
     /// Side of a roll-out that the upstream belongs to; `None` without a roll-out.
     pub version_group: Option<VersionGroup>,
 }
@@ -111,6 +113,7 @@
     let (lifetime, leaving) = (view.lifetime, !view.takes_work());
     let row_missing = view.missing.is_some();
     let version_group = board.rollouts.version_group_of(&admitted.service, &view.upstream.version);
+    let version = view.upstream.version.clone();
     let missing = candidate.missing_tokens as u32;
     if let Some(shared) = shared {
         let capacity = engine_cache(admitted);
@@ -141,6 +144,7 @@
         revision,
         leaving,
         row_missing,
+        version,
         version_group,
     })
 }
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -358,6 +358,10 @@
         leaving: bool,
         /// Whether the upstream's row is missing.
         row_missing: bool,
+        /// Version of the upstream's software.
+        version: &'a str,
+        /// Attempt that began the stream which the caller takes up; `null` if it takes up none.
+        resumes: Option<&'a str>,
     },
     /// An attempt failed.
     AttemptFailed {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -34,6 +34,9 @@
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
 /// Identifier of the last event that the caller received; the stream resumes after it.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Identifier of the caller's attempt that brought the first event of the stream that a request
+/// takes up.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 
 /// Hop-by-hop headers, which apply to a single connection.
 const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
@@ -75,6 +78,13 @@
     pub parts: Vec<(prefix::Fingerprint, u32)>,
 }
 
+/// A stream that a caller takes up after its connection broke.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// Identifier of the caller's attempt that brought the first event; empty if it is not stated.
+    pub began_as: String,
+}
+
 /// Fields of a request head that this system uses.
 #[derive(Clone, Debug)]
 pub struct RequestHead {
@@ -88,6 +98,8 @@
     pub patience: Option<Duration>,
     /// The caller's API key.
     pub key: Option<String>,
+    /// The stream that the request takes up; `None` if it begins one, or none.
+    pub resumed: Option<ResumedStream>,
     /// Description of the prompt; `None` if the request is not for a model engine.
     pub prompt: Option<Prompt>,
 }
@@ -104,6 +116,9 @@
         path: parts.uri.path().to_owned(),
         patience,
         key: text(&API_KEY).map(str::to_owned),
+        resumed: parts.headers.contains_key(&LAST_EVENT_ID).then(|| ResumedStream {
+            began_as: text(&RESUMES).unwrap_or_default().trim().to_owned(),
+        }),
         prompt: text(&TOKEN_USAGE).and_then(|tokens| prompt(tokens, text(&PROMPT_PREFIX))),
     }
 }
