--- a/src/gateway/decide/mechanism.rs
+++ b/src/gateway/decide/mechanism.rs
@@ -21,13 +21,15 @@
     Tunnels,
     /// Care for upstreams that fall over when they have to reject requests.
     Brittleness,
+    /// Streams go on only at the software version that began them.
+    StreamVersions,
     /// Use of the largest recent requirement in place of the current one.
     NeedPeak,
 }
 
 impl Mechanism {
     /// All mechanisms with their names in the settings.
-    pub const NAMES: [(&'static str, Self); 10] = [
+    pub const NAMES: [(&'static str, Self); 11] = [
         ("learnt_speed", Self::LearntSpeed),
         ("known_caches", Self::KnownCaches),
         ("prefix_home", Self::PrefixHome),
@@ -37,6 +39,7 @@
         ("loss_cover", Self::LossCover),
         ("tunnels", Self::Tunnels),
         ("brittleness", Self::Brittleness),
+        ("stream_versions", Self::StreamVersions),
         ("need_peak", Self::NeedPeak),
     ];
 }
--- /dev/null
+++ b/tests/gateway_stream_versions.rs
@@ -0,0 +1,208 @@
+//! Streams go on only at upstreams of the software version that began them, within one answer and
+//! over a caller's attempts.
+
+mod support;
+
+use std::{
+    collections::BTreeSet,
+    thread,
+    time::{Duration, Instant},
+};
+
+use hyper::StatusCode;
+use serde_json::{Value, json};
+use support::{
+    gateways::{Answer, Call, Site, configuration},
+    wait_until,
+};
+
+/// Events of a stream that lasts 1.2 s.
+const EVENTS: u64 = 60;
+/// Time after which a caller loses its connection.
+const MIDWAY: Duration = Duration::from_millis(500);
+/// Streams that are taken up in a case.
+const STREAMS: usize = 12;
+/// Time in which an attempt that cannot be served must be refused.
+const AT_ONCE: Duration = Duration::from_millis(400);
+
+/// Starts gateways before two engines of each version.
+fn site(gateways: usize, versions: &[&str], off: &[&'static str]) -> Site {
+    let mut site = Site::bare();
+    site.disabled_mechanisms = off.to_vec();
+    site.configure(&configuration(7));
+    for version in versions {
+        (0..2).for_each(|_| drop(site.add_upstream_of("llm", version, Duration::ZERO)));
+    }
+    (0..gateways).for_each(|_| site.add_gateway());
+    site.wait_ready();
+    site
+}
+
+/// Returns a stream whose prompt starts with a part of its own, so that the engines that have parts
+/// of prompts do not decide where it runs.
+fn stream(id: &str) -> Call {
+    Call::stream("/digest/a", id, EVENTS).header("x-prompt-prefix", &format!("{id}:500,aa01:100"))
+}
+
+/// Returns a call that takes up a stream after its third event.
+fn take_up(began_as: &str, id: &str) -> Call {
+    stream(id).header("last-event-id", "3").header("resumes", began_as)
+}
+
+/// Begins streams at a gateway and leaves them midway. Returns their ids.
+fn begin_streams(site: &Site, gateway: usize, prefix: &str) -> Vec<String> {
+    let ids: Vec<String> = (0..STREAMS).map(|n| format!("{prefix}-{n}")).collect();
+    let to = site.gateways[gateway].callers;
+    thread::scope(|s| {
+        for id in &ids {
+            let call = stream(id).leaving_after(MIDWAY);
+            s.spawn(move || call.send(to));
+        }
+    });
+    ids
+}
+
+/// Returns the versions at which requests ran.
+fn versions(site: &Site, requests: &[&str]) -> BTreeSet<String> {
+    let runs = requests.iter().flat_map(|request| site.runs(request));
+    runs.filter_map(|r| r["version"].as_str().map(str::to_owned)).collect()
+}
+
+/// Takes streams up at a gateway. Returns how many went on, and how many of them at another version.
+fn take_up_all(site: &Site, gateway: usize, began: &[String]) -> (usize, usize) {
+    let to = site.gateways[gateway].callers;
+    let next = |id: &String| format!("{id}-next");
+    let answers: Vec<Answer> = thread::scope(|s| {
+        let calls = began.iter().map(|id| take_up(id, &next(id)));
+        let sending: Vec<_> =
+            calls.map(|call| s.spawn(move || call.send(to).expect("an answer"))).collect();
+        sending.into_iter().map(|s| s.join().expect("a caller")).collect()
+    });
+    let served = answers.iter().filter(|a| a.status == StatusCode::OK && a.complete);
+    let changed = began.iter().filter(|id| versions(site, &[id, &next(id)]).len() > 1);
+    (served.count(), changed.count())
+}
+
+#[test]
+fn streams_that_callers_take_up_go_on_at_the_version_that_began_them() {
+    struct Case {
+        name: &'static str,
+        beginner_killed: bool,
+        gateway: usize,
+    }
+    let cases = [
+        Case { name: "same-gateway", beginner_killed: false, gateway: 0 },
+        Case { name: "other-gateway", beginner_killed: false, gateway: 1 },
+        Case { name: "beginner-killed", beginner_killed: true, gateway: 2 },
+    ];
+    let mut site = site(5, &["v1", "v2", "v3"], &[]);
+    for case in cases {
+        let began = begin_streams(&site, 0, case.name);
+        if case.beginner_killed {
+            site.gateways[0].kill();
+        }
+        let went_on = take_up_all(&site, case.gateway, &began);
+        assert_eq!(went_on, (STREAMS, 0), "{}", case.name);
+    }
+}
+
+#[test]
+fn streams_change_versions_without_the_mechanism() {
+    let site = site(3, &["v1", "v2", "v3"], &["stream_versions"]);
+    let began = begin_streams(&site, 0, "off");
+    let (_, changed) = take_up_all(&site, 1, &began);
+    assert!(changed > 2, "the test cannot fail");
+}
+
+#[test]
+fn a_stream_is_resumed_within_its_answer_at_its_own_version_only() {
+    struct Case {
+        name: &'static str,
+        other: &'static str,
+        whole: bool,
+    }
+    let cases = [
+        Case { name: "same version", other: "v1", whole: true },
+        Case { name: "another version", other: "v2", whole: false },
+    ];
+    for case in cases {
+        let mut site = Site::bare();
+        site.configure(&configuration(7));
+        site.add_upstream_of("llm", "v1", Duration::ZERO);
+        site.add_gateway();
+        site.wait_ready();
+        site.behave(None, "break_midway");
+        let to = site.gateways[0].callers;
+        let answer: Answer = thread::scope(|s| {
+            let call = Call::stream("/digest/a", "stream", EVENTS);
+            let sending = s.spawn(move || call.send(to).expect("an answer"));
+            wait_until("the stream runs", || !site.runs("stream").is_empty());
+            site.wait_known(&site.add_upstream_of("llm", case.other, Duration::ZERO));
+            sending.join().expect("a caller")
+        });
+        assert_eq!(answer.complete, case.whole, "{}: {answer:?}", case.name);
+        assert_eq!(versions(&site, &["stream"]).len(), 1, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_attempt_that_broke_off_before_its_first_event_may_change_versions() {
+    let site = site(1, &["v1", "v2"], &[]);
+    for id in ["i-1", "i-2"] {
+        site.behave(Some(id), "lose");
+    }
+    for n in 0..6 {
+        let id = format!("free-{n}");
+        let call = Call::stream("/digest/a", &id, 4);
+        let answer = call.send(site.gateways[0].callers).expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "{id}: {}", answer.body);
+    }
+}
+
+/// Sends a call that must be refused at once and must not run.
+fn assert_refused(site: &Site, name: &str, call: &Call) {
+    let sent = Instant::now();
+    let answer = call.send(site.gateways[1].callers).expect(name);
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{name}: {}", answer.body);
+    assert!(sent.elapsed() < AT_ONCE, "{name}: after {:?}", sent.elapsed());
+    let id = call.headers.iter().find(|(n, _)| *n == "x-request-id").expect("an id").1.clone();
+    assert!(site.runs(&id).is_empty(), "{name} ran");
+}
+
+#[test]
+fn streams_of_unknown_versions_are_refused_at_once() {
+    let site = site(3, &["v1", "v2"], &[]);
+    let began = begin_streams(&site, 0, "known");
+    let unstated = Call::stream("/digest/a", "unstated", EVENTS).header("last-event-id", "3");
+    assert_refused(&site, "no id", &unstated);
+    assert_refused(&site, "an id that nobody sent", &take_up("forged", "forged-next"));
+    let foreign = take_up(&began[0], "foreign").header("x-key", "small-key");
+    assert_refused(&site, "the id of another customer's stream", &foreign);
+}
+
+#[test]
+fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let site = site(3, &["v1", "v2"], &[]);
+    let began = begin_streams(&site, 0, "gone");
+    let ran = site.runs(&began[0])[0]["version"].as_str().expect("a version").to_owned();
+    let of_version: Vec<&str> = if ran == "v1" { vec!["i-1", "i-2"] } else { vec!["i-3", "i-4"] };
+    for id in &of_version {
+        site.control("/remove", &json!({ "id": id }));
+    }
+    let is_gone = |l: &Value, id: &str| l["upstream"] == id && l["state"] == "gone";
+    wait_until("the version is gone", || {
+        of_version.iter().all(|id| site.gateways[1].log().iter().any(|l| is_gone(l, id)))
+    });
+    assert_refused(&site, "gone", &take_up(&began[0], "after-gone"));
+}
+
+#[test]
+fn streams_go_on_where_one_version_serves_also_if_nobody_knows_them() {
+    let site = site(3, &["v1"], &[]);
+    wait_until("the gateways have seen one version only for long enough", || {
+        let call = take_up("unknown", "probe");
+        call.send(site.gateways[1].callers).is_some_and(|a| a.status == StatusCode::OK)
+    });
+    let answer = take_up("unknown", "goes-on").send(site.gateways[2].callers).expect("an answer");
+    assert_eq!((answer.status, answer.complete), (StatusCode::OK, true), "{}", answer.body);
+}
