Streams go on only at the software version that began them

Causes: a resumed run was sent to any upstream; and no gateway knew at which version another's stream had begun (Resumes was not read). Class: what an attempt had fixed for those after it was known to that attempt alone.

- The version is part of the choice once the first event has been passed on.
None left: broken off.
- With its first event a stream's version is told to three gateways in different data centres, found by rendezvous hashing of customer, service and attempt.
A gateway that a caller takes a stream up at asks them (four, 150 ms).
What nobody knows is refused at once, unless the service has had one version for longer than a stream lasts: a gateway that has seen that says so.
- Attempts before the first event may go to any version.

--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -17,6 +17,7 @@
 mod removals;
 mod rollouts;
 mod store;
+mod stream_versions;
 mod upstream;
 
 use std::{
@@ -34,8 +35,8 @@
         Candidate, CapacityRecord, CooldownTracker, CrashTracker, DisabledMechanisms, EngineSpeed,
         InterruptedAttempts, LeavingTracker, LoadMeter, Mechanism, PeerCorrectedClock,
         PrefixCacheEstimate, QuotaLimiter, RateLimiter, RequestCost, RolloutTracker, RoomGrants,
-        ServiceRetryBudgets, SpeedModel, StoreClock, StoreMillis, StoreStability, SyncPoint,
-        TrialTurn, TunnelPeers, UpstreamPaths, UsageCounters,
+        ServiceRetryBudgets, SpeedModel, StoreClock, StoreMillis, StoreStability, StreamVersions,
+        SyncPoint, TrialTurn, TunnelPeers, UpstreamPaths, UsageCounters, VersionHistory,
     },
     model::{Configuration, Lifetime, Revision, ServiceName, Upstream, WatchedData},
     peering::{LoadReport, PrefixReport, ProcessId, RecentChanges, SpeedReport, UpstreamSnapshot},
@@ -124,6 +125,10 @@
     pub paths: UpstreamPaths,
     /// Outcomes of connections through other gateways, by their addresses for other gateways.
     pub tunnel_outcomes: TunnelPeers<SocketAddr>,
+    /// Versions at which streams began, here or at gateways that told this one.
+    pub stream_versions: StreamVersions,
+    /// Versions of each service that were listed lately.
+    pub version_history: VersionHistory,
     /// Roll-outs of new upstream versions.
     pub rollouts: RolloutTracker,
     /// Retry budget.
@@ -191,6 +196,8 @@
             rests: CooldownTracker::default(),
             paths: UpstreamPaths::default(),
             tunnel_outcomes: TunnelPeers::default(),
+            stream_versions: StreamVersions::default(),
+            version_history: VersionHistory::new(now),
             rollouts: RolloutTracker::default(),
             retries: ServiceRetryBudgets::default(),
             crashes: CrashTracker::default(),
@@ -299,6 +306,8 @@
     pub fn apply_description(&mut self, upstream: Upstream, now: Instant) -> DescriptionChange {
         let id = upstream.id.clone();
         let seen = self.upstreams_seen(now);
+        self.note_version(&id, now);
+        self.version_history.note(&upstream.service, &upstream.version, now);
         let (described, lifetime) = match self.upstreams.get_mut(&id) {
             Some(view) => (view.update(upstream, seen, now), view.lifetime),
             None => {
@@ -315,6 +324,18 @@
         described
     }
 
+    /// Removes an upstream.
+    pub fn remove_upstream(&mut self, id: &UpstreamId, now: Instant) -> Option<UpstreamView> {
+        self.note_version(id, now);
+        self.upstreams.remove(id)
+    }
+
+    fn note_version(&mut self, id: &UpstreamId, now: Instant) {
+        if let Some(view) = self.upstreams.get(id) {
+            self.version_history.note(&view.upstream.service, &view.upstream.version, now);
+        }
+    }
+
     /// Returns an upstream if it is still in the given lifetime.
     pub fn in_lifetime(
         &mut self,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -10,7 +10,7 @@
     net::{Phase, Pool, Shutdown},
     peering::ProcessId,
     reactor::ControllerWaker,
-    request::{PermitRequests, UpstreamProbes},
+    request::{PermitRequests, StreamVersionQuestions, UpstreamProbes},
     telemetry::{Event, GatewayMetrics, Journal},
 };
 use crate::{
@@ -40,6 +40,8 @@
     pub upstream_probes: UpstreamProbes,
     /// Borrows requests from other gateways' shares of upstream rate limits.
     pub permit_requests: PermitRequests,
+    /// Asks other gateways at which versions streams began.
+    pub stream_version_questions: StreamVersionQuestions,
     /// Client of the platform's store.
     pub store: StoreClient,
     /// Client of the platform's API for engine orders and usage reports.
@@ -76,6 +78,7 @@
             pool: Pool::default(),
             upstream_probes: UpstreamProbes::default(),
             permit_requests: PermitRequests::default(),
+            stream_version_questions: StreamVersionQuestions::default(),
             store,
             duties,
             shutdown: Shutdown::default(),
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -284,7 +284,7 @@
         let mut board = self.gateway.board.borrow_mut();
         // Recorded even if it is unknown here: gateways that ask for changes may still list it.
         board.removals.note(revision, id.clone());
-        let Some(view) = board.upstreams.remove(id) else {
+        let Some(view) = board.remove_upstream(id, now) else {
             return;
         };
         board.recent_changes.push(revision, UpstreamChange::Gone(id.clone()), now);
--- a/src/gateway/controllers/missing_rows.rs
+++ b/src/gateway/controllers/missing_rows.rs
@@ -7,6 +7,7 @@
 
 use super::{Source, directory::Directory};
 use crate::{
+    clock,
     gateway::{
         board::{MissingRow, MissingRowChange, UpstreamView},
         decide::{CheckResult, Removal, StoreMillis},
@@ -187,7 +188,7 @@
         let mut board = self.gateway.board.borrow_mut();
         board.recent_changes.amend(id, UpstreamChange::Gone(id.clone()));
         drop(board);
-        self.drop_upstreams(vec![id.clone()]);
+        self.drop_upstreams(vec![id.clone()], clock::now());
     }
 
     /// Drops upstreams whose rows did not return in time, or at once if some gateway saw the store
@@ -200,14 +201,14 @@
         let missing = board.upstreams.iter().filter(|(_, v)| expired(v));
         let ids: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
         drop(board);
-        self.drop_upstreams(ids);
+        self.drop_upstreams(ids, now);
     }
 
-    fn drop_upstreams(&self, ids: Vec<UpstreamId>) {
+    fn drop_upstreams(&self, ids: Vec<UpstreamId>, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
         let revision = board.upstreams_position();
         let gone: Vec<UpstreamView> =
-            ids.iter().filter_map(|id| board.upstreams.remove(id)).collect();
+            ids.iter().filter_map(|id| board.remove_upstream(id, now)).collect();
         ids.into_iter().for_each(|id| board.removals.note(revision, id));
         drop(board);
         for view in &gone {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -82,6 +82,7 @@
     let controllers = Rc::new(Controllers::start(&mut stakker, &gateway, socket.clone()));
     gateway.set_controllers(controllers);
     gateway.permit_requests.set_socket(socket.clone());
+    gateway.stream_version_questions.set_socket(socket.clone());
     spawn_local(receive(gateway.clone(), socket));
     for followed in WatchedData::ALL {
         spawn_local(follow_table(gateway.clone(), followed));
@@ -131,6 +132,7 @@
                 gateway.send_to_controllers(|c| call!([c.crashes], hear(notice)))
             }
             Ok(Datagram::Limit(question)) => gateway.handle_limit_question(question, from),
+            Ok(Datagram::StreamVersion(message)) => gateway.handle_stream_version(message, from),
             Err(e) => log::warn!("datagram from {from} cannot be decoded: {e}"),
         }
     }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -30,6 +30,7 @@
 mod row_check;
 mod speed;
 mod store_stability;
+mod stream_versions;
 mod tunnel_peers;
 mod upstream_health;
 mod upstream_paths;
@@ -85,6 +86,9 @@
 pub use row_check::{CHECK_RETRY_DELAY, CheckRange, CheckResult};
 pub use speed::{EngineSpeed, FirstTokenSample, SpeedModel};
 pub use store_stability::StoreStability;
+pub use stream_versions::{
+    STREAM_LIFETIME, StreamVersions, VersionHistory, VersionKeeper, choose_keepers,
+};
 pub use tunnel_peers::{TunnelPeers, choose_listed_gateways};
 pub use upstream_health::{AttemptOutcome, UpstreamHealth};
 pub use upstream_paths::{PathChange, UpstreamPaths};
--- /dev/null
+++ b/src/gateway/decide/stream_versions.rs
@@ -0,0 +1,120 @@
+//! Software versions of upstreams, for streams that go on after an interruption: what two versions
+//! write does not fit together, and upstreams do not check it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use super::ShareHolder;
+use crate::{
+    gateway::model::{RequestDigest, ServiceName, UpstreamVersion},
+    ids::DataCentre,
+    prefix,
+};
+
+/// Time from the first event of a stream within which it may be taken up. A shorter one refuses
+/// callers of long streams; a longer one takes memory, and lets fewer restarted gateways say that
+/// only one version has served.
+pub const STREAM_LIFETIME: Duration = Duration::from_secs(30);
+/// Streams that one gateway remembers. With more, the oldest are forgotten, and refused if callers
+/// take them up.
+const MAX_STREAMS: usize = 1 << 14;
+
+/// The versions at which streams began.
+#[derive(Debug, Default)]
+pub struct StreamVersions {
+    versions: HashMap<RequestDigest, UpstreamVersion>,
+    /// The streams, oldest first, and when each began.
+    began: VecDeque<(RequestDigest, Instant)>,
+}
+
+impl StreamVersions {
+    /// Notes that a stream began at a version.
+    pub fn note(&mut self, stream: RequestDigest, version: UpstreamVersion, now: Instant) {
+        self.forget_old(now);
+        if self.versions.insert(stream, version).is_none() {
+            self.began.push_back((stream, now));
+        }
+    }
+
+    /// Returns the version at which a stream began, if that is known.
+    pub fn get(&self, stream: RequestDigest) -> Option<&UpstreamVersion> {
+        self.versions.get(&stream)
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        while let Some((stream, at)) = self.began.front() {
+            let is_old = now.saturating_duration_since(*at) >= STREAM_LIFETIME;
+            if !is_old && self.began.len() < MAX_STREAMS {
+                return;
+            }
+            self.versions.remove(stream);
+            self.began.pop_front();
+        }
+    }
+}
+
+/// When each version of each service was last listed.
+#[derive(Debug)]
+pub struct VersionHistory {
+    since: Instant,
+    last_listed: BTreeMap<ServiceName, BTreeMap<UpstreamVersion, Instant>>,
+}
+
+impl VersionHistory {
+    /// Creates the history of a process that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self { since: now, last_listed: BTreeMap::new() }
+    }
+
+    /// Notes that a version is listed, or was listed until now.
+    pub fn note(&mut self, service: &ServiceName, version: &UpstreamVersion, now: Instant) {
+        let of_service = self.last_listed.entry(service.clone()).or_default();
+        of_service.retain(|_, at| now.saturating_duration_since(*at) < STREAM_LIFETIME);
+        of_service.insert(version.clone(), now);
+    }
+
+    /// Returns the only version of a service at which a stream that goes on may have begun; `None`
+    /// if there are several, or the history is too short to know. `listed` are those listed now.
+    pub fn sole<'a>(
+        &'a self,
+        service: &ServiceName,
+        listed: impl Iterator<Item = &'a UpstreamVersion>,
+        now: Instant,
+    ) -> Option<&'a UpstreamVersion> {
+        if now.saturating_duration_since(self.since) < STREAM_LIFETIME {
+            return None;
+        }
+        let recent = |at: Instant| now.saturating_duration_since(at) < STREAM_LIFETIME;
+        let earlier = self.last_listed.get(service).into_iter().flatten();
+        let earlier = earlier.filter(|(_, at)| recent(**at)).map(|(version, _)| version);
+        let versions: BTreeSet<_> = listed.chain(earlier).collect();
+        if versions.len() == 1 { versions.into_iter().next() } else { None }
+    }
+}
+
+/// A gateway that may remember the versions of streams for the others.
+#[derive(Clone, Debug)]
+pub struct VersionKeeper<A> {
+    /// The gateway, by its host.
+    pub holder: ShareHolder,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its address.
+    pub address: A,
+}
+
+/// Chooses `count` gateways that remember the version of a stream, by rendezvous hashing, so that
+/// those that ask find those that were told. They are in different data centres as far as possible.
+pub fn choose_keepers<A>(
+    stream: RequestDigest,
+    mut gateways: Vec<VersionKeeper<A>>,
+    count: usize,
+) -> Vec<VersionKeeper<A>> {
+    gateways.sort_by_cached_key(|g| prefix::mix(g.holder.seed() ^ stream.seed()));
+    let mut used = BTreeSet::new();
+    let (first, rest): (Vec<_>, Vec<_>) =
+        gateways.into_iter().partition(|g| used.insert(g.data_centre.clone()));
+    first.into_iter().chain(rest).take(count).collect()
+}
--- a/src/gateway/model/digest.rs
+++ b/src/gateway/model/digest.rs
@@ -27,6 +27,11 @@
         first.copy_from_slice(&hash[..16]);
         Self(u128::from_be_bytes(first))
     }
+
+    /// Returns a seed for hashes of the request.
+    pub fn seed(self) -> u64 {
+        self.0 as u64
+    }
 }
 
 impl fmt::Display for RequestDigest {
--- a/src/gateway/peering/datagram.rs
+++ b/src/gateway/peering/datagram.rs
@@ -1,8 +1,9 @@
 //! Datagrams between gateways, distinguished by their first byte.
 
 use super::{
-    CrashNotice, Heartbeat, LimitShareMessage, RelayedHeartbeat, WireError,
+    CrashNotice, Heartbeat, LimitShareMessage, RelayedHeartbeat, StreamVersionMessage, WireError,
     crash_notice::CRASH_NOTICE_FORMAT, heartbeat::decode_heartbeats, limit_share::LIMIT_FORMAT,
+    stream_version::STREAM_VERSION_FORMAT,
 };
 use crate::gateway::decide::relay_order;
 
@@ -15,6 +16,8 @@
     Crashes(CrashNotice),
     /// A request for a share of a rate limit, or the answer to one.
     Limit(LimitShareMessage),
+    /// A message about the version at which a stream began.
+    StreamVersion(StreamVersionMessage),
 }
 
 impl Datagram {
@@ -27,6 +30,9 @@
         match datagram.split_first() {
             Some((&CRASH_NOTICE_FORMAT, notice)) => CrashNotice::decode(notice).map(Self::Crashes),
             Some((&LIMIT_FORMAT, message)) => LimitShareMessage::decode(message).map(Self::Limit),
+            Some((&STREAM_VERSION_FORMAT, message)) => {
+                StreamVersionMessage::decode(message).map(Self::StreamVersion)
+            }
             _ => decode_heartbeats(datagram)
                 .map(|(heartbeat, relayed)| Self::Heartbeats(Box::new(heartbeat), relayed)),
         }
--- a/src/gateway/peering/mod.rs
+++ b/src/gateway/peering/mod.rs
@@ -5,6 +5,7 @@
 mod heartbeat;
 mod limit_share;
 mod snapshot;
+mod stream_version;
 
 pub use crash_notice::{CrashNotice, decode_verdicts, encode_verdicts};
 pub use datagram::{Datagram, datagrams};
@@ -14,3 +15,4 @@
 };
 pub use limit_share::LimitShareMessage;
 pub use snapshot::{RecentChanges, UpstreamChange, UpstreamSnapshot};
+pub use stream_version::{KnownVersion, StreamVersionMessage};
--- /dev/null
+++ b/src/gateway/peering/stream_version.rs
@@ -0,0 +1,68 @@
+//! The datagrams with which gateways tell each other at which software version a stream began.
+
+use serde::{Deserialize, Serialize};
+
+use super::WireError;
+use crate::gateway::model::{RequestDigest, ServiceName, UpstreamVersion};
+
+/// First byte of the datagram.
+pub(super) const STREAM_VERSION_FORMAT: u8 = 67;
+
+/// What a gateway knows of the version at which a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KnownVersion {
+    /// It was told of the stream.
+    Recorded(UpstreamVersion),
+    /// It was not, but the service has had only this version for longer than a stream lasts.
+    Sole(UpstreamVersion),
+    /// Neither.
+    Unknown,
+}
+
+/// Tells, asks or answers at which version a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamVersionMessage {
+    /// A stream has begun.
+    Began {
+        /// The stream.
+        stream: RequestDigest,
+        /// Version of the upstream that sent its first event.
+        version: UpstreamVersion,
+    },
+    /// Asks for the version of a stream.
+    Ask {
+        /// Number of the question, repeated in the answer.
+        number: u64,
+        /// The stream.
+        stream: RequestDigest,
+        /// Service of the stream.
+        service: ServiceName,
+    },
+    /// Answers a question.
+    Answer {
+        /// Number of the question.
+        number: u64,
+        /// What the sender knows.
+        known: KnownVersion,
+    },
+}
+
+impl StreamVersionMessage {
+    /// Encodes the datagram, including its first byte.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, WireError> {
+        Ok(postcard::to_extend(self, vec![STREAM_VERSION_FORMAT])?)
+    }
+
+    /// Decodes the bytes after the first one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are no such message.
+    pub(super) fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+        Ok(postcard::from_bytes(bytes)?)
+    }
+}
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -26,8 +26,8 @@
     clock,
     gateway::{
         context::Gateway,
-        decide::{AttemptOutcome, RetryPolicy, RouteKey, VersionGroup},
-        model::{RequestDigest, RequestKind, WatchedData},
+        decide::{AttemptOutcome, Mechanism, RetryPolicy, RouteKey, VersionGroup},
+        model::{RequestDigest, RequestKind, UpstreamVersion, WatchedData},
         net::{AnswerBody, BodyEnd, ConnectError, Framing, Phase, frame_until_close, full_body},
         telemetry::Event,
     },
@@ -67,6 +67,8 @@
     pub(super) counted: Cell<bool>,
     /// Side of a roll-out that the latest attempt went to; `None` without a roll-out.
     version_group: Option<VersionGroup>,
+    /// Version at which the caller's stream began, and must go on; `None` before its first event.
+    pub(super) stream_version: Option<UpstreamVersion>,
     /// Framing of the latest upstream's answer; `None` before one answered.
     pub(super) framing: Option<Framing>,
     /// Whether the latest upstream's stream ended inside an event.
@@ -128,6 +130,7 @@
         runs: 0,
         counted: Cell::new(false),
         version_group: None,
+        stream_version: None,
         framing: None,
         inside_event: false,
         _in_progress: in_progress,
@@ -179,7 +182,43 @@
 }
 
 impl Forwarding {
+    /// Finds out at which version the stream began that the caller takes up, if it takes up one.
+    async fn pin_version(&mut self) -> Result<(), Refusal> {
+        let resumed = self.outgoing.head.resumed.as_ref();
+        let Some(resumed) = resumed.filter(|_| self.pins_versions()) else {
+            return Ok(());
+        };
+        let stream = self.stream_digest(&resumed.began_as);
+        let found = self.gateway.find_stream_version(stream, &self.admitted.service).await;
+        self.stream_version = Some(found.ok_or(Refusal::StreamVersionUnknown)?);
+        Ok(())
+    }
+
+    /// Notes that the first event of the caller's stream comes from this upstream. The stream goes
+    /// on only at upstreams of the same version.
+    pub(super) fn note_stream_began(&mut self, selected: &Selected) {
+        if self.pins_versions() {
+            let stream = self.stream_digest(&self.outgoing.head.id);
+            self.gateway.note_stream_began(stream, &selected.version);
+            self.stream_version = Some(selected.version.clone());
+        }
+    }
+
+    fn pins_versions(&self) -> bool {
+        let off = &self.gateway.settings.borrow().off;
+        self.admitted.route.resumable && off.is_enabled(Mechanism::StreamVersions)
+    }
+
+    /// Returns the digest of a stream by the attempt that began it. Those of other customers and
+    /// services differ, so that nobody takes up a stream of theirs.
+    fn stream_digest(&self, began_as: &str) -> RequestDigest {
+        let customer = self.admitted.customer.as_deref().unwrap_or_default();
+        let texts = [customer, &self.admitted.service, began_as].map(str::as_bytes);
+        RequestDigest::of(&texts)
+    }
+
     async fn first_answer(&mut self) -> Result<Reply, Refusal> {
+        self.pin_version().await?;
         loop {
             let isolated = self.await_send_permission().await?;
             let Some(selected) = self.select(isolated) else {
@@ -302,10 +341,19 @@
             return None;
         }
         let now = clock::now();
-        let version_group = self.choose_version_group(now);
+        let version_group = match self.stream_version {
+            Some(_) => None,
+            None => self.choose_version_group(now),
+        };
         let prompt = self.outgoing.head.prompt.as_ref();
-        let criteria =
-            Criteria { digest: self.digest, prompt, tried: &self.tried, version_group, isolated };
+        let criteria = Criteria {
+            digest: self.digest,
+            prompt,
+            tried: &self.tried,
+            version: self.stream_version.as_ref(),
+            version_group,
+            isolated,
+        };
         let selected = select(&self.gateway, &self.admitted, &criteria, now)?;
         self.tried.push(selected.id.clone());
         self.attempted_at = now;
@@ -377,6 +425,12 @@
             return Refusal::Broken;
         }
         let board = self.gateway.board.borrow();
+        if let Some(version) = &self.stream_version {
+            let mut of_service = board.of_service(&self.admitted.service);
+            if !of_service.any(|v| v.upstream.version == *version) {
+                return Refusal::StreamVersionGone;
+            }
+        }
         let wait = board.service_hold_off(&self.admitted.service, clock::now());
         wait.map_or(Refusal::NoRoom, Refusal::HeldOff)
     }
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -19,6 +19,7 @@
 mod select;
 mod signals;
 mod status;
+mod stream_versions;
 mod tunnel;
 
 pub use admit::{Admitted, admit};
@@ -30,3 +31,4 @@
 pub use outcome::Outcome;
 pub use permits::PermitRequests;
 pub use refusal::Refusal;
+pub use stream_versions::StreamVersionQuestions;
--- a/src/gateway/request/refusal.rs
+++ b/src/gateway/request/refusal.rs
@@ -51,6 +51,13 @@
     /// that the copy is expected to take.
     #[error("a copy of this request runs, after upstreams ended under it")]
     CopyRuns(Duration),
+    /// Nobody knows at which version the stream began that the caller takes up. A retry would be
+    /// refused too.
+    #[error("the software version that began this stream is not known; it has not run")]
+    StreamVersionUnknown,
+    /// No upstream has the version at which the stream began that the caller takes up.
+    #[error("no upstream has the software version that began this stream; it has not run")]
+    StreamVersionGone,
     /// No upstream has capacity; the request has not run.
     #[error("no upstream has room")]
     NoRoom,
@@ -80,6 +87,8 @@
             | Self::ConfigurationOld
             | Self::CrashesUpstreams
             | Self::CopyRuns(_)
+            | Self::StreamVersionUnknown
+            | Self::StreamVersionGone
             | Self::NoRoom
             | Self::HeldOff(_)
             | Self::Leaving
@@ -106,6 +115,8 @@
             Self::QuotaUsedUp(_) => "quota_used_up",
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::CopyRuns(_) => "copy_runs",
+            Self::StreamVersionUnknown => "stream_version_unknown",
+            Self::StreamVersionGone => "stream_version_gone",
             Self::NoRoom => "no_room",
             Self::HeldOff(_) => "held_off",
             Self::Leaving => "leaving",
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -50,8 +50,14 @@
     let status = head.status;
     let (tx, rx) = channel(QUEUE_FRAMES);
     spawn_local(async move {
-        let mut relay =
-            Relay { forwarding, framing, tx, events: EventSplitter::default(), first_data: None };
+        let mut relay = Relay {
+            forwarding,
+            framing,
+            tx,
+            events: EventSplitter::default(),
+            first_data: None,
+            began: false,
+        };
         let outcome = relay.relay_runs(run).await;
         relay.forwarding.answered(status, outcome, relay.first_data);
     });
@@ -104,6 +110,8 @@
     tx: Sender<Result<Bytes, BodyError>>,
     events: EventSplitter,
     first_data: Option<Instant>,
+    /// Whether events were passed on.
+    began: bool,
 }
 
 impl Relay {
@@ -174,6 +182,10 @@
             run.selected.in_flight.prompt_read();
             let whole = self.events.push(&data);
             let data = if self.forwarding.admitted.route.resumable { whole } else { data };
+            if !self.began && !data.is_empty() {
+                self.began = true;
+                self.forwarding.note_stream_began(&run.selected);
+            }
             let sent = tokio::select! {
                 sent = self.tx.send(Ok(data)) => sent.is_ok(),
                 () = deadline.as_mut() => return RunEnd::TimeOver,
--- a/src/gateway/request/select.rs
+++ b/src/gateway/request/select.rs
@@ -87,7 +87,9 @@
     pub prompt: Option<&'a Prompt>,
     /// Upstreams chosen for earlier attempts, which are excluded.
     pub tried: &'a [UpstreamId],
-    /// Side of a roll-out that the request goes to; `None` without a roll-out.
+    /// Version at which the request must run; `None` if any will do.
+    pub version: Option<&'a UpstreamVersion>,
+    /// Side of a roll-out that the request goes to; `None` without a roll-out or with a version.
     pub version_group: Option<VersionGroup>,
     /// Whether upstream ends were attributed to the request, so that it must run isolated from
     /// other suspects, at the upstream whose end would interrupt the fewest requests.
@@ -184,8 +186,13 @@
     };
     let board = gateway.board.borrow();
     let exposure = gateway.settings.borrow().bounds.exposure;
-    let mut open =
-        board.upstreams_for_version_group(&admitted.service, criteria.version_group, exposure, now);
+    let service = &admitted.service;
+    let mut open = match criteria.version {
+        Some(version) => {
+            board.of_service(service).filter(|v| v.upstream.version == *version).collect()
+        }
+        None => board.upstreams_for_version_group(service, criteria.version_group, exposure, now),
+    };
     open.retain(|v| !criteria.tried.contains(&v.upstream.id));
     let open = with_room(&board, open, &off, now);
     let open = with_capacity(&board, open, now);
--- /dev/null
+++ b/src/gateway/request/stream_versions.rs
@@ -0,0 +1,167 @@
+//! Finds out at which software version a stream began that a caller takes up at any gateway.
+
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc::{UnboundedSender, unbounded_channel},
+    time::timeout,
+};
+
+use crate::{
+    clock,
+    gateway::{
+        context::Gateway,
+        model::{RequestDigest, ServiceName, UpstreamVersion},
+        peering::{KnownVersion, StreamVersionMessage},
+    },
+};
+
+/// Gateways that are told of a stream, besides the one where it began. With fewer, more streams are
+/// refused after gateways were lost together.
+const KEEPERS: usize = 3;
+/// Gateways that are asked about a stream: one more than are told, since the asking gateway may know
+/// of another that the telling one did not.
+const KEEPERS_TO_ASK: usize = KEEPERS + 1;
+/// Time for which answers of other gateways are awaited. A shorter one refuses streams whose
+/// keepers are far away; a longer one delays the refusal of those that nobody knows.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Questions to other gateways that await answers.
+#[derive(Debug, Default)]
+pub struct StreamVersionQuestions {
+    socket: OnceCell<Rc<UdpSocket>>,
+    pending: RefCell<HashMap<u64, UnboundedSender<KnownVersion>>>,
+    last_number: Cell<u64>,
+}
+
+/// Removes a question when it is dropped.
+struct QuestionGuard<'a> {
+    questions: &'a StreamVersionQuestions,
+    number: u64,
+}
+
+impl Drop for QuestionGuard<'_> {
+    fn drop(&mut self) {
+        self.questions.pending.borrow_mut().remove(&self.number);
+    }
+}
+
+impl StreamVersionQuestions {
+    /// Sets the heartbeat socket, which also carries these messages.
+    pub fn set_socket(&self, socket: Rc<UdpSocket>) {
+        if self.socket.set(socket).is_err() {
+            log::error!("the socket for the versions of streams is already set");
+        }
+    }
+
+    fn send(&self, message: &StreamVersionMessage, to: &[SocketAddr]) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let datagram = match message.encode() {
+            Ok(datagram) => datagram,
+            Err(e) => return log::error!("the version of a stream cannot be encoded: {e}"),
+        };
+        for address in to {
+            if let Err(e) = socket.try_send_to(&datagram, *address) {
+                log::debug!("the version of a stream was not sent to {address}: {e}");
+            }
+        }
+    }
+
+    /// Asks gateways at which version a stream began; returns their answers' sum with `own`.
+    async fn ask(
+        &self,
+        stream: RequestDigest,
+        service: &ServiceName,
+        keepers: &[SocketAddr],
+        own: KnownVersion,
+    ) -> KnownVersion {
+        let number = self.last_number.get().wrapping_add(1);
+        self.last_number.set(number);
+        let (tx, mut rx) = unbounded_channel();
+        self.pending.borrow_mut().insert(number, tx);
+        let _guard = QuestionGuard { questions: self, number };
+        let question = StreamVersionMessage::Ask { number, stream, service: service.clone() };
+        self.send(&question, keepers);
+        let mut sum = own;
+        let collecting = async {
+            for _ in keepers {
+                match rx.recv().await {
+                    Some(known @ KnownVersion::Recorded(_)) => return sum = known,
+                    Some(known @ KnownVersion::Sole(_)) => sum = known,
+                    Some(KnownVersion::Unknown) => {}
+                    None => return,
+                }
+            }
+        };
+        // Without all answers, those that came count.
+        drop(timeout(ANSWER_TIMEOUT, collecting).await);
+        sum
+    }
+}
+
+impl Gateway {
+    /// Notes that a stream began at a version, here and at the gateways that callers' next gateways
+    /// will ask.
+    pub(super) fn note_stream_began(&self, stream: RequestDigest, version: &UpstreamVersion) {
+        let now = clock::now();
+        let mut board = self.board.borrow_mut();
+        board.stream_versions.note(stream, version.clone(), now);
+        let keepers = board.version_keepers(stream, &self.settings.borrow(), KEEPERS, now);
+        drop(board);
+        let message = StreamVersionMessage::Began { stream, version: version.clone() };
+        self.stream_version_questions.send(&message, &keepers);
+    }
+
+    /// Returns the version at which a stream of a service began, if this gateway or others know it.
+    pub(super) async fn find_stream_version(
+        &self,
+        stream: RequestDigest,
+        service: &ServiceName,
+    ) -> Option<UpstreamVersion> {
+        let now = clock::now();
+        let own = self.board.borrow().known_version(stream, service, now);
+        if let KnownVersion::Recorded(version) = own {
+            return Some(version);
+        }
+        let keepers = {
+            let (board, settings) = (self.board.borrow(), self.settings.borrow());
+            board.version_keepers(stream, &settings, KEEPERS_TO_ASK, now)
+        };
+        match self.stream_version_questions.ask(stream, service, &keepers, own).await {
+            KnownVersion::Recorded(version) | KnownVersion::Sole(version) => Some(version),
+            KnownVersion::Unknown => None,
+        }
+    }
+
+    /// Handles what another gateway says or asks about the version of a stream.
+    pub fn handle_stream_version(&self, message: StreamVersionMessage, from: SocketAddr) {
+        let now = clock::now();
+        match message {
+            StreamVersionMessage::Began { stream, version } => {
+                self.board.borrow_mut().stream_versions.note(stream, version, now);
+            }
+            StreamVersionMessage::Ask { number, stream, service } => {
+                let known = self.board.borrow().known_version(stream, &service, now);
+                let answer = StreamVersionMessage::Answer { number, known };
+                self.stream_version_questions.send(&answer, &[from]);
+            }
+            StreamVersionMessage::Answer { number, known } => {
+                // A late answer has no receiver any more.
+                if let Some(tx) = self.stream_version_questions.pending.borrow().get(&number)
+                    && tx.send(known).is_err()
+                {
+                    log::debug!("the version of a stream came too late from {from}");
+                }
+            }
+        }
+    }
+}
--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -172,6 +172,11 @@
 #[test]
 fn streams_of_unknown_versions_are_refused_at_once() {
     let site = site(3, &["v1", "v2"], &[]);
+    let mut open_quota = configuration(8);
+    open_quota["tenants"][1].as_object_mut().expect("a customer").remove("ratePerS");
+    site.configure(&open_quota);
+    let is_new = |l: &Value| l["event"] == "configuration" && l["version"] == 8;
+    wait_until("the quota is gone", || site.gateways[1].log().iter().any(is_new));
     let began = begin_streams(&site, 0, "known");
     let unstated = Call::stream("/digest/a", "unstated", EVENTS).header("last-event-id", "3");
     assert_refused(&site, "no id", &unstated);
