A request that was given up does not reach its upstream later

Cause: closing a connection leaves its unsent bytes to the kernel, which went on sending them after the path had healed. Class: bytes that outlive their request; it could run after its caller was told otherwise.

The test, with a real kernel whose packets are dropped, failed before.

--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -225,6 +225,8 @@
     let opened = timeout(limit, open_stream(source, address)).await;
     let stream = opened.map_err(|_elapsed| ConnectError::Timeout)??;
     detect_dead_peer(&stream)?;
+    // Without a linger time of zero, the kernel goes on sending a request that was given up.
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     Ok(stream)
 }
 
--- a/tests/gateway_silent_upstreams.rs
+++ b/tests/gateway_silent_upstreams.rs
@@ -88,3 +88,25 @@
     });
     assert_eq!(site.runs("silent").len(), 1);
 }
+
+/// The packets of the request are lost until after its deadline.
+#[test]
+fn a_request_that_was_given_up_does_not_reach_its_upstream_later() {
+    let mut site = Site::bare();
+    site.configure(&patient_configuration());
+    site.add_upstream("app");
+    site.add_gateway();
+    site.wait_ready();
+    site.signal("i-1", &[("keep-alive", "timeout=9")]);
+    let to = site.gateways[0].callers;
+    let first = Call::new("POST", "/confirm/a", "first").send(to).expect("an answer");
+    assert_eq!(first.status, StatusCode::OK, "{}", first.body);
+    site.cut_off(&[0], "hang");
+    let given_up = Call::new("POST", "/confirm/a", "given-up").header("x-deadline-ms", "500");
+    let answer = given_up.send(to).expect("an answer");
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT, "{}", answer.body);
+    site.end_cuts();
+    // Longer than the kernel waits before it sends the packets again.
+    thread::sleep(Duration::from_secs(3));
+    assert!(site.runs("given-up").is_empty());
+}
