--- a/src/bin/tackhollow-emulator/upstream.rs
+++ b/src/bin/tackhollow-emulator/upstream.rs
@@ -1,6 +1,7 @@
 //! Emulated upstream: processes prompts one after another, then streams events.
 
 use std::{
+    ops::RangeInclusive,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -296,18 +297,20 @@
         let events = output.map_or(DEFAULT_EVENTS, |n| n.div_ceil(TOKENS_PER_EVENT));
         let first = header(headers, "last-event-id").parse::<u64>().unwrap_or_default() + 1;
         let (tx, rx) = channel(1);
-        spawn_local(stream_events(tx, run, behaviour, first, events));
+        let version = self.platform.version(&self.id);
+        spawn_local(stream_events(tx, run, behaviour, version.clone(), first..=events));
         let mut response = Response::new(channel_body(rx));
         if self.framing() == ResponseFraming::Length {
-            let bytes: usize = (first..=events).map(|i| event(i).len()).sum();
+            let bytes: usize = (first..=events).map(|i| event(i, &version).len()).sum();
             response.headers_mut().insert(CONTENT_LENGTH, HeaderValue::from(bytes));
         }
         response
     }
 }
 
-fn event(number: u64) -> Bytes {
-    Bytes::from(format!("id: {number}\ndata: token {number}\n\n"))
+/// Returns an event of a stream, which names the version of its upstream.
+fn event(number: u64, version: &str) -> Bytes {
+    Bytes::from(format!("id: {number}\ndata: token {number} of {version}\n\n"))
 }
 
 /// Behaviours that end a stream half-way through.
@@ -318,11 +321,11 @@
     tx: Sender<Result<Bytes, BodyError>>,
     mut run: Running,
     behaviour: Behaviour,
-    first: u64,
-    events: u64,
+    version: String,
+    events: RangeInclusive<u64>,
 ) {
-    let middle = first + (events.saturating_sub(first)) / 2;
-    for i in first..=events {
+    let middle = events.start() + events.end().saturating_sub(*events.start()) / 2;
+    for i in events {
         if i == middle && ENDS_MIDWAY.contains(&behaviour) {
             run.end = "broken";
             if behaviour != Behaviour::EndAfterEvent {
@@ -337,7 +340,7 @@
             () = run.hang_if_restarted() => {}
             () = tx.closed() => return,
         }
-        if tx.send(Ok(event(i))).await.is_err() {
+        if tx.send(Ok(event(i, &version))).await.is_err() {
             return;
         }
         tokio::select! {
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -66,6 +66,8 @@
     cuts: bool,
     /// Whether answers of upstreams have no framing for a while, and some end early.
     unframed: bool,
+    /// Whether engines of two software versions serve side by side.
+    versions: bool,
 }
 
 /// Whether a caller sends requests that crash upstreams, and how upstreams are reached.
@@ -90,9 +92,10 @@
     signals: false,
     cuts: false,
     unframed: false,
+    versions: false,
 };
 
-const CASES: [Case; 15] = [
+const CASES: [Case; 16] = [
     Case { seed: 1, description: "a short run", ..UNDISTURBED },
     Case {
         seed: 2002,
@@ -193,6 +196,13 @@
         unframed: true,
         ..UNDISTURBED
     },
+    Case {
+        seed: 9,
+        description: "engines of two versions serve side by side",
+        crashing: Crashing::Direct,
+        versions: true,
+        ..UNDISTURBED
+    },
 ];
 
 #[test]
@@ -244,6 +254,7 @@
             signals,
             cuts,
             unframed,
+            versions: number("SOAK_VERSIONS", 0) > 0,
         };
         run_soak(&case, seconds);
     }
@@ -307,6 +318,11 @@
             framing: Framing::UntilClose,
             ..right()
         },
+        Violation {
+            name: "events of two versions",
+            body: "id: 1\ndata: a of v1\n\nid: 2\ndata: b of v2\n\n",
+            ..right()
+        },
         Violation {
             name: "response without a run",
             kind: Kind::Check,
@@ -353,6 +369,7 @@
             to: ([127, 0, 0, 1], 1).into(),
             kind: case.kind,
             events: 2,
+            resumed: None,
             answer: Some(answer),
         };
         check::violated_guarantees(&[sent], &json!({ "runs": case.runs, "duties": case.duties }))
@@ -379,7 +396,14 @@
             arrivals.push(json!({
                 "request": id, "upstream": "i-1", "at_ms": 1_000 + n * 100, "status": status,
             }));
-            sent.push(SentRequest { id, to: gateway, kind: Kind::Check, events: 2, answer: None });
+            sent.push(SentRequest {
+                id,
+                to: gateway,
+                kind: Kind::Check,
+                events: 2,
+                resumed: None,
+                answer: None,
+            });
         }
         let period = |from| SignalPeriod { upstream: "i-1".to_owned(), signal, from, until: None };
         let seen = json!({ "arrivals": arrivals });
@@ -401,8 +425,8 @@
 
 /// Starts the processes, with proxies in front of the platform and, unless `direct`, in front
 /// of the upstreams. A proxy accepts connections even when nothing listens behind it, so it
-/// hides that an upstream is down.
-fn start(direct: bool) -> (Site, Vec<Proxy>, Vec<String>) {
+/// hides that an upstream is down. With `versions`, upstreams have two versions in turn.
+fn start(direct: bool, versions: bool) -> (Site, Vec<Proxy>, Vec<String>) {
     let mut site = Site::bare();
     site.configure(&support::gateways::configuration(7));
     let (gateways, engines, plain) = GATEWAYS_ENGINES_PLAIN;
@@ -418,7 +442,8 @@
     let mut upstreams = Vec::new();
     for service in services {
         if direct {
-            upstreams.push(site.add_upstream(service));
+            let version = if versions { ["v1", "v2"][upstreams.len() % 2] } else { "v1" };
+            upstreams.push(site.add_upstream_of(service, version, Duration::ZERO));
             continue;
         }
         let link = Proxy::start();
@@ -432,8 +457,10 @@
 }
 
 fn run_soak(case: &Case, time: Duration) {
-    let Case { seed, restarts, crashing, store_stalls, signals, cuts, unframed, .. } = *case;
-    let (mut site, links, upstreams) = start(crashing == Crashing::Direct || signals || cuts);
+    let Case { seed, restarts, crashing, store_stalls, signals, cuts, unframed, versions, .. } =
+        *case;
+    let (mut site, links, upstreams) =
+        start(crashing == Crashing::Direct || signals || cuts, versions);
     let addresses: Vec<_> = site.gateways.iter().map(|g| g.callers).collect();
     let gateways = addresses.clone();
     let addresses = Arc::new(Mutex::new(addresses));
--- a/tests/gateway_unframed_answers.rs
+++ b/tests/gateway_unframed_answers.rs
@@ -292,7 +292,7 @@
         site.frame(if unframed { "until_close" } else { "usual" });
         let text = read_to_end(site.gateways[0].callers, version, "", || {});
         let text = text.unwrap_or_else(|e| panic!("{version}, unframed {unframed}: {e}"));
-        let last = format!("id: {EVENTS}\ndata: token {EVENTS}\n\n");
+        let last = format!("id: {EVENTS}\ndata: token {EVENTS} of v1\n\n");
         assert!(text.ends_with(&last), "{version}, unframed {unframed}: {text}");
     }
 }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -59,6 +59,15 @@
     }
 }
 
+/// A stream that broke off and that a later request takes up.
+#[derive(Clone, Debug)]
+pub struct ResumedStream {
+    /// Id of the request that brought its first event.
+    pub began_as: String,
+    /// Last event that was received.
+    pub after: u64,
+}
+
 /// A request that was sent, and its response.
 #[derive(Debug)]
 pub struct SentRequest {
@@ -67,6 +76,8 @@
     pub to: SocketAddr,
     pub kind: Kind,
     pub events: u64,
+    /// The stream that it takes up; `None` if it begins one, or none.
+    pub resumed: Option<ResumedStream>,
     /// `None` if no response arrived in time.
     pub answer: Option<Answer>,
 }
@@ -130,7 +141,11 @@
             let reusable =
                 answer.as_ref().is_some_and(|a| a.complete && a.header("connection") != "close");
             idle = reusable.then_some((connection, to, since));
-            sent.push(SentRequest { id, to, kind, events, answer });
+            let broken = SentRequest { id, to, kind, events, resumed: None, answer };
+            let next = targets[sent.len() % targets.len()];
+            let resumed = broken.resumed_by(next).await;
+            sent.push(broken);
+            sent.extend(resumed);
             tokio::time::sleep(Duration::from_millis(rng.u64(..30))).await;
         }
     });
@@ -138,6 +153,31 @@
 }
 
 impl SentRequest {
+    /// Takes the stream up at a gateway if it broke off and may be resumed.
+    async fn resumed_by(&self, to: SocketAddr) -> Option<Self> {
+        let answer = self.answer.as_ref().filter(|a| !a.complete && self.kind == Kind::Digest)?;
+        let after = *answer.event_ids().last()?;
+        let resumed = ResumedStream { began_as: self.id.clone(), after };
+        let id = format!("{}-again", self.id);
+        let call = self.kind.call(&id, self.events).header("resumes", &self.id);
+        let call = call.header("last-event-id", &after.to_string());
+        let mut connection = connect(to, RESPONSE_TIMEOUT).await.ok()?;
+        let answer = timeout(RESPONSE_TIMEOUT, call.exchange_on(&mut connection)).await;
+        let answer = answer.ok().flatten();
+        let (kind, events) = (self.kind, self.events);
+        Some(Self { id, to, kind, events, resumed: Some(resumed), answer })
+    }
+
+    /// Returns the last event before those that it asks for.
+    pub fn after(&self) -> u64 {
+        self.resumed.as_ref().map_or(0, |r| r.after)
+    }
+
+    /// Returns the id of the request that began the stream.
+    pub fn began_as(&self) -> &str {
+        self.resumed.as_ref().map_or(&self.id, |r| &r.began_as)
+    }
+
     /// Returns whether the response states that the request did not run.
     pub fn is_refused_before_run(&self) -> bool {
         let refused = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -36,6 +36,7 @@
         .retain(|id, _| !id.starts_with(RECOVERY_ID_PREFIX) && !id.starts_with(CRASHING_ID_PREFIX));
     violations
         .extend(runs_by_request.keys().map(|id| format!("{id:?} ran without having been sent")));
+    violations.extend(check_versions(sent));
     violations.extend(check_duties(seen));
     violations.extend(check_crashing(&runs));
     violations
@@ -86,9 +87,11 @@
         });
     }
     let ids = answer.event_ids();
-    let in_order = ids.iter().copied().eq(1..=ids.len() as u64);
-    let ends_between_events = answer.body.ends_with("\n\n");
-    let is_whole = ids.len() as u64 == sent.events && ends_between_events;
+    let (after, count) = (sent.after(), ids.len() as u64);
+    let in_order = ids.iter().copied().eq(after + 1..=after + count);
+    let has_all_before = after == sent.events && answer.body.is_empty();
+    let ends_between_events = answer.body.ends_with("\n\n") || has_all_before;
+    let is_whole = after + count == sent.events && ends_between_events;
     // Without framing, an end between events does not say whether the stream is complete.
     let ends_unknown = !answer.is_framed_as_complete() && ends_between_events;
     (!in_order || (answer.complete && !is_whole && !ends_unknown)).then(|| {
@@ -99,6 +102,20 @@
     })
 }
 
+/// Checks that the events of a stream come from upstreams of one version, over all requests that
+/// took it up.
+fn check_versions(sent: &[SentRequest]) -> Vec<String> {
+    let mut versions: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for sent in sent {
+        let lines = sent.answer.iter().flat_map(|a| a.body.lines());
+        let data = lines.filter_map(|l| l.strip_prefix("data: "));
+        let named = data.filter_map(|d| d.split_once(" of ")).map(|(_, version)| version);
+        versions.entry(sent.began_as()).or_default().extend(named);
+    }
+    let mixed = versions.into_iter().filter(|(_, versions)| versions.len() > 1);
+    mixed.map(|(id, versions)| format!("{id} has events of versions {versions:?}")).collect()
+}
+
 fn check_runs(sent: &SentRequest, runs: &[&Value]) -> Vec<String> {
     let mut violations = Vec::new();
     if runs.len() > 1 && !sent.kind.may_run_again() {
