Gateways that disagree about the only version of a service know nothing

Found in reading: of several gateways that had each seen one version only, the last answer decided; a stream could go on at another version. The answers are summed by a function with a test. What pins a request to its stream's version stands beside the questions about it; forward.rs is shorter.

--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -85,6 +85,7 @@
     ChannelBody { rx }.boxed_unsync()
 }
 
+/// A body that states no length, whatever is known of it.
 struct UnknownLengthBody(AnswerBody);
 
 impl Body for UnknownLengthBody {
--- a/src/gateway/peering/stream_version.rs
+++ b/src/gateway/peering/stream_version.rs
@@ -1,5 +1,7 @@
 //! The datagrams with which gateways tell each other at which software version a stream began.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use super::WireError;
@@ -19,6 +21,25 @@
     Unknown,
 }
 
+impl KnownVersion {
+    /// Returns the most certain of several gateways' answers. Gateways that disagree about the only
+    /// version know nothing.
+    pub fn most_certain(answers: Vec<Self>) -> Self {
+        let mut soles = BTreeSet::new();
+        for known in answers {
+            match known {
+                Self::Recorded(version) => return Self::Recorded(version),
+                Self::Sole(version) => drop(soles.insert(version)),
+                Self::Unknown => {}
+            }
+        }
+        match (soles.pop_first(), soles.is_empty()) {
+            (Some(version), true) => Self::Sole(version),
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Tells, asks or answers at which version a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StreamVersionMessage {
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -26,7 +26,7 @@
     clock,
     gateway::{
         context::Gateway,
-        decide::{AttemptOutcome, Mechanism, RetryPolicy, RouteKey, VersionGroup},
+        decide::{AttemptOutcome, RetryPolicy, RouteKey, VersionGroup},
         model::{RequestDigest, RequestKind, UpstreamVersion, WatchedData},
         net::{AnswerBody, BodyEnd, ConnectError, Framing, Phase, frame_until_close, full_body},
         telemetry::Event,
@@ -182,41 +182,6 @@
 }
 
 impl Forwarding {
-    /// Finds out at which version the stream began that the caller takes up, if it takes up one.
-    async fn pin_version(&mut self) -> Result<(), Refusal> {
-        let resumed = self.outgoing.head.resumed.as_ref();
-        let Some(resumed) = resumed.filter(|_| self.pins_versions()) else {
-            return Ok(());
-        };
-        let stream = self.stream_digest(&resumed.began_as);
-        let found = self.gateway.find_stream_version(stream, &self.admitted.service).await;
-        self.stream_version = Some(found.ok_or(Refusal::StreamVersionUnknown)?);
-        Ok(())
-    }
-
-    /// Notes that the first event of the caller's stream comes from this upstream. The stream goes
-    /// on only at upstreams of the same version.
-    pub(super) fn note_stream_began(&mut self, selected: &Selected) {
-        if self.pins_versions() {
-            let stream = self.stream_digest(&self.outgoing.head.id);
-            self.gateway.note_stream_began(stream, &selected.version);
-            self.stream_version = Some(selected.version.clone());
-        }
-    }
-
-    fn pins_versions(&self) -> bool {
-        let off = &self.gateway.settings.borrow().off;
-        self.admitted.route.resumable && off.is_enabled(Mechanism::StreamVersions)
-    }
-
-    /// Returns the digest of a stream by the attempt that began it. Those of other customers and
-    /// services differ, so that nobody takes up a stream of theirs.
-    fn stream_digest(&self, began_as: &str) -> RequestDigest {
-        let customer = self.admitted.customer.as_deref().unwrap_or_default();
-        let texts = [customer, &self.admitted.service, began_as].map(str::as_bytes);
-        RequestDigest::of(&texts)
-    }
-
     async fn first_answer(&mut self) -> Result<Reply, Refusal> {
         self.pin_version().await?;
         loop {
--- a/src/gateway/request/stream_versions.rs
+++ b/src/gateway/request/stream_versions.rs
@@ -14,10 +14,12 @@
     time::timeout,
 };
 
+use super::{Refusal, forward::Forwarding, select::Selected};
 use crate::{
     clock,
     gateway::{
         context::Gateway,
+        decide::Mechanism,
         model::{RequestDigest, ServiceName, UpstreamVersion},
         peering::{KnownVersion, StreamVersionMessage},
     },
@@ -76,7 +78,8 @@
         }
     }
 
-    /// Asks gateways at which version a stream began; returns their answers' sum with `own`.
+    /// Asks gateways at which version a stream began; returns the most certain answer, with `own`
+    /// among them.
     async fn ask(
         &self,
         stream: RequestDigest,
@@ -91,20 +94,22 @@
         let _guard = QuestionGuard { questions: self, number };
         let question = StreamVersionMessage::Ask { number, stream, service: service.clone() };
         self.send(&question, keepers);
-        let mut sum = own;
+        let mut answers = vec![own];
         let collecting = async {
             for _ in keepers {
-                match rx.recv().await {
-                    Some(known @ KnownVersion::Recorded(_)) => return sum = known,
-                    Some(known @ KnownVersion::Sole(_)) => sum = known,
-                    Some(KnownVersion::Unknown) => {}
-                    None => return,
+                let Some(known) = rx.recv().await else {
+                    return;
+                };
+                let is_recorded = matches!(known, KnownVersion::Recorded(_));
+                answers.push(known);
+                if is_recorded {
+                    return;
                 }
             }
         };
         // Without all answers, those that came count.
         drop(timeout(ANSWER_TIMEOUT, collecting).await);
-        sum
+        KnownVersion::most_certain(answers)
     }
 }
 
@@ -165,3 +170,40 @@
         }
     }
 }
+
+impl Forwarding {
+    /// Finds out at which version the stream began that the caller takes up, if it takes up one.
+    pub(super) async fn pin_version(&mut self) -> Result<(), Refusal> {
+        let resumed = self.outgoing.head.resumed.as_ref();
+        let Some(resumed) = resumed.filter(|_| self.pins_versions()) else {
+            return Ok(());
+        };
+        let stream = self.stream_digest(&resumed.began_as);
+        let found = self.gateway.find_stream_version(stream, &self.admitted.service).await;
+        self.stream_version = Some(found.ok_or(Refusal::StreamVersionUnknown)?);
+        Ok(())
+    }
+
+    /// Notes that the first event of the caller's stream comes from this upstream. The stream goes
+    /// on only at upstreams of the same version.
+    pub(super) fn note_stream_began(&mut self, selected: &Selected) {
+        if self.pins_versions() {
+            let stream = self.stream_digest(&self.outgoing.head.id);
+            self.gateway.note_stream_began(stream, &selected.version);
+            self.stream_version = Some(selected.version.clone());
+        }
+    }
+
+    fn pins_versions(&self) -> bool {
+        let off = &self.gateway.settings.borrow().off;
+        self.admitted.route.resumable && off.is_enabled(Mechanism::StreamVersions)
+    }
+
+    /// Returns the digest of a stream by the attempt that began it. Those of other customers and
+    /// services differ, so that nobody takes up a stream of theirs.
+    fn stream_digest(&self, began_as: &str) -> RequestDigest {
+        let customer = self.admitted.customer.as_deref().unwrap_or_default();
+        let texts = [customer, &self.admitted.service, began_as].map(str::as_bytes);
+        RequestDigest::of(&texts)
+    }
+}
--- a/tests/gateway_stream_version_model.rs
+++ b/tests/gateway_stream_version_model.rs
@@ -11,6 +11,7 @@
         STREAM_LIFETIME, ShareHolder, StreamVersions, VersionHistory, VersionKeeper, choose_keepers,
     },
     model::RequestDigest,
+    peering::KnownVersion,
 };
 
 /// Numbers of gateways, up to the largest fleet.
@@ -218,6 +219,31 @@
     assert!(book.get(digest(99_999)).is_none());
 }
 
+#[test]
+fn gateways_that_disagree_about_the_only_version_know_nothing() {
+    struct Case {
+        answers: Vec<KnownVersion>,
+        sum: KnownVersion,
+    }
+    let sole = |version: &str| KnownVersion::Sole(version.to_owned());
+    let recorded = || KnownVersion::Recorded("v3".to_owned());
+    let unknown = || KnownVersion::Unknown;
+    let cases = [
+        Case { answers: vec![], sum: unknown() },
+        Case { answers: vec![unknown(), sole("v1"), sole("v1")], sum: sole("v1") },
+        Case { answers: vec![sole("v1"), sole("v2"), sole("v1")], sum: unknown() },
+        Case { answers: vec![sole("v1"), sole("v2"), recorded()], sum: recorded() },
+    ];
+    for case in cases {
+        assert_eq!(
+            KnownVersion::most_certain(case.answers.clone()),
+            case.sum,
+            "{:?}",
+            case.answers
+        );
+    }
+}
+
 #[test]
 fn only_a_long_enough_history_names_a_sole_version() {
     struct Case {
