--- a/src/gateway/net/answer_stream.rs
+++ b/src/gateway/net/answer_stream.rs
@@ -76,9 +76,9 @@
     }
 }
 
-/// A connection that is reset, and not closed in the usual way, when it ends before an answer that
-/// ends with it is complete. The socket is prepared for that as soon as such an answer begins, so
-/// that it holds if the process is killed, too.
+/// A connection that ends with a reset if an answer on it has no other end and is incomplete: a
+/// usual close would tell the caller that the answer is complete. The socket is prepared as soon as
+/// such an answer begins, so that the reset is also sent if the process is killed.
 #[derive(Debug)]
 pub(super) struct AnswerStream<T: AsFd> {
     stream: T,
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -144,8 +144,8 @@
         }
     }
 
-    /// Returns whether the upstream of a run has ended, which breaks off the answer without that
-    /// its connection has to say so.
+    /// Returns whether the upstream of a run has ended. Its connections may then have been closed in
+    /// the middle of an answer, without an error.
     pub(super) async fn has_upstream_ended(&self, selected: &Selected) -> bool {
         let (gateway, lifetime) = (&self.gateway, selected.lifetime);
         let (address, max) = (selected.address, selected.max_connections);
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -287,8 +287,8 @@
         })))
     }
 
-    /// Returns whether an answer may be taken for whole: its upstream lives on if only the end of
-    /// the connection says so.
+    /// Returns whether a body may be taken for whole. One whose end is unknown may not if its
+    /// upstream has ended.
     async fn check_end(&self, end: BodyEnd, selected: &Selected) -> bool {
         match end {
             BodyEnd::Complete => true,
