Log tables of the store that are read and discarded; the emulated store returns from copies

The emulated store names its era, takes a copy and returns from it: later changes are lost, their versions are given out again, a read of changes after a version that it does not have gets 410, and the operator and the upstreams write again what they wrote. No logic of the gateway changes.

--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -48,6 +48,8 @@
             "/crashing-parts" => self.set_crashing_parts(&body),
             "/store" => self.set_store(&body),
             "/forget" => self.discard_history(),
+            "/copy-store" => self.copy_store(),
+            "/return-store" => self.return_store(&body),
             "/cut" => self.cut(&body),
             "/rollout" => self.roll_out(&body),
             "/seen" => return self.recorded(),
@@ -280,6 +282,20 @@
         Some(())
     }
 
+    /// Takes a copy of the store.
+    fn copy_store(&self) -> Option<()> {
+        self.platform.copy_store();
+        Some(())
+    }
+
+    /// Lets the store return from its last copy. Field: `rewriteMs`, the time after which the
+    /// operator and the upstreams write again what was lost.
+    fn return_store(&self, body: &Value) -> Option<()> {
+        let rewrite = Duration::from_millis(body["rewriteMs"].as_u64()?);
+        self.platform.return_from_copy(rewrite);
+        Some(())
+    }
+
     /// Returns the recorded requests to upstreams, API calls and roll-out status.
     fn recorded(&self) -> Response<AnswerBody> {
         let state = self.platform.state.borrow();
--- a/src/bin/tackhollow-emulator/main.rs
+++ b/src/bin/tackhollow-emulator/main.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod answer;
 mod api;
+mod copies;
 mod network;
 mod platform;
 mod process;
--- a/src/bin/tackhollow-emulator/platform.rs
+++ b/src/bin/tackhollow-emulator/platform.rs
@@ -96,6 +96,18 @@
     pub value: Option<String>,
 }
 
+/// Rows of the store by table and key.
+pub type Rows = BTreeMap<(String, String), Row>;
+
+/// Copy of the store from which it can return.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
+    /// Rows at the time of the copy.
+    pub rows: Rows,
+    /// Version at the time of the copy.
+    pub version: u64,
+}
+
 /// Record of a request that an upstream ran.
 #[derive(Clone, Debug, Serialize)]
 pub struct Run {
@@ -190,6 +202,9 @@
 /// Default time for which an upstream stays down after a crash.
 const DEFAULT_DOWN_TIME: Duration = Duration::from_millis(500);
 
+/// Era in which the store starts.
+const FIRST_ERA: u64 = 1;
+
 /// State of the emulated platform.
 #[derive(Debug)]
 pub struct State {
@@ -198,10 +213,15 @@
     /// Number of times the store was made silent. Calls in flight at that time are never
     /// answered.
     pub silences: u64,
-    /// Version of the store, incremented by every write and removal.
+    /// Version of the store, incremented by every write and removal. It falls when the store
+    /// returns from a copy.
     pub version: u64,
+    /// Number of the store's era, incremented when it returns from a copy.
+    pub era: u64,
     /// Rows by table and key.
-    pub rows: BTreeMap<(String, String), Row>,
+    pub rows: Rows,
+    /// Last copy of the store.
+    pub copy: StoreCopy,
     /// Changes for feeds, oldest first.
     pub history: Vec<Change>,
     /// Last version whose changes are no longer in the history.
@@ -246,7 +266,9 @@
             store_mode: StoreMode::default(),
             silences: 0,
             version: 0,
-            rows: BTreeMap::new(),
+            era: FIRST_ERA,
+            rows: Rows::new(),
+            copy: StoreCopy::default(),
             history: Vec::new(),
             discarded_up_to: 0,
             upstreams: BTreeMap::new(),
--- a/src/bin/tackhollow-emulator/store.rs
+++ b/src/bin/tackhollow-emulator/store.rs
@@ -20,13 +20,13 @@
 
 impl Service for Store {
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let (mode, silences) = {
+        let (mode, silences, era) = {
             let mut state = self.platform.state.borrow_mut();
             state.store_calls += 1;
-            (state.store_mode, state.silences)
+            (state.store_mode, state.silences, state.era)
         };
         match mode {
-            StoreMode::Refusing => return empty(StatusCode::SERVICE_UNAVAILABLE),
+            StoreMode::Refusing => return in_era(era, empty(StatusCode::SERVICE_UNAVAILABLE)),
             StoreMode::Silent => std::future::pending().await,
             StoreMode::Up | StoreMode::Losing => {}
         }
@@ -40,10 +40,16 @@
         if mode == StoreMode::Losing || self.platform.state.borrow().silences > silences {
             std::future::pending::<()>().await;
         }
-        response
+        in_era(era, response)
     }
 }
 
+/// Adds the header that names the era.
+fn in_era(era: u64, mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    response.headers_mut().insert("store-era", era.into());
+    response
+}
+
 fn text<'a>(value: &'a Value, name: &str) -> &'a str {
     value[name].as_str().unwrap_or_default()
 }
@@ -99,10 +105,15 @@
         let query = query(request.uri());
         let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
         let (table, after) = (&query["table"], number("afterRevision"));
+        let era = self.platform.state.borrow().era;
         let until = Instant::now() + Duration::from_millis(number("waitMs"));
         loop {
             let changed = self.platform.changed.notified();
-            if after < self.platform.state.borrow().discarded_up_to {
+            if self.platform.state.borrow().era != era {
+                // The store was away while the call waited.
+                return empty(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            if !self.has_history_after(after) {
                 return empty(StatusCode::GONE);
             }
             let rows = self.changes(table, after);
@@ -113,6 +124,11 @@
         }
     }
 
+    fn has_history_after(&self, version: u64) -> bool {
+        let state = self.platform.state.borrow();
+        (state.discarded_up_to..=state.version).contains(&version)
+    }
+
     fn changes(&self, table: &str, after: u64) -> Vec<Value> {
         let state = self.platform.state.borrow();
         let later = state.history.iter().filter(|w| w.version > after && w.at.0 == table);
--- a/src/gateway/controllers/table_reader.rs
+++ b/src/gateway/controllers/table_reader.rs
@@ -168,10 +168,23 @@
                 self.pass_on_snapshot(snapshot);
                 ReadOutcome::Changed
             }
-            Ok(_) | Err(_) => ReadOutcome::Failed,
+            Ok(snapshot) => {
+                self.log_discarded(&snapshot);
+                ReadOutcome::Failed
+            }
+            Err(_) => ReadOutcome::Failed,
         }
     }
 
+    fn log_discarded(&self, snapshot: &Snapshot) {
+        self.gateway.log(&Event::StoreReadDiscarded {
+            of: self.followed.name(),
+            revision: snapshot.revision,
+            known: self.known.get(),
+            era: self.gateway.store.era(),
+        });
+    }
+
     fn pass_on_changes(&self, feed: Feed) {
         match self.followed {
             WatchedData::Configuration => apply_operator_changes(&self.gateway, feed),
--- a/src/gateway/model/mod.rs
+++ b/src/gateway/model/mod.rs
@@ -22,3 +22,6 @@
 pub type CustomerName = String;
 /// Revision in the platform's store; a higher one is newer.
 pub type Revision = u64;
+/// Number of times that the platform's store has returned from a copy, counted by the store. What
+/// it acknowledged between the copy and the return is lost, and its revisions are given out again.
+pub type Era = u64;
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -65,6 +65,17 @@
         /// Reason, as text.
         error: &'a str,
     },
+    /// A table that was read from the store was discarded, because newer data is known.
+    StoreReadDiscarded {
+        /// Kind of data.
+        of: &'a str,
+        /// Revision of the store in the answer.
+        revision: u64,
+        /// Revision up to which the data is known.
+        known: u64,
+        /// Highest era in which the store has answered.
+        era: Option<u64>,
+    },
     /// The local copy of store data is stale: the store may have newer data.
     KnowledgeOld {
         /// Kind of data.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,13 +1,13 @@
 //! Client of the platform's metadata store: versioned rows and feeds of their changes.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use hyper::{Method, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode};
 
 use super::{
     PlatformError,
@@ -17,7 +17,7 @@
     clock,
     gateway::{
         decide::StoreMillis,
-        model::Revision,
+        model::{Era, Revision},
         net::{Answer, HttpConnection, connect, json_request},
     },
 };
@@ -37,6 +37,9 @@
 /// has died since then would take [`CALL_TIMEOUT`] to fail; opening a new one is fast.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Header in which the store names its era.
+const ERA_HEADER: &str = "store-era";
+
 /// A table of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Table {
@@ -141,12 +144,20 @@
 pub struct StoreClient {
     address: SocketAddr,
     idle: RefCell<Vec<IdleConnection>>,
+    /// Highest era in which the store has answered.
+    era: Cell<Option<Era>>,
 }
 
 impl StoreClient {
     /// Creates a client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: RefCell::default() }
+        Self { address, idle: RefCell::default(), era: Cell::default() }
+    }
+
+    /// Returns the highest era in which the store has answered; `None` before its first answer, or
+    /// if no answer has named one.
+    pub fn era(&self) -> Option<Era> {
+        self.era.get()
     }
 
     /// Reads all rows of a table. A store that lost its history may answer with an
@@ -259,6 +270,7 @@
         let called = tokio::time::timeout(limit, connection.call(request)).await;
         let answer = called.map_err(|_elapsed| PlatformError::Timeout)??;
         self.put_idle(connection);
+        self.era.set(self.era.get().max(named_era(&answer.headers)));
         match answer.status.as_u16() {
             200 | 412 => Ok(answer),
             410 => Err(PlatformError::HistoryLost),
@@ -284,3 +296,13 @@
         }
     }
 }
+
+/// Returns the era that an answer of the store names.
+fn named_era(headers: &HeaderMap) -> Option<Era> {
+    let value = headers.get(ERA_HEADER)?;
+    let era = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+    if era.is_none() {
+        log::warn!("the store names an era that is not a number: {value:?}");
+    }
+    era
+}
