What is known of upstreams outlives rows that a returned store has lost

A store that returns from a copy lists upstreams that said since that they leave, or whose rows were removed, as if they served, and lacks those that registered since. Gateways believed it: requests went to upstreams that had left, and one whose row was lost counted as having left, or was removed at once.

--- a/src/gateway/board/leaving.rs
+++ b/src/gateway/board/leaving.rs
@@ -24,6 +24,18 @@
         is_new
     }
 
+    /// Records that upstreams whose rows say so are leaving, for the rest of their lifetimes: the
+    /// store may return from a copy in which they do not say so yet.
+    pub fn keep_leaving_upstreams(&mut self, now: Instant) {
+        let draining =
+            self.upstreams.values().filter(|v| v.upstream.phase == UpstreamPhase::Draining);
+        let leaving: Vec<(Lifetime, Instant)> =
+            draining.map(|v| (v.lifetime, v.draining_since.unwrap_or(now))).collect();
+        for (upstream, since) in leaving {
+            self.note_leaving(upstream, since, now);
+        }
+    }
+
     /// Merges another gateway's reports of leaving upstreams; returns the upstreams for which that
     /// is new.
     pub fn merge_leaving_reports(&mut self, process: &ProcessId, now: Instant) -> Vec<Lifetime> {
--- a/src/gateway/board/missing.rs
+++ b/src/gateway/board/missing.rs
@@ -9,7 +9,7 @@
 use crate::{
     gateway::{
         decide::{CheckRange, Removal, RowCount, StoreMillis, max_read_interval, rows_lapsed},
-        model::Revision,
+        model::{Revision, era_of},
     },
     ids::UpstreamId,
 };
@@ -35,7 +35,34 @@
         let own_recovery = self.own_recovery_time(seen, now);
         let store_back = own_recovery.into_iter().chain(self.list_reread_time(seen)).min()?;
         let last_seen = self.upstreams_knowledge.map_or(0, |k| k.as_of);
-        Some(Removal { revision, last_seen, store_back, lapsed: false, passed_check: 0 })
+        Some(Removal {
+            revision,
+            last_seen,
+            store_back,
+            lapsed: false,
+            passed_check: 0,
+            lost: false,
+        })
+    }
+
+    /// Returns what is known of a row that is missing at `revision`, in a later era than that in
+    /// which its upstream was last listed; `None` if it was listed in the same era.
+    pub fn lost_row(
+        &self,
+        id: &UpstreamId,
+        revision: Revision,
+        seen: StoreMillis,
+    ) -> Option<Removal> {
+        let listed = self.upstreams.get(id)?.changed;
+        let last_seen = self.upstreams_knowledge.map_or(0, |k| k.as_of);
+        (era_of(listed) < era_of(revision)).then_some(Removal {
+            revision,
+            last_seen,
+            store_back: seen,
+            lapsed: true,
+            passed_check: 0,
+            lost: true,
+        })
     }
 
     /// Returns when this process's calls to the store were answered again, if some failed recently.
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -4,6 +4,7 @@
 mod brittle;
 mod check_reports;
 mod demand;
+mod departures;
 mod hold_off;
 mod knowledge;
 mod lease;
@@ -44,6 +45,7 @@
 use crate::ids::{DataCentre, UpstreamId};
 
 use check_reports::CheckReports;
+use departures::Departures;
 use lifetimes::Lifetimes;
 use loads::PeerLoads;
 use outcomes::SharedOutcomes;
@@ -94,6 +96,8 @@
     pub upstreams_last_change: Revision,
     /// Recently removed upstreams, for snapshots that contain only changes.
     pub removals: Removals,
+    /// Upstreams that left lately.
+    pub departures: Departures,
     /// Recent changes of upstreams, sent with heartbeats.
     pub recent_changes: RecentChanges,
     /// Recent results of health checks of upstreams with lapsed rows, to be passed on.
@@ -183,6 +187,7 @@
             upstreams_reread_at: None,
             upstreams_last_change: 0,
             removals: Removals::default(),
+            departures: Departures::default(),
             recent_changes: RecentChanges::default(),
             check_reports: CheckReports::default(),
             peers: BTreeMap::new(),
@@ -321,6 +326,7 @@
             }
         };
         self.lifetimes.note(&id, lifetime);
+        self.departures.forget(&id);
         if let Some(view) = self.upstreams.get_mut(&id) {
             view.announced_leaving_since = self.leaving.since(lifetime);
         }
@@ -330,7 +336,9 @@
     /// Removes an upstream.
     pub fn remove_upstream(&mut self, id: &UpstreamId, now: Instant) -> Option<UpstreamView> {
         self.note_version(id, now);
-        self.upstreams.remove(id)
+        let view = self.upstreams.remove(id)?;
+        self.departures.note(id, view.lifetime, now);
+        Some(view)
     }
 
     fn note_version(&mut self, id: &UpstreamId, now: Instant) {
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -20,7 +20,7 @@
         board::DescriptionChange,
         context::Gateway,
         decide::{Removal, SyncPoint},
-        model::{Lifetime, Revision, Upstream, UpstreamPhase},
+        model::{Lifetime, Revision, Upstream, UpstreamPhase, era_of},
         peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
         telemetry::Event,
     },
@@ -67,7 +67,7 @@
             UpstreamSnapshot { knowledge, last_change, upstreams, ..UpstreamSnapshot::default() };
         let seen = knowledge.as_of;
         let absent = |id: &UpstreamId, now| self.handle_removal(id, position, seen, now);
-        let replaced = self.replace(&snapshot, cx.now(), absent);
+        let replaced = self.replace(snapshot, cx.now(), absent);
         // A row that is present but cannot be decoded has not lapsed, so its upstream is removed at
         // once.
         for id in self.rejected.keys().filter(|_| replaced) {
@@ -88,7 +88,7 @@
             return;
         }
         let position = snapshot.knowledge.position;
-        self.replace(&snapshot, cx.now(), |id, now| self.remove(id, position, now));
+        self.replace(snapshot, cx.now(), |id, now| self.remove(id, position, now));
     }
 
     fn apply_change_set(&self, snapshot: UpstreamSnapshot, now: Instant) {
@@ -144,19 +144,23 @@
     /// returns false, and changes nothing, if the snapshot is older than the list.
     fn replace(
         &self,
-        snapshot: &UpstreamSnapshot,
+        mut snapshot: UpstreamSnapshot,
         now: Instant,
         absent: impl Fn(&UpstreamId, Instant),
     ) -> bool {
         let position = snapshot.knowledge.position;
-        if position < self.gateway.board.borrow().upstreams_position() {
+        let known = self.gateway.board.borrow().upstreams_position();
+        if position < known {
             return false;
         }
+        if era_of(known) < era_of(position) {
+            self.enter_era(&mut snapshot, now);
+        }
         let listed: BTreeSet<&UpstreamId> = snapshot.upstreams.iter().map(|u| &u.id).collect();
-        self.apply_listed(snapshot, now);
-        let known: Vec<UpstreamId> =
+        self.apply_listed(&snapshot, now);
+        let present: Vec<UpstreamId> =
             self.gateway.board.borrow().upstreams.keys().cloned().collect();
-        for id in known.iter().filter(|id| !listed.contains(id)) {
+        for id in present.iter().filter(|id| !listed.contains(id)) {
             absent(id, now);
         }
         let mut board = self.gateway.board.borrow_mut();
@@ -168,6 +172,24 @@
         true
     }
 
+    /// Prepares for the first list of a later era, which may be older than what is known: upstreams
+    /// that are leaving go on leaving, and those that left are not used.
+    fn enter_era(&self, snapshot: &mut UpstreamSnapshot, now: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
+        board.keep_leaving_upstreams(now);
+        let listed = std::mem::take(&mut snapshot.upstreams);
+        snapshot.upstreams = board.departures.withhold(listed, now);
+    }
+
+    /// Uses withheld upstreams whose rows have not been removed again.
+    fn use_withheld(&self, now: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
+        let due = board.departures.take_due(now);
+        let position = board.upstreams_position();
+        drop(board);
+        due.into_iter().for_each(|upstream| self.update(upstream, position, now));
+    }
+
     fn apply_listed(&self, snapshot: &UpstreamSnapshot, now: Instant) {
         let position = snapshot.knowledge.position;
         let missing: BTreeMap<&UpstreamId, Removal> =
@@ -198,6 +220,7 @@
                 Change::Removed(id, revision) if revision > known => {
                     last_change = last_change.max(revision);
                     self.rejected.remove(&id);
+                    self.gateway.board.borrow_mut().departures.forget(&id);
                     self.handle_removal(&id, revision, feed.as_of, now);
                 }
                 Change::Written(_) | Change::Removed(..) => {}
@@ -210,6 +233,7 @@
     fn tick(&mut self, cx: CX![]) {
         let now = cx.now();
         self.drop_missing(now);
+        self.use_withheld(now);
         let expiry = self.gateway.board.borrow().next_missing_expiry();
         let next = expiry.map_or(now + CHECK_PERIOD, |at| at.min(now + CHECK_PERIOD));
         timer_max!(&mut self.timer, next, [cx], tick());
--- a/src/gateway/controllers/missing_rows.rs
+++ b/src/gateway/controllers/missing_rows.rs
@@ -28,7 +28,8 @@
         now: Instant,
     ) {
         let board = self.gateway.board.borrow();
-        let removal = board.removal(revision, seen, now);
+        let removal =
+            board.lost_row(id, revision, seen).or_else(|| board.removal(revision, seen, now));
         let serves = board.upstreams.get(id).is_some_and(|v| !v.is_leaving());
         let is_known = board.same_removal(id, revision).is_some();
         drop(board);
@@ -47,7 +48,7 @@
         // If this gateway or one that it hears saw the store available all along, the reporting
         // gateway was merely partitioned, and the row is gone for good.
         let store_was_up = self.gateway.board.borrow().store_was_available(now);
-        match store_was_up {
+        match store_was_up && !removal.lost {
             true => self.remove(id, removal.revision, now),
             false => {
                 self.mark_missing(id, removal, Source::Peer, now);
@@ -196,8 +197,9 @@
     pub(super) fn drop_missing(&self, now: Instant) {
         let board = self.gateway.board.borrow();
         let store_was_up = board.store_was_available(now);
-        let expired =
-            |v: &UpstreamView| v.missing.is_some_and(|row| store_was_up || now >= row.until);
+        let expired = |v: &UpstreamView| {
+            v.missing.is_some_and(|row| (store_was_up && !row.removal.lost) || now >= row.until)
+        };
         let missing = board.upstreams.iter().filter(|(_, v)| expired(v));
         let ids: Vec<UpstreamId> = missing.map(|(id, _)| id.clone()).collect();
         drop(board);
--- a/src/gateway/decide/removal.rs
+++ b/src/gateway/decide/removal.rs
@@ -43,6 +43,8 @@
     /// Latest moment at which the upstream is known to have passed a health check since the
     /// removal, by the store's clock; 0 if it has passed none.
     pub passed_check: StoreMillis,
+    /// Whether the store lost the row: it returned from a copy that is older than the row.
+    pub lost: bool,
 }
 
 impl Removal {
@@ -55,6 +57,7 @@
             store_back: self.store_back.min(other.store_back),
             lapsed: self.lapsed || other.lapsed,
             passed_check: self.passed_check.max(other.passed_check),
+            lost: self.lost || other.lost,
         };
         std::mem::replace(self, merged) != merged
     }
--- a/src/gateway/peering/heartbeat.rs
+++ b/src/gateway/peering/heartbeat.rs
@@ -226,7 +226,7 @@
 
 /// First byte of a heartbeat. It must be raised with every change of [`Heartbeat`]: postcard
 /// encodes fields by position, so that another version would misread them.
-const HEARTBEAT_FORMAT: u8 = 10;
+const HEARTBEAT_FORMAT: u8 = 11;
 
 /// A heartbeat that was relayed by another gateway.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/gateway/peering/snapshot.rs
+++ b/src/gateway/peering/snapshot.rs
@@ -34,7 +34,7 @@
 }
 
 /// First byte of a snapshot, to be changed with its format.
-const SNAPSHOT_FORMAT: u8 = 0x55;
+const SNAPSHOT_FORMAT: u8 = 0x56;
 
 impl UpstreamSnapshot {
     /// Encodes the snapshot by field position: with thousands of upstreams, field names would make
--- a/tests/gateway_row_checks.rs
+++ b/tests/gateway_row_checks.rs
@@ -116,6 +116,7 @@
             store_back: 10_400,
             lapsed: case.lapsed,
             passed_check: case.passed_check,
+            lost: false,
         };
         assert_eq!(removal.grace_period_end(), case.end, "{}", case.name);
         let checked_from = (10_000..14_000).find(|now| removal.needs_check(*now));
