A roll-out order that a returned store repeats is the same order

A store that returns from a copy lists orders at revisions of a later era: each gateway took them for new ones, so that a version that had been rolled back was tried again, an order before the newest one came into force, and one that the copy lacks was rolled back as withdrawn. An order of a later era with the same service, destination and duration now takes the place of the known one with all that is known of it; one that a whole table lists with a lower number is older; a missing one is not withdrawn; status rows and starts are compared by what the eras allow.

--- a/src/gateway/controllers/rollouts.rs
+++ b/src/gateway/controllers/rollouts.rs
@@ -17,7 +17,7 @@
     gateway::{
         context::Gateway,
         decide::{RolloutChange, RolloutEnd, RolloutOrder, RolloutStage, RolloutView, StoreMillis},
-        model::{Revision, ServiceName},
+        model::{Revision, ServiceName, era_of, number_in_era},
         telemetry::Event,
     },
     platform::{
@@ -95,8 +95,14 @@
         })
     }
 
-    /// Handles an order that was read from the store.
-    pub fn order_read(&mut self, cx: CX![], row: StoreRow) {
+    /// Handles the store's return from a copy, which may lack the newest status rows.
+    pub fn store_returned(&mut self, _: CX![]) {
+        self.rows = None;
+    }
+
+    /// Handles an order that was read from the store, as a change or, if `is_listed`, with the whole
+    /// table, which may be that of an older copy.
+    pub fn order_read(&mut self, cx: CX![], row: StoreRow, is_listed: bool) {
         let Some(service) = rollout_service(&row.key).map(str::to_owned) else {
             return;
         };
@@ -112,11 +118,19 @@
             }
         };
         let board = self.gateway.board.borrow();
-        if board.rollouts.order(&service).is_some_and(|o| o.revision >= row.revision) {
-            return;
-        }
         let seen = board.store_time(cx.now());
+        let order = document.order(row.revision, seen);
+        let newest = board.rollouts.order(&service).cloned();
         drop(board);
+        match newest {
+            Some(newest) if newest.revision >= row.revision => return,
+            Some(newest) if newest.is_repeated_by(&order) => {
+                self.gateway.add_order(order, cx.now());
+                return;
+            }
+            Some(newest) if is_listed && newest.is_newer_than_listed(&order) => return,
+            Some(_) | None => {}
+        }
         let known = self.pending.get(&service).is_some_and(|p| p.revision >= row.revision);
         if !known {
             let pending = PendingOrder { document, revision: row.revision, seen };
@@ -142,7 +156,8 @@
         let Some(order) = board.rollouts.order(&service).cloned() else {
             return;
         };
-        if order.revision >= revision {
+        // A store that has returned from a copy may lack the order, which will be written again.
+        if order.revision >= revision || era_of(order.revision) < era_of(revision) {
             return;
         }
         board.rollouts.end(&service, order.revision, RolloutEnd::RolledBack);
@@ -388,11 +403,12 @@
     /// Puts an order into force, started at the earliest time known.
     fn put_in_force(&mut self, service: &ServiceName, pending: PendingOrder, now: Instant) {
         let PendingOrder { document, revision, seen } = pending;
-        let stored = self.stored_starts.get(service).filter(|s| s.revision == revision);
+        // The start may have been stored in an earlier era than that of the row.
+        let number = number_in_era(revision);
+        let starts = self.stored_starts.get(service);
+        let stored = starts.filter(|s| number_in_era(s.revision) == number);
         let started = stored.map_or(seen, |s| s.started.min(seen));
-        let RolloutDocument { destination, duration, .. } = document;
-        let service = service.clone();
-        let order = RolloutOrder { service, destination, duration, revision, started };
+        let order = document.order(revision, started);
         if self.gateway.add_order(order.clone(), now) {
             let board = self.gateway.board.borrow();
             let time = board.store_time(now);
@@ -406,7 +422,8 @@
     /// Returns how the roll-out of an order ended, if a status row written after the order says so.
     fn stored_end(&self, order: &RolloutOrder) -> Option<RolloutEnd> {
         let row = self.rows.as_ref()?.get(&order.service)?;
-        let is_of_order = row.revision > order.revision && row.destination == order.destination;
+        let is_later = row.revision > order.revision && !is_of_later_era(row, order);
+        let is_of_order = is_later && row.destination == order.destination;
         match row.state {
             RolloutState::Completed if is_of_order => Some(RolloutEnd::Completed),
             RolloutState::RolledBack if is_of_order => Some(RolloutEnd::RolledBack),
@@ -431,6 +448,12 @@
     }
 }
 
+/// Returns whether a status row was read in a later era than the order: revisions of the two do not
+/// show which was written first.
+fn is_of_later_era(row: &StatusRow, order: &RolloutOrder) -> bool {
+    era_of(row.revision) > era_of(order.revision)
+}
+
 fn status_row(row: &StoreRow) -> Option<(ServiceName, StatusRow)> {
     let service = rollout_service(&row.key)?.to_owned();
     match decode_rollout_status(&row.value) {
--- a/src/gateway/controllers/table_reader.rs
+++ b/src/gateway/controllers/table_reader.rs
@@ -226,7 +226,7 @@
     for service in known.into_iter().filter(|s| !ordered.contains(s.as_str())) {
         gateway.send_to_controllers(|c| call!([c.rollouts], order_removed(service, revision)));
     }
-    apply_operator_rows(gateway, rows, SyncPoint { position: revision, as_of });
+    apply_operator_rows(gateway, rows, true, SyncPoint { position: revision, as_of });
 }
 
 fn apply_operator_changes(gateway: &Gateway, feed: Feed) {
@@ -242,14 +242,15 @@
             None
         }
     });
-    apply_operator_rows(gateway, written, SyncPoint { position: revision, as_of });
+    apply_operator_rows(gateway, written, false, SyncPoint { position: revision, as_of });
 }
 
 /// Passes the configuration and the orders of roll-outs to their controllers, and then the position
-/// up to which they are known.
+/// up to which they are known. `is_listed` says that they are all rows of the table.
 fn apply_operator_rows(
     gateway: &Gateway,
     rows: impl IntoIterator<Item = StoreRow>,
+    is_listed: bool,
     known: SyncPoint,
 ) {
     for row in rows {
@@ -258,7 +259,7 @@
             gateway
                 .send_to_controllers(|c| call!([c.configuration], apply(document, Source::Store)));
         } else if rollout_service(&row.key).is_some() {
-            gateway.send_to_controllers(|c| call!([c.rollouts], order_read(row)));
+            gateway.send_to_controllers(|c| call!([c.rollouts], order_read(row, is_listed)));
         }
     }
     gateway.send_to_controllers(|c| call!([c.configuration], advance_knowledge(known)));
--- a/src/gateway/decide/rollout/order.rs
+++ b/src/gateway/decide/rollout/order.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::{
     decide::StoreMillis,
-    model::{Revision, ServiceName, UpstreamVersion},
+    model::{Revision, ServiceName, UpstreamVersion, era_of, number_in_era},
 };
 
 /// An operator's order to move the traffic of a service to another version.
@@ -72,6 +72,22 @@
 }
 
 impl RolloutOrder {
+    /// Returns whether `other` is this order as the store has it in a later era: the row of the
+    /// copy, or the order as the operator has written it again.
+    pub fn is_repeated_by(&self, other: &Self) -> bool {
+        era_of(self.revision) < era_of(other.revision)
+            && self.service == other.service
+            && self.destination == other.destination
+            && self.duration == other.duration
+    }
+
+    /// Returns whether `other`, as a table of a later era lists it, is older than this order.
+    pub fn is_newer_than_listed(&self, other: &Self) -> bool {
+        era_of(self.revision) < era_of(other.revision)
+            && number_in_era(self.revision) > number_in_era(other.revision)
+            && !self.is_repeated_by(other)
+    }
+
     /// Returns the stage at `now`, where `moving_since` says when traffic started to move.
     pub fn stage(&self, moving_since: Option<StoreMillis>, now: StoreMillis) -> RolloutStage {
         let Some(moving_since) = moving_since else {
--- a/src/gateway/decide/rollout/tracker.rs
+++ b/src/gateway/decide/rollout/tracker.rs
@@ -181,6 +181,9 @@
     /// running when the order was given, and `rounding` is drawn between 0 and 1.
     pub fn add_order(&mut self, order: RolloutOrder, has_slack: bool, rounding: f64) -> bool {
         if let Some(known) = self.rollouts.get_mut(&order.service) {
+            if known.order.is_repeated_by(&order) {
+                known.order.revision = order.revision;
+            }
             if known.order.revision == order.revision {
                 known.order.started = known.order.started.min(order.started);
             }
--- a/src/platform/rollouts.rs
+++ b/src/platform/rollouts.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::PlatformError;
-use crate::gateway::model::{ServiceName, UpstreamVersion};
+use crate::gateway::{
+    decide::{RolloutOrder, StoreMillis},
+    model::{Revision, ServiceName, UpstreamVersion},
+};
 
 /// Prefix of the keys of roll-out rows; the service name follows.
 const KEY_PREFIX: &str = "rollout/";
@@ -49,6 +52,19 @@
     pub duration: Duration,
 }
 
+impl RolloutDocument {
+    /// Returns the order that this document gives, written at `revision` and first seen at `started`.
+    pub fn order(&self, revision: Revision, started: StoreMillis) -> RolloutOrder {
+        RolloutOrder {
+            service: self.service.clone(),
+            destination: self.destination.clone(),
+            duration: self.duration,
+            revision,
+            started,
+        }
+    }
+}
+
 /// Returns the service named by the key of a roll-out row, or `None` for any other key.
 pub fn rollout_service(key: &str) -> Option<&str> {
     key.strip_prefix(KEY_PREFIX).filter(|service| !service.is_empty())
