Members, verdicts and the status of roll-outs are written again after a return

A store that returns from a copy may lack the row of a gateway, so that one that starts does not find it, crash verdicts, which all gateways would forget with a loss of power, and the status that the operator reads. A gateway learns of the new era by an answer of the store or a heartbeat: it registers again, at a random time that keeps all gateways at 200 writes a second; the holder of the lease compares the verdict rows and the status rows with what it knows and writes them.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -2,11 +2,13 @@
 
 use std::{cell::RefCell, rc::Rc, time::Instant};
 
+use stakker::call;
+
 use super::{
     board::{Board, StoreState},
     controllers::Controllers,
     decide::{LimitAnnouncement, Mechanism, PartChange, QuarantineChange, StoreStability},
-    model::{Lifetime, WatchedData},
+    model::{Era, Lifetime, WatchedData},
     net::{Phase, Pool, Shutdown},
     peering::ProcessId,
     reactor::ControllerWaker,
@@ -183,7 +185,9 @@
     /// or available again, or has returned from a copy.
     pub fn record_store_outcome(&self, error: Option<&PlatformError>) {
         let now = clock::now();
-        self.note_store_era(now);
+        if let Some(era) = self.store.era() {
+            self.note_store_era(era);
+        }
         // The store answered.
         let error = error.filter(|e| !matches!(e, PlatformError::EraChanged));
         self.board.borrow_mut().steadiness.note(error.is_none(), now);
@@ -204,19 +208,25 @@
         }
     }
 
-    /// Records the era in which the store answers. In a new one the store has been away, however
-    /// short, and has lost some of what it acknowledged.
-    fn note_store_era(&self, now: Instant) {
-        let Some(era) = self.store.era() else {
-            return;
-        };
+    /// Records an era in which the store answers this process or another one. In a new one the store
+    /// has been away, however short, and has lost some of what it acknowledged.
+    pub fn note_store_era(&self, era: Era) {
         let mut board = self.board.borrow_mut();
-        let Some(before) = board.store_era.replace(era).filter(|before| *before < era) else {
+        let known = board.store_era;
+        board.store_era = known.max(Some(era));
+        let Some(before) = known.filter(|known| *known < era) else {
             return;
         };
         board.steadiness = StoreStability::default();
-        board.store = StoreState::RecoveredSince(now);
+        if board.store == StoreState::Up {
+            board.store = StoreState::RecoveredSince(clock::now());
+        }
         drop(board);
         self.log(&Event::StoreReturned { era, before });
+        self.send_to_controllers(|c| {
+            call!([c.peers], store_returned());
+            call!([c.crashes], store_returned());
+            call!([c.rollouts], store_returned());
+        });
     }
 }
--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -300,6 +300,14 @@
         });
     }
 
+    /// Handles the store's return from a copy, which may lack the newest verdicts: they are written
+    /// again.
+    pub fn store_returned(&mut self, _: CX![]) {
+        for stored in &mut self.stored {
+            *stored = VerdictRow { writing: stored.writing, ..VerdictRow::default() };
+        }
+    }
+
     /// Merges the verdicts from the store.
     pub fn verdicts_read(&mut self, cx: CX![], kind: VerdictKind, row: StoreRow) {
         let stored = &mut self.stored[kind as usize];
--- a/src/gateway/controllers/peers.rs
+++ b/src/gateway/controllers/peers.rs
@@ -7,16 +7,19 @@
 };
 
 use stakker::{CX, call, timer_max};
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, task::spawn_local};
 
-use super::{heartbeat_sender::HeartbeatSender, knowledge_age::KnowledgeAges, peer_sync::PeerSync};
+use super::{
+    heartbeat_sender::HeartbeatSender, knowledge_age::KnowledgeAges, peer_sync::PeerSync,
+    startup::register_again,
+};
 use crate::{
     control::HeardClaim,
     gateway::{
         board::{HEARTBEAT_PERIOD, PEER_TIMEOUT, PeerView},
         context::Gateway,
         decide::{PeerTotal, startup_read_delay},
-        model::WatchedData,
+        model::{WatchedData, era_of},
         net::Phase,
         peering::{Heartbeat, ProcessId, RelayedHeartbeat},
         telemetry::Event,
@@ -130,6 +133,12 @@
         before.is_none()
     }
 
+    /// Handles the store's return from a copy, which may lack this process's row.
+    pub fn store_returned(&mut self, _: CX![]) {
+        let gateways = 1 + self.gateway.board.borrow().peers.len();
+        spawn_local(register_again(self.gateway.clone(), gateways));
+    }
+
     /// Sends a heartbeat at once, for example when this process begins to shut down.
     pub fn send_now(&mut self, cx: CX![]) {
         self.sender.send(cx.now());
@@ -197,6 +206,9 @@
     /// Adopts the store position up to which another gateway knows the configuration, if this one
     /// has at least the same version: it is then known up to there here too.
     fn adopt_knowledge(&self, heartbeat: &Heartbeat) {
+        if let Some(known) = heartbeat.configuration_knowledge {
+            self.gateway.note_store_era(era_of(known.position));
+        }
         let mut board = self.gateway.board.borrow_mut();
         let is_current = heartbeat.configuration <= board.configuration_version();
         if let Some(known) = heartbeat.configuration_knowledge.filter(|_| is_current) {
--- a/src/gateway/controllers/startup.rs
+++ b/src/gateway/controllers/startup.rs
@@ -22,6 +22,10 @@
 /// Timeout of reading the list of gateways.
 const MEMBERS_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Mean time between two gateways that register again. The store bears a limited rate of writes, and
+/// a gateway that starts meanwhile learns of the others from those whose rows are there.
+const REGISTRATION_SPACING: Duration = Duration::from_millis(5);
+
 /// Row of one gateway in the members table, from which the others learn its address.
 #[derive(Debug, Serialize, Deserialize)]
 struct MemberRow {
@@ -66,27 +70,41 @@
     member.ok().map(|m| m.heartbeats)
 }
 
-/// Registers this process's address in the store, then reads the addresses of the other gateways.
-/// Retries each with backoff until it has succeeded once.
-pub async fn register_member(gateway: Rc<Gateway>) {
-    let (host, heartbeats) = {
-        let settings = gateway.settings.borrow();
-        (settings.id.clone(), settings.listen.heartbeats)
-    };
-    let value =
-        serde_json::to_vec(&MemberRow { heartbeats }).expect("an address always encodes as JSON");
-    let row = RowWrite { table: Table::Members, key: host, value, expected: None };
+/// Returns the row under which this process is registered.
+fn member_row(gateway: &Gateway) -> RowWrite {
+    let settings = gateway.settings.borrow();
+    let member = MemberRow { heartbeats: settings.listen.heartbeats };
+    let value = serde_json::to_vec(&member).expect("an address always encodes as JSON");
+    RowWrite { table: Table::Members, key: settings.id.clone(), value, expected: None }
+}
+
+/// Writes this process's row. Retries with backoff until it has succeeded once.
+async fn write_member_row(gateway: &Gateway) {
+    let row = member_row(gateway);
     let mut backoff = Backoff::default();
     loop {
         let began = clock::now();
         let written = gateway.store.write(std::slice::from_ref(&row)).await;
-        record_store_call(&gateway, "announce", began, written.as_ref().err());
+        record_store_call(gateway, "announce", began, written.as_ref().err());
         if written.is_ok() {
-            break;
+            return;
         }
         sleep(backoff.record_failure(fastrand::f64())).await;
     }
-    backoff.record_success();
+}
+
+/// Registers this process's address again, at a random time that keeps the rate of such writes by
+/// all `gateways` low.
+pub async fn register_again(gateway: Rc<Gateway>, gateways: usize) {
+    sleep(REGISTRATION_SPACING.mul_f64(gateways as f64 * fastrand::f64())).await;
+    write_member_row(&gateway).await;
+}
+
+/// Registers this process's address in the store, then reads the addresses of the other gateways.
+/// Retries each with backoff until it has succeeded once.
+pub async fn register_member(gateway: Rc<Gateway>) {
+    write_member_row(&gateway).await;
+    let mut backoff = Backoff::default();
     loop {
         let began = clock::now();
         let read = timeout(MEMBERS_TIMEOUT, gateway.store.snapshot(Table::Members)).await;
