Tests of a store that returns from copies: a model, members, verdicts, roll-outs, the soak

The model of readers plays returns with two ways to tell that revisions are given out again, by eras and by refusals of reads. A gateway that starts finds those whose rows were lost, a verdict is written again, a roll-back stands though the order or its status was lost. The soak's seeds 14 and 15 let the store return from copies (SOAK_RETURNS=1 by hand).

--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -22,7 +22,7 @@
 };
 
 use hyper::StatusCode;
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{
     gateways::{Call, GatewayProc, Site},
     wait_until,
@@ -174,13 +174,21 @@
         name: &'static str,
         /// Whether all processes are killed; otherwise one survives while the store is unreachable.
         all: bool,
+        /// Whether the store returns from a copy without the verdict before that.
+        store_returns: bool,
     }
     let cases = [
-        Case { name: "all are killed", all: true },
-        Case { name: "one survives while the store is unreachable", all: false },
+        Case { name: "all are killed", all: true, store_returns: false },
+        Case {
+            name: "one survives while the store is unreachable",
+            all: false,
+            store_returns: false,
+        },
+        Case { name: "the store has lost the verdict", all: true, store_returns: true },
     ];
     for case in cases {
         let mut site = Site::start(3, 0, 6);
+        site.control("/copy-store", &json!({}));
         until_quarantined(&site, 0, "/check/c1");
         wait_until("all gateways know", || {
             site.gateways.iter().all(|g| g.metrics().contains("quarantined_requests 1"))
@@ -188,6 +196,17 @@
         wait_until("the store knows", || {
             site.gateways.iter().any(|g| g.metrics().contains("cause=\"quarantine\""))
         });
+        if case.store_returns {
+            site.control("/return-store", &json!({ "rewriteMs": 500 }));
+            wait_until("the verdict is written again", || {
+                let written = |g: &GatewayProc| {
+                    let metrics = g.metrics();
+                    let lines = metrics.lines().filter(|l| l.contains("cause=\"quarantine\""));
+                    lines.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum::<u64>()
+                };
+                site.gateways.iter().map(written).sum::<u64>() >= 2
+            });
+        }
         let killed = if case.all { 3 } else { 2 };
         site.gateways[..killed].iter_mut().for_each(GatewayProc::kill);
         if !case.all {
--- a/tests/gateway_rollout_path.rs
+++ b/tests/gateway_rollout_path.rs
@@ -272,6 +272,42 @@
     callers.stop();
 }
 
+#[test]
+fn a_roll_back_stands_though_the_store_lost_the_order_or_its_status() {
+    for is_order_lost in [true, false] {
+        let (mut site, new) = site();
+        for id in &new {
+            site.behave(Some(id), "fail");
+        }
+        let callers = Callers::start(&site);
+        thread::sleep(Duration::from_secs(1));
+        if is_order_lost {
+            site.control("/copy-store", &json!({}));
+            order(&site);
+        } else {
+            order(&site);
+            wait_until("the roll-out runs", || site.rollout_state("app") == "running");
+            site.control("/copy-store", &json!({}));
+        }
+        wait_until("the version is rolled back", || site.rollout_state("app") == "rolled_back");
+        let rolled_back = site.now_ms();
+        site.control("/return-store", &json!({ "rewriteMs": 500 }));
+        wait_until("the status is written again", || site.rollout_state("app") == "rolled_back");
+        // One that starts knows only the rows and what the others tell it.
+        site.gateways[0].kill();
+        site.gateways[0].restart();
+        site.wait_ready();
+        thread::sleep(Duration::from_secs(2));
+        let late: Vec<Value> = runs(&site)
+            .into_iter()
+            .filter(|r| r["version"] == "v2" && began(r) > rolled_back)
+            .collect();
+        assert!(late.is_empty(), "order lost: {is_order_lost}; tried again: {late:?}");
+        assert_eq!(site.rollout_state("app"), "rolled_back", "order lost: {is_order_lost}");
+        callers.stop();
+    }
+}
+
 #[test]
 fn an_invalid_or_withdrawn_order_fails_no_requests() {
     let (site, _) = site();
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -126,6 +126,7 @@
             restarts,
             crashing,
             store_stalls: true,
+            store_returns: number("SOAK_RETURNS", 0) > 0,
             signals,
             cuts,
             unframed,
@@ -377,6 +378,9 @@
     if store_stalls {
         faults = faults.with_store_stalls(seed);
     }
+    if case.store_returns {
+        faults = faults.with_store_returns(seed);
+    }
     if signals {
         faults = faults.with_signals(seed);
     }
--- a/tests/gateway_store_copies.rs
+++ b/tests/gateway_store_copies.rs
@@ -277,3 +277,20 @@
         reported_windows(&site) > reported + 3
     });
 }
+
+#[test]
+fn a_gateway_that_starts_finds_those_whose_rows_were_lost() {
+    let mut site = Site::bare();
+    site.control("/copy-store", &json!({}));
+    site.configure(&configuration(7));
+    (0..GATEWAYS).for_each(|_| site.add_gateway());
+    site.wait_ready();
+    site.control("/return-store", &json!({ "rewriteMs": REWRITE_TIME.as_millis() as u64 }));
+    let returned = |l: &Value| l["event"] == "store_returned";
+    wait_until("all gateways know that the store returned", || {
+        site.gateways.iter().all(|g| g.log().iter().any(returned))
+    });
+    thread::sleep(SETTLE_TIME);
+    site.add_gateway();
+    site.wait_ready();
+}
--- a/tests/readers/mod.rs
+++ b/tests/readers/mod.rs
@@ -1,10 +1,13 @@
 //! Simulation of gateways that read a store and tell each other what they know. The gateways make
 //! the product's decisions; the store and the network are simple models.
 
+#![allow(dead_code, reason = "not every test lets the store return")]
+
 use std::time::{Duration, Instant};
 
-use tackhollow::gateway::decide::{
-    ReadAction, ReaderCandidate, StoreClock, SyncPoint, next_read_action,
+use tackhollow::gateway::{
+    decide::{ReadAction, ReaderCandidate, StoreClock, SyncPoint, next_read_action},
+    model::{era_of, revision_in_era},
 };
 
 /// Step of simulated time, in milliseconds.
@@ -50,6 +53,26 @@
     pub refusing: Vec<Span>,
 }
 
+/// Return of the store from a copy, in simulated milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Return {
+    /// When the copy was taken. Changes between it and the return are lost.
+    pub copied: u64,
+    /// When the store is back.
+    pub back: u64,
+    /// How gateways tell that revisions are given out again.
+    pub way: Way,
+}
+
+/// How gateways tell that revisions are given out again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// A revision belongs to an era; those of a later one are higher.
+    Eras,
+    /// A whole table is accepted at any revision once a read of changes is refused.
+    Refusals,
+}
+
 /// A message that reached a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -83,6 +106,8 @@
     /// When each gateway was last heard, and whether the store did not answer it then.
     heard: Vec<Option<(u64, bool)>>,
     next_heartbeat: u64,
+    /// Whether it knows what the last change was about.
+    knows_last: bool,
 }
 
 /// The store, the gateways and the network between them.
@@ -94,6 +119,7 @@
     outages: Outages,
     /// Times at which changes are confirmed, in ascending order.
     changes: Vec<u64>,
+    returned: Option<Return>,
     rng: fastrand::Rng,
     /// Number of calls to the store.
     pub calls: usize,
@@ -130,10 +156,17 @@
                 next_call: rng.u64(..200),
                 heard: vec![Some((0, false)); count],
                 next_heartbeat: rng.u64(..HEARTBEAT_MS),
+                knows_last: false,
             }
         };
         let gateways = plans.into_iter().enumerate().map(gateway).collect();
-        Self { start, now: 0, gateways, outages, changes, rng, calls: 0, deliveries: Vec::new() }
+        let (deliveries, returned) = (Vec::new(), None);
+        Self { start, now: 0, gateways, outages, changes, returned, rng, calls: 0, deliveries }
+    }
+
+    /// Lets the store return from a copy before the last change.
+    pub fn returning(self, returned: Return) -> Self {
+        Self { returned: Some(returned), ..self }
     }
 
     /// Runs the simulation until a time; returns when each gateway first knew the last change in
@@ -148,8 +181,7 @@
                 self.answer(i);
                 self.call(i);
                 self.send_heartbeat(i);
-                let newest = self.gateways[i].knowledge.position > self.changes.len() as u64;
-                if newest && knew.is_none() {
+                if self.gateways[i].knows_last && knew.is_none() {
                     *knew = Some(self.now);
                 }
             }
@@ -179,21 +211,35 @@
         self.lives(i) && !within(self.gateways[i].plan.frozen.as_slice(), self.now)
     }
 
-    /// Returns the revision of the store at a time.
+    /// Returns the revision of the store at a time, as gateways compare it.
     fn revision(&self, now: u64) -> u64 {
-        1 + self.changes.iter().filter(|t| **t <= now).count() as u64
+        let returned = self.returned.filter(|r| now >= r.back);
+        let is_lost = |t: u64| returned.is_some_and(|r| (r.copied..r.back).contains(&t));
+        let number = 1 + self.changes.iter().filter(|t| **t <= now && !is_lost(**t)).count() as u64;
+        match returned.map(|r| r.way) {
+            Some(Way::Eras) => revision_in_era(1, number).expect("a small number"),
+            Some(Way::Refusals) | None => number,
+        }
+    }
+
+    /// Returns the revision of the last change, once it is confirmed.
+    fn last_change(&self) -> Option<u64> {
+        let last = *self.changes.last()?;
+        (self.now >= last).then(|| self.revision(last))
     }
 
     /// Delivers the answers that are due, and fails the calls that timed out.
     fn answer(&mut self, i: usize) {
         let (now, revision) = (self.now, self.revision(self.now));
+        let last_change = self.last_change();
         let in_flight_lost = loses_calls(&self.outages.silent, now)
             || loses_calls(self.gateways[i].plan.cut.as_slice(), now);
         let instant = self.instant();
         let gateway = &mut self.gateways[i];
         gateway.calls.iter_mut().for_each(|c| c.lost |= in_flight_lost);
         let due = |c: &Call| {
-            !c.lost && now >= c.began + ANSWER_MS && (revision > c.after || now >= c.until)
+            // A revision that the store does not have is refused, and the whole table is read.
+            !c.lost && now >= c.began + ANSWER_MS && (revision != c.after || now >= c.until)
         };
         let (answered, open): (Vec<Call>, Vec<Call>) = gateway.calls.iter().partition(|c| due(c));
         let (overdue, open): (Vec<Call>, Vec<Call>) =
@@ -204,9 +250,14 @@
         for call in answered {
             self.deliveries.push((now, i, Delivery::Answer { upto: revision }));
             gateway.store_unreachable = false;
+            let is_whole = era_of(call.after) < era_of(revision) || revision < call.after;
+            gateway.knows_last |= last_change.is_some_and(|last| is_whole || call.after < last);
+            if revision < gateway.knowledge.position {
+                gateway.knowledge = SyncPoint::default();
+            }
             gateway.knowledge.advance(SyncPoint { position: revision, as_of: now });
             gateway.clock.note(now, instant);
-            if revision > call.after {
+            if revision != call.after {
                 gateway.next_call = now;
             }
         }
@@ -272,7 +323,9 @@
         }
         self.gateways[i].next_heartbeat = self.now + HEARTBEAT_MS;
         let instant = self.instant();
+        let last_change = self.last_change();
         let gateway = &self.gateways[i];
+        let knows_last = gateway.knows_last;
         let (sent, store_unreachable) = (gateway.knowledge, gateway.store_unreachable);
         let reading = gateway.clock.now(instant).expect("every gateway has a clock reading");
         let others: Vec<usize> = (0..self.gateways.len()).filter(|n| *n != i).collect();
@@ -284,6 +337,9 @@
             let other = &mut self.gateways[n];
             other.heard[i] = Some((self.now, store_unreachable));
             other.clock.note(reading, instant);
+            // It asks for a change that is beyond its own revision.
+            let asks = last_change.is_some_and(|last| other.knowledge.position < last);
+            other.knows_last |= knows_last && asks;
             other.knowledge.advance(sent);
         }
     }
--- a/tests/soak/cases.rs
+++ b/tests/soak/cases.rs
@@ -10,6 +10,8 @@
     pub crashing: Crashing,
     /// Whether the store stops answering for a while.
     pub store_stalls: bool,
+    /// Whether the store returns from copies.
+    pub store_returns: bool,
     /// Whether upstreams announce rate limits, leaving and cooldowns in their responses.
     pub signals: bool,
     /// Whether gateways are cut off from all upstreams for a while.
@@ -51,6 +53,7 @@
     restarts: false,
     crashing: Crashing::No,
     store_stalls: false,
+    store_returns: false,
     signals: false,
     cuts: false,
     unframed: false,
@@ -59,7 +62,7 @@
     brittle: false,
 };
 
-pub const CASES: [Case; 20] = [
+pub const CASES: [Case; 22] = [
     Case { seed: 1, description: "a short run", ..UNDISTURBED },
     Case {
         seed: 2002,
@@ -193,4 +196,19 @@
         store_stalls: true,
         ..UNDISTURBED
     },
+    Case {
+        seed: 14,
+        description: "the store returns from copies",
+        store_returns: true,
+        ..UNDISTURBED
+    },
+    Case {
+        seed: 15,
+        description: "returns beside crashing requests, restarts and a store that stops answering",
+        store_returns: true,
+        restarts: true,
+        crashing: Crashing::Direct,
+        store_stalls: true,
+        ..UNDISTURBED
+    },
 ];
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -21,6 +21,7 @@
 const SIGNALS: u64 = 0x7369_676e_616c_7300;
 const CUTS: u64 = 0x6375_7473_0000_0000;
 const UNFRAMED: u64 = 0x756e_6672_616d_6564;
+const STORE_RETURNS: u64 = 0x7265_7475_726e_7300;
 /// Ways in which an upstream ends an answer without framing early.
 const EARLY_ENDS: [&str; 3] = ["end_midway", "end_after_event", "break_midway"];
 /// Cuts between some gateways and all upstreams.
@@ -41,6 +42,8 @@
     Behave(usize),
     /// Writes an upstream's row back to the store.
     Row(usize),
+    /// Makes the store return from its last copy, in which nobody writes again for this time.
+    StoreReturn(Duration),
     /// Ends the signal that an upstream sends.
     Signal(usize),
     /// Ends the cuts between gateways and upstreams.
@@ -62,6 +65,8 @@
     restarts: Option<fastrand::Rng>,
     /// Draws when the store stops answering all gateways; `None` if it never does.
     store_stalls: Option<fastrand::Rng>,
+    /// Draws when the store returns from copies; `None` if it never does.
+    store_returns: Option<fastrand::Rng>,
     /// Draws the signals that upstreams send in responses; `None` if they send none.
     signals: Option<fastrand::Rng>,
     /// Draws cuts between gateways and upstreams; `None` if there are none.
@@ -90,6 +95,7 @@
             version,
             restarts: None,
             store_stalls: None,
+            store_returns: None,
             signals: None,
             cuts: None,
             unframed: None,
@@ -134,6 +140,13 @@
         self
     }
 
+    /// Adds returns of the store from copies, after which what was lost is written again. The draws
+    /// of the other faults of a seed stay the same.
+    pub fn with_store_returns(mut self, seed: u64) -> Self {
+        self.store_returns = Some(fastrand::Rng::with_seed(seed ^ STORE_RETURNS));
+        self
+    }
+
     /// Returns a configuration version newer than all that were written.
     pub fn next_version(&self) -> u64 {
         self.version + 1
@@ -148,6 +161,7 @@
             self.inject_next();
             self.restart_upstream();
             self.stall_store();
+            self.copy_store();
             self.signal_upstream();
             self.cut_gateways();
             self.unframe_answers();
@@ -211,6 +225,22 @@
         *self.counts.entry("store_falls_silent").or_default() += 1;
     }
 
+    /// Occasionally copies the store, which returns from the copy up to 4 s later.
+    fn copy_store(&mut self) {
+        let Some(rng) = &mut self.store_returns else {
+            return;
+        };
+        let is_copied = self.due.iter().any(|(_, end)| matches!(end, FaultEnd::StoreReturn(_)));
+        if is_copied || rng.u8(..3) > 0 {
+            return;
+        }
+        let age = Duration::from_millis(rng.u64(300..4_000));
+        let rewrite = Duration::from_millis(rng.u64(50..1_500));
+        self.site.control("/copy-store", &json!({}));
+        self.due.push((Instant::now() + age, FaultEnd::StoreReturn(rewrite)));
+        *self.counts.entry("store_returns").or_default() += 1;
+    }
+
     /// Occasionally cuts gateways off from all upstreams, one, some or all of them, for up to 4 s, or
     /// for about a second.
     fn cut_gateways(&mut self) {
@@ -430,6 +460,10 @@
             }
             FaultEnd::Link(n) => self.links[n].set_link(Link::Pass),
             FaultEnd::Store => self.site.store("up"),
+            FaultEnd::StoreReturn(rewrite) => {
+                let ms = rewrite.as_millis() as u64;
+                self.site.control("/return-store", &json!({ "rewriteMs": ms }));
+            }
             FaultEnd::Behave(n) => self.site.behave(Some(&self.upstreams[n]), "serve"),
             FaultEnd::Signal(n) => self.end_signal(n),
             FaultEnd::Cuts => self.site.end_cuts(),
