Nobody is refused for good for three seconds after the store has lost changes

A configuration may be confirmed, read by nobody and lost: a caller whose key it added was told 401 until the operator had written it again. Knowledge of the configuration counts as old for three seconds after a return, so that such callers get 503 and come back.

Upstreams that left are withheld from each list that names them, not only from the first of an era; answers of an earlier era no longer count as written verdicts or status rows (reading, no test).

--- a/src/gateway/board/departures.rs
+++ b/src/gateway/board/departures.rs
@@ -10,9 +10,9 @@
     ids::UpstreamId,
 };
 
-/// Time for which a departure is remembered. A copy that is older lists upstreams that left as if
-/// they were serving.
-const MEMORY: Duration = Duration::from_secs(60);
+/// Time for which a departure is remembered. A copy that is older than this lists upstreams that
+/// left as if they were serving.
+const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
 /// Time after the return for which a row of an upstream that left is not used unless it is written
 /// again. With less, the store may not have removed it again; with more, an upstream that is back
 /// is idle for longer.
@@ -29,8 +29,6 @@
 impl Departures {
     /// Records that an upstream is gone.
     pub fn note(&mut self, id: &UpstreamId, lifetime: Lifetime, now: Instant) {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < MEMORY;
-        self.left.retain(|_, (_, at)| is_recent(*at));
         self.left.insert(id.clone(), (lifetime, now));
     }
 
@@ -40,23 +38,27 @@
         self.withheld.remove(id);
     }
 
-    /// Splits off the upstreams that left in the same lifetime, from those that a copy lists, and
-    /// withholds them; returns the others.
-    pub fn withhold(&mut self, listed: Vec<Upstream>, now: Instant) -> Vec<Upstream> {
-        let has_left = |upstream: &Upstream| {
+    /// Withholds those of the upstreams that a copy lists that left in the same lifetime.
+    pub fn withhold(&mut self, listed: &[Upstream], now: Instant) {
+        let until = now + WITHHELD_TIME;
+        let left = |upstream: &&Upstream| {
             let left = self.left.get(&upstream.id);
-            left.is_some_and(|(lifetime, at)| {
-                *lifetime == upstream.lifetime() && now.saturating_duration_since(*at) < MEMORY
-            })
+            left.is_some_and(|(lifetime, _)| *lifetime == upstream.lifetime())
         };
-        let (left, others): (Vec<_>, Vec<_>) = listed.into_iter().partition(has_left);
-        let until = now + WITHHELD_TIME;
-        self.withheld = left.into_iter().map(|u| (u.id.clone(), (u, until))).collect();
-        others
+        let withheld = listed.iter().filter(left).map(|u| (u.id.clone(), (u.clone(), until)));
+        self.withheld = withheld.collect();
+    }
+
+    /// Returns whether an upstream is withheld.
+    pub fn is_withheld(&self, upstream: &Upstream) -> bool {
+        let withheld = self.withheld.get(&upstream.id);
+        withheld.is_some_and(|(known, _)| known.lifetime() == upstream.lifetime())
     }
 
-    /// Returns the withheld upstreams whose rows are still listed after that time.
-    pub fn take_due(&mut self, now: Instant) -> Vec<Upstream> {
+    /// Forgets old departures, and returns the withheld upstreams whose rows are still listed after
+    /// that time.
+    pub fn expire(&mut self, now: Instant) -> Vec<Upstream> {
+        self.left.retain(|_, (_, at)| now.saturating_duration_since(*at) < DEPARTURE_RETENTION);
         let due: Vec<UpstreamId> = self
             .withheld
             .iter()
--- a/src/gateway/board/knowledge.rs
+++ b/src/gateway/board/knowledge.rs
@@ -9,6 +9,11 @@
     net::Phase,
 };
 
+/// Time after the store's return from a copy in which its writers write again what was lost. With
+/// less, a caller whose key was just added is refused for good; with more, one with a wrong key is
+/// asked to come back for longer.
+const REWRITE_TIME: Duration = Duration::from_secs(3);
+
 impl Board {
     /// Returns up to where the store's contents are known; `None` if they were never read.
     pub fn knowledge(&self, followed: WatchedData) -> Option<SyncPoint> {
@@ -24,9 +29,12 @@
         self.store_clock.age(self.knowledge(followed)?.as_of, now)
     }
 
-    /// Returns whether the knowledge is so old that newer contents may have been missed.
+    /// Returns whether newer contents may have been missed: the knowledge is old, or the store has
+    /// lost some that were confirmed, and that may not have been written again yet.
     pub fn is_old(&self, followed: WatchedData, now: Instant) -> bool {
+        let since_return = self.store_returned_at.map(|at| now.saturating_duration_since(at));
         self.age(followed, now).is_none_or(|age| age >= KNOWLEDGE_OLD_AFTER)
+            || since_return.is_some_and(|time| time < REWRITE_TIME)
     }
 
     /// Returns whether and what this process reads now; `None` if it has to read everything first.
--- a/src/gateway/board/mod.rs
+++ b/src/gateway/board/mod.rs
@@ -161,6 +161,8 @@
     pub store_era: Option<Era>,
     /// Whether the store has answered this process without interruption.
     pub steadiness: StoreStability,
+    /// When the store was last learnt to have returned from a copy.
+    pub store_returned_at: Option<Instant>,
     /// Number of requests in progress.
     pub in_progress: usize,
     /// Newest lifetime of each upstream.
@@ -218,6 +220,7 @@
             lease: LeaseView::default(),
             store: StoreState::Up,
             store_era: None,
+            store_returned_at: None,
             steadiness: StoreStability::default(),
             in_progress: 0,
             lifetimes: Lifetimes::default(),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -217,9 +217,11 @@
         let Some(before) = known.filter(|known| *known < era) else {
             return;
         };
+        let now = clock::now();
         board.steadiness = StoreStability::default();
+        board.store_returned_at = Some(now);
         if board.store == StoreState::Up {
-            board.store = StoreState::RecoveredSince(clock::now());
+            board.store = StoreState::RecoveredSince(now);
         }
         drop(board);
         self.log(&Event::StoreReturned { era, before });
--- a/src/gateway/controllers/crashes.rs
+++ b/src/gateway/controllers/crashes.rs
@@ -22,6 +22,7 @@
         board::{HEARTBEAT_PERIOD, HEARTBEAT_REACH},
         context::Gateway,
         decide::{CrashGossip, HEARTBEAT_FAN_OUT, PartGossip},
+        model::era_of,
         peering::CrashNotice,
     },
     platform::{PlatformError, RowWrite, StoreRow, Table, WriteOutcome},
@@ -371,9 +372,12 @@
         fingerprint: u64,
         outcome: Result<WriteOutcome, PlatformError>,
     ) {
+        let era = self.gateway.board.borrow().store_era.unwrap_or_default();
         let stored = &mut self.stored[kind as usize];
         stored.writing = false;
         match outcome {
+            // The store has returned from a copy since, and may have lost the row.
+            Ok(WriteOutcome::Done(revision)) if era_of(revision) < era => {}
             Ok(WriteOutcome::Done(revision)) => {
                 stored.revision = revision;
                 stored.fingerprint = fingerprint;
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -154,8 +154,11 @@
             return false;
         }
         if era_of(known) < era_of(position) {
-            self.enter_era(&mut snapshot, now);
+            self.enter_era(&snapshot, now);
         }
+        let board = self.gateway.board.borrow();
+        snapshot.upstreams.retain(|upstream| !board.departures.is_withheld(upstream));
+        drop(board);
         let listed: BTreeSet<&UpstreamId> = snapshot.upstreams.iter().map(|u| &u.id).collect();
         self.apply_listed(&snapshot, now);
         let present: Vec<UpstreamId> =
@@ -174,17 +177,16 @@
 
     /// Prepares for the first list of a later era, which may be older than what is known: upstreams
     /// that are leaving go on leaving, and those that left are not used.
-    fn enter_era(&self, snapshot: &mut UpstreamSnapshot, now: Instant) {
+    fn enter_era(&self, snapshot: &UpstreamSnapshot, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
         board.keep_leaving_upstreams(now);
-        let listed = std::mem::take(&mut snapshot.upstreams);
-        snapshot.upstreams = board.departures.withhold(listed, now);
+        board.departures.withhold(&snapshot.upstreams, now);
     }
 
     /// Uses withheld upstreams whose rows have not been removed again.
     fn use_withheld(&self, now: Instant) {
         let mut board = self.gateway.board.borrow_mut();
-        let due = board.departures.take_due(now);
+        let due = board.departures.expire(now);
         let position = board.upstreams_position();
         drop(board);
         due.into_iter().for_each(|upstream| self.update(upstream, position, now));
--- a/src/gateway/controllers/rollouts.rs
+++ b/src/gateway/controllers/rollouts.rs
@@ -328,11 +328,15 @@
         outcome: Result<WriteOutcome, PlatformError>,
     ) {
         self.call_in_flight = false;
-        let Ok(WriteOutcome::Done(revision)) = outcome else {
-            // The row may or may not have been written, so all rows are read anew.
-            self.rows = None;
-            self.next_call = cx.now() + RETRY_DELAY;
-            return;
+        let era = self.gateway.board.borrow().store_era.unwrap_or_default();
+        let revision = match outcome {
+            Ok(WriteOutcome::Done(revision)) if era_of(revision) >= era => revision,
+            Ok(_) | Err(_) => {
+                // The row may or may not have been written, so all rows are read anew.
+                self.rows = None;
+                self.next_call = cx.now() + RETRY_DELAY;
+                return;
+            }
         };
         let row = StatusRow { revision, state, destination };
         self.rows.get_or_insert_default().insert(service.clone(), row);
--- a/tests/gateway_store_copies.rs
+++ b/tests/gateway_store_copies.rs
@@ -10,9 +10,10 @@
     time::{Duration, Instant},
 };
 
+use hyper::StatusCode;
 use serde_json::{Value, json};
 use support::{
-    gateways::{Call, GatewayProc, Site, configuration},
+    gateways::{Call, GatewayProc, KEY, Site, configuration},
     wait_until,
 };
 
@@ -294,3 +295,31 @@
     site.add_gateway();
     site.wait_ready();
 }
+
+#[test]
+fn a_caller_with_an_added_key_is_not_refused_for_good_though_the_store_lost_the_key() {
+    let site = Site::start(GATEWAYS, 0, 1);
+    let mut with_key = configuration(8);
+    with_key["tenants"][0]["apiKeys"] = json!([KEY, "added-key"]);
+    site.control("/copy-store", &json!({}));
+    site.store("silent");
+    // Confirmed, and read by no gateway.
+    site.configure(&with_key);
+    let confirmed = Instant::now();
+    thread::sleep(AWAY);
+    let rewrite = Duration::from_millis(2_500);
+    site.control("/return-store", &json!({ "rewriteMs": rewrite.as_millis() as u64 }));
+    site.store("up");
+    let call = Call::new("GET", "/check/x", "added").header("x-key", "added-key");
+    let mut statuses = Vec::new();
+    wait_until("the key is known", || {
+        let answers = site.gateways.iter().filter_map(|g| call.send(g.callers));
+        let last: Vec<StatusCode> = answers.map(|a| a.status).collect();
+        if confirmed.elapsed() > BOUND {
+            statuses.extend(last.clone());
+        }
+        last.iter().all(|s| *s == StatusCode::OK)
+    });
+    assert!(statuses.contains(&StatusCode::SERVICE_UNAVAILABLE), "no gateway lacked the key");
+    assert!(!statuses.contains(&StatusCode::UNAUTHORIZED), "{statuses:?}");
+}
