--- a/tests/gateway_store_copies_model.rs
+++ b/tests/gateway_store_copies_model.rs
@@ -29,7 +29,8 @@
     changes.extend((0..rng.u64(..MAX_CHANGES)).map(|_| rng.u64(back..=confirmed)));
     changes.push(confirmed);
     changes.sort_unstable();
-    let outages = Outages { refusing: vec![away..back], ..Outages::default() };
+    let mut outages = Outages::default();
+    outages.refusing.push(away..back);
     let plans = vec![Plan::default(); gateways];
     let world = World::new(rng.u64(..), plans, outages, changes);
     let mut world = world.returning(Return { copied, back, way });
