--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -1,18 +1,22 @@
 //! The store client on connections that go dead without being closed: a call on such a
-//! connection gets no answer and fails only at its timeout.
+//! connection gets no answer and fails only at its timeout. And the client before a store that
+//! answers in another era than the one before.
 
 use std::{
-    io::{BufRead, BufReader, Write},
+    io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
-use tackhollow::platform::{StoreClient, Table};
+use tackhollow::{
+    gateway::model::Revision,
+    platform::{PlatformError, RowWrite, StoreClient, Table, WriteOutcome},
+};
 use tokio::{runtime::Builder, task::LocalSet, time::sleep};
 
 /// Idle time after which the client must not reuse a connection.
@@ -27,6 +31,10 @@
     generation: Arc<AtomicU64>,
     /// Number of connections accepted so far.
     opened: Arc<AtomicU64>,
+    /// Number of calls answered so far.
+    calls: Arc<AtomicU64>,
+    /// Era and revision that answers name.
+    state: Arc<Mutex<(String, u64)>>,
 }
 
 impl FakeStore {
@@ -36,14 +44,27 @@
         let generation = Arc::new(AtomicU64::new(0));
         let opened = Arc::new(AtomicU64::new(0));
         let (current_generation, count) = (generation.clone(), opened.clone());
+        let calls = Arc::new(AtomicU64::new(0));
+        let state = Arc::new(Mutex::new(("1".to_owned(), 5)));
+        let (answered, answers) = (calls.clone(), state.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 count.fetch_add(1, Ordering::SeqCst);
                 let current_generation = current_generation.clone();
-                thread::spawn(move || serve(stream, &current_generation));
+                let (answered, answers) = (answered.clone(), answers.clone());
+                thread::spawn(move || serve(stream, &current_generation, &answered, &answers));
             }
         });
-        Self { address, generation, opened }
+        Self { address, generation, opened, calls, state }
+    }
+
+    /// Answers in this era from now on, at this revision.
+    fn answer_in(&self, era: &str, revision: u64) {
+        *self.state.lock().expect("no thread panicked") = (era.to_owned(), revision);
+    }
+
+    fn calls(&self) -> u64 {
+        self.calls.load(Ordering::SeqCst)
     }
 
     fn silence_open_connections(&self) {
@@ -51,18 +72,35 @@
     }
 }
 
-fn serve(mut stream: TcpStream, current_generation: &AtomicU64) {
+fn serve(
+    mut stream: TcpStream,
+    current_generation: &AtomicU64,
+    calls: &AtomicU64,
+    state: &Mutex<(String, u64)>,
+) {
     let own_generation = current_generation.load(Ordering::SeqCst);
     let mut reader = BufReader::new(stream.try_clone().expect("the same socket"));
     let mut line = String::new();
+    let mut body_bytes = 0;
     while reader.read_line(&mut line).is_ok_and(|read| read > 0) {
+        if let Some(length) = line.to_lowercase().strip_prefix("content-length:") {
+            body_bytes = length.trim().parse().expect("a length");
+        }
         let head_ended = line == "\r\n";
         line.clear();
+        if head_ended {
+            let mut body = vec![0; std::mem::take(&mut body_bytes)];
+            reader.read_exact(&mut body).expect("the whole body");
+        }
         if head_ended && current_generation.load(Ordering::SeqCst) == own_generation {
-            let body = r#"{"rows":[],"morePages":false,"rowVersion":5,"nowMs":7}"#;
+            calls.fetch_add(1, Ordering::SeqCst);
+            let (era, revision) = state.lock().expect("no thread panicked").clone();
+            let body =
+                format!(r#"{{"rows":[],"morePages":false,"rowVersion":{revision},"nowMs":7}}"#);
             let length = body.len();
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
-            stream.write_all((head + body).as_bytes()).expect("the client is connected");
+            let head =
+                format!("HTTP/1.1 200 OK\r\nstore-era: {era}\r\ncontent-length: {length}\r\n\r\n");
+            stream.write_all((head + &body).as_bytes()).expect("the client is connected");
         }
     }
 }
@@ -97,3 +135,66 @@
         assert_eq!(store.opened.load(Ordering::SeqCst), 1);
     });
 }
+
+fn write_at(expected: Revision) -> [RowWrite; 1] {
+    [RowWrite {
+        table: Table::Duties,
+        key: "lease".to_owned(),
+        value: b"x".to_vec(),
+        expected: Some(expected),
+    }]
+}
+
+#[test]
+fn a_revision_that_was_given_out_again_is_not_taken_for_the_earlier_one() {
+    run(async {
+        let store = FakeStore::start();
+        let client = StoreClient::new(store.address);
+        let first = client.snapshot(Table::Duties).await.expect("an answer").revision;
+        let written = client.write(&write_at(first)).await.expect("an answer");
+        assert_eq!(written, WriteOutcome::Done(first));
+        store.answer_in("2", 5);
+        // The client learns of the era by the answers to these calls.
+        let fed = client.feed(Table::Duties, first, Duration::ZERO).await;
+        assert!(matches!(fed, Err(PlatformError::EraChanged)), "{fed:?}");
+        assert_eq!(client.era(), Some(2));
+        let calls = store.calls();
+        for _ in 0..2 {
+            let written = client.write(&write_at(first)).await;
+            assert!(matches!(written, Err(PlatformError::EraChanged)), "{written:?}");
+        }
+        assert_eq!(store.calls(), calls, "a write on an earlier era is not sent");
+        let second = client.snapshot(Table::Duties).await.expect("an answer").revision;
+        assert!(second > first, "the same number of a later era is a higher revision");
+        let written = client.write(&write_at(second)).await.expect("an answer");
+        assert_eq!(written, WriteOutcome::Done(second));
+    });
+}
+
+#[test]
+fn a_write_that_a_later_era_answers_is_not_confirmed() {
+    run(async {
+        let store = FakeStore::start();
+        let client = StoreClient::new(store.address);
+        let first = client.snapshot(Table::Duties).await.expect("an answer").revision;
+        store.answer_in("2", 6);
+        let written = client.write(&write_at(first)).await;
+        assert!(matches!(written, Err(PlatformError::EraChanged)), "{written:?}");
+        let created = client.write(&write_at(0)).await.expect("an answer");
+        assert!(matches!(created, WriteOutcome::Done(revision) if revision > first));
+    });
+}
+
+#[test]
+fn eras_and_revisions_that_cannot_be_read_are_typed() {
+    run(async {
+        let store = FakeStore::start();
+        let client = StoreClient::new(store.address);
+        store.answer_in("none", 5);
+        let unnamed = client.snapshot(Table::Duties).await.expect("an answer");
+        assert_eq!((unnamed.revision, client.era()), (5, None));
+        store.answer_in("3", u64::MAX);
+        let read = client.snapshot(Table::Duties).await;
+        assert!(matches!(read, Err(PlatformError::RevisionOutOfRange(3, u64::MAX))), "{read:?}");
+    });
+}
