Rows of roll-outs are decoded in a file of their own

What is kept of a roll-out, its decoding and how it ended move to rollout_rows; no behaviour changes. Tests share one reading of configuration versions.

--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -14,6 +14,7 @@
 mod peer_sync;
 mod peers;
 mod persisted_state;
+mod rollout_rows;
 mod rollouts;
 mod row_checks;
 mod source;
--- a/src/gateway/controllers/rollouts.rs
+++ b/src/gateway/controllers/rollouts.rs
@@ -7,11 +7,13 @@
     time::{Duration, Instant},
 };
 
-use serde::{Deserialize, Serialize};
 use stakker::{CX, call, timer_max};
 use tokio::task::spawn_local;
 
-use super::table_reader::record_store_call;
+use super::{
+    rollout_rows::{StatusRow, StoredStart, status_row, stored_start},
+    table_reader::record_store_call,
+};
 use crate::{
     clock,
     gateway::{
@@ -22,7 +24,7 @@
     },
     platform::{
         PlatformError, RolloutDocument, RolloutState, RowWrite, StoreRow, Table, WriteOutcome,
-        decode_rollout, decode_rollout_status, encode_rollout_status, rollout_key, rollout_service,
+        decode_rollout, encode_rollout_status, rollout_key, rollout_service,
     },
     telemetry::count,
 };
@@ -35,13 +37,6 @@
 /// Delay before a failed call to the store is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 
-/// What has to survive a restart of the gateways: when an order was first seen. Written as JSON.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct StoredStart {
-    revision: Revision,
-    started: StoreMillis,
-}
-
 /// An order that was read and is not yet in force: the status rows may say that its roll-out has
 /// already ended.
 #[derive(Clone, Debug)]
@@ -51,14 +46,6 @@
     seen: StoreMillis,
 }
 
-/// The status row of a roll-out, which the operator reads.
-#[derive(Clone, Debug)]
-struct StatusRow {
-    revision: Revision,
-    state: RolloutState,
-    destination: String,
-}
-
 /// Controller of roll-outs.
 #[derive(Debug)]
 pub struct Rollouts {
@@ -425,14 +412,7 @@
 
     /// Returns how the roll-out of an order ended, if a status row written after the order says so.
     fn stored_end(&self, order: &RolloutOrder) -> Option<RolloutEnd> {
-        let row = self.rows.as_ref()?.get(&order.service)?;
-        let is_later = row.revision > order.revision && !is_of_later_era(row, order);
-        let is_of_order = is_later && row.destination == order.destination;
-        match row.state {
-            RolloutState::Completed if is_of_order => Some(RolloutEnd::Completed),
-            RolloutState::RolledBack if is_of_order => Some(RolloutEnd::RolledBack),
-            RolloutState::Running | RolloutState::Completed | RolloutState::RolledBack => None,
-        }
+        self.rows.as_ref()?.get(&order.service)?.end_of(order)
     }
 }
 
@@ -451,33 +431,3 @@
         up >= time.saturating_sub(at)
     }
 }
-
-/// Returns whether a status row was read in a later era than the order: revisions of the two do not
-/// show which was written first.
-fn is_of_later_era(row: &StatusRow, order: &RolloutOrder) -> bool {
-    era_of(row.revision) > era_of(order.revision)
-}
-
-fn status_row(row: &StoreRow) -> Option<(ServiceName, StatusRow)> {
-    let service = rollout_service(&row.key)?.to_owned();
-    match decode_rollout_status(&row.value) {
-        Ok((state, destination)) => {
-            Some((service, StatusRow { revision: row.revision, state, destination }))
-        }
-        Err(e) => {
-            log::error!("status row of the roll-out of service {service} cannot be decoded: {e}");
-            None
-        }
-    }
-}
-
-fn stored_start(row: &StoreRow) -> Option<(ServiceName, StoredStart)> {
-    let service = rollout_service(&row.key)?.to_owned();
-    match serde_json::from_slice(&row.value) {
-        Ok(start) => Some((service, start)),
-        Err(e) => {
-            log::error!("stored start of the roll-out of service {service} cannot be decoded: {e}");
-            None
-        }
-    }
-}
--- a/tests/gateway_freshness.rs
+++ b/tests/gateway_freshness.rs
@@ -73,14 +73,6 @@
     site.store("up");
 }
 
-fn configuration_versions(site: &Site) -> Vec<u64> {
-    let newest = |log: &[Value]| {
-        let lines = log.iter().filter(|l| l["event"] == "configuration");
-        lines.filter_map(|l| l["version"].as_u64()).max().unwrap_or_default()
-    };
-    site.gateways.iter().map(|g| newest(&g.log())).collect()
-}
-
 #[test]
 fn a_confirmed_configuration_is_in_force_in_time_after_an_outage() {
     let site = Site::start(GATEWAYS, 1, 1);
@@ -90,14 +82,14 @@
         version += 1;
         site.configure(&configuration(version));
         wait_until("all gateways have the new configuration", || {
-            configuration_versions(&site).iter().all(|v| *v == version)
+            site.configuration_versions().iter().all(|v| *v == version)
         });
         run_outage(&site, outage);
         version += 1;
         site.configure(&configuration(version));
         let confirmed = Instant::now();
         wait_until("all gateways have the new configuration", || {
-            configuration_versions(&site).iter().all(|v| *v == version)
+            site.configuration_versions().iter().all(|v| *v == version)
         });
         let after = confirmed.elapsed();
         if after > BOUND {
--- a/tests/gateway_store_copies.rs
+++ b/tests/gateway_store_copies.rs
@@ -66,14 +66,6 @@
     (0..count).for_each(|_| site.write_entry("filler", "none"));
 }
 
-fn configuration_versions(site: &Site) -> Vec<u64> {
-    let newest = |log: &[Value]| {
-        let lines = log.iter().filter(|l| l["event"] == "configuration");
-        lines.filter_map(|l| l["version"].as_u64()).max().unwrap_or_default()
-    };
-    site.gateways.iter().map(|g| newest(&g.log())).collect()
-}
-
 #[test]
 fn a_configuration_confirmed_by_a_returned_store_is_in_force_in_time() {
     let mut late = Vec::new();
@@ -87,7 +79,7 @@
         return_from_copy(&site, || take_revisions(&site, 7, case.lost), change);
         let confirmed = Instant::now();
         wait_until("all gateways have the new configuration", || {
-            configuration_versions(&site).iter().all(|v| *v == version)
+            site.configuration_versions().iter().all(|v| *v == version)
         });
         let after = confirmed.elapsed();
         if after > BOUND {
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -439,6 +439,15 @@
         self.control("/seen", &Value::Null)
     }
 
+    /// Returns the newest configuration version that each gateway has logged; 0 for none.
+    pub fn configuration_versions(&self) -> Vec<u64> {
+        let newest = |log: &[Value]| {
+            let lines = log.iter().filter(|l| l["event"] == "configuration");
+            lines.filter_map(|l| l["version"].as_u64()).max().unwrap_or_default()
+        };
+        self.gateways.iter().map(|g| newest(&g.log())).collect()
+    }
+
     /// Returns the time of the store's clock, in milliseconds.
     pub fn now_ms(&self) -> u64 {
         self.seen()["now_ms"].as_u64().expect("a time")
