--- a/tests/gateway_store_copies.rs
+++ b/tests/gateway_store_copies.rs
@@ -6,11 +6,13 @@
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
 
 use hyper::StatusCode;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use support::{
     gateways::{Call, GatewayProc, KEY, Site, configuration},
@@ -246,24 +248,57 @@
     }
 }
 
-#[test]
-fn no_token_and_no_usage_window_is_used_twice_though_the_store_lost_them() {
+/// What happens to gateways between the copy and the return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// The holder of the lease is killed, and starts again after the return.
+    HolderKilled,
+    /// The holder of the lease is suspended until after the return.
+    HolderSuspended,
+    /// All gateways are killed, and start again after the return.
+    AllKilled,
+}
+
+/// Sends calls to these gateways until `is_done`.
+fn call_until(gateways: &[SocketAddr], what: &str, is_done: impl Fn() -> bool) {
+    wait_until(what, || {
+        for (n, callers) in gateways.iter().enumerate() {
+            drop(Call::new("GET", "/check/x", &format!("between-{n}")).send(*callers));
+        }
+        is_done()
+    });
+}
+
+/// Plays a loss, with reports of usage that the store then loses.
+fn play_loss(loss: Loss) {
     let mut site = Site::start(GATEWAYS, 0, 2);
     site.send_calls("before", BOUND);
     let first = holder(&site);
     site.control("/copy-store", &json!({}));
-    site.gateways[first].kill();
+    match loss {
+        Loss::HolderKilled => site.gateways[first].kill(),
+        Loss::HolderSuspended => site.gateways[first].signal(Signal::SIGSTOP),
+        Loss::AllKilled => {}
+    }
+    let is_up = |n: &usize| loss == Loss::AllKilled || *n != first;
+    let up: Vec<_> = (0..GATEWAYS).filter(is_up).map(|n| site.gateways[n].callers).collect();
     let reported = reported_windows(&site);
-    let remaining: Vec<_> =
-        (0..GATEWAYS).filter(|n| *n != first).map(|n| site.gateways[n].callers).collect();
-    wait_until("another gateway has reported usage", || {
-        for (n, callers) in remaining.iter().enumerate() {
-            drop(Call::new("GET", "/check/x", &format!("between-{n}")).send(*callers));
-        }
-        holder(&site) != first && reported_windows(&site) > reported + 3
+    call_until(&up, "usage is reported between copy and return", || {
+        let is_held = loss == Loss::AllKilled || holder(&site) != first;
+        is_held && reported_windows(&site) > reported + 3
     });
+    if loss == Loss::AllKilled {
+        site.gateways.iter_mut().for_each(GatewayProc::kill);
+    }
     site.control("/return-store", &json!({ "rewriteMs": REWRITE_TIME.as_millis() as u64 }));
-    site.gateways[first].restart();
+    match loss {
+        Loss::HolderKilled => site.gateways[first].restart(),
+        Loss::HolderSuspended => site.gateways[first].signal(Signal::SIGCONT),
+        Loss::AllKilled => {
+            site.gateways.iter_mut().for_each(GatewayProc::restart);
+            site.wait_serving();
+        }
+    }
     let reported = reported_windows(&site);
     wait_until("usage is reported again", || {
         site.send_calls("after", SETTLE_TIME);
@@ -272,6 +307,21 @@
     });
 }
 
+#[test]
+fn no_token_and_no_usage_window_is_used_twice_though_the_store_lost_them() {
+    play_loss(Loss::HolderKilled);
+}
+
+#[test]
+fn a_holder_that_was_suspended_uses_no_token_twice_after_a_return() {
+    play_loss(Loss::HolderSuspended);
+}
+
+#[test]
+fn gateways_that_were_all_killed_use_no_token_and_no_window_twice_after_a_return() {
+    play_loss(Loss::AllKilled);
+}
+
 #[test]
 fn a_gateway_that_starts_finds_those_whose_rows_were_lost() {
     let mut site = Site::bare();
