Test: what is known of upstreams through lists, changes and gateways of two eras

A table on the controller: the copy's list, once and twice, two returns at once and one after the other, late changes and lists of the first era, other gateways' changes and lists.

--- a/tests/gateway_directory.rs
+++ b/tests/gateway_directory.rs
@@ -8,7 +8,7 @@
     gateway::{
         board::{StoreState, UpstreamView},
         decide::{Removal, SyncPoint},
-        model::UpstreamPhase,
+        model::{UpstreamPhase, revision_in_era},
         peering::{RecentChanges, UpstreamChange, UpstreamSnapshot},
     },
     platform::{Change, Feed, Snapshot, StoreRow},
@@ -296,3 +296,132 @@
     bench.snapshot(Snapshot { rows, revision: 8, as_of: 6_000 });
     assert_eq!(removal(&bench), first);
 }
+
+/// Returns the revision with a number in an era.
+fn at(era: u64, number: u64) -> u64 {
+    revision_in_era(era, number).expect("in range")
+}
+
+/// Returns a gateway that knows the first era up to number 50: `i-1` serves, `i-2` is draining and
+/// `i-3` has left.
+fn in_first_era() -> DirectoryHarness {
+    let mut bench = DirectoryHarness::new();
+    let draining = row("i-2", UpstreamPhase::Draining, at(1, 41));
+    let rows = vec![valid_row("i-1", at(1, 40)), draining, valid_row("i-3", at(1, 42))];
+    snapshot(&mut bench, rows, at(1, 45));
+    bench.feed(Feed {
+        changes: vec![Change::Removed("i-3".to_owned(), at(1, 50))],
+        revision: at(1, 50),
+        as_of: 50,
+    });
+    bench
+}
+
+/// Returns the rows of a copy in which all three serve.
+fn copied_rows(era: u64) -> Vec<StoreRow> {
+    ["i-1", "i-2", "i-3"].map(|id| valid_row(id, at(era, 20))).to_vec()
+}
+
+fn serving(bench: &DirectoryHarness) -> Vec<String> {
+    let board = bench.gateway.board.borrow();
+    board.upstreams.iter().filter(|(_, v)| v.takes_work()).map(|(id, _)| id.clone()).collect()
+}
+
+#[test]
+fn a_copy_of_the_store_takes_back_nothing_that_is_known_of_upstreams() {
+    struct Case {
+        name: &'static str,
+        apply: fn(&mut DirectoryHarness),
+        serving: &'static [&'static str],
+        position: u64,
+    }
+    let cases = [
+        Case {
+            name: "the list of the copy",
+            apply: |b| snapshot(b, copied_rows(2), at(2, 30)),
+            serving: &["i-1"],
+            position: at(2, 30),
+        },
+        Case {
+            name: "the same list twice",
+            apply: |b| {
+                snapshot(b, copied_rows(2), at(2, 30));
+                snapshot(b, copied_rows(2), at(2, 31));
+            },
+            serving: &["i-1"],
+            position: at(2, 31),
+        },
+        Case {
+            name: "two returns between two reads",
+            apply: |b| snapshot(b, copied_rows(3), at(3, 10)),
+            serving: &["i-1"],
+            position: at(3, 10),
+        },
+        Case {
+            name: "two returns, each of them read",
+            apply: |b| {
+                snapshot(b, copied_rows(2), at(2, 30));
+                snapshot(b, copied_rows(3), at(3, 10));
+            },
+            serving: &["i-1"],
+            position: at(3, 10),
+        },
+        Case {
+            name: "one that left has written its row again",
+            apply: |b| {
+                snapshot(b, copied_rows(2), at(2, 30));
+                changes(b, vec![valid_row("i-3", at(2, 31))], at(2, 31));
+            },
+            serving: &["i-1", "i-3"],
+            position: at(2, 31),
+        },
+        Case {
+            name: "late changes of the first era",
+            apply: |b| {
+                snapshot(b, copied_rows(2), at(2, 30));
+                let draining = row("i-1", UpstreamPhase::Draining, at(1, 60));
+                changes(b, vec![draining], at(1, 60));
+            },
+            serving: &["i-1"],
+            position: at(2, 30),
+        },
+        Case {
+            name: "a late list of the first era",
+            apply: |b| {
+                snapshot(b, copied_rows(2), at(2, 30));
+                snapshot(b, vec![], at(1, 60));
+            },
+            serving: &["i-1"],
+            position: at(2, 30),
+        },
+        Case {
+            name: "another gateway's changes of an era that is not known here",
+            apply: |b| {
+                let draining = row("i-1", UpstreamPhase::Draining, at(2, 31));
+                let mut other = DirectoryHarness::beside(b);
+                snapshot(&mut other, copied_rows(2), at(2, 30));
+                changes(&mut other, vec![draining], at(2, 31));
+                b.hear(other.recent());
+            },
+            serving: &["i-1"],
+            position: at(1, 50),
+        },
+        Case {
+            name: "the list of another gateway that has just started",
+            apply: |b| {
+                let mut other = DirectoryHarness::beside(b);
+                snapshot(&mut other, copied_rows(2), at(2, 30));
+                let list = other.gateway.board.borrow().upstream_snapshot(0);
+                b.copy(list);
+            },
+            serving: &["i-1"],
+            position: at(2, 30),
+        },
+    ];
+    for case in cases {
+        let mut bench = in_first_era();
+        (case.apply)(&mut bench);
+        assert_eq!(serving(&bench), case.serving, "{}", case.name);
+        assert_eq!(bench.position(), case.position, "{}", case.name);
+    }
+}
