--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -35,6 +35,8 @@
     calls: Arc<AtomicU64>,
     /// Era and revision that answers name.
     state: Arc<Mutex<(String, u64)>>,
+    /// Number of pages with further ones after them that come first, each in an era of its own.
+    pages: Arc<AtomicU64>,
 }
 
 impl FakeStore {
@@ -46,16 +48,20 @@
         let (current_generation, count) = (generation.clone(), opened.clone());
         let calls = Arc::new(AtomicU64::new(0));
         let state = Arc::new(Mutex::new(("1".to_owned(), 5)));
-        let (answered, answers) = (calls.clone(), state.clone());
+        let pages = Arc::new(AtomicU64::new(0));
+        let (answered, answers, pages_left) = (calls.clone(), state.clone(), pages.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 count.fetch_add(1, Ordering::SeqCst);
                 let current_generation = current_generation.clone();
                 let (answered, answers) = (answered.clone(), answers.clone());
-                thread::spawn(move || serve(stream, &current_generation, &answered, &answers));
+                let pages = pages_left.clone();
+                thread::spawn(move || {
+                    serve(stream, &current_generation, &answered, &answers, &pages);
+                });
             }
         });
-        Self { address, generation, opened, calls, state }
+        Self { address, generation, opened, calls, state, pages }
     }
 
     /// Answers in this era from now on, at this revision.
@@ -77,6 +83,7 @@
     current_generation: &AtomicU64,
     calls: &AtomicU64,
     state: &Mutex<(String, u64)>,
+    pages: &AtomicU64,
 ) {
     let own_generation = current_generation.load(Ordering::SeqCst);
     let mut reader = BufReader::new(stream.try_clone().expect("the same socket"));
@@ -95,8 +102,19 @@
         if head_ended && current_generation.load(Ordering::SeqCst) == own_generation {
             calls.fetch_add(1, Ordering::SeqCst);
             let (era, revision) = state.lock().expect("no thread panicked").clone();
-            let body =
-                format!(r#"{{"rows":[],"morePages":false,"rowVersion":{revision},"nowMs":7}}"#);
+            let page = pages.load(Ordering::SeqCst);
+            let (rows, more) = match page {
+                0 => ("", false),
+                _ => (r#"{"key":"a","value":"","rowVersion":1}"#, true),
+            };
+            let body = format!(
+                r#"{{"rows":[{rows}],"morePages":{more},"rowVersion":{revision},"nowMs":7}}"#
+            );
+            if page > 0 {
+                pages.fetch_sub(1, Ordering::SeqCst);
+                let era = (page + 1).to_string();
+                *state.lock().expect("no thread panicked") = (era, revision);
+            }
             let length = body.len();
             let head =
                 format!("HTTP/1.1 200 OK\r\nstore-era: {era}\r\ncontent-length: {length}\r\n\r\n");
@@ -198,3 +216,17 @@
         assert!(matches!(read, Err(PlatformError::RevisionOutOfRange(3, u64::MAX))), "{read:?}");
     });
 }
+
+#[test]
+fn a_list_whose_pages_belong_to_two_eras_is_read_again() {
+    run(async {
+        let store = FakeStore::start();
+        let client = StoreClient::new(store.address);
+        // The store returns from a copy between the first page and the second one.
+        store.pages.store(1, Ordering::SeqCst);
+        let read = client.snapshot(Table::Upstreams).await;
+        assert!(matches!(read, Err(PlatformError::EraChanged)), "{read:?}");
+        let again = client.snapshot(Table::Upstreams).await.expect("an answer");
+        assert_eq!((again.rows.len(), client.era()), (0, Some(2)));
+    });
+}
