A bucket's level does not rise while the operators' window refuses requests

Cause: while the window limits a customer, the level of its bucket rose at every gateway, up to the burst and more; when the window freed room, half a second's tokens at a time, each gateway admitted as if it were alone until it had heard the others. The level is now limited to the window's room, or to this process's part of a full bucket, as it used the window; a window's buckets are as short as heartbeats.

--- a/src/gateway/decide/quota.rs
+++ b/src/gateway/decide/quota.rs
@@ -96,7 +96,10 @@
     refilled_at: Instant,
     own_total: i64,
     peers: HashMap<String, PeerUsage>,
+    /// Tokens that all processes have admitted in the operator's window.
     admitted: WindowSum,
+    /// Tokens that this process has admitted in it.
+    own_admitted: WindowSum,
 }
 
 /// Token buckets of all customers.
@@ -169,6 +172,7 @@
         let terms = self.terms;
         let bucket = self.bucket(customer, quota, now);
         bucket.refill(share, terms, now);
+        bucket.limit_level_to_window(share, terms, now);
         let tokens = tokens as f64;
         let assumed = bucket.assumed_tokens(now);
         let wait = bucket
@@ -186,6 +190,7 @@
         bucket.level -= tokens;
         bucket.own_total += tokens as i64;
         bucket.admitted.add(tokens, terms.window, now);
+        bucket.own_admitted.add(tokens, terms.window, now);
         Ok(())
     }
 
@@ -195,6 +200,7 @@
             bucket.level += tokens as f64;
             bucket.own_total -= tokens as i64;
             bucket.admitted.add(-(tokens as f64), self.terms.window, now);
+            bucket.own_admitted.add(-(tokens as f64), self.terms.window, now);
         }
     }
 
@@ -259,6 +265,7 @@
             own_total: 0,
             peers: HashMap::new(),
             admitted: WindowSum::default(),
+            own_admitted: WindowSum::default(),
         });
         if bucket.quota != quota {
             bucket.quota = quota;
@@ -281,6 +288,28 @@
         self.level = (self.level + refill).min(self.quota.burst + terms.extra);
     }
 
+    /// Limits the level to what the operator's window has room for, or to this process's part of a
+    /// full bucket. A level that rises while the window refuses requests would otherwise let every
+    /// process admit all that the window frees at once, before it hears of the others.
+    fn limit_level_to_window(&mut self, share: QuotaShare, terms: QuotaPolicy, now: Instant) {
+        let max_level = self.quota.burst + terms.extra;
+        let reserved = max_level * (1.0 - share.fraction());
+        let admitted = self.admitted.total(terms.window, now);
+        if admitted <= 0.0 {
+            return;
+        }
+        let room = self.window_limit(share, terms) - admitted;
+        let own_part = self.own_admitted.total(terms.window, now) / admitted;
+        let own_level = max_level * own_part.clamp(0.0, 1.0);
+        self.level = self.level.min(room.max(own_level) + reserved);
+    }
+
+    /// Returns the tokens that may be admitted in the operator's window.
+    fn window_limit(&self, share: QuotaShare, terms: QuotaPolicy) -> f64 {
+        let limit = self.quota.rate * terms.window.as_secs_f64() + self.quota.burst;
+        (limit * share.fraction()).max(1.0)
+    }
+
     /// Returns the time until the bucket holds enough tokens; `None` if it already does.
     fn wait_for_level(
         &self,
@@ -311,8 +340,7 @@
         terms: QuotaPolicy,
         now: Instant,
     ) -> Option<Duration> {
-        let limit = self.quota.rate * terms.window.as_secs_f64() + self.quota.burst;
-        let limit = (limit * share.fraction()).max(1.0);
+        let limit = self.window_limit(share, terms);
         let over = self.admitted.total(terms.window, now) + assumed + tokens.min(limit) - limit;
         (over > 0.0).then(|| self.admitted.time_until_expired(over, terms.window, now))
     }
--- a/src/gateway/decide/window_sum.rs
+++ b/src/gateway/decide/window_sum.rs
@@ -6,8 +6,9 @@
 };
 
 /// Number of buckets in a window. A bucket expires as a whole, so the sum covers slightly more
-/// than the window.
-const BUCKETS: u32 = 16;
+/// than the window. With fewer, more room is freed at once than processes can report to each other
+/// between two heartbeats; with more, each sum takes more memory.
+const BUCKETS: u32 = 64;
 
 /// Sum over a sliding time window.
 #[derive(Clone, Debug, Default)]
