--- a/review/harness/common.rs
+++ b/review/harness/common.rs
@@ -16,6 +16,7 @@
     time::{Duration, Instant},
 };
 
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 pub const HOST: &str = "assistant.example";
@@ -234,6 +235,15 @@
         field(&started, "id").ok_or_else(|| io::ErrorKind::InvalidData.into())
     }
 
+    /// Starts an engine with this version of its software.
+    pub fn engine_of(&self, service: &str, zone: &str, version: &str) -> io::Result<String> {
+        let ask = format!(
+            r#"{{"service":"{service}","zone":"{zone}","version":"{version}","workMs":20}}"#
+        );
+        let started = self.control("/engine", &ask)?;
+        field(&started, "id").ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
     /// Starts an engine whose row names another address; returns its id.
     pub fn engine_at(&self, service: &str, zone: &str, at: SocketAddr) -> io::Result<String> {
         let ask = format!(r#"{{"service":"{service}","zone":"{zone}","address":"{at}"}}"#);
