The log says what an acquired lease rests on

The log told who acquired the lease, and not why it was free to be taken. Change: the lease names the basis of each write (LeaseBasis); the event 'acquired' has the basis and the holder before it, and a metric counts acquisitions by basis.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{HeardClaim, LeaseClaim};
+use super::{HeardClaim, LeaseBasis, LeaseClaim};
 
 /// The row that stands for a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -131,34 +131,59 @@
         }
     }
 
+    /// Returns why this process may write the row at `now`; `None` if it must wait.
+    pub fn basis(&self, now: Instant) -> Option<LeaseBasis> {
+        let Some((_, row, since)) = &self.seen else {
+            return Some(LeaseBasis::NoRow);
+        };
+        let has_expired = now.duration_since(*since) > self.timing.ttl;
+        if row.fence < self.lowest_fence {
+            return match self.is_held(now) {
+                true => Some(LeaseBasis::Own),
+                false => has_expired.then_some(LeaseBasis::EarlierEra),
+            };
+        }
+        if row.holder == self.own {
+            return Some(LeaseBasis::Own);
+        }
+        if row.holder.is_empty() {
+            return Some(LeaseBasis::Released);
+        }
+        if self.is_inherited() {
+            return Some(LeaseBasis::Inherited);
+        }
+        if self.claim_is_over(row, now) {
+            return Some(LeaseBasis::ClaimOver);
+        }
+        has_expired.then_some(LeaseBasis::Expired)
+    }
+
+    /// Returns whether this process holds the lease and its last renewal has not expired.
+    fn is_held(&self, now: Instant) -> bool {
+        self.held.is_some_and(|(_, sent)| now < sent + self.timing.ttl)
+    }
+
     /// Returns what to do next.
     pub fn next_action(&self, now: Instant) -> LeaseAction {
-        let Some((row_version, row, since)) = &self.seen else {
+        let Some(basis) = self.basis(now) else {
+            return LeaseAction::Wait;
+        };
+        let Some((row_version, row, _)) = &self.seen else {
             let fence = self.lowest_fence.max(1);
             let row = LeaseRow { holder: self.own.clone(), fence, renewal: 1 };
             return LeaseAction::Write { row_version: 0, row };
         };
-        let mut next = LeaseRow { renewal: row.renewal + 1, ..row.clone() };
-        if row.fence < self.lowest_fence {
-            let held = self.held.filter(|(_, sent)| now < *sent + self.timing.ttl);
-            if held.is_none() && now.duration_since(*since) <= self.timing.ttl {
-                return LeaseAction::Wait;
-            }
-            next.holder.clone_from(&self.own);
-            next.fence = held.map_or(0, |(fence, _)| fence).max(self.lowest_fence);
-            return LeaseAction::Write { row_version: *row_version, row: next };
-        }
-        if row.holder != self.own {
-            let free = row.holder.is_empty() || self.is_inherited() || self.claim_is_over(row, now);
-            if !free && now.duration_since(*since) <= self.timing.ttl {
-                return LeaseAction::Wait;
-            }
-            next.holder.clone_from(&self.own);
-            next.fence += 1;
-        } else if self.held.is_none_or(|(_, sent)| now >= sent + self.timing.ttl) {
-            // The own lease lapsed: another may have acted on a guess of ours.
-            next.fence += 1;
-        }
+        let holder = self.own.clone();
+        let fence = if row.fence < self.lowest_fence {
+            let held = self.held.filter(|_| self.is_held(now));
+            held.map_or(0, |(fence, _)| fence).max(self.lowest_fence)
+        } else if basis == LeaseBasis::Own && self.is_held(now) {
+            row.fence
+        } else {
+            // The lease changes hands, or the own one lapsed and another process may have acted.
+            row.fence + 1
+        };
+        let next = LeaseRow { holder, fence, renewal: row.renewal + 1 };
         LeaseAction::Write { row_version: *row_version, row: next }
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,10 +6,12 @@
 mod giver;
 mod keeper;
 mod lease;
+mod lease_basis;
 mod lease_claim;
 mod orders;
 
 pub use daemon::{ControlError, run};
 pub use lease::{Lease, LeaseAction, LeaseRow, LeaseTiming};
+pub use lease_basis::LeaseBasis;
 pub use lease_claim::{HeardClaim, LeaseClaim};
 pub use orders::{EngineReport, Order, missing_orders};
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -18,7 +18,7 @@
     usage_report::send_usage_report,
 };
 use crate::{
-    control::{HeardClaim, Lease, LeaseAction, LeaseRow, LeaseTiming},
+    control::{HeardClaim, Lease, LeaseAction, LeaseBasis, LeaseRow, LeaseTiming},
     gateway::{
         board::{HEARTBEAT_PERIOD, HEARTBEAT_REACH, OwnLease},
         context::Gateway,
@@ -74,6 +74,8 @@
     timer: stakker::MaxTimerKey,
     lease: Lease,
     timing: LeaseTiming,
+    /// What the write of the lease's row in flight rests on, and the holder in the row before it.
+    write_basis: Option<(LeaseBasis, String)>,
     /// Whether a call to the lease's row is in flight.
     call_in_flight: bool,
     /// When the last successful renewal was sent.
@@ -100,6 +102,7 @@
             timer: stakker::MaxTimerKey::default(),
             lease,
             timing,
+            write_basis: None,
             call_in_flight: false,
             last_renewal: None,
             holder_last_heard: cx.now(),
@@ -202,10 +205,14 @@
         let fence = board.lease.own.map_or(0, |own| own.fence);
         drop(board);
         self.gateway.metrics.lease.set(0);
-        self.gateway.log(&Event::Lease { fence, state: "given_up" });
+        self.log_lease(fence, "given_up");
         self.gateway.send_to_controllers(|c| call!([c.peers], send_now()));
     }
 
+    fn log_lease(&self, fence: u64, state: &str) {
+        self.gateway.log(&Event::Lease { fence, state, basis: "", previous: "" });
+    }
+
     /// Returns whether this process gave up the lease so recently that it must leave it to the
     /// other processes that it hears: two holders may not act alternately.
     fn held_recently(&self, now: Instant) -> bool {
@@ -292,6 +299,8 @@
             return;
         };
         self.call_in_flight = true;
+        let previous = self.lease.holder().map_or_else(String::new, |row| row.holder.clone());
+        self.write_basis = self.lease.basis(now).map(|basis| (basis, previous));
         let gateway = self.gateway.clone();
         let sent = now;
         let mut writes = vec![lease_write(&row, row_version)];
@@ -321,7 +330,7 @@
         let Some((row_version, row)) = self.lease.release() else {
             return;
         };
-        self.gateway.log(&Event::Lease { fence: row.fence, state: "given_back" });
+        self.log_lease(row.fence, "given_back");
         let gateway = self.gateway.clone();
         spawn_local(async move {
             persist(gateway.clone()).await;
@@ -373,7 +382,10 @@
         drop(board);
         if before.map(|own| own.fence) != Some(fence) {
             self.acquired = now;
-            self.gateway.log(&Event::Lease { fence, state: "acquired" });
+            let basis = self.write_basis.take();
+            let (basis, previous) = basis.as_ref().map_or(("", ""), |(b, p)| (b.name(), p));
+            self.gateway.log(&Event::Lease { fence, state: "acquired", basis, previous });
+            count(&self.gateway.metrics.lease_acquisitions, basis);
             self.gateway.metrics.lease.set(fence as i64);
         }
     }
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -304,6 +304,12 @@
         fence: u64,
         /// New state of the lease.
         state: &'a str,
+        /// Why this process could acquire it; empty in other states.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        basis: &'a str,
+        /// Holder that the row named before it was acquired; empty if there was none.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        previous: &'a str,
     },
     /// A usage report was sent.
     Usage {
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -70,6 +70,8 @@
     pub rejected_entries: Family<Labels, Counter>,
     /// Number of engine orders by outcome.
     pub orders: Family<Labels, Counter>,
+    /// Number of acquisitions of the lease on the duties, by what they rested on.
+    pub lease_acquisitions: Family<Labels, Counter>,
     /// Number of state changes of roll-outs by cause.
     pub rollouts: Family<Labels, Counter>,
     /// Version of the configuration in force.
@@ -152,6 +154,7 @@
             platform_calls: Family::default(),
             rejected_entries: Family::default(),
             orders: Family::default(),
+            lease_acquisitions: Family::default(),
             rollouts: Family::default(),
             configuration: Gauge::default(),
             knowledge_age: Family::default(),
@@ -195,6 +198,7 @@
         r.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
         r.register("rejected_entries", "Rows that name no upstream", self.rejected_entries.clone());
         r.register("engine_orders", "Orders of engines", self.orders.clone());
+        r.register("lease_acquisitions", "Leases by basis", self.lease_acquisitions.clone());
         r.register("rollout_changes", "Changes of roll-outs", self.rollouts.clone());
         r.register("configuration_version", "Configuration", self.configuration.clone());
         r.register("knowledge_age_seconds", "Age of knowledge", self.knowledge_age.clone());
