Holders of the duties no longer act in the order A, B, A after a kill in a shutdown

Cause: that a host held the lease lately was known only to its process, which was to run for 3 s after its release. A kill in the shutdown takes that memory, and the row that was given back did not say who had held it. Evidence: the log of 'basis': the third lease rests on a released row. Change: the row lists the hosts that held the lease lately, each with the time for which it has surely not acted; a host that stands there waits until that is the time to live. Others take over at once. A row of an older build, and one taken over in a new era without knowing the lost holders, stand for any host. The old half's control process names its host in the same way. Why it works: a write of the row is conditional on the version that was read, so whoever takes the lease has read the list with all holders of the bound before it; times are monotonic, of one process at a time, and only ever too short.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -94,9 +94,9 @@
     let s = &mut stakker;
     let settings = &context.settings;
     let timing = LeaseTiming { ttl: settings.lease_ttl, margin: settings.lease_margin };
-    let own = format!("{}-{:x}", settings.id, fastrand::u64(..));
-    let board =
-        Board { lease: Lease::new(own, timing), config: ConfigStore::default(), hosts: Vec::new() };
+    let own = format!("{}.{:x}", settings.id, fastrand::u64(..));
+    let lease = Lease::new(own, timing).of_host(settings.id.clone());
+    let board = Board { lease, config: ConfigStore::default(), hosts: Vec::new() };
     let board = Share::new(s, board);
     let keeper: ActorOwn<LeaseKeeper> =
         actor!(s, LeaseKeeper::init(board.clone(), context.clone()), ret_nop!());
--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -5,28 +5,20 @@
 //! time to live, which began after that, or once the holder's own claim, heard
 //! from it, has run out or was given up. The holder gives no order in the
 //! last part of its lease, and none that could take longer than that part.
+//!
+//! Hosts may not act alternately within the time to live either. What a process
+//! remembers ends with it, so the row lists the hosts that held the lease lately:
+//! one that stands there waits until it has surely not acted for that time, while
+//! any other takes over at once.
 
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
-use super::{HeardClaim, LeaseBasis, LeaseClaim};
-
-/// The row that stands for a lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRow {
-    /// Name of the holder, with its incarnation; empty once it is given back.
-    pub holder: String,
-    /// Fencing number; rises with each new holder.
-    pub fence: u64,
-    /// Rises with each renewal, so that every renewal changes the row.
-    pub renewal: u64,
-}
+use super::{HeardClaim, LeaseBasis, LeaseClaim, LeaseRow, RecentHolder, lease_row::host_name};
 
 /// Times of a lease.
 #[derive(Clone, Copy, Debug)]
 pub struct LeaseTiming {
-    /// For how long it holds without renewal.
+    /// For how long it holds without renewal. Hosts don't act alternately within this time.
     pub ttl: Duration,
     /// Last part in which no order is given.
     pub margin: Duration,
@@ -53,11 +45,21 @@
     host: Option<String>,
     timing: LeaseTiming,
     seen: Option<(u64, LeaseRow, Instant)>,
-    held: Option<(u64, Instant)>,
+    held: Option<Held>,
     heard: Option<HeardClaim>,
     lowest_fence: u64,
 }
 
+/// The lease as this process holds it.
+#[derive(Clone, Debug)]
+struct Held {
+    fence: u64,
+    /// When the newest renewal was sent.
+    sent: Instant,
+    /// Hosts that held the lease before, as of that renewal.
+    recent: Vec<RecentHolder>,
+}
+
 impl Lease {
     /// Creates the view of a process that has not read the row.
     pub fn new(own: String, timing: LeaseTiming) -> Self {
@@ -84,8 +86,8 @@
         let Some((_, row, _)) = &self.seen else {
             return false;
         };
-        let holder = row.holder.rsplit_once('.').map(|(host, _)| host);
-        row.holder != self.own && holder.is_some() && holder == self.host.as_deref()
+        let host = host_name(&row.holder);
+        row.holder != self.own && host != row.holder && Some(host) == self.host.as_deref()
     }
 
     /// Notes what another process says of its lease. Holders go on saying that
@@ -121,7 +123,7 @@
             self.seen = None;
             return;
         };
-        let is_older = self.held.is_some_and(|(fence, _)| row.fence < fence);
+        let is_older = self.held.as_ref().is_some_and(|held| row.fence < held.fence);
         if row.holder != self.own && !is_older {
             self.held = None;
         }
@@ -133,14 +135,19 @@
 
     /// Returns why this process may write the row at `now`; `None` if it must wait.
     pub fn basis(&self, now: Instant) -> Option<LeaseBasis> {
+        self.basis_for_anyone(now).filter(|_| !self.has_acted_recently(now))
+    }
+
+    /// Returns why a host that did not hold the lease lately may write the row.
+    fn basis_for_anyone(&self, now: Instant) -> Option<LeaseBasis> {
         let Some((_, row, since)) = &self.seen else {
             return Some(LeaseBasis::NoRow);
         };
         let has_expired = now.duration_since(*since) > self.timing.ttl;
-        if row.fence < self.lowest_fence {
-            return match self.is_held(now) {
-                true => Some(LeaseBasis::Own),
-                false => has_expired.then_some(LeaseBasis::EarlierEra),
+        if self.is_of_earlier_era(row) {
+            return match self.held_at(now) {
+                Some(_) => Some(LeaseBasis::Own),
+                None => has_expired.then_some(LeaseBasis::EarlierEra),
             };
         }
         if row.holder == self.own {
@@ -158,9 +165,47 @@
         has_expired.then_some(LeaseBasis::Expired)
     }
 
-    /// Returns whether this process holds the lease and its last renewal has not expired.
-    fn is_held(&self, now: Instant) -> bool {
-        self.held.is_some_and(|(_, sent)| now < sent + self.timing.ttl)
+    /// Returns whether this process could take the lease over at `now` if its host had not held it
+    /// so recently, with another host's lease since.
+    pub fn is_deferred(&self, now: Instant) -> bool {
+        self.has_acted_recently(now) && self.basis_for_anyone(now).is_some()
+    }
+
+    /// Returns whether this host may have acted within the time to live, and another one since.
+    fn has_acted_recently(&self, now: Instant) -> bool {
+        let Some((_, row, since)) = &self.seen else {
+            return false;
+        };
+        // A row of an earlier era lists other holders than those that were lost with it.
+        if self.is_of_earlier_era(row) {
+            return false;
+        }
+        let own = self.own_host();
+        if row.last_host() == Some(own) {
+            return false;
+        }
+        let recent = self.still_recent(&row.recent, now.duration_since(*since));
+        recent.iter().any(|r| r.is_unknown() || r.host == own)
+    }
+
+    /// Returns those of `recent` that may have acted within the time to live, `later` than when
+    /// they were listed.
+    fn still_recent(&self, recent: &[RecentHolder], later: Duration) -> Vec<RecentHolder> {
+        let aged = recent.iter().map(|r| r.aged(later));
+        aged.filter(|r| r.idle() <= self.timing.ttl).collect()
+    }
+
+    fn is_of_earlier_era(&self, row: &LeaseRow) -> bool {
+        row.fence < self.lowest_fence
+    }
+
+    fn own_host(&self) -> &str {
+        self.host.as_deref().unwrap_or_else(|| host_name(&self.own))
+    }
+
+    /// Returns the lease if this process holds it and its newest renewal has not expired.
+    fn held_at(&self, now: Instant) -> Option<&Held> {
+        self.held.as_ref().filter(|held| now < held.sent + self.timing.ttl)
     }
 
     /// Returns what to do next.
@@ -170,45 +215,69 @@
         };
         let Some((row_version, row, _)) = &self.seen else {
             let fence = self.lowest_fence.max(1);
-            let row = LeaseRow { holder: self.own.clone(), fence, renewal: 1 };
+            let row = LeaseRow { holder: self.own.clone(), fence, renewal: 1, recent: Vec::new() };
             return LeaseAction::Write { row_version: 0, row };
         };
-        let holder = self.own.clone();
-        let fence = if row.fence < self.lowest_fence {
-            let held = self.held.filter(|_| self.is_held(now));
-            held.map_or(0, |(fence, _)| fence).max(self.lowest_fence)
-        } else if basis == LeaseBasis::Own && self.is_held(now) {
+        let held = self.held_at(now);
+        let fence = if self.is_of_earlier_era(row) {
+            held.map_or(0, |held| held.fence).max(self.lowest_fence)
+        } else if basis == LeaseBasis::Own && held.is_some() {
             row.fence
         } else {
             // The lease changes hands, or the own one lapsed and another process may have acted.
             row.fence + 1
         };
-        let next = LeaseRow { holder, fence, renewal: row.renewal + 1 };
+        let recent = self.recent_holders(now);
+        let next = LeaseRow { holder: self.own.clone(), fence, renewal: row.renewal + 1, recent };
         LeaseAction::Write { row_version: *row_version, row: next }
     }
 
-    /// Gives the lease back: from now on this process gives no order. Returns
-    /// the version that the table's row must have and the row to write, if
-    /// this process held the lease.
-    pub fn release(&mut self) -> Option<(u64, LeaseRow)> {
-        self.held.take()?;
+    /// Returns the hosts other than this one that may have acted within the time to live.
+    fn recent_holders(&self, now: Instant) -> Vec<RecentHolder> {
+        let Some((_, row, since)) = &self.seen else {
+            return Vec::new();
+        };
+        if self.is_of_earlier_era(row) {
+            return match self.held_at(now) {
+                Some(held) => self.still_recent(&held.recent, now.duration_since(held.sent)),
+                None => vec![RecentHolder::unknown()],
+            };
+        }
+        let mut recent = self.still_recent(&row.recent, now.duration_since(*since));
+        let own = self.own_host();
+        if !row.holder.is_empty() && host_name(&row.holder) != own {
+            recent.retain(|r| r.host != host_name(&row.holder));
+            recent.push(RecentHolder::now(host_name(&row.holder)));
+        }
+        recent.retain(|r| r.host != own);
+        recent
+    }
+
+    /// Gives the lease back at `now`: from then on this process gives no order.
+    /// Returns the version that the table's row must have and the row to write,
+    /// if this process held the lease.
+    pub fn release(&mut self, now: Instant) -> Option<(u64, LeaseRow)> {
+        self.held.as_ref()?;
+        let mut recent = self.recent_holders(now);
+        recent.push(RecentHolder::now(self.own_host()));
+        self.held = None;
         let (row_version, row, _) = self.seen.take()?;
         let renewal = row.renewal + 1;
-        Some((row_version, LeaseRow { holder: String::new(), renewal, ..row }))
+        Some((row_version, LeaseRow { holder: String::new(), renewal, recent, ..row }))
     }
 
     /// Notes that the table took the row; the write was sent at `sent`.
     pub fn written(&mut self, row_version: u64, row: LeaseRow, sent: Instant, now: Instant) {
-        self.held = Some((row.fence, sent));
+        self.held = Some(Held { fence: row.fence, sent, recent: row.recent.clone() });
         self.seen = Some((row_version, row, now));
     }
 
     /// Returns the fencing number with which an order may be sent now, if the
     /// lease is surely held until the order is done.
     pub fn may_order(&self, now: Instant) -> Option<u64> {
-        let (fence, sent) = self.held?;
-        let last = sent + self.timing.ttl.saturating_sub(self.timing.margin);
-        (now < last).then_some(fence)
+        let held = self.held.as_ref()?;
+        let last = held.sent + self.timing.ttl.saturating_sub(self.timing.margin);
+        (now < last).then_some(held.fence)
     }
 
     /// Returns the holder as last seen.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,10 +8,12 @@
 mod lease;
 mod lease_basis;
 mod lease_claim;
+mod lease_row;
 mod orders;
 
 pub use daemon::{ControlError, run};
-pub use lease::{Lease, LeaseAction, LeaseRow, LeaseTiming};
+pub use lease::{Lease, LeaseAction, LeaseTiming};
 pub use lease_basis::LeaseBasis;
 pub use lease_claim::{HeardClaim, LeaseClaim};
+pub use lease_row::{LeaseRow, RecentHolder};
 pub use orders::{EngineReport, Order, missing_orders};
--- a/src/gateway/controllers/duties.rs
+++ b/src/gateway/controllers/duties.rs
@@ -76,6 +76,9 @@
     timing: LeaseTiming,
     /// What the write of the lease's row in flight rests on, and the holder in the row before it.
     write_basis: Option<(LeaseBasis, String)>,
+    /// Fencing token of the lease that this process last left to other hosts, since its own host
+    /// held the lease lately.
+    deferred: Option<u64>,
     /// Whether a call to the lease's row is in flight.
     call_in_flight: bool,
     /// When the last successful renewal was sent.
@@ -103,6 +106,7 @@
             lease,
             timing,
             write_basis: None,
+            deferred: None,
             call_in_flight: false,
             last_renewal: None,
             holder_last_heard: cx.now(),
@@ -163,7 +167,7 @@
         self.lease.raise_fences(era * TOKENS_PER_ERA);
         let held = self.gateway.board.borrow().lease.may_act(now).is_some();
         if held && self.gateway.shutdown.phase() > Phase::Serving {
-            self.release();
+            self.release(now);
             return;
         }
         if held {
@@ -209,6 +213,15 @@
         self.gateway.send_to_controllers(|c| call!([c.peers], send_now()));
     }
 
+    /// Logs once for each lease that this host leaves it to others.
+    fn log_deferral(&mut self, now: Instant) {
+        let fence = self.lease.holder().map_or(0, |row| row.fence);
+        if self.lease.is_deferred(now) && self.deferred != Some(fence) {
+            self.deferred = Some(fence);
+            self.log_lease(fence, "deferred");
+        }
+    }
+
     fn log_lease(&self, fence: u64, state: &str) {
         self.gateway.log(&Event::Lease { fence, state, basis: "", previous: "" });
     }
@@ -296,6 +309,7 @@
 
     fn write_lease(&mut self, now: Instant) {
         let LeaseAction::Write { row_version, row } = self.lease.next_action(now) else {
+            self.log_deferral(now);
             return;
         };
         self.call_in_flight = true;
@@ -321,13 +335,11 @@
         });
     }
 
-    /// Releases the lease, so that another process can acquire it at once. This process then runs
-    /// for longer than the time within which two holders may not act alternately, so that its
-    /// successor on this host cannot acquire the lease too early.
-    fn release(&mut self) {
+    /// Releases the lease, so that a process on another host can acquire it at once.
+    fn release(&mut self, now: Instant) {
         self.gateway.board.borrow_mut().lease.give_up();
         self.gateway.metrics.lease.set(0);
-        let Some((row_version, row)) = self.lease.release() else {
+        let Some((row_version, row)) = self.lease.release(now) else {
             return;
         };
         self.log_lease(row.fence, "given_back");
--- a/tests/gateway_lease.rs
+++ b/tests/gateway_lease.rs
@@ -27,14 +27,14 @@
     let mut other = Lease::new("b".to_owned(), timing);
     other.observe(1, Some(row), now);
     assert_eq!(other.next_action(now + ms(100)), LeaseAction::Wait);
-    let (version, released) = holder.release().expect("the lease was held");
+    let (version, released) = holder.release(now).expect("the lease was held");
     assert_eq!((version, holder.may_order(now)), (1, None), "no orders after the release");
     other.observe(2, Some(released), now + ms(100));
     let LeaseAction::Write { row_version, row } = other.next_action(now + ms(101)) else {
         panic!("the lease is free again");
     };
     assert_eq!((row_version, row.holder.as_str(), row.fence), (2, "b", 2));
-    assert_eq!(holder.release(), None, "a lease is released only once");
+    assert_eq!(holder.release(now), None, "a lease is released only once");
 }
 
 #[test]
@@ -58,7 +58,8 @@
     for case in cases {
         let now = Instant::now();
         let mut lease = Lease::new("host-1.77".to_owned(), timing).of_host("host-1".to_owned());
-        let row = LeaseRow { holder: case.holder.to_owned(), fence: 4, renewal: 9 };
+        let row =
+            LeaseRow { holder: case.holder.to_owned(), fence: 4, renewal: 9, recent: Vec::new() };
         lease.observe(12, Some(row), now);
         assert_eq!(lease.is_inherited(), case.is_taken, "{}", case.name);
         match lease.next_action(now + ms(10)) {
@@ -71,6 +72,34 @@
     }
 }
 
+/// Guards against a row of an older build being taken for one that no other host held lately.
+#[test]
+fn a_row_that_names_no_recent_holders_counts_as_held_by_any() {
+    struct Case {
+        name: &'static str,
+        row: &'static str,
+        after: Duration,
+        is_taken: bool,
+    }
+    let released = r#"{"holder":"","fence":4,"renewal":9}"#;
+    let named = r#"{"holder":"","fence":4,"renewal":9,"recent":[{"host":"host-2","idle_ms":0}]}"#;
+    let own = r#"{"holder":"host-1.5f","fence":4,"renewal":9}"#;
+    let cases = [
+        Case { name: "older build, at once", row: released, after: ms(10), is_taken: false },
+        Case { name: "older build, lapsed", row: released, after: ms(3_300), is_taken: true },
+        Case { name: "older build, own host", row: own, after: ms(10), is_taken: true },
+        Case { name: "another host's", row: named, after: ms(10), is_taken: true },
+    ];
+    let timing = LeaseTiming { ttl: ms(3_200), margin: ms(700) };
+    for case in cases {
+        let now = Instant::now();
+        let mut lease = Lease::new("host-1.77".to_owned(), timing).of_host("host-1".to_owned());
+        lease.observe(12, serde_json::from_str(case.row).expect("a row"), now);
+        let action = lease.next_action(now + case.after);
+        assert_eq!(action != LeaseAction::Wait, case.is_taken, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_lease_is_taken_once_its_holders_claim_has_expired() {
     struct Case {
@@ -116,7 +145,11 @@
         let holder = "host-2.5f".to_owned();
         lease.hear(HeardClaim { holder: holder.clone(), claim: case.claim, at: now });
         let later = now + ms(case.at_ms);
-        lease.observe(12, Some(LeaseRow { holder, fence: 4, renewal: 9 }), later);
+        lease.observe(
+            12,
+            Some(LeaseRow { holder, fence: 4, renewal: 9, recent: Vec::new() }),
+            later,
+        );
         let is_taken = matches!(lease.next_action(later), LeaseAction::Write { .. });
         assert_eq!(is_taken, case.is_taken, "{}", case.name);
     }
@@ -138,7 +171,11 @@
     (1..10).for_each(|i| hear(&mut lease, i * 150, given_up));
     hear(&mut lease, 1_400, LeaseClaim { fence: 3, ..given_up });
     let later = now + ms(1_450);
-    lease.observe(12, Some(LeaseRow { holder: holder.clone(), fence: 4, renewal: 9 }), later);
+    lease.observe(
+        12,
+        Some(LeaseRow { holder: holder.clone(), fence: 4, renewal: 9, recent: Vec::new() }),
+        later,
+    );
     assert!(matches!(lease.next_action(later), LeaseAction::Write { .. }), "the lease is free");
 }
 
@@ -198,7 +235,12 @@
     for case in cases {
         let now = Instant::now();
         let mut lease = Lease::new("host-1.77".to_owned(), timing).of_host("host-1".to_owned());
-        let row = LeaseRow { holder: case.holder.to_owned(), fence: case.fence, renewal: 9 };
+        let row = LeaseRow {
+            holder: case.holder.to_owned(),
+            fence: case.fence,
+            renewal: 9,
+            recent: Vec::new(),
+        };
         lease.observe(12, Some(row), now);
         lease.raise_fences(TOKENS_PER_ERA);
         let taken = match lease.next_action(now + case.after) {
@@ -237,7 +279,7 @@
         let timing = LeaseTiming { ttl: ms(10_000), margin: ms(4_000) };
         let mut leases = ["a", "b", "c"].map(|name| Lease::new(name.to_owned(), timing));
         // The first row is in every copy.
-        let first = LeaseRow { holder: String::new(), fence: 1, renewal: 1 };
+        let first = LeaseRow { holder: String::new(), fence: 1, renewal: 1, recent: Vec::new() };
         let mut row = (1, Some(first));
         let mut copy = row.clone();
         let mut era = 0;
