Streams whose event has no end are broken off after 64 KiB

What callers saw: 200 and nothing more until their time budget was over. A hundred such streams took a gateway to 2.3 GiB in some 10 s, more than any host has, so that one engine could end a gateway. Cause: EventSplitter holds all bytes since the last complete event, without a bound; lines of comments without an empty line never complete one either. Change: an event of more than 64 KiB breaks the run off (cause event_too_large, now logged also where a stream may not be resumed): the upstream counts as faulty and not as ended, a stream that may be resumed goes on elsewhere, another is cut with a reset. Heads, chunk extensions, trailers and bytes behind an answer were bounded before and are tested too.

--- a/src/gateway/request/events.rs
+++ b/src/gateway/request/events.rs
@@ -5,6 +5,9 @@
 
 /// Prefix of the line that holds the id of an event.
 const ID: &str = "id:";
+/// Maximum size of an event. All bytes of an incomplete event are held, for each stream; a smaller
+/// limit breaks off streams with large events.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// Finds the ends of events in a stream that arrives in parts. An event ends with an empty line;
 /// lines end with CR, LF or both.
@@ -16,6 +19,10 @@
     after_cr: bool,
     /// Whether bytes have arrived since the end of the last complete event.
     inside_event: bool,
+    /// Bytes since the end of the last complete event.
+    event_bytes: usize,
+    /// Whether an event was larger than [`MAX_EVENT_BYTES`].
+    is_oversized: bool,
     /// Number of events that have become complete.
     completed: u32,
 }
@@ -32,8 +39,10 @@
                 b'\n' | b'\r' => self.end_line(),
                 _ => (self.in_line, self.inside_event) = (true, true),
             }
+            self.event_bytes += 1;
+            self.is_oversized |= self.event_bytes > MAX_EVENT_BYTES;
             if !self.inside_event {
-                complete = i + 1;
+                (complete, self.event_bytes) = (i + 1, 0);
             }
         }
         complete
@@ -83,6 +92,11 @@
         self.scanner.inside_event
     }
 
+    /// Returns whether an event of this run is larger than any that a sound upstream sends.
+    pub fn is_oversized(&self) -> bool {
+        self.scanner.is_oversized
+    }
+
     /// Discards the incomplete event, which the next run sends from its start.
     pub fn restart(&mut self) {
         self.buf.clear();
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -105,11 +105,17 @@
     Complete,
     /// The connection ended between events, and its upstream lives on.
     Unknown,
-    Broken,
+    /// The answer was broken off, for this cause.
+    Broken(&'static str),
     TimeOver,
     CallerLeft,
 }
 
+/// Why an answer was broken off: its connection ended, or its upstream.
+const BROKEN_OFF: &str = "broken_off";
+/// Why an answer was broken off: one of its events has no end, or is too large.
+const EVENT_TOO_LARGE: &str = "event_too_large";
+
 struct Relay {
     forwarding: Forwarding,
     /// Framing of the caller's answer, which is that of the first run.
@@ -128,7 +134,7 @@
         loop {
             let end = self.read(&mut run).await;
             let id = run.selected.id.clone();
-            match end {
+            let cause = match end {
                 RunEnd::Complete => {
                     self.note_good(&run);
                     self.note_cost(&run);
@@ -144,20 +150,22 @@
                         return Outcome::EndUnknown;
                     }
                     // Resumed, since a last chunk would tell the caller that the answer is complete.
+                    BROKEN_OFF
                 }
                 RunEnd::CallerLeft => return Outcome::CallerLeft,
                 RunEnd::TimeOver => {
                     self.fail(BodyError::TimeOver).await;
                     return Outcome::TimeOver;
                 }
-                RunEnd::Broken => {
+                RunEnd::Broken(cause) => {
                     let Run { selected, body, lease, .. } = run;
                     // Ends the run before the stream is resumed elsewhere.
                     drop((body, lease));
-                    self.forwarding.handle_interrupted(&selected, "broken_off").await;
+                    self.forwarding.handle_interrupted(&selected, cause).await;
+                    cause
                 }
-            }
-            let Some(next) = self.resume(&id).await else {
+            };
+            let Some(next) = self.resume(&id, cause).await else {
                 self.fail(BodyError::BrokenOff).await;
                 return Outcome::BrokenOff;
             };
@@ -196,7 +204,7 @@
             let part = tokio::select! {
                 biased;
                 part = run.body.next() => part,
-                () = lifetime_end.as_mut() => return RunEnd::Broken,
+                () = lifetime_end.as_mut() => return RunEnd::Broken(BROKEN_OFF),
                 () = self.tx.closed() => return RunEnd::CallerLeft,
                 () = deadline.as_mut() => return RunEnd::TimeOver,
             };
@@ -210,6 +218,9 @@
             run.selected.in_flight.note_data();
             let before = self.events.completed();
             let whole = self.events.push(&data);
+            if self.events.is_oversized() {
+                return RunEnd::Broken(EVENT_TOO_LARGE);
+            }
             self.note_output(run, self.events.completed().saturating_sub(before));
             let data = if self.forwarding.admitted.route.resumable { whole } else { data };
             if !self.began && !data.is_empty() {
@@ -238,24 +249,30 @@
     async fn run_end(&mut self, end: BodyEnd, run: &Run) -> RunEnd {
         self.forwarding.inside_event = self.events.is_inside_event();
         match end {
-            BodyEnd::Complete | BodyEnd::Unknown if self.forwarding.inside_event => RunEnd::Broken,
+            BodyEnd::Complete | BodyEnd::Unknown if self.forwarding.inside_event => {
+                RunEnd::Broken(BROKEN_OFF)
+            }
             BodyEnd::Complete => RunEnd::Complete,
             // A stream has at least one event. Data of an earlier run may have been part of one.
-            BodyEnd::Unknown if !self.began => RunEnd::Broken,
+            BodyEnd::Unknown if !self.began => RunEnd::Broken(BROKEN_OFF),
             BodyEnd::Unknown if self.forwarding.has_upstream_ended(&run.selected).await => {
-                RunEnd::Broken
+                RunEnd::Broken(BROKEN_OFF)
             }
             BodyEnd::Unknown => RunEnd::Unknown,
-            BodyEnd::Broken => RunEnd::Broken,
+            BodyEnd::Broken => RunEnd::Broken(BROKEN_OFF),
         }
     }
 
     /// Resumes the stream at another upstream after the last complete event; `None` if that is not
     /// allowed or fails.
-    async fn resume(&mut self, broken: &str) -> Option<Run> {
+    async fn resume(&mut self, broken: &str, cause: &'static str) -> Option<Run> {
         let may_resume = self.forwarding.admitted.route.resumable;
         self.events.restart();
-        if !may_resume || !self.forwarding.may_run_again(broken, "broken_off") {
+        if !may_resume {
+            self.forwarding.log_failed(broken, cause, true, false);
+            return None;
+        }
+        if !self.forwarding.may_run_again(broken, cause) {
             return None;
         }
         let after = self.events.last_id().map(str::to_owned);
--- /dev/null
+++ b/tests/endless/mod.rs
@@ -0,0 +1,142 @@
+//! A stand-in upstream whose answers never end.
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// What comes without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// One event of a stream, in chunks.
+    Event,
+    /// Lines of comments in a stream that ends with its connection, and never an empty line.
+    Comments,
+    /// A body in chunks.
+    Body,
+    /// A body of which each chunk has one byte.
+    SmallChunks,
+    /// A body that ends with its connection.
+    UnframedBody,
+    /// The body of an answer that says that the request did not run.
+    RefusalBody,
+    /// Interim answers before the answer.
+    InterimAnswers,
+    /// Lines of a head.
+    Head,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// Trailers behind the body.
+    Trailers,
+    /// Bytes behind a complete answer.
+    SecondAnswer,
+}
+
+/// Upstream that answers each request without end, until its peer closes the connection.
+#[derive(Debug)]
+pub struct EndlessUpstream {
+    pub address: SocketAddr,
+    open: Arc<AtomicUsize>,
+}
+
+impl EndlessUpstream {
+    pub fn start(kind: Endless) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let open = Arc::new(AtomicUsize::new(0));
+        let of_server = open.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let open = of_server.clone();
+                thread::spawn(move || {
+                    open.fetch_add(1, Ordering::Relaxed);
+                    serve(&stream, kind);
+                    open.fetch_sub(1, Ordering::Relaxed);
+                });
+            }
+        });
+        Self { address, open }
+    }
+
+    /// Returns the number of connections that are not closed.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
+fn serve(stream: &TcpStream, kind: Endless) {
+    let mut reader = BufReader::new(stream);
+    while let Some(id) = read_request(&mut reader) {
+        let (start, repeated) = answer(kind, &id);
+        let mut writer = stream;
+        if writer.write_all(start.as_bytes()).is_err() {
+            return;
+        }
+        while writer.write_all(&repeated).is_ok() {
+            if kind == Endless::SmallChunks {
+                thread::sleep(Duration::from_micros(100));
+            }
+        }
+    }
+}
+
+/// Reads a request and returns its id; `None` once the connection has ended.
+fn read_request(reader: &mut impl BufRead) -> Option<String> {
+    let (mut id, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end();
+        match line.split_once(": ") {
+            Some((n, v)) if n.eq_ignore_ascii_case("x-request-id") => id = v.to_owned(),
+            Some((n, v)) if n.eq_ignore_ascii_case("content-length") => length = v.parse().ok()?,
+            _ if line.is_empty() => break,
+            _ => {}
+        }
+    }
+    reader.read_exact(&mut vec![0; length]).ok()?;
+    Some(id)
+}
+
+/// Returns the beginning of an answer, and the bytes that follow it again and again.
+fn answer(kind: Endless, id: &str) -> (String, Vec<u8>) {
+    let head = |status: &str, framing: &str| {
+        format!("HTTP/1.1 {status}\r\nx-request-id: {id}\r\nx-response-seal: s\r\n{framing}\r\n")
+    };
+    let chunked = "transfer-encoding: chunked\r\n";
+    let chunk = |bytes: &[u8]| {
+        let mut out = format!("{:x}\r\n", bytes.len()).into_bytes();
+        out.extend_from_slice(bytes);
+        out.extend_from_slice(b"\r\n");
+        out
+    };
+    let filler = vec![b'x'; 16 << 10];
+    match kind {
+        Endless::Event => (head("200 OK", chunked), chunk(&filler)),
+        Endless::Comments => (head("200 OK", ""), b": comment\n".repeat(1_000)),
+        Endless::Body => (head("200 OK", chunked), chunk(&filler)),
+        Endless::SmallChunks => (head("200 OK", chunked), chunk(b"x").repeat(100)),
+        Endless::UnframedBody => (head("200 OK", ""), filler),
+        Endless::RefusalBody => {
+            let framing = format!("x-not-executed: 1\r\n{chunked}");
+            (head("503 Service Unavailable", &framing), chunk(&filler))
+        }
+        Endless::InterimAnswers => {
+            (String::new(), b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(100))
+        }
+        Endless::Head => ("HTTP/1.1 200 OK\r\n".to_owned(), b"x-line: value\r\n".repeat(1_000)),
+        Endless::ChunkExtension => (head("200 OK", chunked) + "5;", filler),
+        Endless::Trailers => {
+            (head("200 OK", chunked) + "0\r\n", b"x-trailer: value\r\n".repeat(1_000))
+        }
+        Endless::SecondAnswer => (head("200 OK", "content-length: 5\r\n") + "whole", filler),
+    }
+}
--- /dev/null
+++ b/tests/gateway_endless_answers.rs
@@ -0,0 +1,155 @@
+//! Upstreams that send bytes without end, which are no answer.
+
+mod endless;
+mod support;
+
+use std::{
+    fs, thread,
+    time::{Duration, Instant},
+};
+
+use endless::{Endless, EndlessUpstream};
+use hyper::StatusCode;
+use support::{
+    gateways::{Answer, Call, Site},
+    wait_until,
+};
+
+/// Requests at upstreams without end at the same time.
+const REQUESTS: usize = 100;
+/// Memory of a gateway, half of what the smallest hosts have.
+const MAX_MEMORY_KIB: u64 = 60 << 10;
+/// Time after which a caller has an end. Its time budget is 10 s.
+const MAX_WAIT: Duration = Duration::from_secs(3);
+
+/// Returns the largest memory that the process of a gateway has used so far.
+fn peak_memory_kib(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+fn call(route: &str, id: &str) -> Call {
+    let path = format!("/{route}/a");
+    match route {
+        "plan" | "digest" => Call::stream(&path, id, 5),
+        "confirm" => Call::new("POST", &path, id),
+        _ => Call::new("GET", &path, id),
+    }
+}
+
+/// What a caller gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seen {
+    /// A whole answer.
+    Whole,
+    /// An answer that breaks off, or an error that promises nothing.
+    Broken,
+    /// A refusal that promises that the request has not run.
+    NotRun,
+}
+
+fn seen(answer: &Answer) -> Seen {
+    match answer.status {
+        StatusCode::SERVICE_UNAVAILABLE => Seen::NotRun,
+        StatusCode::OK if answer.complete => Seen::Whole,
+        _ => Seen::Broken,
+    }
+}
+
+struct Case {
+    endless: Endless,
+    route: &'static str,
+    /// What callers get while no other upstream is there.
+    alone: Seen,
+}
+
+/// Sends a hundred requests at once to an upstream without end, and checks what callers get and what
+/// the gateway needs for it.
+fn check(cases: &[Case]) {
+    for case in cases {
+        let name = format!("{:?} on {}", case.endless, case.route);
+        let mut site = Site::start(1, 0, 0);
+        let upstream = EndlessUpstream::start(case.endless);
+        let service = if ["plan", "digest"].contains(&case.route) { "llm" } else { "app" };
+        let (id, _) = site.add_upstream_behind(service, upstream.address);
+        site.wait_known(&id);
+        let to = site.gateways[0].callers;
+        let began = Instant::now();
+        let callers: Vec<_> = (0..REQUESTS)
+            .map(|n| {
+                let call = call(case.route, &format!("endless-{n}"));
+                thread::spawn(move || call.send(to).map(|a| (seen(&a), began.elapsed())))
+            })
+            .collect();
+        let ends: Vec<_> = callers.into_iter().map(|c| c.join().expect("a caller")).collect();
+        let memory = peak_memory_kib(site.gateways[0].id());
+        let slowest = ends.iter().flatten().map(|(_, took)| *took).max();
+        let count = |seen: Seen| ends.iter().flatten().filter(|(s, _)| *s == seen).count();
+        let counts = [Seen::Whole, Seen::Broken, Seen::NotRun].map(|s| (s, count(s)));
+        println!("{name}: {memory} KiB, slowest {slowest:?}, {counts:?}");
+        assert!(memory < MAX_MEMORY_KIB, "{name}: the gateway took {memory} KiB");
+        assert!(slowest.is_some_and(|t| t < MAX_WAIT), "{name}: {slowest:?}");
+        // Some find the upstream avoided, or its connections taken, and are refused.
+        let expected = count(case.alone) + count(Seen::NotRun).min(REQUESTS);
+        assert!(count(case.alone) > 0, "{name}: {counts:?}");
+        assert!(case.alone == Seen::NotRun || expected == REQUESTS, "{name}: {counts:?}");
+        wait_until("all connections are closed", || upstream.open() <= 1);
+        assert!(!site.gateways[0].has_ended(), "{name}");
+    }
+}
+
+/// Guards against an upstream that fills the memory of a gateway with an event that does not end.
+#[test]
+fn streams_whose_event_does_not_end_are_broken_off_and_take_little_memory() {
+    check(&[
+        Case { endless: Endless::Event, route: "plan", alone: Seen::Broken },
+        Case { endless: Endless::Event, route: "digest", alone: Seen::Broken },
+        Case { endless: Endless::Comments, route: "plan", alone: Seen::Broken },
+        Case { endless: Endless::Comments, route: "digest", alone: Seen::Broken },
+    ]);
+}
+
+/// Guards against heads, chunks, trailers and late bytes that have no end.
+#[test]
+fn other_bytes_without_end_are_broken_off_and_take_little_memory() {
+    check(&[
+        Case { endless: Endless::Head, route: "confirm", alone: Seen::Broken },
+        Case { endless: Endless::ChunkExtension, route: "confirm", alone: Seen::Broken },
+        Case { endless: Endless::Trailers, route: "confirm", alone: Seen::Broken },
+        Case { endless: Endless::SecondAnswer, route: "confirm", alone: Seen::Whole },
+    ]);
+}
+
+/// Guards against requests that may be repeated or resumed and fail though a sound upstream is there.
+#[test]
+fn requests_that_may_run_again_are_served_by_a_sound_upstream() {
+    struct Case {
+        endless: Endless,
+        route: &'static str,
+    }
+    let cases = [
+        Case { endless: Endless::Event, route: "digest" },
+        Case { endless: Endless::Comments, route: "digest" },
+        Case { endless: Endless::Head, route: "check" },
+    ];
+    for case in cases {
+        let name = format!("{:?} on {}", case.endless, case.route);
+        let site = Site::start(1, 0, 0);
+        let upstream = EndlessUpstream::start(case.endless);
+        let service = if case.route == "digest" { "llm" } else { "app" };
+        let (id, _) = site.add_upstream_behind(service, upstream.address);
+        site.wait_known(&id);
+        site.add_known_upstream(service);
+        let to = site.gateways[0].callers;
+        let began = Instant::now();
+        let answers: Vec<_> =
+            (0..6).map(|n| call(case.route, &format!("again-{n}")).send(to)).collect();
+        println!("{name}: {:?}", began.elapsed());
+        for answer in answers {
+            let answer = answer.expect("an answer");
+            assert_eq!(seen(&answer), Seen::Whole, "{name}: {} {}", answer.status, answer.body);
+        }
+        assert!(began.elapsed() < 2 * MAX_WAIT, "{name}: {:?}", began.elapsed());
+    }
+}
--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -163,6 +163,11 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns the id of the latest process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Starts a new process; the earlier one must have ended.
     pub fn restart(&mut self) {
         self.child = spawn(&self.settings, &self.log);
