Bodies of refusals are discarded up to 16 KiB and 100 ms

What callers saw: a refusal of an upstream (not run) whose body has no end became 504 after the whole time budget, for requests that another upstream would have served at once. A hundred of them took a gateway to 1.8 GiB. Cause: the rest of such an answer was collected, without a bound, to use its connection again. Change: it is read up to 16 KiB and 100 ms; the connection is closed beyond that.

--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -1,13 +1,18 @@
 //! A single attempt to send a request to an upstream.
 
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
     body::Incoming,
     http::{request::Parts, response},
 };
-use std::{rc::Rc, time::Instant};
+use tokio::time::timeout;
 
 use super::{Admitted, DialTarget, room::RoomAnswer, select::Selected, signals::note_signals};
 use crate::{
@@ -15,7 +20,9 @@
     gateway::{
         context::Gateway,
         model::RequestDigest,
-        net::{ConnectError, Path, PoolError, PooledConnection, RequestBody, UpstreamBody},
+        net::{
+            BodyEnd, ConnectError, Path, PoolError, PooledConnection, RequestBody, UpstreamBody,
+        },
     },
     platform::{self, Attempt, RequestHead},
 };
@@ -63,6 +70,12 @@
     }
 }
 
+/// Maximum size of a body that is read only to use its connection again. Reading a larger one costs
+/// more than a new connection.
+const MAX_DISCARDED_BYTES: usize = 16 << 10;
+/// Time for reading such a body. A longer one delays the next attempt.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Failure cause: the upstream restarted and lost the request.
 pub const UPSTREAM_RESTARTED: &str = "upstream_started_again";
 
@@ -178,12 +191,13 @@
     AttemptEnd::Answer(Box::new(UpstreamAnswer::new(response, lease)))
 }
 
-/// Reads and discards the rest of an answer, so that its connection can be reused.
+/// Reads and discards the rest of an answer, so that its connection can be reused. The connection of
+/// a body that is large or slow is closed.
 async fn drain_and_release(response: Response<Incoming>, lease: PooledConnection) {
-    let closes = platform::closes(response.headers());
-    let keep_alive = platform::keep_alive(response.headers());
-    let read = response.into_body().collect().await;
-    if read.is_ok() && !closes {
-        lease.give_back(keep_alive);
+    let (head, body) = UpstreamBody::split(response);
+    let read = timeout(DISCARD_TIMEOUT, body.collect(MAX_DISCARDED_BYTES)).await;
+    let is_whole = read.is_ok_and(|(_, end)| end == BodyEnd::Complete);
+    if is_whole && !platform::closes(&head.headers) {
+        lease.give_back(platform::keep_alive(&head.headers));
     }
 }
--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -110,6 +110,15 @@
     ]);
 }
 
+/// Guards against refusals whose discarded bodies fill the memory of a gateway.
+#[test]
+fn refusals_whose_body_does_not_end_are_taken_at_their_word_and_take_little_memory() {
+    check(&[
+        Case { endless: Endless::RefusalBody, route: "confirm", alone: Seen::NotRun },
+        Case { endless: Endless::RefusalBody, route: "plan", alone: Seen::NotRun },
+    ]);
+}
+
 /// Guards against heads, chunks, trailers and late bytes that have no end.
 #[test]
 fn other_bytes_without_end_are_broken_off_and_take_little_memory() {
@@ -131,6 +140,8 @@
     let cases = [
         Case { endless: Endless::Event, route: "digest" },
         Case { endless: Endless::Comments, route: "digest" },
+        Case { endless: Endless::RefusalBody, route: "check" },
+        Case { endless: Endless::RefusalBody, route: "confirm" },
         Case { endless: Endless::Head, route: "check" },
     ];
     for case in cases {
