A run that gets more than 16 interim answers is broken off

What callers saw: nothing until their time budget was over, then 504, though another upstream could have served what may run again; the slots and connections were taken all the while. Cause: interim answers (status 1xx) are skipped by the library, without a bound. Change: they are counted, and the 17th ends the run with the cause interim_answers; the connection is closed. The same holds for calls to the store, the API and other gateways.

--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -3,6 +3,10 @@
 use std::{
     io,
     net::{IpAddr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -20,6 +24,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpSocket, TcpStream},
+    sync::Notify,
     task::spawn_local,
     time::timeout,
 };
@@ -37,6 +42,9 @@
 /// base64-encoded rows.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Maximum number of interim answers (status 1xx) before an answer. Sound upstreams send one or two.
+const MAX_INTERIM_ANSWERS: u32 = 16;
+
 /// Body of a request; always buffered so that the request can be retried.
 pub type RequestBody = Full<Bytes>;
 
@@ -75,9 +83,9 @@
 /// Why a call returned no complete answer.
 #[derive(Debug, Error)]
 pub enum CallError {
-    /// The connection ended before the head of the answer arrived.
+    /// No head of an answer arrived.
     #[error("{0}")]
-    Http(#[from] hyper::Error),
+    Send(#[from] SendError),
     /// The body was cut off or exceeds the maximum size.
     #[error("{0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
@@ -151,16 +159,23 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection ends first.
+    /// Fails if the connection ends first, or too many interim answers come. The connection is of no
+    /// use then.
     pub async fn send(
         &mut self,
-        request: Request<RequestBody>,
+        mut request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
-        let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut e| SendError {
-            unsent: e.take_message().is_some(),
-            source: e.into_error(),
-        })
+        let too_many = limit_interim_answers(&mut request);
+        tokio::select! {
+            biased;
+            sent = self.sender.try_send_request(request) => sent.map_err(|mut e| {
+                match e.take_message() {
+                    Some(_) => SendError::Unsent(e.into_error()),
+                    None => SendError::Http(e.into_error()),
+                }
+            }),
+            () = too_many.notified() => Err(SendError::InterimAnswers),
+        }
     }
 
     /// Sends a request and reads the complete answer.
@@ -169,7 +184,7 @@
     ///
     /// Fails if the connection ends first or the body is too large.
     pub async fn call(&mut self, request: Request<RequestBody>) -> Result<Answer, CallError> {
-        let response = self.sender.send_request(request).await?;
+        let response = self.send(request).await?;
         let (parts, body) = response.into_parts();
         let read = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = read.map_err(CallError::Body)?.to_bytes();
@@ -179,12 +194,28 @@
 
 /// A request failed before the head of its answer arrived.
 #[derive(Debug, Error)]
-#[error("{source}")]
-pub struct SendError {
-    /// Whether no part of the request was sent, so that it is safe to retry.
-    pub unsent: bool,
-    /// Error that ended the connection.
-    pub source: hyper::Error,
+pub enum SendError {
+    /// No part of the request was sent, so that it is safe to retry.
+    #[error("{0}")]
+    Unsent(#[source] hyper::Error),
+    /// The connection ended.
+    #[error("{0}")]
+    Http(#[source] hyper::Error),
+    /// The peer sent interim answers (status 1xx) and no answer.
+    #[error("too many interim answers")]
+    InterimAnswers,
+}
+
+/// Has the interim answers to a request counted. Returns what is notified if there are too many.
+fn limit_interim_answers(request: &mut Request<RequestBody>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let (seen, notify) = (AtomicU32::new(0), too_many.clone());
+    hyper::ext::on_informational(request, move |_| {
+        if seen.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_ANSWERS {
+            notify.notify_one();
+        }
+    });
+    too_many
 }
 
 /// Opens a connection to `address`.
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -11,8 +11,8 @@
 mod upstream_body;
 
 pub use connect::{
-    Answer, CallError, ConnectError, HttpConnection, Path, RequestBody, connect, connect_from,
-    connect_stream, get_request, json_request,
+    Answer, CallError, ConnectError, HttpConnection, Path, RequestBody, SendError, connect,
+    connect_from, connect_stream, get_request, json_request,
 };
 pub use framing::Framing;
 pub use pool::{Pool, PoolError, PooledConnection};
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -21,7 +21,8 @@
         context::Gateway,
         model::RequestDigest,
         net::{
-            BodyEnd, ConnectError, Path, PoolError, PooledConnection, RequestBody, UpstreamBody,
+            BodyEnd, ConnectError, Path, PoolError, PooledConnection, RequestBody, SendError,
+            UpstreamBody,
         },
     },
     platform::{self, Attempt, RequestHead},
@@ -167,8 +168,9 @@
     };
     let response = match sent {
         Ok(response) => response,
-        Err(e) if e.unsent => return AttemptEnd::Unsent("connection_ended"),
-        Err(_) => return AttemptEnd::Broken("no_answer"),
+        Err(SendError::Unsent(_)) => return AttemptEnd::Unsent("connection_ended"),
+        Err(SendError::Http(_)) => return AttemptEnd::Broken("no_answer"),
+        Err(SendError::InterimAnswers) => return AttemptEnd::Broken("interim_answers"),
     };
     if lease.path() == Path::Direct {
         gateway.note_reached(lifetime);
--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -119,6 +119,15 @@
     ]);
 }
 
+/// Guards against callers that wait for their whole time budget for an answer that never begins.
+#[test]
+fn interim_answers_without_end_are_broken_off_at_once() {
+    check(&[
+        Case { endless: Endless::InterimAnswers, route: "confirm", alone: Seen::Broken },
+        Case { endless: Endless::InterimAnswers, route: "plan", alone: Seen::Broken },
+    ]);
+}
+
 /// Guards against heads, chunks, trailers and late bytes that have no end.
 #[test]
 fn other_bytes_without_end_are_broken_off_and_take_little_memory() {
@@ -140,8 +149,10 @@
     let cases = [
         Case { endless: Endless::Event, route: "digest" },
         Case { endless: Endless::Comments, route: "digest" },
+        Case { endless: Endless::Body, route: "check" },
         Case { endless: Endless::RefusalBody, route: "check" },
         Case { endless: Endless::RefusalBody, route: "confirm" },
+        Case { endless: Endless::InterimAnswers, route: "check" },
         Case { endless: Endless::Head, route: "check" },
     ];
     for case in cases {
