Answers that are buffered whole share 16 MiB of memory beyond 64 KiB of each

What callers saw: nothing as long as the gateway lived. A hundred answers without end, which may not be told from large ones before their end, took it to 726,224 KiB, more than any host has. Cause: one buffered answer was bounded (8 MiB), the sum was not; the buffer doubled as it grew, and the library read up to 400 KiB ahead on each connection. Change: a budget for the process, of which answers up to 64 KiB take nothing; a guard gives back what an answer took once it is handed on. Buffers grow by a quarter; a connection reads 64 KiB ahead.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,7 +9,7 @@
     controllers::Controllers,
     decide::{LimitAnnouncement, Mechanism, PartChange, QuarantineChange, StoreStability},
     model::{Era, Lifetime, WatchedData},
-    net::{Phase, Pool, Shutdown},
+    net::{BufferBudget, Phase, Pool, Shutdown},
     peering::ProcessId,
     reactor::ControllerWaker,
     request::{PermitRequests, StreamVersionQuestions, UpstreamProbes, WorkNotices},
@@ -38,6 +38,8 @@
     pub board: RefCell<Board>,
     /// Connection pool for upstreams.
     pub pool: Pool,
+    /// Memory for answers that are buffered whole.
+    pub buffers: BufferBudget,
     /// Checks whether upstreams have terminated.
     pub upstream_probes: UpstreamProbes,
     /// Borrows requests from other gateways' shares of upstream rate limits.
@@ -84,6 +86,7 @@
             started: clock::now(),
             board: RefCell::new(board),
             pool: Pool::default(),
+            buffers: BufferBudget::default(),
             upstream_probes: UpstreamProbes::default(),
             permit_requests: PermitRequests::default(),
             stream_version_questions: StreamVersionQuestions::default(),
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -42,6 +42,8 @@
 /// base64-encoded rows.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Maximum size of the read buffer of a connection, and thereby of the head of an answer.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of interim answers (status 1xx) before an answer. Sound upstreams send one or two.
 const MAX_INTERIM_ANSWERS: u32 = 16;
 
@@ -128,7 +130,9 @@
     where
         T: AsyncRead + AsyncWrite + Unpin + 'static,
     {
-        let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
+        let mut http = Builder::new();
+        http.max_buf_size(MAX_READ_BUFFER_BYTES);
+        let (sender, connection) = http.handshake(TokioIo::new(stream)).await?;
         spawn_local(async move {
             // The error is dropped: users of the connection get it from `sender`.
             drop(connection.await);
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -2,6 +2,7 @@
 //! server for callers.
 
 mod answer_stream;
+mod buffer_budget;
 mod connect;
 mod framing;
 mod pool;
@@ -10,6 +11,7 @@
 mod tunnel;
 mod upstream_body;
 
+pub use buffer_budget::{BufferBudget, BufferLease};
 pub use connect::{
     Answer, CallError, ConnectError, HttpConnection, Path, RequestBody, SendError, connect,
     connect_from, connect_stream, get_request, json_request,
@@ -17,8 +19,8 @@
 pub use framing::Framing;
 pub use pool::{Pool, PoolError, PooledConnection};
 pub use server::{
-    AnswerBody, BodyError, Service, channel_body, frame_until_close, full_body, serve,
-    serve_connection,
+    AnswerBody, BodyError, Service, buffered_body, channel_body, frame_until_close, full_body,
+    serve, serve_connection,
 };
 pub use shutdown::{Phase, Shutdown};
 pub use tunnel::{
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{
     Request, Response, Version,
-    body::{Body, Frame, Incoming},
+    body::{Body, Frame, Incoming, SizeHint},
     header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
     server::conn::http1::Builder,
     service::service_fn,
@@ -30,7 +30,7 @@
 };
 
 use super::{
-    Shutdown,
+    BufferLease, Shutdown,
     answer_stream::{AnswerStream, UnfinishedAnswer},
     connect::detect_dead_peer,
 };
@@ -63,6 +63,39 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Creates a body from an answer that was buffered whole. Its memory is accounted for until the body
+/// has been handed on.
+pub fn buffered_body(bytes: Bytes, lease: BufferLease) -> AnswerBody {
+    BufferedBody { body: Full::new(bytes), _lease: lease }
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+struct BufferedBody {
+    body: Full<Bytes>,
+    _lease: BufferLease,
+}
+
+impl Body for BufferedBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 struct ChannelBody {
     rx: Receiver<Result<Bytes, BodyError>>,
 }
--- a/src/gateway/net/upstream_body.rs
+++ b/src/gateway/net/upstream_body.rs
@@ -1,10 +1,13 @@
 //! Bodies of upstreams' answers.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Response, body::Incoming, http::response::Parts};
 
-use super::Framing;
+use super::{BufferLease, Framing};
+
+/// Least growth of the memory for a body that is buffered.
+const MIN_GROWTH_BYTES: usize = 4 << 10;
 
 /// What is known of the end of a body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +18,8 @@
     Unknown,
     /// The body was broken off.
     Broken,
+    /// The body is larger than what is buffered.
+    TooLarge,
 }
 
 /// A part of a body.
@@ -58,16 +63,41 @@
         }
     }
 
-    /// Reads the whole body. A body of more than `max_bytes` counts as broken.
-    pub async fn collect(mut self, max_bytes: usize) -> (Bytes, BodyEnd) {
-        let mut buf = BytesMut::new();
+    /// Reads the whole body into memory, which `lease` accounts for. A body of more than `max_bytes`,
+    /// or one for which no memory is left, is too large.
+    pub async fn collect(mut self, max_bytes: usize, lease: &mut BufferLease) -> (Bytes, BodyEnd) {
+        let mut buf = Vec::new();
         loop {
-            match self.next().await {
-                BodyPart::Data(data) if buf.len() + data.len() > max_bytes => {
-                    return (buf.freeze(), BodyEnd::Broken);
+            let data = match self.next().await {
+                BodyPart::Data(data) => data,
+                BodyPart::End(end) => return (buf.into(), end),
+            };
+            let bytes = buf.len() + data.len();
+            if bytes > max_bytes {
+                return (Bytes::new(), BodyEnd::TooLarge);
+            }
+            if bytes > buf.capacity() {
+                // Grows by a quarter: a double capacity would have to be accounted for.
+                let capacity = bytes + (bytes / 4).max(MIN_GROWTH_BYTES);
+                if !lease.grow_to(capacity) {
+                    return (Bytes::new(), BodyEnd::TooLarge);
                 }
-                BodyPart::Data(data) => buf.extend_from_slice(&data),
-                BodyPart::End(end) => return (buf.freeze(), end),
+                buf.reserve_exact(capacity - buf.len());
+            }
+            buf.extend_from_slice(&data);
+        }
+    }
+
+    /// Reads and discards the rest of a body of at most `max_bytes`.
+    pub async fn discard(mut self, max_bytes: usize) -> BodyEnd {
+        let mut bytes = 0;
+        loop {
+            match self.next().await {
+                BodyPart::Data(data) => bytes += data.len(),
+                BodyPart::End(end) => return end,
+            }
+            if bytes > max_bytes {
+                return BodyEnd::TooLarge;
             }
         }
     }
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -197,8 +197,8 @@
 /// a body that is large or slow is closed.
 async fn drain_and_release(response: Response<Incoming>, lease: PooledConnection) {
     let (head, body) = UpstreamBody::split(response);
-    let read = timeout(DISCARD_TIMEOUT, body.collect(MAX_DISCARDED_BYTES)).await;
-    let is_whole = read.is_ok_and(|(_, end)| end == BodyEnd::Complete);
+    let read = timeout(DISCARD_TIMEOUT, body.discard(MAX_DISCARDED_BYTES)).await;
+    let is_whole = read == Ok(BodyEnd::Complete);
     if is_whole && !platform::closes(&head.headers) {
         lease.give_back(platform::keep_alive(&head.headers));
     }
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -20,7 +20,7 @@
         context::Gateway,
         decide::{AttemptOutcome, RouteKey, VersionGroup},
         model::{PartKey, RequestDigest, RequestKind, UpstreamVersion, WatchedData},
-        net::{AnswerBody, BodyEnd, ConnectError, Framing, frame_until_close, full_body},
+        net::{AnswerBody, BodyEnd, ConnectError, Framing, buffered_body, frame_until_close},
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -34,6 +34,11 @@
 /// Maximum size in bytes of an answer that is buffered before it is relayed.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
 
+/// Failure cause: the answer was broken off.
+const ANSWER_INCOMPLETE: &str = "answer_incomplete";
+/// Failure cause: the answer is larger than what is buffered.
+const ANSWER_TOO_LARGE: &str = "answer_too_large";
+
 /// State of an admitted request until its answer ends.
 #[derive(Debug)]
 pub struct Forwarding {
@@ -205,17 +210,24 @@
             return Ok(Some(Reply::Stream(answer, Box::new(selected))));
         }
         let UpstreamAnswer { mut head, body, lease } = *answer;
+        let mut buffer = self.gateway.buffers.open();
         let read = tokio::select! {
             biased;
-            (body, end) = body.collect(MAX_BUFFERED_BYTES) => self.check_end(end, &selected).await.then_some(body),
-            () = selected.in_flight.lifetime_end() => None,
+            (body, end) = body.collect(MAX_BUFFERED_BYTES, &mut buffer) => {
+                self.check_end(end, &selected).await.map(|()| body)
+            }
+            () = selected.in_flight.lifetime_end() => Err(ANSWER_INCOMPLETE),
         };
-        let Some(body) = read else {
-            self.handle_interrupted(&selected, "answer_incomplete").await;
-            if self.may_run_again(&selected.id, "answer_incomplete") {
-                return Ok(None);
+        let body = match read {
+            Ok(body) => body,
+            Err(cause) => {
+                drop((buffer, lease));
+                self.handle_interrupted(&selected, cause).await;
+                if self.may_run_again(&selected.id, cause) {
+                    return Ok(None);
+                }
+                return Err(Refusal::Broken);
             }
-            return Err(Refusal::Broken);
         };
         let now = clock::now();
         if framing == Framing::Delimited && !platform::closes(&head.headers) {
@@ -245,20 +257,26 @@
         }
         platform::strip_hop_headers(&mut head.headers);
         head.version = Version::HTTP_11;
-        let response = Response::from_parts(head, full_body(body));
+        let response = Response::from_parts(head, buffered_body(body, buffer));
         Ok(Some(Reply::Buffered(match framing {
             Framing::Delimited => response,
             Framing::UntilClose => frame_until_close(response),
         })))
     }
 
-    /// Returns whether a body may be taken for whole. One whose end is unknown may not if its
+    /// Checks whether a body may be taken for whole. One whose end is unknown may not if its
     /// upstream has ended.
-    async fn check_end(&self, end: BodyEnd, selected: &Selected) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Fails with the cause for which the attempt counts as failed.
+    async fn check_end(&self, end: BodyEnd, selected: &Selected) -> Result<(), &'static str> {
         match end {
-            BodyEnd::Complete => true,
-            BodyEnd::Unknown => !self.has_upstream_ended(selected).await,
-            BodyEnd::Broken => false,
+            BodyEnd::Complete => Ok(()),
+            BodyEnd::Unknown if self.has_upstream_ended(selected).await => Err(ANSWER_INCOMPLETE),
+            BodyEnd::Unknown => Ok(()),
+            BodyEnd::Broken => Err(ANSWER_INCOMPLETE),
+            BodyEnd::TooLarge => Err(ANSWER_TOO_LARGE),
         }
     }
 
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -259,7 +259,7 @@
                 RunEnd::Broken(BROKEN_OFF)
             }
             BodyEnd::Unknown => RunEnd::Unknown,
-            BodyEnd::Broken => RunEnd::Broken(BROKEN_OFF),
+            BodyEnd::Broken | BodyEnd::TooLarge => RunEnd::Broken(BROKEN_OFF),
         }
     }
 
--- a/tests/endless/mod.rs
+++ b/tests/endless/mod.rs
@@ -36,8 +36,13 @@
     Trailers,
     /// Bytes behind a complete answer.
     SecondAnswer,
+    /// Nothing: a large answer that is whole.
+    Nothing,
 }
 
+/// Size of the answer of [`Endless::Nothing`].
+pub const LARGE_ANSWER_BYTES: usize = 5 << 20;
+
 /// Upstream that answers each request without end, until its peer closes the connection.
 #[derive(Debug)]
 pub struct EndlessUpstream {
@@ -78,7 +83,7 @@
         if writer.write_all(start.as_bytes()).is_err() {
             return;
         }
-        while writer.write_all(&repeated).is_ok() {
+        while !repeated.is_empty() && writer.write_all(&repeated).is_ok() {
             if kind == Endless::SmallChunks {
                 thread::sleep(Duration::from_micros(100));
             }
@@ -138,5 +143,9 @@
             (head("200 OK", chunked) + "0\r\n", b"x-trailer: value\r\n".repeat(1_000))
         }
         Endless::SecondAnswer => (head("200 OK", "content-length: 5\r\n") + "whole", filler),
+        Endless::Nothing => {
+            let framing = format!("content-length: {LARGE_ANSWER_BYTES}\r\n");
+            (head("200 OK", &framing) + &"x".repeat(LARGE_ANSWER_BYTES), Vec::new())
+        }
     }
 }
--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use endless::{Endless, EndlessUpstream};
+use endless::{Endless, EndlessUpstream, LARGE_ANSWER_BYTES};
 use hyper::StatusCode;
 use support::{
     gateways::{Answer, Call, Site},
@@ -128,6 +128,16 @@
     ]);
 }
 
+/// Guards against many large answers at once that together fill the memory of a gateway.
+#[test]
+fn bodies_without_end_are_broken_off_and_take_little_memory() {
+    check(&[
+        Case { endless: Endless::Body, route: "confirm", alone: Seen::Broken },
+        Case { endless: Endless::UnframedBody, route: "confirm", alone: Seen::Broken },
+        Case { endless: Endless::SmallChunks, route: "confirm", alone: Seen::Broken },
+    ]);
+}
+
 /// Guards against heads, chunks, trailers and late bytes that have no end.
 #[test]
 fn other_bytes_without_end_are_broken_off_and_take_little_memory() {
@@ -139,6 +149,21 @@
     ]);
 }
 
+/// Guards against a bound that breaks off large answers of sound upstreams.
+#[test]
+fn large_answers_that_end_are_passed_on_whole() {
+    let site = Site::start(1, 0, 0);
+    let upstream = EndlessUpstream::start(Endless::Nothing);
+    let (id, _) = site.add_upstream_behind("app", upstream.address);
+    site.wait_known(&id);
+    for n in 0..3 {
+        let answer = call("confirm", &format!("large-{n}")).send(site.gateways[0].callers);
+        let answer = answer.expect("an answer");
+        assert_eq!(seen(&answer), Seen::Whole, "{}", answer.status);
+        assert_eq!(answer.body.len(), LARGE_ANSWER_BYTES);
+    }
+}
+
 /// Guards against requests that may be repeated or resumed and fail though a sound upstream is there.
 #[test]
 fn requests_that_may_run_again_are_served_by_a_sound_upstream() {
