Callers that read slowly keep their answer until their time budget ends

Cause: TCP_USER_TIMEOUT (2.5 s) also ends a peer that acknowledges every probe of its closed window. Change: while output is pending, TCP_INFO is read every 2 s; where all that was sent is acknowledged and the window takes no more, the timeout is lifted. A caller that leaves two probes unanswered is gone. Unread answers end their connection 1 s after the deadline of their request; of more than 250 the oldest is ended; a relayed answer is held in 16 frames of 4 KiB. The end of a shutdown waits for answers that the kernel has not taken. Why it works: a living peer resets the count of unanswered probes with each acknowledgement; data in flight is watched by the kernel as before.

--- a/src/bin/tackhollow-emulator/main.rs
+++ b/src/bin/tackhollow-emulator/main.rs
@@ -18,7 +18,7 @@
 use std::{net::SocketAddr, process::ExitCode, rc::Rc};
 
 use anyhow::Result;
-use tackhollow::gateway::net::{Service, Shutdown, serve};
+use tackhollow::gateway::net::{ServerState, Service, serve};
 use tokio::{
     net::TcpListener,
     runtime::Builder,
@@ -57,6 +57,6 @@
 async fn listen<S: Service + 'static>(service: Rc<S>) -> Result<SocketAddr> {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
     let address = listener.local_addr()?;
-    spawn_local(serve(listener, service, Shutdown::default()));
+    spawn_local(serve(listener, service, ServerState::default()));
     Ok(address)
 }
--- a/src/bin/tackhollow-emulator/network.rs
+++ b/src/bin/tackhollow-emulator/network.rs
@@ -18,7 +18,7 @@
 
 use serde::Deserialize;
 use socket2::{SockFilter, SockRef, Socket};
-use tackhollow::gateway::net::{Service, Shutdown, serve_connection};
+use tackhollow::gateway::net::{ServerState, Service, serve_connection};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
@@ -145,8 +145,8 @@
                 Ok((stream, peer)) => match self.open(stream, peer.ip()) {
                     Ok(None) => {}
                     Ok(Some(stream)) => {
-                        let shutdown = Shutdown::default();
-                        spawn_local(serve_connection(stream, peer, service.clone(), shutdown));
+                        let state = ServerState::default();
+                        spawn_local(serve_connection(stream, peer, service.clone(), state));
                     }
                     Err(e) => eprintln!("a connection from {peer} is not served: {e}"),
                 },
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,7 +9,7 @@
     controllers::Controllers,
     decide::{LimitAnnouncement, Mechanism, PartChange, QuarantineChange, StoreStability},
     model::{Era, Lifetime, WatchedData},
-    net::{BufferBudget, Phase, Pool, Shutdown},
+    net::{BufferBudget, Phase, Pool, ServerState, Shutdown, UnreadAnswers},
     peering::ProcessId,
     reactor::ControllerWaker,
     request::{PermitRequests, StreamVersionQuestions, UpstreamProbes, WorkNotices},
@@ -54,6 +54,8 @@
     pub duties: DutyClient,
     /// Phase of the shutdown of this process.
     pub shutdown: Shutdown,
+    /// Answers that their callers have not read.
+    pub unread: UnreadAnswers,
     /// Writer of structured log events.
     pub journal: Journal,
     /// Metrics of this process.
@@ -78,6 +80,7 @@
             true => store,
             false => store.ignoring_eras(),
         };
+        let metrics = GatewayMetrics::new();
         let duties = DutyClient::new(settings.api, settings.id.clone());
         Self {
             settings: RefCell::new(settings),
@@ -94,13 +97,19 @@
             store,
             duties,
             shutdown: Shutdown::default(),
+            unread: UnreadAnswers::new(metrics.unread_answers.clone()),
             journal,
-            metrics: GatewayMetrics::new(),
+            metrics,
             waker: ControllerWaker::default(),
             controllers: RefCell::new(None),
         }
     }
 
+    /// Returns what the connections of the gateway's servers share.
+    pub fn server_state(&self) -> ServerState {
+        ServerState { shutdown: self.shutdown.clone(), unread: self.unread.clone() }
+    }
+
     /// Returns whether a mechanism is in use. Those of load control are used only where the settings
     /// enable it and the configuration ranks short requests well above long ones.
     pub fn uses(&self, mechanism: Mechanism) -> bool {
--- a/src/gateway/controllers/graceful_shutdown.rs
+++ b/src/gateway/controllers/graceful_shutdown.rs
@@ -58,7 +58,7 @@
             self.enter(Phase::Refusing);
         }
         let grace = self.gateway.settings.borrow().bounds.grace;
-        let idle = self.gateway.board.borrow().in_progress == 0;
+        let idle = self.gateway.board.borrow().in_progress == 0 && self.gateway.unread.is_empty();
         let done = idle && self.gateway.shutdown.phase() == Phase::Closing;
         if done || since >= grace.saturating_sub(KILL_MARGIN) {
             cx.shutdown(StopCause::Stopped);
--- a/src/gateway/net/answer_stream.rs
+++ b/src/gateway/net/answer_stream.rs
@@ -4,6 +4,7 @@
     io,
     os::fd::AsFd,
     pin::Pin,
+    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -19,10 +20,19 @@
     body::{Body, Frame},
     header::CONTENT_LENGTH,
 };
+use nix::sys::socket::getsockopt;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use super::{AnswerBody, BodyError};
+use super::{
+    AnswerBody, BodyError,
+    connect::UNACKNOWLEDGED_TIMEOUT,
+    tcp_info::TcpInfo,
+    unread::{Output, UnreadAnswers, UnreadGuard},
+};
+
+/// Unanswered probes of a closed window after which the peer counts as gone.
+const MAX_UNANSWERED_PROBES: u8 = 2;
 
 /// Whether an answer that ends with its connection has begun on it and is not complete.
 #[derive(Clone, Debug, Default)]
@@ -76,19 +86,45 @@
     }
 }
 
-/// A connection that ends with a reset if an answer on it has no other end and is incomplete: a
-/// usual close would tell the caller that the answer is complete. The socket is prepared as soon as
-/// such an answer begins, so that the reset is also sent if the process is killed.
+/// A connection on which answers are sent.
+///
+/// It ends with a reset if an answer on it has no other end and is incomplete: a usual close would tell
+/// the caller that the answer is complete. The socket is prepared as soon as such an answer begins, so
+/// that the reset is also sent if the process is killed.
+///
+/// A caller that reads slowly keeps its connection until its deadline, as long as its host answers the
+/// kernel's probes.
 #[derive(Debug)]
 pub(super) struct AnswerStream<T: AsFd> {
     stream: T,
     unfinished: UnfinishedAnswer,
     resets: bool,
+    output: Rc<Output>,
+    unread: UnreadAnswers,
+    guard: Option<UnreadGuard>,
+    /// Whether the kernel took less than was written last.
+    is_blocked: bool,
+    /// Whether the kernel lets the window stay closed.
+    waits: bool,
 }
 
 impl<T: AsFd> AnswerStream<T> {
-    pub(super) fn new(stream: T, unfinished: UnfinishedAnswer) -> Self {
-        Self { stream, unfinished, resets: false }
+    pub(super) fn new(
+        stream: T,
+        unfinished: UnfinishedAnswer,
+        output: Rc<Output>,
+        unread: UnreadAnswers,
+    ) -> Self {
+        Self {
+            stream,
+            unfinished,
+            resets: false,
+            output,
+            unread,
+            guard: None,
+            is_blocked: false,
+            waits: false,
+        }
     }
 
     fn reset_on_close(&mut self, resets: bool) -> io::Result<()> {
@@ -98,6 +134,45 @@
         }
         Ok(())
     }
+
+    /// Checks whether the peer reads what was written, if that is due.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer is gone or has had its time.
+    fn check_output(&mut self) -> io::Result<()> {
+        if !self.output.take_check() {
+            return Ok(());
+        }
+        // Fails on sockets other than TCP, which have no such window.
+        let Ok(info) = getsockopt(&self.stream, TcpInfo) else {
+            self.output.note_drained();
+            return Ok(());
+        };
+        if info.is_drained() && !self.is_blocked {
+            self.guard = None;
+            self.output.note_drained();
+            return self.wait_for_window(false);
+        }
+        if self.guard.is_none() {
+            self.guard = Some(self.unread.add(&self.output));
+        }
+        if self.output.is_over() || info.unanswered_probes() >= MAX_UNANSWERED_PROBES {
+            self.reset_on_close(true)?;
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.wait_for_window(info.is_window_closed())
+    }
+
+    /// Sets whether the kernel lets the window of a peer that answers stay closed.
+    fn wait_for_window(&mut self, waits: bool) -> io::Result<()> {
+        if self.waits != waits {
+            self.waits = waits;
+            let timeout = (!waits).then_some(UNACKNOWLEDGED_TIMEOUT);
+            SockRef::from(&self.stream).set_tcp_user_timeout(timeout)?;
+        }
+        Ok(())
+    }
 }
 
 impl<T: AsFd + AsyncRead + Unpin> AsyncRead for AnswerStream<T> {
@@ -119,10 +194,18 @@
         if self.unfinished.get() {
             self.reset_on_close(true)?;
         }
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        self.check_output()?;
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.output.note_written();
+        self.is_blocked = written.is_pending();
+        if self.is_blocked && self.guard.is_none() {
+            self.guard = Some(self.unread.add(&self.output));
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check_output()?;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -37,7 +37,7 @@
 const KEEPALIVE_RETRIES: u32 = 2;
 /// Time for which sent data may stay unacknowledged before the kernel drops the connection
 /// (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(super) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum size of a buffered answer body. The platform sends at most one megabyte of
 /// base64-encoded rows.
 const MAX_BODY_BYTES: usize = 4 << 20;
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -8,7 +8,9 @@
 mod pool;
 mod server;
 mod shutdown;
+mod tcp_info;
 mod tunnel;
+mod unread;
 mod upstream_body;
 
 pub use buffer_budget::{BufferBudget, BufferLease};
@@ -19,11 +21,12 @@
 pub use framing::Framing;
 pub use pool::{Pool, PoolError, PooledConnection};
 pub use server::{
-    AnswerBody, BodyError, Service, buffered_body, channel_body, frame_until_close, full_body,
-    serve, serve_connection,
+    AnswerBody, BodyError, ServerState, Service, buffered_body, channel_body, frame_until_close,
+    full_body, serve, serve_connection,
 };
 pub use shutdown::{Phase, Shutdown};
 pub use tunnel::{
     TUNNEL_PATH, TunnelError, TunnelRefusal, open_tunnel, tunnel_response, tunnelled_request,
 };
+pub use unread::{ReadDeadline, UnreadAnswers};
 pub use upstream_body::{BodyEnd, BodyPart, UpstreamBody};
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -30,9 +30,10 @@
 };
 
 use super::{
-    BufferLease, Shutdown,
+    BufferLease, ReadDeadline, Shutdown, UnreadAnswers,
     answer_stream::{AnswerStream, UnfinishedAnswer},
     connect::detect_dead_peer,
+    unread::Output,
 };
 
 /// Timeout for idle connections and incomplete request heads. The operator's limit is 15 s,
@@ -152,12 +153,21 @@
     ) -> impl Future<Output = Response<AnswerBody>>;
 }
 
-/// Accepts and serves connections until the process ends. Connections are shut down gracefully
-/// once `shutdown` reaches [`super::Phase::Closing`].
+/// What the connections of a server share.
+#[derive(Clone, Debug, Default)]
+pub struct ServerState {
+    /// Phase of the shutdown. Connections are shut down gracefully once it reaches
+    /// [`super::Phase::Closing`].
+    pub shutdown: Shutdown,
+    /// Answers that their callers have not read.
+    pub unread: UnreadAnswers,
+}
+
+/// Accepts and serves connections until the process ends.
 pub async fn serve<S: Service + 'static>(
     listener: TcpListener,
     service: Rc<S>,
-    shutdown: Shutdown,
+    state: ServerState,
 ) {
     loop {
         match listener.accept().await {
@@ -165,7 +175,7 @@
                 if let Err(e) = detect_dead_peer(&stream) {
                     log::debug!("{peer}: {e}");
                 }
-                spawn_local(serve_connection(stream, peer, service.clone(), shutdown.clone()));
+                spawn_local(serve_connection(stream, peer, service.clone(), state.clone()));
             }
             Err(e) => {
                 log::warn!("accept failed: {e}");
@@ -176,18 +186,19 @@
 }
 
 /// Serves one connection until it ends.
-pub async fn serve_connection<T, S>(stream: T, peer: SocketAddr, service: Rc<S>, shutdown: Shutdown)
+pub async fn serve_connection<T, S>(stream: T, peer: SocketAddr, service: Rc<S>, state: ServerState)
 where
     T: AsFd + AsyncRead + AsyncWrite + Unpin,
     S: Service,
 {
-    let unfinished = UnfinishedAnswer::default();
-    let stream = AnswerStream::new(stream, unfinished.clone());
+    let (unfinished, output) = (UnfinishedAnswer::default(), Rc::new(Output::default()));
+    let stream = AnswerStream::new(stream, unfinished.clone(), output.clone(), state.unread);
     let answer = service_fn(|request: Request<Incoming>| {
-        let (service, unfinished) = (service.clone(), unfinished.clone());
+        let (service, unfinished, output) = (service.clone(), unfinished.clone(), output.clone());
         async move {
             let version = request.version();
             let response = service.answer(request).await;
+            output.begin(response.extensions().get::<ReadDeadline>().copied());
             Ok::<_, std::convert::Infallible>(unfinished.follow(response, version))
         }
     });
@@ -195,11 +206,16 @@
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
     let serving = http.serve_connection(TokioIo::new(stream), answer);
     tokio::pin!(serving);
-    let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
-        () = shutdown.closing() => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+    let mut is_closing = false;
+    let ended = loop {
+        tokio::select! {
+            ended = serving.as_mut() => break ended,
+            () = state.shutdown.closing(), if !is_closing => {
+                is_closing = true;
+                serving.as_mut().graceful_shutdown();
+            }
+            // The next poll of the connection checks its output.
+            () = output.check_due() => {}
         }
     };
     if let Err(e) = ended {
--- /dev/null
+++ b/src/gateway/net/unread.rs
@@ -0,0 +1,146 @@
+//! Answers that their callers have not read, which hold memory and connections until they do.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+use prometheus_client::metrics::gauge::Gauge;
+use tokio::sync::Notify;
+
+use crate::clock;
+
+/// Maximum number of connections with unread answers. Each holds up to some 200 KiB; with more, the
+/// one that has been so for longest is ended. Fewer would cut callers off that read, slowly.
+const MAX_UNREAD: usize = 250;
+/// Interval between checks of the output of a connection. The kernel ends a connection whose window
+/// stays closed for [`super::connect::UNACKNOWLEDGED_TIMEOUT`], unless a check finds that its peer
+/// answers.
+const CHECK_PERIOD: Duration = Duration::from_secs(2);
+/// Time after its deadline at which an unread answer ends its connection. Until then its end, which
+/// says that the time was over, may be on its way.
+const DEADLINE_GRACE: Duration = Duration::from_secs(1);
+/// Time for reading an answer whose request has no deadline.
+const DEFAULT_READ_TIME: Duration = Duration::from_secs(15);
+
+/// When the caller of an answer stops waiting; an extension of the answer.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadDeadline(pub Instant);
+
+/// The connections of a process whose callers have not read all that was written for them.
+#[derive(Clone, Debug, Default)]
+pub struct UnreadAnswers {
+    shared: Rc<RefCell<Shared>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    /// By the order in which they became so.
+    connections: BTreeMap<u64, Weak<Output>>,
+    next: u64,
+    gauge: Gauge,
+}
+
+impl UnreadAnswers {
+    /// Creates the registry; its size is published as `gauge`.
+    pub fn new(gauge: Gauge) -> Self {
+        Self { shared: Rc::new(RefCell::new(Shared { gauge, ..Shared::default() })) }
+    }
+
+    /// Adds a connection until the guard is dropped. If there are too many, the oldest is ended.
+    pub(super) fn add(&self, output: &Rc<Output>) -> UnreadGuard {
+        let mut shared = self.shared.borrow_mut();
+        let number = shared.next;
+        shared.next += 1;
+        shared.connections.insert(number, Rc::downgrade(output));
+        shared.gauge.set(shared.connections.len() as i64);
+        if shared.connections.len() > MAX_UNREAD
+            && let Some((_, oldest)) = shared.connections.pop_first()
+            && let Some(oldest) = oldest.upgrade()
+        {
+            log::warn!("more than {MAX_UNREAD} callers do not read: the oldest is cut off");
+            oldest.evict();
+        }
+        UnreadGuard { shared: self.shared.clone(), number }
+    }
+
+    /// Returns whether no answer waits for its caller to read.
+    pub fn is_empty(&self) -> bool {
+        self.shared.borrow().connections.is_empty()
+    }
+}
+
+/// A connection in [`UnreadAnswers`].
+#[derive(Debug)]
+pub(super) struct UnreadGuard {
+    shared: Rc<RefCell<Shared>>,
+    number: u64,
+}
+
+impl Drop for UnreadGuard {
+    fn drop(&mut self) {
+        let mut shared = self.shared.borrow_mut();
+        shared.connections.remove(&self.number);
+        shared.gauge.set(shared.connections.len() as i64);
+    }
+}
+
+/// What was written on a connection and may not have been read.
+#[derive(Debug, Default)]
+pub(super) struct Output {
+    /// Whether something was written since the peer had last acknowledged all.
+    is_pending: Cell<bool>,
+    is_check_due: Cell<bool>,
+    is_evicted: Cell<bool>,
+    deadline: Cell<Option<Instant>>,
+    changed: Notify,
+}
+
+impl Output {
+    /// Notes that an answer begins, which has to be read by `deadline`.
+    pub(super) fn begin(&self, deadline: Option<ReadDeadline>) {
+        let default = || clock::now() + DEFAULT_READ_TIME;
+        self.deadline.set(Some(deadline.map_or_else(default, |d| d.0)));
+    }
+
+    pub(super) fn note_written(&self) {
+        if !self.is_pending.replace(true) {
+            self.changed.notify_one();
+        }
+    }
+
+    pub(super) fn note_drained(&self) {
+        self.is_pending.set(false);
+    }
+
+    fn evict(&self) {
+        self.is_evicted.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Waits until the output is to be checked, and has the next use of the connection check it.
+    pub(super) async fn check_due(&self) {
+        while !self.is_pending.get() && !self.is_evicted.get() {
+            self.changed.notified().await;
+        }
+        if !self.is_evicted.get() {
+            tokio::select! {
+                () = clock::sleep_until(clock::now() + CHECK_PERIOD) => {}
+                () = self.changed.notified() => {}
+            }
+        }
+        self.is_check_due.set(true);
+    }
+
+    pub(super) fn take_check(&self) -> bool {
+        self.is_check_due.take()
+    }
+
+    /// Returns whether the peer had its time to read.
+    pub(super) fn is_over(&self) -> bool {
+        let is_late = |deadline| clock::now() > deadline + DEADLINE_GRACE;
+        self.is_evicted.get() || self.deadline.get().is_some_and(is_late)
+    }
+}
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -20,7 +20,10 @@
         context::Gateway,
         decide::{AttemptOutcome, RouteKey, VersionGroup},
         model::{PartKey, RequestDigest, RequestKind, UpstreamVersion, WatchedData},
-        net::{AnswerBody, BodyEnd, ConnectError, Framing, buffered_body, frame_until_close},
+        net::{
+            AnswerBody, BodyEnd, ConnectError, Framing, ReadDeadline, buffered_body,
+            frame_until_close,
+        },
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -257,7 +260,8 @@
         }
         platform::strip_hop_headers(&mut head.headers);
         head.version = Version::HTTP_11;
-        let response = Response::from_parts(head, buffered_body(body, buffer));
+        let mut response = Response::from_parts(head, buffered_body(body, buffer));
+        response.extensions_mut().insert(ReadDeadline(self.deadline));
         Ok(Some(Reply::Buffered(match framing {
             Framing::Delimited => response,
             Framing::UntilClose => frame_until_close(response),
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -22,8 +22,8 @@
     gateway::{
         decide::AttemptOutcome,
         net::{
-            AnswerBody, BodyEnd, BodyError, BodyPart, Framing, PooledConnection, UpstreamBody,
-            channel_body, frame_until_close,
+            AnswerBody, BodyEnd, BodyError, BodyPart, Framing, PooledConnection, ReadDeadline,
+            UpstreamBody, channel_body, frame_until_close,
         },
     },
     platform,
@@ -32,6 +32,8 @@
 /// Frames buffered for a slow caller. A full queue applies back-pressure to the upstream, so that
 /// memory use stays bounded.
 const QUEUE_FRAMES: usize = 16;
+/// Maximum size of such a frame.
+const MAX_FRAME_BYTES: usize = 4 << 10;
 
 /// Starts a task that relays an answer, and returns the response for the caller.
 pub fn relay(
@@ -49,6 +51,7 @@
         head.headers.remove(CONTENT_LENGTH);
     }
     let status = head.status;
+    let deadline = ReadDeadline(forwarding.deadline);
     let (tx, rx) = channel(QUEUE_FRAMES);
     spawn_local(async move {
         let mut relay = Relay {
@@ -63,7 +66,8 @@
         let outcome = relay.relay_runs(run).await;
         relay.forwarding.answered(status, outcome, relay.first_data);
     });
-    let response = Response::from_parts(head, channel_body(rx));
+    let mut response = Response::from_parts(head, channel_body(rx));
+    response.extensions_mut().insert(deadline);
     match framing {
         Framing::Delimited => response,
         Framing::UntilClose => frame_until_close(response),
@@ -228,7 +232,7 @@
                 self.forwarding.note_stream_began(&run.selected);
             }
             let sent = tokio::select! {
-                sent = self.tx.send(Ok(data)) => sent.is_ok(),
+                sent = self.send(data) => sent,
                 () = deadline.as_mut() => return RunEnd::TimeOver,
             };
             if !sent {
@@ -237,6 +241,17 @@
         }
     }
 
+    /// Passes data on to the caller; returns whether the caller is still there.
+    async fn send(&self, mut data: Bytes) -> bool {
+        while !data.is_empty() {
+            let frame = data.split_to(data.len().min(MAX_FRAME_BYTES));
+            if self.tx.send(Ok(frame)).await.is_err() {
+                return false;
+            }
+        }
+        !self.tx.is_closed()
+    }
+
     fn note_first_data(&mut self, run: &Run) {
         let now = clock::now();
         self.first_data = Some(now);
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -68,6 +68,8 @@
     pub platform_calls: Family<Labels, Counter>,
     /// Number of upstream rows that could not be decoded, by cause.
     pub rejected_entries: Family<Labels, Counter>,
+    /// Number of connections whose callers have not read all that was written for them.
+    pub unread_answers: Gauge,
     /// Number of engine orders by outcome.
     pub orders: Family<Labels, Counter>,
     /// Number of acquisitions of the lease on the duties, by what they rested on.
@@ -153,6 +155,7 @@
             failed_attempts: Family::default(),
             platform_calls: Family::default(),
             rejected_entries: Family::default(),
+            unread_answers: Gauge::default(),
             orders: Family::default(),
             lease_acquisitions: Family::default(),
             rollouts: Family::default(),
@@ -197,6 +200,7 @@
         r.register("failed_attempts", "Failed attempts", self.failed_attempts.clone());
         r.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
         r.register("rejected_entries", "Rows that name no upstream", self.rejected_entries.clone());
+        r.register("unread_answers", "Callers that do not read", self.unread_answers.clone());
         r.register("engine_orders", "Orders of engines", self.orders.clone());
         r.register("lease_acquisitions", "Leases by basis", self.lease_acquisitions.clone());
         r.register("rollout_changes", "Changes of roll-outs", self.rollouts.clone());
--- /dev/null
+++ b/tests/gateway_slow_callers.rs
@@ -0,0 +1,126 @@
+//! Callers that read their answers slowly, or not at all.
+
+mod slow;
+mod support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use slow::Pace;
+use support::{
+    gateways::{Call, Site, configuration},
+    wait_until,
+};
+
+/// Events of a stream. With [`VERSION_BYTES`] each has about 160 bytes.
+const EVENTS: u64 = 100;
+/// Size of the version that each event names.
+const VERSION_BYTES: usize = 132;
+/// Time budget of the callers.
+const BUDGET: Duration = Duration::from_secs(12);
+
+/// Starts gateways before two engines whose events have the size of the users' largest sites.
+fn site(gateways: usize) -> Site {
+    let mut site = Site::bare();
+    site.configure(&configuration(7));
+    for _ in 0..2 {
+        site.add_upstream_of("llm", &"v".repeat(VERSION_BYTES), Duration::from_millis(20));
+    }
+    (0..gateways).for_each(|_| site.add_gateway());
+    site.wait_ready();
+    site
+}
+
+fn stream(route: &str, id: &str) -> Call {
+    let budget = BUDGET.as_millis().to_string();
+    Call::stream(&format!("/{route}/a"), id, EVENTS).header("x-deadline-ms", &budget)
+}
+
+/// Guards against answers of callers that read slowly being reset within their time budget.
+#[test]
+fn callers_that_read_slowly_get_their_whole_answer() {
+    struct Case {
+        name: &'static str,
+        pace: Pace,
+    }
+    let ms = Duration::from_millis;
+    let cases = [
+        Case {
+            name: "1,600 bytes a second, buffer of 3,000",
+            pace: Pace { receive_buffer: 3_000, bytes: 400, pause: ms(250) },
+        },
+        Case {
+            name: "2,000 bytes a second, buffer of 4,096",
+            pace: Pace { receive_buffer: 4_096, bytes: 100, pause: ms(50) },
+        },
+        Case {
+            name: "pauses of 3 s, buffer of 8,192",
+            pace: Pace { receive_buffer: 8_192, bytes: 8_000, pause: ms(3_000) },
+        },
+        Case {
+            name: "50,000 bytes a second, buffer of 65,536",
+            pace: Pace { receive_buffer: 65_536, bytes: 5_000, pause: ms(100) },
+        },
+    ];
+    let site = site(2);
+    let callers: Vec<_> = cases
+        .iter()
+        .enumerate()
+        .flat_map(|(c, case)| (0..4).map(move |n| (c, n, case.pace)))
+        .map(|(c, n, pace)| {
+            let to = site.gateways[n % 2].callers;
+            let route = if n < 2 { "plan" } else { "digest" };
+            let call = stream(route, &format!("slow-{c}-{n}"));
+            (c, thread::spawn(move || slow::call(&call, to, pace).expect("an answer begins")))
+        })
+        .collect();
+    let all: Vec<u64> = (1..=EVENTS).collect();
+    for (c, caller) in callers {
+        let (name, got) = (cases[c].name, caller.join().expect("a caller"));
+        println!("{name}: {} events after {:?}", got.event_ids().len(), got.took);
+        assert!(got.is_whole && !got.is_reset, "{name}: cut after {:?}", got.took);
+        assert_eq!(got.event_ids(), all, "{name}");
+    }
+}
+
+/// Guards against callers that never read and hold connections, memory and slots without end.
+#[test]
+fn callers_that_never_read_are_cut_off_soon_after_their_time_budget() {
+    const CALLERS: usize = 100;
+    let site = site(1);
+    let to = site.gateways[0].callers;
+    let began = Instant::now();
+    let open: Vec<_> = (0..CALLERS)
+        .map(|n| slow::send(&stream("plan", &format!("never-{n}")), to, 3_000).expect("sent"))
+        .collect();
+    // Callers that read are served meanwhile.
+    thread::sleep(Duration::from_secs(4));
+    let beside: Vec<_> = (0..10)
+        .map(|n| thread::spawn(move || stream("plan", &format!("beside-{n}")).send(to)))
+        .collect();
+    for caller in beside {
+        let answer = caller.join().expect("a caller").expect("an answer");
+        assert!(answer.complete && answer.event_ids().len() as u64 == EVENTS, "{answer:?}");
+    }
+    let ended = |log: &[serde_json::Value]| {
+        let is_end = |l: &&serde_json::Value| {
+            l["event"] == "answered"
+                && l["request"].as_str().is_some_and(|r| r.starts_with("never"))
+        };
+        log.iter().filter(is_end).count()
+    };
+    wait_until("all have ended", || ended(&site.gateways[0].log()) == CALLERS);
+    let connections = || {
+        let metrics = site.gateways[0].metrics();
+        let line =
+            metrics.lines().find_map(|l| l.strip_prefix("tackhollow_gateway_unread_answers "));
+        line.and_then(|n| n.parse::<usize>().ok())
+    };
+    wait_until("nothing is held for them", || connections() == Some(0));
+    let took = began.elapsed();
+    println!("ended after {took:?}");
+    assert!(took < BUDGET + Duration::from_secs(5), "held for {took:?}");
+    drop(open);
+}
