An answer without a length is passed on only if its upstream is known to live on

Cause: whether the engine has ended is asked by opening a connection. At the limit of connections to it none was free, since that of the answer itself still counted, and 'none free' was taken for 'has not ended'. Evidence: on the code before, 8 requests at 8 connections: seen Unknown, the usual end; with 7 requests it held. Change: the connection of such an answer is given up before the probe, and an idle one makes room for it. Out of reach and not probed are results of their own: the answer is broken off then (end_unknown), or goes on elsewhere where its route allows that, and says nothing of the upstream.

--- a/src/gateway/net/pool.rs
+++ b/src/gateway/net/pool.rs
@@ -74,7 +74,7 @@
     }
 
     /// Returns the connection that `open` opens, even if one is idle, which tests whether the
-    /// upstream still accepts connections.
+    /// upstream still accepts connections. An idle one makes room for it if need be.
     ///
     /// # Errors
     ///
@@ -88,6 +88,9 @@
         {
             let mut shared = self.shared.borrow_mut();
             let connections = shared.entry(upstream).or_default();
+            if connections.open >= max_open && connections.idle.pop().is_some() {
+                connections.open -= 1;
+            }
             connections.reserve_new(max_open)?;
         }
         let mut pooled =
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -39,10 +39,25 @@
 enum ProbeResult {
     /// The upstream has ended.
     Ended,
-    /// The upstream is alive, or out of reach for everybody, which proves no end.
-    NotEnded,
+    /// The upstream is alive.
+    Alive,
     /// The upstream is alive, and this gateway has lost its path to it.
     OwnPathLost,
+    /// The upstream is out of reach for everybody, which proves neither its end nor its life.
+    Unreachable,
+    /// Nothing was found out: no connection was free for the probe.
+    NotProbed,
+}
+
+/// Whether an upstream has ended, as far as it could be found out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum UpstreamLife {
+    /// It has ended.
+    Ended,
+    /// It is alive.
+    Alive,
+    /// It could not be found out.
+    Unknown,
 }
 
 /// Probes whether upstreams have ended. At most one probe runs for each lifetime; requests that are
@@ -69,10 +84,11 @@
                 Ok(lease) if lease.path() == Path::Tunnel => ProbeResult::OwnPathLost,
                 Ok(lease) => {
                     lease.give_back(None);
-                    ProbeResult::NotEnded
+                    ProbeResult::Alive
                 }
                 Err(PoolError::Connect(e)) if e.is_refused() => ProbeResult::Ended,
-                Err(PoolError::Connect(_) | PoolError::Full) => ProbeResult::NotEnded,
+                Err(PoolError::Connect(_)) => ProbeResult::Unreachable,
+                Err(PoolError::Full) => ProbeResult::NotProbed,
             }
         };
         let result = *check.get_or_init(probe).await;
@@ -156,27 +172,36 @@
         }
         match result {
             ProbeResult::Ended => gateway.upstream_ended(id, lifetime),
-            // The runs were interrupted for another reason than an end of the upstream. They are
-            // forgotten, lest a later restart of an upstream with faulty answers be attributed
-            // to them.
-            ProbeResult::NotEnded | ProbeResult::OwnPathLost => {
-                if result == ProbeResult::NotEnded {
+            ProbeResult::Alive
+            | ProbeResult::OwnPathLost
+            | ProbeResult::Unreachable
+            | ProbeResult::NotProbed => {
+                if result != ProbeResult::OwnPathLost {
                     self.note_failure(selected.version_group);
                 }
                 // The run counts as usage although its answer reaches nobody.
                 self.count_usage(clock::now());
-                gateway.board.borrow_mut().breaks.take(lifetime);
+                // The runs were interrupted for another reason than an end of the upstream. They are
+                // forgotten, lest a later restart of an upstream with faulty answers be attributed
+                // to them. Without a probe a later one decides.
+                if result != ProbeResult::NotProbed {
+                    gateway.board.borrow_mut().breaks.take(lifetime);
+                }
             }
         }
     }
 
-    /// Returns whether the upstream of a run has ended. Its connections may then have been closed in
-    /// the middle of an answer, without an error.
-    pub(super) async fn has_upstream_ended(&self, selected: &Selected) -> bool {
+    /// Finds out whether the upstream of a run has ended. Its connections may then have been closed
+    /// in the middle of an answer, without an error. The connection of the run should have been
+    /// dropped: it may take the place of the probe's.
+    pub(super) async fn upstream_life(&self, selected: &Selected) -> UpstreamLife {
         let (gateway, lifetime) = (&self.gateway, selected.lifetime);
         let (address, max) = (selected.address, selected.max_connections);
-        let probe = gateway.upstream_probes.probe(gateway, lifetime, address, max).await;
-        probe == ProbeResult::Ended
+        match gateway.upstream_probes.probe(gateway, lifetime, address, max).await {
+            ProbeResult::Ended => UpstreamLife::Ended,
+            ProbeResult::Alive | ProbeResult::OwnPathLost => UpstreamLife::Alive,
+            ProbeResult::Unreachable | ProbeResult::NotProbed => UpstreamLife::Unknown,
+        }
     }
 
     fn serves(&self, upstream: &UpstreamId, lifetime: Lifetime) -> bool {
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -9,6 +9,7 @@
     arrival::refund_quota,
     attempt::{AttemptEnd, OutgoingRequest, UpstreamAnswer, attempt},
     choose::Criteria,
+    crash::UpstreamLife,
     in_flight::InProgress,
     relay::relay,
     report::refuse,
@@ -39,6 +40,9 @@
 
 /// Failure cause: the answer was broken off.
 const ANSWER_INCOMPLETE: &str = "answer_incomplete";
+/// Failure cause: the answer has no framing, and whether its upstream has ended could not be found
+/// out. It says nothing about the upstream.
+pub(super) const END_UNKNOWN: &str = "end_unknown";
 /// Failure cause: the answer is larger than what is buffered.
 const ANSWER_TOO_LARGE: &str = "answer_too_large";
 
@@ -213,10 +217,15 @@
             return Ok(Some(Reply::Stream(answer, Box::new(selected))));
         }
         let UpstreamAnswer { mut head, body, lease } = *answer;
+        // A body without framing ends with its connection.
+        let mut lease = Some(lease);
         let mut buffer = self.gateway.buffers.open();
         let read = tokio::select! {
             biased;
             (body, end) = body.collect(MAX_BUFFERED_BYTES, &mut buffer) => {
+                if framing == Framing::UntilClose {
+                    lease = None;
+                }
                 self.check_end(end, &selected).await.map(|()| body)
             }
             () = selected.in_flight.lifetime_end() => Err(ANSWER_INCOMPLETE),
@@ -225,7 +234,10 @@
             Ok(body) => body,
             Err(cause) => {
                 drop((buffer, lease));
-                self.handle_interrupted(&selected, cause).await;
+                match cause {
+                    END_UNKNOWN => self.count_usage(clock::now()),
+                    _ => self.handle_interrupted(&selected, cause).await,
+                }
                 if self.may_run_again(&selected.id, cause) {
                     return Ok(None);
                 }
@@ -233,7 +245,7 @@
             }
         };
         let now = clock::now();
-        if framing == Framing::Delimited && !platform::closes(&head.headers) {
+        if let Some(lease) = lease.filter(|_| !platform::closes(&head.headers)) {
             lease.give_back(platform::keep_alive(&head.headers));
         }
         self.count_usage(now);
@@ -268,8 +280,8 @@
         })))
     }
 
-    /// Checks whether a body may be taken for whole. One whose end is unknown may not if its
-    /// upstream has ended.
+    /// Checks whether a body may be taken for whole. One whose end is unknown may only if its
+    /// upstream is known to live on.
     ///
     /// # Errors
     ///
@@ -277,8 +289,11 @@
     async fn check_end(&self, end: BodyEnd, selected: &Selected) -> Result<(), &'static str> {
         match end {
             BodyEnd::Complete => Ok(()),
-            BodyEnd::Unknown if self.has_upstream_ended(selected).await => Err(ANSWER_INCOMPLETE),
-            BodyEnd::Unknown => Ok(()),
+            BodyEnd::Unknown => match self.upstream_life(selected).await {
+                UpstreamLife::Alive => Ok(()),
+                UpstreamLife::Ended => Err(ANSWER_INCOMPLETE),
+                UpstreamLife::Unknown => Err(END_UNKNOWN),
+            },
             BodyEnd::Broken => Err(ANSWER_INCOMPLETE),
             BodyEnd::TooLarge => Err(ANSWER_TOO_LARGE),
         }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -14,7 +14,8 @@
     EventSplitter, Outcome,
     attempt::{AttemptEnd, UpstreamAnswer, attempt},
     cost::event_tokens,
-    forward::Forwarding,
+    crash::UpstreamLife,
+    forward::{END_UNKNOWN, Forwarding},
     select::Selected,
 };
 use crate::{
@@ -77,7 +78,8 @@
 /// A run at an upstream whose answer is being read.
 struct Run {
     body: UpstreamBody,
-    lease: PooledConnection,
+    /// The connection; `None` once it has ended.
+    lease: Option<PooledConnection>,
     selected: Selected,
     keep_alive: Option<std::time::Duration>,
     closes: bool,
@@ -88,7 +90,7 @@
         let UpstreamAnswer { head, body, lease } = answer;
         let keep_alive = platform::keep_alive(&head.headers);
         let closes = platform::closes(&head.headers) || body.framing() == Framing::UntilClose;
-        Self { body, lease, selected, keep_alive, closes }
+        Self { body, lease: Some(lease), selected, keep_alive, closes }
     }
 
     /// Returns when the upstream began to write, as far as is known.
@@ -98,8 +100,8 @@
 
     /// Returns the connection to the pool, unless its upstream closes it.
     fn give_back(self) {
-        if !self.closes {
-            self.lease.give_back(self.keep_alive);
+        if let Some(lease) = self.lease.filter(|_| !self.closes) {
+            lease.give_back(self.keep_alive);
         }
     }
 }
@@ -109,6 +111,9 @@
     Complete,
     /// The connection ended between events, and its upstream lives on.
     Unknown,
+    /// The connection ended between events, and it could not be found out whether its upstream
+    /// lives on.
+    Unproven,
     /// The answer was broken off, for this cause.
     Broken(&'static str),
     TimeOver,
@@ -156,6 +161,10 @@
                     // Resumed, since a last chunk would tell the caller that the answer is complete.
                     BROKEN_OFF
                 }
+                RunEnd::Unproven => {
+                    drop(run);
+                    END_UNKNOWN
+                }
                 RunEnd::CallerLeft => return Outcome::CallerLeft,
                 RunEnd::TimeOver => {
                     self.fail(BodyError::TimeOver).await;
@@ -261,7 +270,7 @@
     }
 
     /// Judges the end of a run's body. A stream that is complete ends with a complete event.
-    async fn run_end(&mut self, end: BodyEnd, run: &Run) -> RunEnd {
+    async fn run_end(&mut self, end: BodyEnd, run: &mut Run) -> RunEnd {
         self.forwarding.inside_event = self.events.is_inside_event();
         match end {
             BodyEnd::Complete | BodyEnd::Unknown if self.forwarding.inside_event => {
@@ -270,10 +279,14 @@
             BodyEnd::Complete => RunEnd::Complete,
             // A stream has at least one event. Data of an earlier run may have been part of one.
             BodyEnd::Unknown if !self.began => RunEnd::Broken(BROKEN_OFF),
-            BodyEnd::Unknown if self.forwarding.has_upstream_ended(&run.selected).await => {
-                RunEnd::Broken(BROKEN_OFF)
+            BodyEnd::Unknown => {
+                run.lease = None;
+                match self.forwarding.upstream_life(&run.selected).await {
+                    UpstreamLife::Alive => RunEnd::Unknown,
+                    UpstreamLife::Ended => RunEnd::Broken(BROKEN_OFF),
+                    UpstreamLife::Unknown => RunEnd::Unproven,
+                }
             }
-            BodyEnd::Unknown => RunEnd::Unknown,
             BodyEnd::Broken | BodyEnd::TooLarge => RunEnd::Broken(BROKEN_OFF),
         }
     }
--- a/tests/gateway_unframed_answers.rs
+++ b/tests/gateway_unframed_answers.rs
@@ -13,7 +13,7 @@
 use hyper::StatusCode;
 use serde_json::json;
 use support::{
-    gateways::{Answer, Call, HOST, KEY, Site},
+    gateways::{Answer, Call, HOST, KEY, Site, configuration},
     wait_until,
 };
 use tackhollow::gateway::net::Framing;
@@ -151,6 +151,49 @@
     }
 }
 
+/// Guards against an answer that a crash cut being passed on as whole because no connection was free
+/// to find out about the crash.
+#[test]
+fn answers_cut_by_a_crash_are_broken_off_where_all_connections_to_the_upstream_are_taken() {
+    /// Connections that a service takes; a single gateway uses four fifths of them.
+    const CONNECTIONS: usize = 10;
+    struct Case {
+        route: &'static str,
+        /// Requests at the same time, as many as there are connections, or one fewer.
+        requests: usize,
+    }
+    let cases = [
+        Case { route: "plan", requests: 8 },
+        Case { route: "plan", requests: 7 },
+        Case { route: "plan", requests: 1 },
+    ];
+    for case in cases {
+        let mut site = Site::bare();
+        let mut configuration = configuration(8);
+        for service in configuration["services"].as_array_mut().expect("services") {
+            service["maxConnections"] = CONNECTIONS.into();
+        }
+        site.configure(&configuration);
+        site.add_upstream("llm");
+        site.add_gateway();
+        site.wait_ready();
+        site.frame("until_close");
+        let ids: Vec<_> = (0..case.requests).map(|n| format!("{}-{n}", case.route)).collect();
+        let answers: Vec<_> = thread::scope(|s| {
+            let sending: Vec<_> =
+                ids.iter().map(|id| s.spawn(|| send(&site, case.route, id))).collect();
+            wait_until("all streams run", || ids.iter().all(|id| !site.runs(id).is_empty()));
+            thread::sleep(MIDWAY);
+            site.control("/crash", &json!({ "id": "i-1" }));
+            sending.into_iter().map(|s| s.join().expect("a caller")).collect()
+        });
+        for answer in answers {
+            let name = format!("{} of {}", case.route, case.requests);
+            assert_eq!(seen(case.route, &answer), Some(Seen::Broken), "{name}: {answer:?}");
+        }
+    }
+}
+
 #[test]
 fn a_stream_without_framing_that_ends_before_its_first_event_is_broken_off() {
     let site = unframed_site();
