Only connections that hold parts of answers count as unread; a test of 300 slow callers

Cause: every connection with a closed window counted, so that more than 250 callers whose rest lies in the kernel, and takes none of the process's memory, would have cut the oldest of them off. Change: a connection counts while its kernel takes no more of what is written.

--- a/src/gateway/net/answer_stream.rs
+++ b/src/gateway/net/answer_stream.rs
@@ -101,9 +101,8 @@
     resets: bool,
     output: Rc<Output>,
     unread: UnreadAnswers,
-    guard: Option<UnreadGuard>,
-    /// Whether the kernel took less than was written last.
-    is_blocked: bool,
+    /// Set while the kernel takes no more, so that the rest is held here.
+    blocked: Option<UnreadGuard>,
     /// Whether the kernel lets the window stay closed.
     waits: bool,
 }
@@ -115,16 +114,7 @@
         output: Rc<Output>,
         unread: UnreadAnswers,
     ) -> Self {
-        Self {
-            stream,
-            unfinished,
-            resets: false,
-            output,
-            unread,
-            guard: None,
-            is_blocked: false,
-            waits: false,
-        }
+        Self { stream, unfinished, resets: false, output, unread, blocked: None, waits: false }
     }
 
     fn reset_on_close(&mut self, resets: bool) -> io::Result<()> {
@@ -149,14 +139,10 @@
             self.output.note_drained();
             return Ok(());
         };
-        if info.is_drained() && !self.is_blocked {
-            self.guard = None;
+        if info.is_drained() && self.blocked.is_none() {
             self.output.note_drained();
             return self.wait_for_window(false);
         }
-        if self.guard.is_none() {
-            self.guard = Some(self.unread.add(&self.output));
-        }
         if self.output.is_over() || info.unanswered_probes() >= MAX_UNANSWERED_PROBES {
             self.reset_on_close(true)?;
             return Err(io::ErrorKind::TimedOut.into());
@@ -197,9 +183,12 @@
         self.check_output()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.output.note_written();
-        self.is_blocked = written.is_pending();
-        if self.is_blocked && self.guard.is_none() {
-            self.guard = Some(self.unread.add(&self.output));
+        match written {
+            Poll::Ready(_) => self.blocked = None,
+            Poll::Pending if self.blocked.is_none() => {
+                self.blocked = Some(self.unread.add(&self.output));
+            }
+            Poll::Pending => {}
         }
         written
     }
--- a/src/gateway/net/unread.rs
+++ b/src/gateway/net/unread.rs
@@ -1,4 +1,5 @@
-//! Answers that their callers have not read, which hold memory and connections until they do.
+//! Answers that their callers have not read, which hold memory and connections until they do or their
+//! time is over.
 
 use std::{
     cell::{Cell, RefCell},
@@ -12,8 +13,9 @@
 
 use crate::clock;
 
-/// Maximum number of connections with unread answers. Each holds up to some 200 KiB; with more, the
-/// one that has been so for longest is ended. Fewer would cut callers off that read, slowly.
+/// Maximum number of connections whose kernel takes no more. Each holds up to some 200 KiB in the
+/// process; with more, the one that has been so for longest is ended. Fewer would cut callers off that
+/// read, slowly.
 const MAX_UNREAD: usize = 250;
 /// Interval between checks of the output of a connection. The kernel ends a connection whose window
 /// stays closed for [`super::connect::UNACKNOWLEDGED_TIMEOUT`], unless a check finds that its peer
@@ -29,7 +31,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ReadDeadline(pub Instant);
 
-/// The connections of a process whose callers have not read all that was written for them.
+/// The connections of a process that hold parts of answers, since their callers do not read and their
+/// kernel's buffer is full.
 #[derive(Clone, Debug, Default)]
 pub struct UnreadAnswers {
     shared: Rc<RefCell<Shared>>,
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -68,7 +68,7 @@
     pub platform_calls: Family<Labels, Counter>,
     /// Number of upstream rows that could not be decoded, by cause.
     pub rejected_entries: Family<Labels, Counter>,
-    /// Number of connections whose callers have not read all that was written for them.
+    /// Number of connections that hold parts of answers which the kernel does not take.
     pub unread_answers: Gauge,
     /// Number of engine orders by outcome.
     pub orders: Family<Labels, Counter>,
@@ -200,7 +200,11 @@
         r.register("failed_attempts", "Failed attempts", self.failed_attempts.clone());
         r.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
         r.register("rejected_entries", "Rows that name no upstream", self.rejected_entries.clone());
-        r.register("unread_answers", "Callers that do not read", self.unread_answers.clone());
+        r.register(
+            "unread_answers",
+            "Answers held for callers that do not read",
+            self.unread_answers.clone(),
+        );
         r.register("engine_orders", "Orders of engines", self.orders.clone());
         r.register("lease_acquisitions", "Leases by basis", self.lease_acquisitions.clone());
         r.register("rollout_changes", "Changes of roll-outs", self.rollouts.clone());
--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use std::{
-    fs, thread,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use support::{
     gateways::{Answer, Call, Site},
+    proc::peak_memory_kib,
     wait_until,
 };
 
@@ -22,13 +23,6 @@
 /// Time after which a caller has an end. Its time budget is 10 s.
 const MAX_WAIT: Duration = Duration::from_secs(3);
 
-/// Returns the largest memory that the process of a gateway has used so far.
-fn peak_memory_kib(pid: u32) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
-    line.trim().trim_end_matches(" kB").parse().expect("a number")
-}
-
 fn call(route: &str, id: &str) -> Call {
     let path = format!("/{route}/a");
     match route {
--- a/tests/gateway_slow_callers.rs
+++ b/tests/gateway_slow_callers.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::{
+    io::{ErrorKind, Read},
     thread,
     time::{Duration, Instant},
 };
@@ -11,6 +12,7 @@
 use slow::Pace;
 use support::{
     gateways::{Call, Site, configuration},
+    proc::peak_memory_kib,
     wait_until,
 };
 
@@ -112,15 +114,64 @@
         log.iter().filter(is_end).count()
     };
     wait_until("all have ended", || ended(&site.gateways[0].log()) == CALLERS);
-    let connections = || {
-        let metrics = site.gateways[0].metrics();
-        let line =
-            metrics.lines().find_map(|l| l.strip_prefix("tackhollow_gateway_unread_answers "));
-        line.and_then(|n| n.parse::<usize>().ok())
+    for mut stream in open {
+        let ended = stream.set_read_timeout(Some(BUDGET)).and_then(|()| {
+            thread::sleep((BUDGET + Duration::from_secs(4)).saturating_sub(began.elapsed()));
+            stream.read_to_end(&mut Vec::new())
+        });
+        let reset = ended.err().map(|e| e.kind());
+        assert_eq!(reset, Some(ErrorKind::ConnectionReset), "the connection is kept");
+    }
+}
+
+/// Guards against slow callers whose answers fill the memory of a gateway, or delay other callers.
+#[test]
+fn many_slow_callers_take_little_memory_and_delay_no_others() {
+    const SLOW: usize = 300;
+    const OTHERS: usize = 40;
+    /// Half of what the smallest hosts have.
+    const MAX_MEMORY_KIB: u64 = 60 << 10;
+    let site = site(1);
+    for _ in 0..6 {
+        site.add_known_upstream("llm");
+    }
+    let to = site.gateways[0].callers;
+    let first_events = |name: &'static str| {
+        let callers: Vec<_> = (0..OTHERS)
+            .map(|n| {
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(50) * n as u32);
+                    let call = stream("plan", &format!("{name}-{n}"));
+                    let began = Instant::now();
+                    let mut stream = slow::send(&call, to, 65_536).expect("sent");
+                    let mut head = [0; 2_048];
+                    let read = stream.read(&mut head).expect("a head");
+                    assert!(head[..read].starts_with(b"HTTP/1.1 200"), "{name}-{n}");
+                    began.elapsed()
+                })
+            })
+            .collect();
+        let mut times: Vec<_> = callers.into_iter().map(|c| c.join().expect("served")).collect();
+        times.sort();
+        (times[OTHERS / 2], times[OTHERS - 1])
     };
-    wait_until("nothing is held for them", || connections() == Some(0));
-    let took = began.elapsed();
-    println!("ended after {took:?}");
-    assert!(took < BUDGET + Duration::from_secs(5), "held for {took:?}");
-    drop(open);
+    let alone = first_events("alone");
+    let pace = Pace { receive_buffer: 3_000, bytes: 400, pause: Duration::from_millis(250) };
+    let slow: Vec<_> = (0..SLOW)
+        .map(|n| {
+            let call = stream("plan", &format!("slow-{n}"));
+            thread::spawn(move || slow::call(&call, to, pace))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(2));
+    let beside = first_events("beside");
+    let got: Vec<_> = slow.into_iter().filter_map(|c| c.join().expect("a caller").ok()).collect();
+    let whole = got.iter().filter(|g| g.is_whole).count();
+    let memory = peak_memory_kib(site.gateways[0].id());
+    println!(
+        "{whole} of {SLOW} whole, {memory} KiB; first bytes {alone:?} alone, {beside:?} beside"
+    );
+    assert_eq!(whole, SLOW);
+    assert!(memory < MAX_MEMORY_KIB, "{memory} KiB");
+    assert!(beside.1 < alone.1 + Duration::from_millis(500), "{alone:?} {beside:?}");
 }
--- a/tests/support/proc.rs
+++ b/tests/support/proc.rs
@@ -90,3 +90,10 @@
         self.kill();
     }
 }
+
+/// Returns the largest memory that the process of a gateway has used so far.
+pub fn peak_memory_kib(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
