Upstreams that read long requests slowly get them whole

Cause: as for slow callers, TCP_USER_TIMEOUT ends a peer whose window stays closed for 2.5 s. Change: the check of the window is a part of its own (net/window.rs), used on callers' connections and on those that this process opens over TCP: to upstreams, the store, the API and other gateways.

--- a/src/gateway/net/answer_stream.rs
+++ b/src/gateway/net/answer_stream.rs
@@ -20,20 +20,15 @@
     body::{Body, Frame},
     header::CONTENT_LENGTH,
 };
-use nix::sys::socket::getsockopt;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::{
     AnswerBody, BodyError,
-    connect::UNACKNOWLEDGED_TIMEOUT,
-    tcp_info::TcpInfo,
-    unread::{Output, UnreadAnswers, UnreadGuard},
+    unread::{ReadTime, UnreadAnswers, UnreadGuard},
+    window::{Output, WindowWatch},
 };
 
-/// Unanswered probes of a closed window after which the peer counts as gone.
-const MAX_UNANSWERED_PROBES: u8 = 2;
-
 /// Whether an answer that ends with its connection has begun on it and is not complete.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UnfinishedAnswer(Arc<AtomicBool>);
@@ -99,22 +94,28 @@
     stream: T,
     unfinished: UnfinishedAnswer,
     resets: bool,
-    output: Rc<Output>,
+    watch: WindowWatch,
+    read_time: Rc<ReadTime>,
     unread: UnreadAnswers,
     /// Set while the kernel takes no more, so that the rest is held here.
     blocked: Option<UnreadGuard>,
-    /// Whether the kernel lets the window stay closed.
-    waits: bool,
 }
 
 impl<T: AsFd> AnswerStream<T> {
-    pub(super) fn new(
-        stream: T,
-        unfinished: UnfinishedAnswer,
-        output: Rc<Output>,
-        unread: UnreadAnswers,
-    ) -> Self {
-        Self { stream, unfinished, resets: false, output, unread, blocked: None, waits: false }
+    pub(super) fn new(stream: T, unfinished: UnfinishedAnswer, unread: UnreadAnswers) -> Self {
+        let watch = WindowWatch::default();
+        let read_time = Rc::new(ReadTime::new(watch.output.clone()));
+        Self { stream, unfinished, resets: false, watch, read_time, unread, blocked: None }
+    }
+
+    /// Returns what was written on the stream.
+    pub(super) fn output(&self) -> Rc<Output> {
+        self.watch.output.clone()
+    }
+
+    /// Returns until when its answers may stay unread.
+    pub(super) fn read_time(&self) -> Rc<ReadTime> {
+        self.read_time.clone()
     }
 
     fn reset_on_close(&mut self, resets: bool) -> io::Result<()> {
@@ -131,32 +132,12 @@
     ///
     /// Fails if the peer is gone or has had its time.
     fn check_output(&mut self) -> io::Result<()> {
-        if !self.output.take_check() {
-            return Ok(());
-        }
-        // Fails on sockets other than TCP, which have no such window.
-        let Ok(info) = getsockopt(&self.stream, TcpInfo) else {
-            self.output.note_drained();
-            return Ok(());
-        };
-        if info.is_drained() && self.blocked.is_none() {
-            self.output.note_drained();
-            return self.wait_for_window(false);
-        }
-        if self.output.is_over() || info.unanswered_probes() >= MAX_UNANSWERED_PROBES {
+        let checked = self.watch.check(&self.stream);
+        let is_over = !matches!(checked, Ok(false)) && self.read_time.is_over();
+        if is_over || checked.is_err() {
             self.reset_on_close(true)?;
             return Err(io::ErrorKind::TimedOut.into());
         }
-        self.wait_for_window(info.is_window_closed())
-    }
-
-    /// Sets whether the kernel lets the window of a peer that answers stay closed.
-    fn wait_for_window(&mut self, waits: bool) -> io::Result<()> {
-        if self.waits != waits {
-            self.waits = waits;
-            let timeout = (!waits).then_some(UNACKNOWLEDGED_TIMEOUT);
-            SockRef::from(&self.stream).set_tcp_user_timeout(timeout)?;
-        }
         Ok(())
     }
 }
@@ -182,11 +163,11 @@
         }
         self.check_output()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.output.note_written();
+        self.watch.output.note_written(buf.len());
         match written {
             Poll::Ready(_) => self.blocked = None,
             Poll::Pending if self.blocked.is_none() => {
-                self.blocked = Some(self.unread.add(&self.output));
+                self.blocked = Some(self.unread.add(&self.read_time));
             }
             Poll::Pending => {}
         }
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -15,7 +15,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
     body::Incoming,
-    client::conn::http1::{Builder, SendRequest},
+    client::conn::http1::{Builder, Connection, SendRequest},
     header::{CONTENT_TYPE, HOST, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
@@ -29,6 +29,8 @@
     time::timeout,
 };
 
+use super::window::RequestStream;
+
 /// Idle time after which the kernel sends TCP keepalive probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Time between two keepalive probes; the socket option takes whole seconds.
@@ -130,9 +132,7 @@
     where
         T: AsyncRead + AsyncWrite + Unpin + 'static,
     {
-        let mut http = Builder::new();
-        http.max_buf_size(MAX_READ_BUFFER_BYTES);
-        let (sender, connection) = http.handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = handshake(stream).await?;
         spawn_local(async move {
             // The error is dropped: users of the connection get it from `sender`.
             drop(connection.await);
@@ -140,6 +140,25 @@
         Ok(Self { sender, path })
     }
 
+    /// Begins to speak HTTP on a TCP connection, whose peer may read slowly.
+    async fn over_tcp(stream: TcpStream) -> Result<Self, ConnectError> {
+        let stream = RequestStream::new(stream);
+        let output = stream.output();
+        let (sender, connection) = handshake(stream).await?;
+        spawn_local(async move {
+            tokio::pin!(connection);
+            loop {
+                tokio::select! {
+                    // The error is dropped as above.
+                    _ended = connection.as_mut() => return,
+                    // The next poll of the connection checks its output.
+                    () = output.check_due() => {}
+                }
+            }
+        });
+        Ok(Self { sender, path: Path::Direct })
+    }
+
     /// Returns which way the connection takes.
     pub fn path(&self) -> Path {
         self.path
@@ -196,6 +215,17 @@
     }
 }
 
+async fn handshake<T>(
+    stream: T,
+) -> Result<(SendRequest<RequestBody>, Connection<TokioIo<T>, RequestBody>), hyper::Error>
+where
+    T: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let mut http = Builder::new();
+    http.max_buf_size(MAX_READ_BUFFER_BYTES);
+    http.handshake(TokioIo::new(stream)).await
+}
+
 /// A request failed before the head of its answer arrived.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -243,7 +273,7 @@
     limit: Duration,
 ) -> Result<HttpConnection, ConnectError> {
     let stream = connect_stream(source, address, limit).await?;
-    HttpConnection::over(stream, Path::Direct).await
+    HttpConnection::over_tcp(stream).await
 }
 
 /// Opens a TCP connection to `address` from the IP address `source`, or from one that the system
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -12,6 +12,7 @@
 mod tunnel;
 mod unread;
 mod upstream_body;
+mod window;
 
 pub use buffer_budget::{BufferBudget, BufferLease};
 pub use connect::{
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -33,7 +33,6 @@
     BufferLease, ReadDeadline, Shutdown, UnreadAnswers,
     answer_stream::{AnswerStream, UnfinishedAnswer},
     connect::detect_dead_peer,
-    unread::Output,
 };
 
 /// Timeout for idle connections and incomplete request heads. The operator's limit is 15 s,
@@ -191,14 +190,16 @@
     T: AsFd + AsyncRead + AsyncWrite + Unpin,
     S: Service,
 {
-    let (unfinished, output) = (UnfinishedAnswer::default(), Rc::new(Output::default()));
-    let stream = AnswerStream::new(stream, unfinished.clone(), output.clone(), state.unread);
+    let unfinished = UnfinishedAnswer::default();
+    let stream = AnswerStream::new(stream, unfinished.clone(), state.unread);
+    let (output, read_time) = (stream.output(), stream.read_time());
     let answer = service_fn(|request: Request<Incoming>| {
-        let (service, unfinished, output) = (service.clone(), unfinished.clone(), output.clone());
+        let (service, unfinished) = (service.clone(), unfinished.clone());
+        let read_time = read_time.clone();
         async move {
             let version = request.version();
             let response = service.answer(request).await;
-            output.begin(response.extensions().get::<ReadDeadline>().copied());
+            read_time.begin(response.extensions().get::<ReadDeadline>().copied());
             Ok::<_, std::convert::Infallible>(unfinished.follow(response, version))
         }
     });
--- a/src/gateway/net/unread.rs
+++ b/src/gateway/net/unread.rs
@@ -9,18 +9,14 @@
 };
 
 use prometheus_client::metrics::gauge::Gauge;
-use tokio::sync::Notify;
 
+use super::window::Output;
 use crate::clock;
 
 /// Maximum number of connections whose kernel takes no more. Each holds up to some 200 KiB in the
 /// process; with more, the one that has been so for longest is ended. Fewer would cut callers off that
 /// read, slowly.
 const MAX_UNREAD: usize = 250;
-/// Interval between checks of the output of a connection. The kernel ends a connection whose window
-/// stays closed for [`super::connect::UNACKNOWLEDGED_TIMEOUT`], unless a check finds that its peer
-/// answers.
-const CHECK_PERIOD: Duration = Duration::from_secs(2);
 /// Time after its deadline at which an unread answer ends its connection. Until then its end, which
 /// says that the time was over, may be on its way.
 const DEADLINE_GRACE: Duration = Duration::from_secs(1);
@@ -41,7 +37,7 @@
 #[derive(Debug, Default)]
 struct Shared {
     /// By the order in which they became so.
-    connections: BTreeMap<u64, Weak<Output>>,
+    connections: BTreeMap<u64, Weak<ReadTime>>,
     next: u64,
     gauge: Gauge,
 }
@@ -53,11 +49,11 @@
     }
 
     /// Adds a connection until the guard is dropped. If there are too many, the oldest is ended.
-    pub(super) fn add(&self, output: &Rc<Output>) -> UnreadGuard {
+    pub(super) fn add(&self, connection: &Rc<ReadTime>) -> UnreadGuard {
         let mut shared = self.shared.borrow_mut();
         let number = shared.next;
         shared.next += 1;
-        shared.connections.insert(number, Rc::downgrade(output));
+        shared.connections.insert(number, Rc::downgrade(connection));
         shared.gauge.set(shared.connections.len() as i64);
         if shared.connections.len() > MAX_UNREAD
             && let Some((_, oldest)) = shared.connections.pop_first()
@@ -90,55 +86,28 @@
     }
 }
 
-/// What was written on a connection and may not have been read.
+/// Until when the answers on a connection may stay unread.
 #[derive(Debug, Default)]
-pub(super) struct Output {
-    /// Whether something was written since the peer had last acknowledged all.
-    is_pending: Cell<bool>,
-    is_check_due: Cell<bool>,
-    is_evicted: Cell<bool>,
+pub(super) struct ReadTime {
     deadline: Cell<Option<Instant>>,
-    changed: Notify,
+    is_evicted: Cell<bool>,
+    output: Rc<Output>,
 }
 
-impl Output {
+impl ReadTime {
+    pub(super) fn new(output: Rc<Output>) -> Self {
+        Self { output, ..Self::default() }
+    }
+
     /// Notes that an answer begins, which has to be read by `deadline`.
     pub(super) fn begin(&self, deadline: Option<ReadDeadline>) {
         let default = || clock::now() + DEFAULT_READ_TIME;
         self.deadline.set(Some(deadline.map_or_else(default, |d| d.0)));
     }
 
-    pub(super) fn note_written(&self) {
-        if !self.is_pending.replace(true) {
-            self.changed.notify_one();
-        }
-    }
-
-    pub(super) fn note_drained(&self) {
-        self.is_pending.set(false);
-    }
-
     fn evict(&self) {
         self.is_evicted.set(true);
-        self.changed.notify_one();
-    }
-
-    /// Waits until the output is to be checked, and has the next use of the connection check it.
-    pub(super) async fn check_due(&self) {
-        while !self.is_pending.get() && !self.is_evicted.get() {
-            self.changed.notified().await;
-        }
-        if !self.is_evicted.get() {
-            tokio::select! {
-                () = clock::sleep_until(clock::now() + CHECK_PERIOD) => {}
-                () = self.changed.notified() => {}
-            }
-        }
-        self.is_check_due.set(true);
-    }
-
-    pub(super) fn take_check(&self) -> bool {
-        self.is_check_due.take()
+        self.output.check_now();
     }
 
     /// Returns whether the peer had its time to read.
