Drawn orders of lease holders have writes that arrive late

A release or a renewal that is delayed on its way and performed later, if its condition still holds, was not among the steps.

--- a/tests/gateway_lease_orders.rs
+++ b/tests/gateway_lease_orders.rs
@@ -210,8 +210,9 @@
         let mut world = World::new(5);
         let is_of = |step: &Step| match step {
             Step::Poll(h) | Step::PollUnanswered(h) | Step::Act(h) | Step::Release(h)
-            | Step::ReleaseLost(h) | Step::GiveUp(h) | Step::Hear(h) | Step::Restart(h) => *h < hosts,
-            Step::Copy | Step::Return | Step::Pass => true,
+            | Step::ReleaseLost(h) | Step::ReleaseLate(h) | Step::PollLate(h) | Step::GiveUp(h)
+            | Step::Hear(h) | Step::Restart(h) => *h < hosts,
+            Step::Arrive | Step::Copy | Step::Return | Step::Pass => true,
         };
         for step in steps.into_iter().filter(is_of) {
             let broken = world.take(step);
--- a/tests/leases/mod.rs
+++ b/tests/leases/mod.rs
@@ -1,7 +1,10 @@
 //! Processes on a few hosts that share a lease, in simulated time, on the product's own `Lease` and
 //! `LeaseView`. Whatever the order of their steps, the rules on holders must hold.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 use tackhollow::{
     control::{HeardClaim, Lease, LeaseAction, LeaseRow, LeaseTiming},
@@ -27,12 +30,18 @@
     Poll(Host),
     /// The same, but the answer to its write is lost.
     PollUnanswered(Host),
+    /// The process reads the row; its write is delayed on its way, and gets no answer.
+    PollLate(Host),
     /// The process acts, if it holds the lease.
     Act(Host),
     /// The process gives the lease back.
     Release(Host),
     /// The process gives the lease back, and the write is lost.
     ReleaseLost(Host),
+    /// The process gives the lease back, and the write is delayed on its way.
+    ReleaseLate(Host),
+    /// The oldest delayed write arrives.
+    Arrive,
     /// The process stops acting under its lease and writes nothing.
     GiveUp(Host),
     /// The process hears the claims of all others.
@@ -57,15 +66,30 @@
                 Self::Act(h),
                 Self::Release(h),
                 Self::ReleaseLost(h),
+                Self::PollLate(h),
+                Self::ReleaseLate(h),
                 Self::GiveUp(h),
                 Self::Hear(h),
                 Self::Restart(h),
             ]
         };
-        (0..hosts).flat_map(of_host).chain([Self::Pass]).collect()
+        (0..hosts).flat_map(of_host).chain([Self::Arrive, Self::Pass]).collect()
     }
 }
 
+/// What becomes of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Write {
+    /// It is performed, and its sender gets the answer.
+    Answered,
+    /// It is performed, and its sender gets no answer.
+    Unanswered,
+    /// It is performed later, if its condition holds then.
+    Delayed,
+    /// It is not performed.
+    Lost,
+}
+
 /// A process that wants the lease.
 #[derive(Clone, Debug)]
 struct Process {
@@ -98,6 +122,8 @@
     revision: u64,
     row: Option<(u64, LeaseRow)>,
     copy: Option<(u64, LeaseRow)>,
+    /// Writes on their way, with the versions on which they are conditional.
+    delayed: VecDeque<(u64, LeaseRow)>,
     processes: Vec<Process>,
     restarts: usize,
     acts: Vec<Act>,
@@ -113,6 +139,7 @@
             revision: 0,
             row: None,
             copy: None,
+            delayed: VecDeque::new(),
             processes,
             restarts: 0,
             acts: Vec::new(),
@@ -127,11 +154,18 @@
     /// Carries a step out; returns the rule that it broke, if any.
     pub fn take(&mut self, step: Step) -> Option<String> {
         match step {
-            Step::Poll(h) => return self.poll(h, true),
-            Step::PollUnanswered(h) => return self.poll(h, false),
+            Step::Poll(h) => return self.poll(h, Write::Answered),
+            Step::PollUnanswered(h) => return self.poll(h, Write::Unanswered),
+            Step::PollLate(h) => return self.poll(h, Write::Delayed),
             Step::Act(h) => return self.act(h),
-            Step::Release(h) => self.release(h, true),
-            Step::ReleaseLost(h) => self.release(h, false),
+            Step::Release(h) => self.release(h, Write::Unanswered),
+            Step::ReleaseLost(h) => self.release(h, Write::Lost),
+            Step::ReleaseLate(h) => self.release(h, Write::Delayed),
+            Step::Arrive => {
+                if let Some((version, row)) = self.delayed.pop_front() {
+                    self.write(version, row);
+                }
+            }
             Step::GiveUp(h) => {
                 self.processes[h].lease.give_up();
                 self.processes[h].view.give_up();
@@ -162,11 +196,12 @@
         let acts = self.acts.iter().filter(|a| ago(a.at) <= ago(self.now - BOUND));
         let acts: Vec<String> =
             acts.map(|a| format!("{}:{}:{}", a.host, a.fence, ago(a.at))).collect();
-        let text = format!("{:?} {:?} {acts:?}", self.row, self.processes);
+        let table = (&self.row, &self.delayed);
+        let text = format!("{table:?} {:?} {acts:?}", self.processes);
         relative_times(&text, &format!("{:?}", self.now))
     }
 
-    fn poll(&mut self, host: Host, is_answered: bool) -> Option<String> {
+    fn poll(&mut self, host: Host, write: Write) -> Option<String> {
         let now = self.now;
         let process = &mut self.processes[host];
         let version = self.row.as_ref().map_or(0, |(version, _)| *version);
@@ -176,9 +211,13 @@
             return self.act(host);
         };
         assert_eq!(row_version, version, "the write is conditional on the row as it is");
+        if write == Write::Delayed {
+            self.delayed.push_back((version, row));
+            return self.act(host);
+        }
         self.revision += 1;
         self.row = Some((self.revision, row.clone()));
-        if is_answered {
+        if write == Write::Answered {
             let (fence, renewal) = (row.fence, row.renewal);
             process.lease.written(self.revision, row, now, now);
             let is_over = process.view.own.is_some_and(|o| o.fence == fence && o.given_up);
@@ -193,13 +232,22 @@
         self.act(host)
     }
 
-    fn release(&mut self, host: Host, is_written: bool) {
+    fn release(&mut self, host: Host, write: Write) {
         let process = &mut self.processes[host];
         process.view.give_up();
         let Some((version, row)) = process.lease.release(self.now) else {
             return;
         };
-        if is_written && self.row.as_ref().is_some_and(|(v, _)| *v == version) {
+        match write {
+            Write::Answered | Write::Unanswered => self.write(version, row),
+            Write::Delayed => self.delayed.push_back((version, row)),
+            Write::Lost => {}
+        }
+    }
+
+    /// Writes the row if it still has this version.
+    fn write(&mut self, version: u64, row: LeaseRow) {
+        if self.row.as_ref().map_or(0, |(v, _)| *v) == version {
             self.revision += 1;
             self.row = Some((self.revision, row));
         }
