--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -143,6 +143,33 @@
     ]);
 }
 
+/// Guards against a store whose answers do not end and fill the memory of a gateway.
+#[test]
+fn answers_of_a_store_without_end_take_little_memory() {
+    /// Time in which a gateway calls such a store again and again.
+    const TIME: Duration = Duration::from_secs(8);
+    let kinds = [
+        Endless::Body,
+        Endless::UnframedBody,
+        Endless::InterimAnswers,
+        Endless::Head,
+        Endless::ChunkExtension,
+        Endless::Trailers,
+    ];
+    let mut site = Site::bare();
+    let stores = kinds.map(EndlessUpstream::start);
+    for store in &stores {
+        site.add_gateway_at(store.address, site.emulator_address("api"));
+    }
+    thread::sleep(TIME);
+    for (kind, gateway) in kinds.iter().zip(&mut site.gateways) {
+        let memory = peak_memory_kib(gateway.id());
+        println!("{kind:?} of the store: {memory} KiB");
+        assert!(!gateway.has_ended(), "{kind:?}: {}", gateway.said());
+        assert!(memory < MAX_MEMORY_KIB, "{kind:?}: {memory} KiB");
+    }
+}
+
 /// Guards against a bound that breaks off large answers of sound upstreams.
 #[test]
 fn large_answers_that_end_are_passed_on_whole() {
