Stored usage counts of windows that were reported long ago are removed

Cause: a row is written before its window is reported, so that the counts cannot change, and never removed. Change: after the report of each eighth window the holder removes the rows of eight windows, those before the newest 32. Counters keep eight windows, so that no process reports a window again whose row is gone. A failed removal is logged and harms no report. Result: gateway_usage rows_of_reported_windows_are_removed failed without the removal (56 rows of 56 windows) and passes (38).

--- a/src/bin/tackhollow-emulator/store.rs
+++ b/src/bin/tackhollow-emulator/store.rs
@@ -85,6 +85,9 @@
             let value = text(&write, "value").to_owned();
             self.platform.put(text(&write, "table"), text(&write, "key"), Some(value));
         }
+        for removed in list("remove") {
+            self.platform.put(text(&removed, "table"), text(&removed, "key"), None);
+        }
         answer(StatusCode::OK, &self.with_version(json!({})))
     }
 
--- a/src/gateway/controllers/usage_report.rs
+++ b/src/gateway/controllers/usage_report.rs
@@ -18,6 +18,12 @@
     telemetry::count,
 };
 
+/// Windows whose stored counts are kept. No process reports a window that is older than the newest by
+/// a quarter of this.
+const KEPT_ROWS: u64 = 32;
+/// Rows of older windows that are removed together, once in as many windows.
+const REMOVED_TOGETHER: u64 = 8;
+
 /// Stores the counts of a window and reports them. The stored counts make the report idempotent:
 /// any holder that sends it again sends the same numbers.
 pub(super) async fn send_usage_report(gateway: Rc<Gateway>, window: WindowNumber) {
@@ -44,9 +50,26 @@
         Err(e) => Err(e),
     };
     count(&gateway.metrics.platform_calls, if sent.is_ok() { "usage" } else { "usage_failed" });
+    if sent.is_ok() && window.is_multiple_of(REMOVED_TOGETHER) {
+        remove_old_counts(&gateway, window).await;
+    }
     gateway.send_to_controllers(|c| call!([c.duties], report_completed(window, sent.is_ok())));
 }
 
+/// Removes the stored counts of the windows that come before those that are kept. Rows that are left,
+/// since no holder was there at their turn, take some bytes and do no harm.
+async fn remove_old_counts(gateway: &Gateway, window: WindowNumber) {
+    let end = window.saturating_sub(KEPT_ROWS);
+    let keys: Vec<String> = (end.saturating_sub(REMOVED_TOGETHER)..end).map(row_key).collect();
+    let removed = gateway.store.remove(Table::Duties, &keys).await;
+    gateway.record_store_outcome(removed.as_ref().err());
+    let label = if removed.is_ok() { "usage_removal" } else { "usage_removal_failed" };
+    count(&gateway.metrics.platform_calls, label);
+    if let Err(e) = removed {
+        log::warn!("stored usage counts of old windows were not removed: {e}");
+    }
+}
+
 /// Stores the counts of a window unless the store already has some from an earlier attempt; returns
 /// the stored ones.
 async fn store_counts(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,7 +11,7 @@
 
 use super::{
     PlatformError,
-    store_wire::{decode_row, rows, transaction},
+    store_wire::{decode_row, removal, rows, transaction},
 };
 use crate::{
     clock,
@@ -288,6 +288,16 @@
         Ok(WriteOutcome::Conflict(current.collect()))
     }
 
+    /// Removes those of the rows with these keys that are there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store did not confirm it; the rows may be gone all the same.
+    pub async fn remove(&self, table: Table, keys: &[String]) -> Result<(), PlatformError> {
+        let body = removal(table, keys)?;
+        self.call(Method::POST, "/rows-tx", body, CALL_TIMEOUT).await.map(drop)
+    }
+
     /// Returns whether the store has answered in a later era than that of `revision`.
     fn era_is_over(&self, revision: Revision) -> bool {
         self.era().is_some_and(|era| era > era_of(revision))
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::{PlatformError, RowWrite, StoreRow};
+use super::{PlatformError, RowWrite, StoreRow, Table};
 use crate::gateway::{
     decide::StoreMillis,
     model::{Era, Revision, number_in_era, revision_in_era},
@@ -58,7 +58,14 @@
 struct WireTxn<'a> {
     expected_revision: Vec<WireExpected<'a>>,
     writes: Vec<WireWrite<'a>>,
-    remove: [(); 0],
+    remove: Vec<WireKey<'a>>,
+}
+
+#[derive(Serialize)]
+struct WireKey<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
 }
 
 /// Encodes a transaction that writes all the rows or none.
@@ -66,9 +73,20 @@
     let txn = WireTxn {
         expected_revision: writes.iter().filter_map(expected).collect(),
         writes: writes.iter().map(write).collect(),
-        remove: [],
+        remove: Vec::new(),
     };
-    let body = serde_json::to_vec(&txn).map_err(PlatformError::malformed("transaction"))?;
+    encode(&txn)
+}
+
+/// Encodes a transaction that removes all the rows that are there.
+pub(super) fn removal(table: Table, keys: &[String]) -> Result<Bytes, PlatformError> {
+    let table = table.wire_name();
+    let remove = keys.iter().map(|key| WireKey { table, part: "", key }).collect();
+    encode(&WireTxn { expected_revision: Vec::new(), writes: Vec::new(), remove })
+}
+
+fn encode(txn: &WireTxn<'_>) -> Result<Bytes, PlatformError> {
+    let body = serde_json::to_vec(txn).map_err(PlatformError::malformed("transaction"))?;
     Ok(body.into())
 }
 
--- a/tests/gateway_usage.rs
+++ b/tests/gateway_usage.rs
@@ -16,7 +16,7 @@
 use serde_json::Value;
 use support::{
     gateways::{Call, GatewayProc, Site},
-    wait_until,
+    wait_until, wait_until_for,
 };
 use tackhollow::gateway::decide::{heartbeats_per_report, wait_after_takeover};
 
@@ -186,3 +186,24 @@
         assert!(waits <= 4_000, "{gateways} gateways: {waits} ms");
     }
 }
+
+/// Guards against rows of reported windows that pile up, of which every start reads all.
+#[test]
+fn rows_of_reported_windows_are_removed() {
+    /// Windows of the test, of one second each; more than are kept.
+    const WINDOWS: usize = 56;
+    /// Rows that are kept, and those that wait for their removal.
+    const MAX_ROWS: usize = 32 + 2 * 8;
+    let site = Site::start(1, 0, 1);
+    wait_until_for("the windows are reported", Duration::from_secs(90), || {
+        site.duties("/usage").len() >= WINDOWS
+    });
+    let path = "/rows-get?table=duties&limit=500";
+    let answer = Call::new("GET", path, "rows").send(site.emulator_address("store"));
+    let rows: Value = serde_json::from_str(&answer.expect("an answer").body).expect("rows");
+    let rows = rows["rows"].as_array().expect("a list");
+    let is_usage = |r: &&Value| r["key"].as_str().is_some_and(|k| k.starts_with("usage-"));
+    let usage = rows.iter().filter(is_usage).count();
+    println!("{usage} rows of {WINDOWS} windows");
+    assert!(usage <= MAX_ROWS, "{usage} rows");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -18,9 +18,14 @@
 };
 
 /// Waits until a condition holds. Panics after a generous timeout.
-pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+pub fn wait_until(what: &str, holds: impl FnMut() -> bool) {
     const TIMEOUT: Duration = Duration::from_secs(60);
-    let deadline = Instant::now() + TIMEOUT;
+    wait_until_for(what, TIMEOUT, holds);
+}
+
+/// Waits until a condition holds. Panics after `limit`.
+pub fn wait_until_for(what: &str, limit: Duration, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + limit;
     while !holds() {
         assert!(Instant::now() < deadline, "timed out waiting until {what}");
         thread::sleep(Duration::from_millis(20));
