--- a/tests/gateway_lease_orders.rs
+++ b/tests/gateway_lease_orders.rs
@@ -7,7 +7,7 @@
     hash::{DefaultHasher, Hash, Hasher},
 };
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 
 use leases::{Step, World};
 
@@ -191,11 +191,14 @@
 
 /// Number of drawn orders, unless `PROPTEST_CASES` names another.
 const ORDERS: u32 = 20_000;
+/// Seed from which they are drawn, so that a run can be repeated.
+const SEED: u64 = 3;
 
 fn config() -> ProptestConfig {
     let cases = std::env::var("PROPTEST_CASES").ok().and_then(|c| c.parse().ok());
     ProptestConfig {
         failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
         ..ProptestConfig::with_cases(cases.unwrap_or(ORDERS))
     }
 }
