Answers without a deadline go on while their reader makes progress

Cause: 15 s after their beginning stood for the deadline that such answers do not have. Change: they end after 15 s in which the peer has acknowledged nothing more.

--- a/src/gateway/net/answer_stream.rs
+++ b/src/gateway/net/answer_stream.rs
@@ -132,9 +132,15 @@
     ///
     /// Fails if the peer is gone or has had its time.
     fn check_output(&mut self) -> io::Result<()> {
-        let checked = self.watch.check(&self.stream);
-        let is_over = !matches!(checked, Ok(false)) && self.read_time.is_over();
-        if is_over || checked.is_err() {
+        let is_over = match self.watch.check(&self.stream) {
+            Ok(None) => false,
+            Ok(Some(stalled)) => self.read_time.is_over(stalled),
+            Err(e) => {
+                self.reset_on_close(true)?;
+                return Err(e);
+            }
+        };
+        if is_over {
             self.reset_on_close(true)?;
             return Err(io::ErrorKind::TimedOut.into());
         }
--- a/src/gateway/net/tcp_info.rs
+++ b/src/gateway/net/tcp_info.rs
@@ -13,7 +13,10 @@
     /// Segments that were sent and not acknowledged.
     pub unacked: u32,
     counters: [u32; 19],
-    rates_and_bytes: [u64; 4],
+    rates: [u64; 2],
+    /// Bytes that the peer has acknowledged.
+    pub bytes_acked: u64,
+    bytes_received: u64,
     segments: [u32; 2],
     /// Bytes that were written and not sent yet.
     pub notsent_bytes: u32,
--- a/src/gateway/net/unread.rs
+++ b/src/gateway/net/unread.rs
@@ -20,8 +20,9 @@
 /// Time after its deadline at which an unread answer ends its connection. Until then its end, which
 /// says that the time was over, may be on its way.
 const DEADLINE_GRACE: Duration = Duration::from_secs(1);
-/// Time for reading an answer whose request has no deadline.
-const DEFAULT_READ_TIME: Duration = Duration::from_secs(15);
+/// Time without progress after which an answer that has no deadline ends its connection. Tunnels and
+/// lists of upstreams for other gateways have none.
+const MAX_STALL: Duration = Duration::from_secs(15);
 
 /// When the caller of an answer stops waiting; an extension of the answer.
 #[derive(Clone, Copy, Debug)]
@@ -99,10 +100,9 @@
         Self { output, ..Self::default() }
     }
 
-    /// Notes that an answer begins, which has to be read by `deadline`.
+    /// Notes that an answer begins, which has to be read by `deadline` if it has one.
     pub(super) fn begin(&self, deadline: Option<ReadDeadline>) {
-        let default = || clock::now() + DEFAULT_READ_TIME;
-        self.deadline.set(Some(deadline.map_or_else(default, |d| d.0)));
+        self.deadline.set(deadline.map(|d| d.0));
     }
 
     fn evict(&self) {
@@ -110,9 +110,12 @@
         self.output.check_now();
     }
 
-    /// Returns whether the peer had its time to read.
-    pub(super) fn is_over(&self) -> bool {
-        let is_late = |deadline| clock::now() > deadline + DEADLINE_GRACE;
-        self.is_evicted.get() || self.deadline.get().is_some_and(is_late)
+    /// Returns whether the peer, which has read nothing for the time `stalled`, had its time to read.
+    pub(super) fn is_over(&self, stalled: Duration) -> bool {
+        let is_late = match self.deadline.get() {
+            Some(deadline) => clock::now() > deadline + DEADLINE_GRACE,
+            None => stalled > MAX_STALL,
+        };
+        self.is_evicted.get() || is_late
     }
 }
--- a/src/gateway/net/window.rs
+++ b/src/gateway/net/window.rs
@@ -6,12 +6,12 @@
 
 use std::{
     cell::Cell,
-    io,
+    io, mem,
     os::fd::AsFd,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use nix::sys::socket::getsockopt;
@@ -80,32 +80,43 @@
 pub(super) struct WindowWatch {
     pub(super) output: Rc<Output>,
     is_lifted: bool,
+    bytes_acked: u64,
+    /// Since when the peer has acknowledged nothing more, while something was left.
+    stalled_since: Option<Instant>,
 }
 
 impl WindowWatch {
-    /// Checks whether the peer takes in what was written, if that is due. Returns whether some of it
-    /// is left.
+    /// Checks whether the peer takes in what was written, if that is due. If some of it is left,
+    /// returns for how long the peer has acknowledged nothing more.
     ///
     /// # Errors
     ///
     /// Fails if the peer leaves probes unanswered, or the socket cannot be configured.
-    pub(super) fn check<T: AsFd>(&mut self, stream: &T) -> io::Result<bool> {
+    pub(super) fn check<T: AsFd>(&mut self, stream: &T) -> io::Result<Option<Duration>> {
         if !self.output.is_check_due.take() {
-            return Ok(false);
+            return Ok(None);
         }
         // Fails on sockets other than TCP, which have no such window.
         let Ok(info) = getsockopt(stream, TcpInfo) else {
             self.output.written_bytes.set(0);
-            return Ok(false);
+            return Ok(None);
         };
         if info.unanswered_probes() >= MAX_UNANSWERED_PROBES {
             return Err(io::ErrorKind::TimedOut.into());
         }
         self.lift_timeout(stream, info.is_window_closed())?;
+        let progressed = info.bytes_acked != mem::replace(&mut self.bytes_acked, info.bytes_acked);
+        if progressed {
+            self.stalled_since = None;
+        }
         if info.is_drained() {
             self.output.written_bytes.set(0);
+            self.stalled_since = None;
+            return Ok(None);
         }
-        Ok(!info.is_drained())
+        let now = clock::now();
+        let since = *self.stalled_since.get_or_insert(now);
+        Ok(Some(now.saturating_duration_since(since)))
     }
 
     fn lift_timeout<T: AsFd>(&mut self, stream: &T, is_lifted: bool) -> io::Result<()> {
