--- a/tests/support/gateways.rs
+++ b/tests/support/gateways.rs
@@ -155,6 +155,7 @@
     settings: PathBuf,
     log: PathBuf,
     starts: usize,
+    process_limits: Option<ProcessLimits>,
 }
 
 impl GatewayProc {
@@ -170,7 +171,7 @@
 
     /// Starts a new process; the earlier one must have ended.
     pub fn restart(&mut self) {
-        self.child = spawn(&self.settings, &self.log);
+        self.child = spawn(&self.settings, &self.log, self.process_limits);
         self.starts += 1;
     }
 
@@ -250,6 +251,15 @@
     }
 }
 
+/// Resources that the system allows a gateway's process.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    /// Private memory, in KiB.
+    pub memory_kib: u64,
+    /// Open descriptors.
+    pub descriptors: u64,
+}
+
 /// The emulated platform and the gateways in front of it.
 pub struct Site {
     emulator: Proc,
@@ -259,6 +269,8 @@
     pub disabled_mechanisms: Vec<&'static str>,
     /// Whether load control is enabled at gateways that start from now on.
     pub load_control: bool,
+    /// Limits of gateways that start from now on; `None` for those of the test itself.
+    pub process_limits: Option<ProcessLimits>,
 }
 
 impl Site {
@@ -281,7 +293,14 @@
         let emulator = Proc::start(env!("CARGO_BIN_EXE_tackhollow-emulator"), none);
         let dir = TempDir::new().expect("a temporary directory");
         let disabled_mechanisms = Vec::new();
-        Self { emulator, gateways: Vec::new(), dir, disabled_mechanisms, load_control: false }
+        Self {
+            emulator,
+            gateways: Vec::new(),
+            dir,
+            disabled_mechanisms,
+            load_control: false,
+            process_limits: None,
+        }
     }
 
     pub fn wait_ready(&self) {
@@ -347,10 +366,20 @@
         }
         fs::write(&settings, text).expect("the settings are written");
         let log = self.dir.path().join(format!("gateway-{n}.log"));
-        let child = spawn(&settings, &log);
+        let process_limits = self.process_limits;
+        let child = spawn(&settings, &log, process_limits);
         let [callers, directory, readiness, peers] = [ports[0], ports[1], ports[2], ports[3]];
-        let gateway =
-            GatewayProc { child, callers, directory, readiness, peers, settings, log, starts: 1 };
+        let gateway = GatewayProc {
+            child,
+            callers,
+            directory,
+            readiness,
+            peers,
+            settings,
+            log,
+            starts: 1,
+            process_limits,
+        };
         self.gateways.push(gateway);
     }
 
@@ -524,10 +553,19 @@
 }
 
 /// Starts a gateway's process, which appends to the log of an earlier one.
-fn spawn(settings: &Path, log: &Path) -> Child {
+fn spawn(settings: &Path, log: &Path, limits: Option<ProcessLimits>) -> Child {
     let append =
         |path: &Path| fs::OpenOptions::new().create(true).append(true).open(path).expect("a file");
-    Command::new(env!("CARGO_BIN_EXE_tackhollow-gateway"))
+    let mut command = match limits {
+        None => Command::new(env!("CARGO_BIN_EXE_tackhollow-gateway")),
+        Some(ProcessLimits { memory_kib, descriptors }) => {
+            let limit = format!("ulimit -d {memory_kib} -n {descriptors}; exec \"$0\" \"$@\"");
+            let mut shell = Command::new("bash");
+            shell.args(["-c", &limit, env!("CARGO_BIN_EXE_tackhollow-gateway")]);
+            shell
+        }
+    };
+    command
         .arg("--settings")
         .arg(settings)
         .stdout(append(log))
--- a/tests/support/proc.rs
+++ b/tests/support/proc.rs
@@ -97,3 +97,8 @@
     let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
     line.trim().trim_end_matches(" kB").parse().expect("a number")
 }
+
+/// Returns the number of descriptors that a process has open.
+pub fn open_descriptors(pid: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{pid}/fd")).expect("the process runs").count()
+}
