What connections hold is charged to one account, and the costliest gives way

Callers saw connections cut off and the gateway gone: 60 bodies of 4 MiB less a byte, 2,000 heads of 60 KiB or 2,500 trailers of 14 KiB, each with its connection left open, ended a process with 120 MiB (memory allocation failed).

Cause: each body and head had a bound of its own, and nothing bounded all of them together, nor did any bound come from the host. Ruled out: chunks (bodies with a length did the same), and answers (none was begun).

Change: an account of what all connections of the process hold (`decide/intake.rs`, without sockets), charged as bytes are read and given back by guards. Its size is a third of the memory that the process may use: the host's, or the resource limit if that is lower (`[host]memory_mb` overrides it). Where it is used up, the connection gives way that costs most: bytes held times time without progress at 64 KiB a second. A request that came whole never gives way, bodies over 64 KiB may take three quarters, so that small requests find room beside them. A body that gives way is dropped at once and its request refused with 503 and Retry-After, which is true: nothing was sent. In calm nobody is asked for a rate.

Silent connections still take all descriptors, and memory that was freed is not given back.

--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -10,7 +10,7 @@
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use serde_json::{Value, json};
-use tackhollow::gateway::net::{AnswerBody, Service};
+use tackhollow::gateway::net::{AnswerBody, IntakeConnection, Service};
 use tokio::task::spawn_local;
 
 use crate::{
@@ -28,7 +28,11 @@
 }
 
 impl Service for Admin {
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        _: Rc<IntakeConnection>,
+    ) -> Response<AnswerBody> {
         let path = request.uri().path().to_owned();
         let body = read_json(request.into_body()).await;
         let done = match path.as_str() {
--- a/src/bin/tackhollow-emulator/api.rs
+++ b/src/bin/tackhollow-emulator/api.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde_json::json;
-use tackhollow::gateway::net::{AnswerBody, Service};
+use tackhollow::gateway::net::{AnswerBody, IntakeConnection, Service};
 
 use crate::{
     answer::{empty, read_json},
@@ -18,7 +18,11 @@
 }
 
 impl Service for Api {
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        _: Rc<IntakeConnection>,
+    ) -> Response<AnswerBody> {
         let header = |name: &str| {
             let value = request.headers().get(name).and_then(|v| v.to_str().ok());
             value.unwrap_or_default().to_owned()
--- a/src/bin/tackhollow-emulator/network.rs
+++ b/src/bin/tackhollow-emulator/network.rs
@@ -146,7 +146,10 @@
                     Ok(None) => {}
                     Ok(Some(stream)) => {
                         let state = ServerState::default();
-                        spawn_local(serve_connection(stream, peer, service.clone(), state));
+                        if let Some(connection) = state.intake.open() {
+                            let service = service.clone();
+                            spawn_local(serve_connection(stream, peer, connection, service, state));
+                        }
                     }
                     Err(e) => eprintln!("a connection from {peer} is not served: {e}"),
                 },
--- a/src/bin/tackhollow-emulator/store.rs
+++ b/src/bin/tackhollow-emulator/store.rs
@@ -4,7 +4,7 @@
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde_json::{Value, json};
-use tackhollow::gateway::net::{AnswerBody, Service};
+use tackhollow::gateway::net::{AnswerBody, IntakeConnection, Service};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -19,7 +19,11 @@
 }
 
 impl Service for Store {
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        _: Rc<IntakeConnection>,
+    ) -> Response<AnswerBody> {
         let (mode, silences, era) = {
             let mut state = self.platform.state.borrow_mut();
             state.store_calls += 1;
--- a/src/bin/tackhollow-emulator/upstream.rs
+++ b/src/bin/tackhollow-emulator/upstream.rs
@@ -14,7 +14,7 @@
     header::{CONTENT_LENGTH, HeaderValue},
 };
 use tackhollow::gateway::net::{
-    AnswerBody, BodyError, Service, channel_body, frame_until_close, full_body,
+    AnswerBody, BodyError, IntakeConnection, Service, channel_body, frame_until_close, full_body,
 };
 use tokio::{
     sync::mpsc::{Sender, channel},
@@ -62,7 +62,11 @@
 }
 
 impl Service for UpstreamService {
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        _: Rc<IntakeConnection>,
+    ) -> Response<AnswerBody> {
         let (parts, body) = request.into_parts();
         let headers = parts.headers;
         if parts.uri.path() == HEALTH_PATH {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,7 +9,7 @@
     controllers::Controllers,
     decide::{LimitAnnouncement, Mechanism, PartChange, QuarantineChange, StoreStability},
     model::{Era, Lifetime, WatchedData},
-    net::{BufferBudget, Phase, Pool, ServerState, Shutdown, UnreadAnswers},
+    net::{BufferBudget, Intake, Phase, Pool, ServerState, Shutdown, UnreadAnswers},
     peering::ProcessId,
     reactor::ControllerWaker,
     request::{PermitRequests, StreamVersionQuestions, UpstreamProbes, WorkNotices},
@@ -56,6 +56,8 @@
     pub shutdown: Shutdown,
     /// Answers that their callers have not read.
     pub unread: UnreadAnswers,
+    /// Connections of clients, and what they hold.
+    pub intake: Intake,
     /// Writer of structured log events.
     pub journal: Journal,
     /// Metrics of this process.
@@ -81,6 +83,7 @@
             false => store.ignoring_eras(),
         };
         let metrics = GatewayMetrics::new();
+        let intake = Intake::new(settings.host.intake_limits(), metrics.intake.clone());
         let duties = DutyClient::new(settings.api, settings.id.clone());
         Self {
             settings: RefCell::new(settings),
@@ -98,6 +101,7 @@
             duties,
             shutdown: Shutdown::default(),
             unread: UnreadAnswers::new(metrics.unread_answers.clone()),
+            intake,
             journal,
             metrics,
             waker: ControllerWaker::default(),
@@ -107,7 +111,8 @@
 
     /// Returns what the connections of the gateway's servers share.
     pub fn server_state(&self) -> ServerState {
-        ServerState { shutdown: self.shutdown.clone(), unread: self.unread.clone() }
+        let (shutdown, unread) = (self.shutdown.clone(), self.unread.clone());
+        ServerState { shutdown, unread, intake: self.intake.clone() }
     }
 
     /// Returns whether a mechanism is in use. Those of load control are used only where the settings
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -16,11 +16,11 @@
     context::Gateway,
     controllers::{Controllers, follow_table, register_member, restore_state},
     decide::PeerCorrectedClock,
-    model::WatchedData,
+    model::{EndpointKind, WatchedData},
     net::{Phase, serve},
     peering::Datagram,
     reactor,
-    request::{Endpoint, EndpointKind},
+    request::Endpoint,
     telemetry::{Event, Journal},
 };
 use crate::{clock, settings::GatewaySettings, time::unix_millis};
@@ -173,8 +173,8 @@
     }
 }
 
-/// Reloads the bounds, capacity and load control settings; other settings, such as addresses, apply from the
-/// next start. An invalid file changes nothing.
+/// Reloads the bounds, capacity, load control and host settings; other settings, such as addresses,
+/// apply from the next start. An invalid file changes nothing.
 fn reload(gateway: &Gateway) {
     let loaded = GatewaySettings::load(&gateway.settings.borrow().file);
     let usable = loaded.is_ok();
@@ -185,6 +185,8 @@
             gateway.board.borrow_mut().quotas.set_terms(settings.bounds.quotas);
             current.capacity = settings.capacity;
             current.load = settings.load;
+            current.host = settings.host;
+            gateway.intake.set_limits(settings.host.intake_limits());
         }
         Err(e) => log::error!("settings not reloaded, the earlier ones stay in force: {e}"),
     }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod fan_out;
 mod gossip;
+mod intake;
 mod knowledge;
 mod leaving;
 mod limit_queue;
@@ -73,6 +74,7 @@
     ReceiverCount, choose_receiver_count, receivers_per_data_centre, relay_order,
     rotating_receivers,
 };
+pub use intake::{HolderId, IntakeAccount, IntakeLimits};
 pub use knowledge::{KNOWLEDGE_OLD_AFTER, StoreClock, StoreMillis, SyncPoint};
 pub use leaving::{LeavingReport, LeavingTracker};
 pub use mechanism::{DisabledMechanisms, Mechanism};
--- a/src/gateway/model/mod.rs
+++ b/src/gateway/model/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod digest;
+mod endpoint_kind;
 mod prompt_part;
 mod revision;
 mod upstream;
@@ -11,6 +12,7 @@
     CallerLimits, Configuration, Customer, EngineKind, Quota, RequestKind, Route, Scaling, Service,
 };
 pub use digest::{ParseDigestError, RequestDigest};
+pub use endpoint_kind::EndpointKind;
 pub use prompt_part::{ParsePartKeyError, PartKey};
 pub use revision::{Era, Revision, era_of, number_in_era, revision_in_era};
 pub use upstream::{Lifetime, Upstream, UpstreamPhase};
--- a/src/gateway/net/answer_stream.rs
+++ b/src/gateway/net/answer_stream.rs
@@ -14,7 +14,6 @@
 };
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{
     Response, Version,
     body::{Body, Frame},
@@ -24,7 +23,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::{
-    AnswerBody, BodyError,
+    AnswerBody, BodyError, IntakeConnection,
     unread::{ReadTime, UnreadAnswers, UnreadGuard},
     window::{Output, WindowWatch},
 };
@@ -48,7 +47,8 @@
             return response;
         }
         self.set(true);
-        response.map(|body| FollowedBody { body, unfinished: self.clone() }.boxed_unsync())
+        response
+            .map(|body| -> AnswerBody { Box::pin(FollowedBody { body, unfinished: self.clone() }) })
     }
 
     fn get(&self) -> bool {
@@ -99,13 +99,28 @@
     unread: UnreadAnswers,
     /// Set while the kernel takes no more, so that the rest is held here.
     blocked: Option<UnreadGuard>,
+    connection: Rc<IntakeConnection>,
 }
 
 impl<T: AsFd> AnswerStream<T> {
-    pub(super) fn new(stream: T, unfinished: UnfinishedAnswer, unread: UnreadAnswers) -> Self {
+    pub(super) fn new(
+        stream: T,
+        unfinished: UnfinishedAnswer,
+        unread: UnreadAnswers,
+        connection: Rc<IntakeConnection>,
+    ) -> Self {
         let watch = WindowWatch::default();
         let read_time = Rc::new(ReadTime::new(watch.output.clone()));
-        Self { stream, unfinished, resets: false, watch, read_time, unread, blocked: None }
+        Self {
+            stream,
+            unfinished,
+            resets: false,
+            watch,
+            read_time,
+            unread,
+            blocked: None,
+            connection,
+        }
     }
 
     /// Returns what was written on the stream.
@@ -154,7 +169,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let received = buf.filled().len() - before;
+        if received > 0 {
+            self.connection.receive(received);
+        }
+        read
     }
 }
 
@@ -171,9 +192,14 @@
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.watch.output.note_written(buf.len());
         match written {
-            Poll::Ready(_) => self.blocked = None,
+            Poll::Ready(_) => {
+                if self.blocked.take().is_some() {
+                    self.connection.set_unread(false);
+                }
+            }
             Poll::Pending if self.blocked.is_none() => {
                 self.blocked = Some(self.unread.add(&self.read_time));
+                self.connection.set_unread(true);
             }
             Poll::Pending => {}
         }
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -5,6 +5,7 @@
 mod buffer_budget;
 mod connect;
 mod framing;
+mod intake;
 mod pool;
 mod server;
 mod shutdown;
@@ -20,6 +21,9 @@
     connect_from, connect_stream, get_request, json_request,
 };
 pub use framing::Framing;
+pub use intake::{
+    BodyLease, Intake, IntakeConnection, IntakeMetrics, ReadBodyError, RequestGuard, read_body,
+};
 pub use pool::{Pool, PoolError, PooledConnection};
 pub use server::{
     AnswerBody, BodyError, ServerState, Service, buffered_body, channel_body, frame_until_close,
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response, Version,
     body::{Body, Frame, Incoming, SizeHint},
@@ -25,12 +25,12 @@
     io::{AsyncRead, AsyncWrite},
     net::TcpListener,
     sync::mpsc::Receiver,
-    task::spawn_local,
+    task::{spawn_local, yield_now},
     time::sleep,
 };
 
 use super::{
-    BufferLease, ReadDeadline, Shutdown, UnreadAnswers,
+    BufferLease, Intake, IntakeConnection, ReadDeadline, RequestGuard, Shutdown, UnreadAnswers,
     answer_stream::{AnswerStream, UnfinishedAnswer},
     connect::detect_dead_peer,
 };
@@ -56,19 +56,18 @@
 }
 
 /// Body of an answer to a caller, buffered or streamed.
-pub type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
+pub type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = BodyError>>>;
 
 /// Creates a body from a buffer.
 pub fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+    Box::pin(Full::new(bytes.into()).map_err(|never| match never {}))
 }
 
 /// Creates a body from an answer that was buffered whole. Its memory is accounted for until the body
 /// has been handed on.
 pub fn buffered_body(bytes: Bytes, lease: BufferLease) -> AnswerBody {
-    BufferedBody { body: Full::new(bytes), _lease: lease }
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    let body = BufferedBody { body: Full::new(bytes), _lease: lease };
+    Box::pin(body.map_err(|never| match never {}))
 }
 
 struct BufferedBody {
@@ -112,10 +111,40 @@
     }
 }
 
+/// A body that keeps a guard until it is dropped, as the library does after its end.
+struct GuardedBody {
+    body: AnswerBody,
+    _guard: RequestGuard,
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+fn guarded_body(body: AnswerBody, guard: RequestGuard) -> AnswerBody {
+    Box::pin(GuardedBody { body, _guard: guard })
+}
+
 /// Returns a body that streams the data received from a channel. An error closes the
 /// connection, so that the caller cannot mistake the answer for a complete one.
 pub fn channel_body(rx: Receiver<Result<Bytes, BodyError>>) -> AnswerBody {
-    ChannelBody { rx }.boxed_unsync()
+    Box::pin(ChannelBody { rx })
 }
 
 /// A body that states no length, whatever is known of it.
@@ -140,15 +169,17 @@
     parts.version = Version::HTTP_10;
     parts.headers.remove(CONTENT_LENGTH);
     parts.headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    Response::from_parts(parts, UnknownLengthBody(body).boxed_unsync())
+    let body: AnswerBody = Box::pin(UnknownLengthBody(body));
+    Response::from_parts(parts, body)
 }
 
 /// Handler of the requests that a server receives.
 pub trait Service {
-    /// Handles a request and returns the answer.
+    /// Handles a request that came on `connection` and returns the answer.
     fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
+        connection: Rc<IntakeConnection>,
     ) -> impl Future<Output = Response<AnswerBody>>;
 }
 
@@ -160,6 +191,8 @@
     pub shutdown: Shutdown,
     /// Answers that their callers have not read.
     pub unread: UnreadAnswers,
+    /// The connections of all servers of the process.
+    pub intake: Intake,
 }
 
 /// Accepts and serves connections until the process ends.
@@ -174,7 +207,14 @@
                 if let Err(e) = detect_dead_peer(&stream) {
                     log::debug!("{peer}: {e}");
                 }
-                spawn_local(serve_connection(stream, peer, service.clone(), state.clone()));
+                let Some(connection) = state.intake.open() else {
+                    log::debug!("{peer}: closed at once, no memory for it");
+                    continue;
+                };
+                let (service, state) = (service.clone(), state.clone());
+                spawn_local(serve_connection(stream, peer, connection, service, state));
+                // Connections that give way are closed before more are accepted.
+                yield_now().await;
             }
             Err(e) => {
                 log::warn!("accept failed: {e}");
@@ -184,30 +224,39 @@
     }
 }
 
-/// Serves one connection until it ends.
-pub async fn serve_connection<T, S>(stream: T, peer: SocketAddr, service: Rc<S>, state: ServerState)
-where
+/// Serves one connection until it ends, or has to give way to others.
+pub async fn serve_connection<T, S>(
+    stream: T,
+    peer: SocketAddr,
+    connection: Rc<IntakeConnection>,
+    service: Rc<S>,
+    state: ServerState,
+) where
     T: AsFd + AsyncRead + AsyncWrite + Unpin,
     S: Service,
 {
     let unfinished = UnfinishedAnswer::default();
-    let stream = AnswerStream::new(stream, unfinished.clone(), state.unread);
+    let stream = AnswerStream::new(stream, unfinished.clone(), state.unread, connection.clone());
     let (output, read_time) = (stream.output(), stream.read_time());
     let answer = service_fn(|request: Request<Incoming>| {
         let (service, unfinished) = (service.clone(), unfinished.clone());
-        let read_time = read_time.clone();
+        let (connection, read_time) = (connection.clone(), read_time.clone());
         async move {
             let version = request.version();
-            let response = service.answer(request).await;
+            let guard = connection.begin_request();
+            let response = service.answer(request, connection).await;
             read_time.begin(response.extensions().get::<ReadDeadline>().copied());
-            Ok::<_, std::convert::Infallible>(unfinished.follow(response, version))
+            let response = unfinished.follow(response, version);
+            Ok::<_, std::convert::Infallible>(response.map(|body| guarded_body(body, guard)))
         }
     });
     let mut http = Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_TIMEOUT).max_buf_size(MAX_HEAD_BYTES);
     let serving = http.serve_connection(TokioIo::new(stream), answer);
     tokio::pin!(serving);
-    let mut is_closing = false;
+    let evicted = connection.evicted();
+    tokio::pin!(evicted);
+    let (mut is_closing, mut is_evicted) = (false, false);
     let ended = loop {
         tokio::select! {
             ended = serving.as_mut() => break ended,
@@ -215,6 +264,13 @@
                 is_closing = true;
                 serving.as_mut().graceful_shutdown();
             }
+            () = evicted.as_mut(), if !is_evicted => {
+                is_evicted = true;
+                // A request is refused first, which closes the connection.
+                if !connection.has_request() {
+                    break Ok(());
+                }
+            }
             // The next poll of the connection checks its output.
             () = output.check_due() => {}
         }
--- a/src/gateway/request/arrival.rs
+++ b/src/gateway/request/arrival.rs
@@ -5,11 +5,9 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::{
     Request, Response,
-    body::{Body, Incoming},
+    body::Incoming,
     header::{CONNECTION, HeaderValue},
 };
 
@@ -27,7 +25,7 @@
         context::Gateway,
         decide::Mechanism,
         model::PartKey,
-        net::{AnswerBody, Phase},
+        net::{AnswerBody, IntakeConnection, Phase, read_body},
     },
     platform::{self, RequestHead},
 };
@@ -39,11 +37,15 @@
 
 /// Forwards a caller's request and returns the answer. During shutdown, the answer asks the caller
 /// to close the connection.
-pub async fn forward(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub async fn forward(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    connection: Rc<IntakeConnection>,
+) -> Response<AnswerBody> {
     let arrived = clock::now();
     let leaving = gateway.shutdown.phase() > Phase::Serving;
     let in_progress = InProgress::begin(&gateway);
-    let mut response = answer(&gateway, request, arrived, in_progress).await;
+    let mut response = answer(&gateway, request, &connection, arrived, in_progress).await;
     if leaving || gateway.shutdown.phase() > Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -53,6 +55,7 @@
 async fn answer(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
+    connection: &Rc<IntakeConnection>,
     arrived: Instant,
     in_progress: InProgress,
 ) -> Response<AnswerBody> {
@@ -75,14 +78,15 @@
         return refuse_admitted(gateway, &head, &admitted, refusal, arrived);
     }
     let limit = admitted.configuration.limits.body_bytes;
-    let read = clock::timeout_at(deadline, read_body(body, limit)).await;
-    let body = match read.unwrap_or(Err(Refusal::TimeOverNotRun)) {
-        Ok(body) => body,
+    let read = clock::timeout_at(deadline, read_body(connection, body, limit)).await;
+    let read = read.map_or(Err(Refusal::TimeOverNotRun), |read| read.map_err(Refusal::from));
+    let (body, lease) = match read {
+        Ok(read) => read,
         Err(refusal) => return refuse_admitted(gateway, &head, &admitted, refusal, arrived),
     };
     let outgoing = OutgoingRequest::new(parts, head, body);
     let parts = part_keys(gateway, &outgoing.head, &admitted.service);
-    let accepted = Accepted { outgoing, parts, admitted, arrived, deadline };
+    let accepted = Accepted { outgoing, body: lease, parts, admitted, arrived, deadline };
     Forwarding::new(gateway.clone(), accepted, in_progress).answer().await
 }
 
@@ -106,26 +110,6 @@
     }
 }
 
-/// Reads a body into one buffer. The frames of the library each hold a part of its read buffer, which
-/// takes many times the bytes of small chunks.
-async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let mut buf = Vec::new();
-    while let Some(frame) = body.frame().await {
-        // Trailers are not passed on.
-        let Ok(data) = frame.map_err(|_broken| Refusal::BodyIncomplete)?.into_data() else {
-            continue;
-        };
-        if buf.len() + data.len() > limit {
-            return Err(Refusal::BodyTooLarge);
-        }
-        buf.extend_from_slice(&data);
-    }
-    Ok(buf.into())
-}
-
 /// Gives back the tokens that a request was charged to its customer's quota.
 pub(super) fn refund_quota(gateway: &Gateway, admitted: &Admitted) {
     if let Some(customer) = &admitted.customer {
--- a/src/gateway/request/endpoints.rs
+++ b/src/gateway/request/endpoints.rs
@@ -15,7 +15,8 @@
         context::Gateway,
         controllers::VerdictKind,
         decide::choose_listed_gateways,
-        net::{AnswerBody, Phase, Service, TUNNEL_PATH, full_body},
+        model::EndpointKind,
+        net::{AnswerBody, IntakeConnection, Phase, Service, TUNNEL_PATH, full_body},
     },
     platform::{decode_lookup, encode_addresses, is_ready_probe},
 };
@@ -30,19 +31,6 @@
 /// that revision are returned.
 const UPSTREAMS_PATH: &str = "/peer/upstreams";
 
-/// Kind of an address that the process listens on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndpointKind {
-    /// Callers' requests, which are forwarded to upstreams.
-    Callers,
-    /// Directory look-ups, by which callers learn the addresses of gateways.
-    Directory,
-    /// The platform's readiness probe.
-    Readiness,
-    /// Requests of other gateways, metrics, and operators' status and quarantine pages.
-    Peers,
-}
-
 /// Answers requests that arrive at one listening address.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -53,9 +41,13 @@
 }
 
 impl Service for Endpoint {
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        connection: Rc<IntakeConnection>,
+    ) -> Response<AnswerBody> {
         match self.kind {
-            EndpointKind::Callers => forward(self.gateway.clone(), request).await,
+            EndpointKind::Callers => forward(self.gateway.clone(), request, connection).await,
             EndpointKind::Directory => directory(&self.gateway, &request),
             EndpointKind::Readiness => readiness(&self.gateway, &request),
             EndpointKind::Peers => peers(&self.gateway, request).await,
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -22,7 +22,7 @@
         decide::{AttemptOutcome, RouteKey, VersionGroup},
         model::{PartKey, RequestDigest, RequestKind, UpstreamVersion, WatchedData},
         net::{
-            AnswerBody, BodyEnd, ConnectError, Framing, ReadDeadline, buffered_body,
+            AnswerBody, BodyEnd, BodyLease, ConnectError, Framing, ReadDeadline, buffered_body,
             frame_until_close,
         },
         telemetry::Event,
@@ -77,6 +77,7 @@
     pub(super) framing: Option<Framing>,
     /// Whether the latest upstream's stream ended inside an event.
     pub(super) inside_event: bool,
+    _body: BodyLease,
     _in_progress: InProgress,
 }
 
@@ -85,6 +86,8 @@
 pub(super) struct Accepted {
     /// The request as it is sent to upstreams.
     pub(super) outgoing: OutgoingRequest,
+    /// Memory of its body.
+    pub(super) body: BodyLease,
     /// Parts of the prompt that other requests may share.
     pub(super) parts: Rc<[PartKey]>,
     /// Route, customer and service determined at admission.
@@ -106,7 +109,7 @@
 impl Forwarding {
     /// Creates the state of a request that has not been sent yet.
     pub(super) fn new(gateway: Rc<Gateway>, accepted: Accepted, in_progress: InProgress) -> Self {
-        let Accepted { outgoing, parts, admitted, arrived, deadline } = accepted;
+        let Accepted { outgoing, body, parts, admitted, arrived, deadline } = accepted;
         Self {
             digest: outgoing.digest(admitted.customer.as_deref()),
             gateway,
@@ -123,6 +126,7 @@
             stream_version: None,
             framing: None,
             inside_event: false,
+            _body: body,
             _in_progress: in_progress,
         }
     }
--- a/src/gateway/request/mod.rs
+++ b/src/gateway/request/mod.rs
@@ -34,7 +34,7 @@
 pub use choose::{Choice, Criteria, Exclusion, Method, choose};
 pub use crash::UpstreamProbes;
 pub use dial::DialTarget;
-pub use endpoints::{Endpoint, EndpointKind};
+pub use endpoints::Endpoint;
 pub use events::EventSplitter;
 pub use health_check::{CheckTarget, check_upstream};
 pub use outcome::Outcome;
--- a/src/gateway/request/refusal.rs
+++ b/src/gateway/request/refusal.rs
@@ -8,10 +8,10 @@
 };
 use thiserror::Error;
 
-use crate::gateway::net::{AnswerBody, full_body};
+use crate::gateway::net::{AnswerBody, ReadBodyError, full_body};
 
-/// Retry delay while this process has no configuration or shuts down; other gateways can serve the
-/// request at once.
+/// Retry delay while this process has no configuration, shuts down or has no memory for a body; other
+/// gateways can serve the request at once.
 const OTHER_GATEWAY_DELAY: Duration = Duration::from_millis(200);
 /// Retry delay while the configuration may be stale; it is likely to be refreshed by then if the
 /// store answers.
@@ -41,6 +41,9 @@
     /// The body ended before it was complete.
     #[error("body incomplete")]
     BodyIncomplete,
+    /// This process has no memory for the body; the request has not run.
+    #[error("no memory for the body here; it has not run")]
+    NoMemory,
     /// The customer's quota is exhausted; contains the time until it suffices again.
     #[error("quota used up")]
     QuotaUsedUp(Duration),
@@ -91,6 +94,16 @@
     Broken,
 }
 
+impl From<ReadBodyError> for Refusal {
+    fn from(error: ReadBodyError) -> Self {
+        match error {
+            ReadBodyError::TooLarge => Self::BodyTooLarge,
+            ReadBodyError::Incomplete => Self::BodyIncomplete,
+            ReadBodyError::NoMemory => Self::NoMemory,
+        }
+    }
+}
+
 impl Refusal {
     /// Returns the HTTP status. 429 and 503 guarantee that the request has not run and will not.
     pub fn status(self) -> StatusCode {
@@ -101,6 +114,7 @@
             | Self::CopyRuns(_)
             | Self::StreamVersionUnknown
             | Self::StreamVersionGone
+            | Self::NoMemory
             | Self::NoRoom
             | Self::TooLargeForEngines
             | Self::Overloaded(_)
@@ -127,6 +141,7 @@
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_incomplete",
+            Self::NoMemory => "no_memory",
             Self::QuotaUsedUp(_) => "quota_used_up",
             Self::CrashesUpstreams => "crashes_upstreams",
             Self::CopyRuns(_) => "copy_runs",
@@ -146,7 +161,7 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoConfiguration | Self::Leaving => Some(OTHER_GATEWAY_DELAY),
+            Self::NoConfiguration | Self::NoMemory | Self::Leaving => Some(OTHER_GATEWAY_DELAY),
             Self::ConfigurationOld => Some(CONFIGURATION_DELAY),
             Self::NoRoom | Self::TimeOverNotRun => Some(CAPACITY_DELAY),
             Self::QuotaUsedUp(wait)
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -13,7 +13,10 @@
     registry::Registry,
 };
 
-use crate::{gateway::model::WatchedData, telemetry::Labels};
+use crate::{
+    gateway::{model::WatchedData, net::IntakeMetrics},
+    telemetry::Labels,
+};
 
 /// Upper bound of the first bucket of latency histograms, in seconds.
 const FIRST_BUCKET_S: f64 = 0.004;
@@ -70,6 +73,8 @@
     pub rejected_entries: Family<Labels, Counter>,
     /// Number of connections that hold parts of answers which the kernel does not take.
     pub unread_answers: Gauge,
+    /// What the connections of clients hold.
+    pub intake: IntakeMetrics,
     /// Number of engine orders by outcome.
     pub orders: Family<Labels, Counter>,
     /// Number of acquisitions of the lease on the duties, by what they rested on.
@@ -156,6 +161,7 @@
             platform_calls: Family::default(),
             rejected_entries: Family::default(),
             unread_answers: Gauge::default(),
+            intake: IntakeMetrics::default(),
             orders: Family::default(),
             lease_acquisitions: Family::default(),
             rollouts: Family::default(),
@@ -205,6 +211,11 @@
             "Answers held for callers that do not read",
             self.unread_answers.clone(),
         );
+        r.register("intake_bytes", "Bytes that clients hold", self.intake.bytes.clone());
+        let open = self.intake.connections.clone();
+        r.register("intake_connections", "Open connections of clients", open);
+        let evictions = self.intake.evictions.clone();
+        r.register("intake_evictions", "Connections that had to give way", evictions);
         r.register("engine_orders", "Orders of engines", self.orders.clone());
         r.register("lease_acquisitions", "Leases by basis", self.lease_acquisitions.clone());
         r.register("rollout_changes", "Changes of roll-outs", self.rollouts.clone());
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -8,9 +8,11 @@
 
 use log::LevelFilter;
 
-use super::{Section, SettingsError, entry::LOG_LEVELS, load};
+use super::{Section, SettingsError, entry::LOG_LEVELS, load, system};
 use crate::{
-    gateway::decide::{CapacityPolicy, DisabledMechanisms, ExposureTerms, Mechanism, QuotaPolicy},
+    gateway::decide::{
+        CapacityPolicy, DisabledMechanisms, ExposureTerms, IntakeLimits, Mechanism, QuotaPolicy,
+    },
     ids::DataCentre,
 };
 
@@ -111,6 +113,20 @@
         [("first_event", Self::FirstEvent), ("cost", Self::Cost)];
 }
 
+/// What the process may use of its host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostSettings {
+    /// Bytes of memory.
+    pub memory: usize,
+}
+
+impl HostSettings {
+    /// Returns what clients may make the process hold.
+    pub fn intake_limits(&self) -> IntakeLimits {
+        IntakeLimits::of_host(self.memory)
+    }
+}
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -138,6 +154,8 @@
     pub capacity: CapacitySettings,
     /// When load control takes effect.
     pub load: LoadSettings,
+    /// What the process may use of its host.
+    pub host: HostSettings,
     /// Mechanisms that are disabled, for measurements.
     pub off: DisabledMechanisms,
 }
@@ -169,6 +187,7 @@
             bounds: s.section("bounds", bounds),
             capacity: s.section("capacity", capacity),
             load: s.section("load", load_control),
+            host: s.section("host", host),
             off: DisabledMechanisms::new(s.some_of("off", &Mechanism::NAMES)),
         }
     }
@@ -219,6 +238,14 @@
     }
 }
 
+/// The defaults are what the system allows the process.
+fn host(s: &mut Section) -> HostSettings {
+    let memory_mb = s.optional_count("memory_mb");
+    HostSettings {
+        memory: memory_mb.map_or_else(system::memory_bytes, |mb| mb as usize * 1_000_000),
+    }
+}
+
 /// Whether load control is enabled, as written in the settings.
 const SWITCH: [(&str, bool); 2] = [("off", false), ("on", true)];
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,11 +4,12 @@
 mod entry;
 mod gateway;
 mod reader;
+mod system;
 
 pub use control::ControlSettings;
 pub use entry::{EntrySettings, Limits};
 pub use gateway::{
-    Bounds, CandidatePolicy, CapacitySettings, GatewaySettings, ListenSettings, LoadSettings,
-    PlacementPolicy,
+    Bounds, CandidatePolicy, CapacitySettings, GatewaySettings, HostSettings, ListenSettings,
+    LoadSettings, PlacementPolicy,
 };
 pub use reader::{Mistake, Section, SettingsError, load};
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -176,11 +176,15 @@
 
     /// Returns a positive integer, or `default` if the key is missing.
     pub fn count(&mut self, key: &str, default: u32) -> u32 {
-        let value = self.lookup(key);
+        self.optional_count(key).unwrap_or(default)
+    }
+
+    /// Returns a positive integer, or `None` if the key is missing.
+    pub fn optional_count(&mut self, key: &str) -> Option<u32> {
+        let value = self.lookup(key)?;
         match &value {
-            None => default,
-            Some(Value::Integer(n)) if *n > 0 && *n <= i64::from(u32::MAX) => *n as u32,
-            Some(_) => self.invalid(key, "a whole number above zero", value.as_ref(), default),
+            Value::Integer(n) if *n > 0 && *n <= i64::from(u32::MAX) => Some(*n as u32),
+            _ => self.invalid(key, "a whole number above zero", Some(&value), None),
         }
     }
 
--- a/tests/gateway_long_answers.rs
+++ b/tests/gateway_long_answers.rs
@@ -10,7 +10,9 @@
 
 use hyper::{Request, Response, body::Incoming};
 use socket2::{Domain, Socket, Type};
-use tackhollow::gateway::net::{AnswerBody, ServerState, Service, channel_body, serve};
+use tackhollow::gateway::net::{
+    AnswerBody, IntakeConnection, ServerState, Service, channel_body, serve,
+};
 use tokio::{
     net::TcpListener,
     runtime::Builder,
@@ -28,7 +30,11 @@
 struct Endless;
 
 impl Service for Endless {
-    async fn answer(self: Rc<Self>, _: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(
+        self: Rc<Self>,
+        _: Request<Incoming>,
+        _: Rc<IntakeConnection>,
+    ) -> Response<AnswerBody> {
         let (tx, rx) = channel(4);
         spawn_local(async move {
             while tx.send(Ok(vec![b'x'; WRITTEN].into())).await.is_ok() {
