Each kind of address has a share of the descriptors, and the oldest idle connection gives way

Callers got no answer, look-ups none either, and a gateway that was ready said that it was not: 400 connections that send nothing, at any one address, took all of 300 descriptors.

Cause: connections were accepted without a limit until accept failed, so that callers, look-ups, probes, other gateways, the store and upstreams competed for the last descriptor.

Change: half of the descriptors are for callers, an eighth each for look-ups and for other gateways, a thirty-second for probes; the rest stays for connections that the process opens. The connection over the share is accepted, and the one longest without progress is closed for it: one without a request first, never one whose request is being handled or whose answer is unread. `[host] descriptors` overrides the system's limit; the template names the platform's figures.

--- a/deploy/gateway.toml.tpl
+++ b/deploy/gateway.toml.tpl
@@ -17,6 +17,10 @@
 store = {{platform.address|json}}
 api = {{cloudApi.address|json}}
 
+[host]
+{{#limits.memoryMb}}memory_mb = {{limits.memoryMb}}
+{{/limits.memoryMb}}{{#limits.maxFds}}descriptors = {{limits.maxFds}}
+{{/limits.maxFds}}
 [bounds]
 {{#bounds.graceS}}grace_s = {{bounds.graceS}}
 {{/bounds.graceS}}{{#bounds.retryBudgetRatio}}retry_ratio = {{bounds.retryBudgetRatio}}
--- a/src/bin/tackhollow-emulator/network.rs
+++ b/src/bin/tackhollow-emulator/network.rs
@@ -146,7 +146,7 @@
                     Ok(None) => {}
                     Ok(Some(stream)) => {
                         let state = ServerState::default();
-                        if let Some(connection) = state.intake.open() {
+                        if let Some(connection) = state.intake.open(state.kind) {
                             let service = service.clone();
                             spawn_local(serve_connection(stream, peer, connection, service, state));
                         }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -8,7 +8,7 @@
     board::{Board, StoreState},
     controllers::Controllers,
     decide::{LimitAnnouncement, Mechanism, PartChange, QuarantineChange, StoreStability},
-    model::{Era, Lifetime, WatchedData},
+    model::{EndpointKind, Era, Lifetime, WatchedData},
     net::{BufferBudget, Intake, Phase, Pool, ServerState, Shutdown, UnreadAnswers},
     peering::ProcessId,
     reactor::ControllerWaker,
@@ -109,10 +109,10 @@
         }
     }
 
-    /// Returns what the connections of the gateway's servers share.
-    pub fn server_state(&self) -> ServerState {
+    /// Returns what the connections of one of the gateway's servers share.
+    pub fn server_state(&self, kind: EndpointKind) -> ServerState {
         let (shutdown, unread) = (self.shutdown.clone(), self.unread.clone());
-        ServerState { shutdown, unread, intake: self.intake.clone() }
+        ServerState { shutdown, unread, intake: self.intake.clone(), kind }
     }
 
     /// Returns whether a mechanism is in use. Those of load control are used only where the settings
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -76,7 +76,7 @@
     ] {
         let listener = bind_tcp(address).await?;
         let door = Rc::new(Endpoint { kind, gateway: gateway.clone() });
-        spawn_local(serve(listener, door, gateway.server_state()));
+        spawn_local(serve(listener, door, gateway.server_state(kind)));
     }
     let mut stakker = Stakker::new(clock::now());
     let controllers = Rc::new(Controllers::start(&mut stakker, &gateway, socket.clone()));
--- a/src/gateway/decide/intake.rs
+++ b/src/gateway/decide/intake.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use crate::gateway::model::EndpointKind;
+
 /// Memory of an open connection without its buffers.
 const CONNECTION_BYTES: usize = 20 << 10;
 /// Memory of a request in hand: its decoded head, and the state of its handling.
@@ -30,19 +32,32 @@
 pub struct IntakeLimits {
     /// Bytes of all connections together.
     pub bytes: usize,
+    /// Descriptors of the process, of which each kind of endpoint has a share.
+    pub descriptors: usize,
 }
 
 impl IntakeLimits {
     /// No limits.
-    pub const NONE: Self = Self { bytes: usize::MAX };
+    pub const NONE: Self = Self { bytes: usize::MAX, descriptors: usize::MAX };
 
     /// Part of the host's memory that clients may take. The rest is for answers, the process itself
     /// and memory that the allocator does not give back.
     const MEMORY_DIVISOR: usize = 3;
 
-    /// Returns the limits of a process that may use `memory` bytes.
-    pub fn of_host(memory: usize) -> Self {
-        Self { bytes: memory / Self::MEMORY_DIVISOR }
+    /// Returns the limits of a process that may use `memory` bytes and `descriptors` descriptors.
+    pub fn of_host(memory: usize, descriptors: usize) -> Self {
+        Self { bytes: memory / Self::MEMORY_DIVISOR, descriptors }
+    }
+
+    /// Returns the number of connections that one kind of endpoint may have. What is left over is for
+    /// connections to upstreams, the store and other gateways.
+    pub fn connections(&self, kind: EndpointKind) -> usize {
+        let divisor = match kind {
+            EndpointKind::Callers => 2,
+            EndpointKind::Directory | EndpointKind::Peers => 8,
+            EndpointKind::Readiness => 32,
+        };
+        (self.descriptors / divisor).max(1)
     }
 }
 
@@ -61,6 +76,7 @@
 
 #[derive(Debug)]
 struct Holder {
+    kind: EndpointKind,
     stage: Stage,
     /// Whether the connection is open.
     is_open: bool,
@@ -138,11 +154,13 @@
         self.holders.values().filter(|h| h.is_open).count()
     }
 
-    /// Adds a connection. It may exceed the limits, see [`Self::over_bytes`].
-    pub fn open(&mut self, now: Instant) -> HolderId {
+    /// Adds a connection. It may exceed the limits, see [`Self::over_connections`] and
+    /// [`Self::over_bytes`].
+    pub fn open(&mut self, kind: EndpointKind, now: Instant) -> HolderId {
         let id = self.next;
         self.next += 1;
         let holder = Holder {
+            kind,
             stage: Stage::Waiting,
             is_open: true,
             is_unread: false,
@@ -261,6 +279,12 @@
         });
     }
 
+    /// Returns whether a kind of endpoint has more connections than it may.
+    pub fn over_connections(&self, kind: EndpointKind) -> bool {
+        let open = self.holders.values().filter(|h| h.kind == kind && h.stage != Stage::Ended);
+        open.count() > self.limits.connections(kind)
+    }
+
     /// Returns whether there is no room for the body of a connection, which already holds it.
     pub fn over_bytes(&self, id: HolderId) -> bool {
         let is_large = self.holders.get(&id).is_some_and(|h| h.body > SMALL_BODY_BYTES);
@@ -268,6 +292,18 @@
         self.held > self.limits.bytes / whole * part
     }
 
+    /// Returns the connection that gives way to another one of its kind: one without a request before
+    /// one with a body that is not complete, and the one longest without progress among them. `None`
+    /// if none can.
+    pub fn choose_by_age(&self, kind: Option<EndpointKind>, now: Instant) -> Option<HolderId> {
+        let candidates = self
+            .holders
+            .iter()
+            .filter(|(_, h)| kind.is_none_or(|k| k == h.kind) && h.may_give_way(now));
+        let first = candidates.max_by_key(|(_, h)| (std::cmp::Reverse(h.stage), h.lateness(now)));
+        first.map(|(id, _)| *id)
+    }
+
     /// Returns the connection that gives way for memory: the one that costs most, other than `id`.
     /// `None` if none can.
     pub fn choose_by_cost(&self, id: HolderId, now: Instant) -> Option<HolderId> {
--- a/src/gateway/net/intake/mod.rs
+++ b/src/gateway/net/intake/mod.rs
@@ -16,10 +16,17 @@
 
 use crate::{
     clock,
-    gateway::decide::{HolderId, IntakeAccount, IntakeLimits},
+    gateway::{
+        decide::{HolderId, IntakeAccount, IntakeLimits},
+        model::EndpointKind,
+    },
     telemetry::{Labels, count},
 };
 
+/// Cause of an eviction: another connection of the same kind was opened.
+const CAUSE_CONNECTIONS: &str = "connections";
+/// Cause of an eviction: the process is out of descriptors.
+const CAUSE_DESCRIPTORS: &str = "descriptors";
 /// Cause of an eviction: another connection needed memory.
 const CAUSE_MEMORY: &str = "memory";
 
@@ -66,17 +73,31 @@
         self.shared.borrow_mut().account.set_limits(limits);
     }
 
-    /// Adds an open connection. `None` if there is no memory for it, so that it has to be closed.
-    pub fn open(&self) -> Option<Rc<IntakeConnection>> {
+    /// Adds an open connection. If there are too many of its kind, another one gives way; `None` if
+    /// none can, so that the new one has to be closed.
+    pub fn open(&self, kind: EndpointKind) -> Option<Rc<IntakeConnection>> {
         let now = clock::now();
-        let id = self.shared.borrow_mut().account.open(now);
+        let id = self.shared.borrow_mut().account.open(kind, now);
         let connection = Rc::new(IntakeConnection::new(self.clone(), id));
         self.shared.borrow_mut().connections.insert(id, Rc::downgrade(&connection));
+        if self.shared.borrow().account.over_connections(kind) {
+            let oldest = self.shared.borrow().account.choose_by_age(Some(kind), now);
+            self.evict(oldest?, CAUSE_CONNECTIONS);
+        }
         let has_room = self.make_room(id);
         self.publish();
         has_room.then_some(connection)
     }
 
+    /// Tells the connection that has been without progress for longest to give way, so that its
+    /// descriptor becomes free.
+    pub fn free_descriptor(&self) {
+        let oldest = self.shared.borrow().account.choose_by_age(None, clock::now());
+        if let Some(oldest) = oldest {
+            self.evict(oldest, CAUSE_DESCRIPTORS);
+        }
+    }
+
     /// Makes room for what a connection holds; returns whether it has room.
     fn make_room(&self, id: HolderId) -> bool {
         let now = clock::now();
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -34,6 +34,7 @@
     answer_stream::{AnswerStream, UnfinishedAnswer},
     connect::detect_dead_peer,
 };
+use crate::gateway::model::EndpointKind;
 
 /// Timeout for idle connections and incomplete request heads. The operator's limit is 15 s,
 /// and callers reuse connections that have been idle for up to four fifths of it, so a
@@ -193,6 +194,8 @@
     pub unread: UnreadAnswers,
     /// The connections of all servers of the process.
     pub intake: Intake,
+    /// Kind of the address that this server listens on.
+    pub kind: EndpointKind,
 }
 
 /// Accepts and serves connections until the process ends.
@@ -207,8 +210,8 @@
                 if let Err(e) = detect_dead_peer(&stream) {
                     log::debug!("{peer}: {e}");
                 }
-                let Some(connection) = state.intake.open() else {
-                    log::debug!("{peer}: closed at once, no memory for it");
+                let Some(connection) = state.intake.open(state.kind) else {
+                    log::debug!("{peer}: closed at once, no connection can give way");
                     continue;
                 };
                 let (service, state) = (service.clone(), state.clone());
@@ -218,6 +221,7 @@
             }
             Err(e) => {
                 log::warn!("accept failed: {e}");
+                state.intake.free_descriptor();
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -118,12 +118,14 @@
 pub struct HostSettings {
     /// Bytes of memory.
     pub memory: usize,
+    /// Open descriptors.
+    pub descriptors: usize,
 }
 
 impl HostSettings {
     /// Returns what clients may make the process hold.
     pub fn intake_limits(&self) -> IntakeLimits {
-        IntakeLimits::of_host(self.memory)
+        IntakeLimits::of_host(self.memory, self.descriptors)
     }
 }
 
@@ -241,8 +243,10 @@
 /// The defaults are what the system allows the process.
 fn host(s: &mut Section) -> HostSettings {
     let memory_mb = s.optional_count("memory_mb");
+    let descriptors = s.optional_count("descriptors");
     HostSettings {
         memory: memory_mb.map_or_else(system::memory_bytes, |mb| mb as usize * 1_000_000),
+        descriptors: descriptors.map_or_else(system::descriptors, |n| n as usize),
     }
 }
 
--- a/src/settings/system.rs
+++ b/src/settings/system.rs
@@ -6,6 +6,9 @@
 
 /// Memory that is assumed where the system names none: that of a small host.
 const DEFAULT_MEMORY_BYTES: usize = 120_000_000;
+/// Descriptors that are assumed where the system names none: the usual limit of a process.
+const DEFAULT_DESCRIPTORS: usize = 1_024;
+
 /// Returns the memory that the process may use: the host's, or less if a resource limit is lower.
 pub fn memory_bytes() -> usize {
     let limits = [Resource::RLIMIT_DATA, Resource::RLIMIT_AS];
@@ -13,6 +16,11 @@
     limits.into_iter().filter_map(limit).fold(host, usize::min)
 }
 
+/// Returns the number of descriptors that the process may have open.
+pub fn descriptors() -> usize {
+    limit(Resource::RLIMIT_NOFILE).unwrap_or(DEFAULT_DESCRIPTORS)
+}
+
 /// Returns a resource limit; `None` if it cannot be read.
 fn limit(resource: Resource) -> Option<usize> {
     match getrlimit(resource) {
