Memory of large buffers goes back to the system when they are dropped

Callers of the next crowd saw what those of the first one had been spared: memory that one crowd had used stayed with the process and was missing for the next, of another kind.

Cause: the allocator raises the size from which it maps a buffer by itself to that of the largest mapped buffer that was freed, so that after the first bodies all later ones came from the heap, where small blocks between them keep it from shrinking. Evidence: five crowds in a row took 43, 51, 68, 83 and 113 MiB with the account alone, each bounded by the account by itself.

Change: the size is fixed at 64 KiB, and free memory at the end of the heap is given back from 256 KiB on. One `unsafe` call each, the allocator has no safe interface.

The test of the settings' page reads `[host]` too.

--- a/src/bin/tackhollow-gateway/main.rs
+++ b/src/bin/tackhollow-gateway/main.rs
@@ -5,6 +5,7 @@
 use tackhollow::{
     cli::DaemonProgram,
     gateway::{self, StartError},
+    memory,
     settings::GatewaySettings,
     telemetry,
 };
@@ -22,5 +23,6 @@
 
 fn run(settings: GatewaySettings) -> Result<(), StartError> {
     telemetry::init_logs(settings.log_level);
+    memory::give_back_large_buffers();
     gateway::run(settings)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod gateway;
 pub mod ids;
 pub mod membership;
+pub mod memory;
 pub mod ownership;
 pub mod platform;
 pub mod prefix;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -138,7 +138,7 @@
         ControlSettings::load(path).expect_err("the settings must be rejected").to_string()
     };
     assert_eq!(known_keys(&sections, control), documented_keys("## tackhollow-control"));
-    let sections = ["listen", "platform", "bounds", "capacity", "load"];
+    let sections = ["listen", "platform", "bounds", "capacity", "load", "host"];
     let gateway = |path: &Path| {
         GatewaySettings::load(path).expect_err("the settings must be rejected").to_string()
     };
@@ -184,6 +184,14 @@
             text: "[load]\nmin_spread = -3",
             expected: "load.min_spread: expected a number",
         },
+        InvalidSetting {
+            text: "[host]\nmemory_mb = 0\ndescriptors = 512",
+            expected: "host.memory_mb: expected a whole number above zero",
+        },
+        InvalidSetting {
+            text: "[host]\ndescriptors = \"many\"",
+            expected: "host.descriptors: expected a whole number above zero",
+        },
         InvalidSetting {
             text: "[platform]\nstore = \"x\"",
             expected: "platform.store: expected an IP number",
