Only an answer of an upstream proves that it lives, not a connection that opens

Cause: the probe after an answer without a length took a connection that opened for a sign of life. The system accepts connections for a process that was killed until all its sockets are closed, and then resets them, or leaves some without an answer. Likewise requests whose ends came together shared the result of a probe that had begun before some of those ends.

Change: the probe sends a health check on its new connection, and only an answer with the upstream's id proves its life; an answer of another one, or a refused connection, its end. What is left is unproven, and leads to the end that claims least: the caller's answer is reset, and the interrupted runs stay undecided. The end that an earlier probe found is shared, its life is not. The log says what each probe found (upstream_probed).

--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -2,18 +2,19 @@
 //! requests that ran there. Requests that crash upstreams are quarantined.
 
 use std::{
-    cell::RefCell,
-    collections::{BTreeSet, HashMap},
-    net::SocketAddr,
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use stakker::call;
-use tokio::sync::OnceCell;
 
 use super::{
-    DialTarget, Refusal, attempt::UPSTREAM_RESTARTED, forward::Forwarding, select::Selected,
+    Refusal,
+    attempt::UPSTREAM_RESTARTED,
+    forward::Forwarding,
+    select::Selected,
+    upstream_probe::{ProbeResult, ProbeTarget},
 };
 use crate::{
     clock,
@@ -21,7 +22,6 @@
         context::Gateway,
         decide::{AttemptOutcome, InterruptedAttempt, Permission},
         model::{Lifetime, PartKey, RequestDigest},
-        net::{Path, PoolError},
         telemetry::Event,
     },
     ids::UpstreamId,
@@ -34,21 +34,6 @@
 /// Parts of prompts that a line of the log about the end of an upstream names.
 const MAX_LOGGED_PARTS: usize = 64;
 
-/// What a probe of an upstream shows after a run there was interrupted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeResult {
-    /// The upstream has ended.
-    Ended,
-    /// The upstream is alive.
-    Alive,
-    /// The upstream is alive, and this gateway has lost its path to it.
-    OwnPathLost,
-    /// The upstream is out of reach for everybody, which proves neither its end nor its life.
-    Unreachable,
-    /// Nothing was found out: no connection was free for the probe.
-    NotProbed,
-}
-
 /// Whether an upstream has ended, as far as it could be found out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum UpstreamLife {
@@ -60,43 +45,6 @@
     Unknown,
 }
 
-/// Probes whether upstreams have ended. At most one probe runs for each lifetime; requests that are
-/// interrupted together share its result.
-#[derive(Debug, Default)]
-pub struct UpstreamProbes {
-    running: RefCell<HashMap<Lifetime, Rc<OnceCell<ProbeResult>>>>,
-}
-
-impl UpstreamProbes {
-    /// Probes the upstream at `address`. It has ended if its host refuses the connection. A host
-    /// that does not answer may be unreachable, which proves no end.
-    async fn probe(
-        &self,
-        gateway: &Gateway,
-        lifetime: Lifetime,
-        address: SocketAddr,
-        max_connections: usize,
-    ) -> ProbeResult {
-        let check = self.running.borrow_mut().entry(lifetime).or_default().clone();
-        let probe = || async {
-            let dialling = gateway.dial(DialTarget { lifetime, address, request: "" });
-            match gateway.pool.open_new(lifetime, max_connections, dialling).await {
-                Ok(lease) if lease.path() == Path::Tunnel => ProbeResult::OwnPathLost,
-                Ok(lease) => {
-                    lease.give_back(None);
-                    ProbeResult::Alive
-                }
-                Err(PoolError::Connect(e)) if e.is_refused() => ProbeResult::Ended,
-                Err(PoolError::Connect(_)) => ProbeResult::Unreachable,
-                Err(PoolError::Full) => ProbeResult::NotProbed,
-            }
-        };
-        let result = *check.get_or_init(probe).await;
-        self.running.borrow_mut().remove(&lifetime);
-        result
-    }
-}
-
 impl Gateway {
     /// Attributes the end of an upstream to the requests that were interrupted there, and informs
     /// the other gateways.
@@ -161,11 +109,10 @@
             return;
         }
         self.note_interruption(selected);
-        let (gateway, probes) = (&self.gateway, &self.gateway.upstream_probes);
-        let (address, max) = (selected.address, selected.max_connections);
+        let gateway = &self.gateway;
         let result = match restarted {
             true => ProbeResult::Ended,
-            false => probes.probe(gateway, lifetime, address, max).await,
+            false => self.probe(selected).await,
         };
         if result != ProbeResult::OwnPathLost {
             self.verdict(id, lifetime, AttemptOutcome::Failed);
@@ -175,7 +122,7 @@
             ProbeResult::Alive
             | ProbeResult::OwnPathLost
             | ProbeResult::Unreachable
-            | ProbeResult::NotProbed => {
+            | ProbeResult::Unproven => {
                 if result != ProbeResult::OwnPathLost {
                     self.note_failure(selected.version_group);
                 }
@@ -183,8 +130,8 @@
                 self.count_usage(clock::now());
                 // The runs were interrupted for another reason than an end of the upstream. They are
                 // forgotten, lest a later restart of an upstream with faulty answers be attributed
-                // to them. Without a probe a later one decides.
-                if result != ProbeResult::NotProbed {
+                // to them. Where nothing was found out a later probe decides.
+                if result != ProbeResult::Unproven {
                     gateway.board.borrow_mut().breaks.take(lifetime);
                 }
             }
@@ -195,15 +142,27 @@
     /// in the middle of an answer, without an error. The connection of the run should have been
     /// dropped: it may take the place of the probe's.
     pub(super) async fn upstream_life(&self, selected: &Selected) -> UpstreamLife {
-        let (gateway, lifetime) = (&self.gateway, selected.lifetime);
-        let (address, max) = (selected.address, selected.max_connections);
-        match gateway.upstream_probes.probe(gateway, lifetime, address, max).await {
+        match self.probe(selected).await {
             ProbeResult::Ended => UpstreamLife::Ended,
             ProbeResult::Alive | ProbeResult::OwnPathLost => UpstreamLife::Alive,
-            ProbeResult::Unreachable | ProbeResult::NotProbed => UpstreamLife::Unknown,
+            ProbeResult::Unreachable | ProbeResult::Unproven => UpstreamLife::Unknown,
         }
     }
 
+    async fn probe(&self, selected: &Selected) -> ProbeResult {
+        let configuration = &self.admitted.configuration;
+        let service = configuration.services.get(&self.admitted.service);
+        let health_path = service.and_then(|service| service.health_path.as_deref());
+        let target = ProbeTarget::new(selected, health_path);
+        let result = self.gateway.upstream_probes.probe(&self.gateway, target).await;
+        self.gateway.log(&Event::UpstreamProbed {
+            request: &self.outgoing.head.id,
+            upstream: &selected.id,
+            result: result.name(),
+        });
+        result
+    }
+
     fn serves(&self, upstream: &UpstreamId, lifetime: Lifetime) -> bool {
         let mut board = self.gateway.board.borrow_mut();
         board.in_lifetime(upstream, lifetime).is_some_and(|view| view.takes_work())
--- a/src/gateway/telemetry/event.rs
+++ b/src/gateway/telemetry/event.rs
@@ -161,6 +161,15 @@
         /// Result of the check.
         result: &'a str,
     },
+    /// An upstream was asked whether it lives, since a run there was interrupted or its end is unknown.
+    UpstreamProbed {
+        /// Id of the request.
+        request: &'a str,
+        /// Identifier of the upstream.
+        upstream: &'a str,
+        /// Result of the probe.
+        result: &'a str,
+    },
     /// The rate limit of an upstream was set, changed or removed.
     RateLimit {
         /// Identifier of the upstream.
@@ -607,7 +616,8 @@
             | Self::QuotaUsedUp { .. }
             | Self::TooLarge { .. }
             | Self::Admission { .. }
-            | Self::NotSent { .. } => EventClass::Failure,
+            | Self::NotSent { .. }
+            | Self::UpstreamProbed { .. } => EventClass::Failure,
             Self::Answered { status, .. } if *status < 400 => EventClass::Request,
             Self::Answered { .. } => EventClass::Failure,
             _ => EventClass::Belief,
