--- a/src/gateway/decide/intake.rs
+++ b/src/gateway/decide/intake.rs
@@ -2,6 +2,7 @@
 //! connections. Where the room is used up, the client that holds most for the least progress gives way.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeMap,
     time::{Duration, Instant},
 };
@@ -296,19 +297,18 @@
     /// one with a body that is not complete, and the one longest without progress among them. `None`
     /// if none can.
     pub fn choose_by_age(&self, kind: Option<EndpointKind>, now: Instant) -> Option<HolderId> {
-        let candidates = self
-            .holders
-            .iter()
-            .filter(|(_, h)| kind.is_none_or(|k| k == h.kind) && h.may_give_way(now));
-        let first = candidates.max_by_key(|(_, h)| (std::cmp::Reverse(h.stage), h.lateness(now)));
+        let is_candidate = |h: &Holder| kind.is_none_or(|k| k == h.kind) && h.may_give_way(now);
+        // The last of several equal ones is chosen, which is the oldest.
+        let candidates = self.holders.iter().rev().filter(|(_, h)| is_candidate(h));
+        let first = candidates.max_by_key(|(_, h)| (Reverse(h.stage), h.lateness(now)));
         first.map(|(id, _)| *id)
     }
 
     /// Returns the connection that gives way for memory: the one that costs most, other than `id`.
     /// `None` if none can.
     pub fn choose_by_cost(&self, id: HolderId, now: Instant) -> Option<HolderId> {
-        let candidates =
-            self.holders.iter().filter(|(other, h)| **other != id && h.may_give_way(now));
+        let is_candidate = |other: HolderId, h: &Holder| other != id && h.may_give_way(now);
+        let candidates = self.holders.iter().rev().filter(|(id, h)| is_candidate(**id, h));
         let first = candidates.max_by(|(_, a), (_, b)| a.cost(now).total_cmp(&b.cost(now)));
         first.map(|(id, _)| *id)
     }
--- a/src/gateway/net/window.rs
+++ b/src/gateway/net/window.rs
@@ -6,7 +6,8 @@
 
 use std::{
     cell::Cell,
-    io, mem,
+    io::{self, IoSlice},
+    mem,
     os::fd::AsFd,
     pin::Pin,
     rc::Rc,
@@ -169,6 +170,22 @@
         Pin::new(&mut this.stream).poll_write(cx, buf)
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        this.watch.check(&this.stream)?;
+        this.watch.output.note_written(bufs.iter().map(|buf| buf.len()).sum());
+        Pin::new(&mut this.stream).poll_write_vectored(cx, bufs)
+    }
+
+    /// Without it, the library copies the body of a request behind its head before it sends them.
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         this.watch.check(&this.stream)?;
--- a/tests/crowds/mod.rs
+++ b/tests/crowds/mod.rs
@@ -25,6 +25,8 @@
     Chunks(usize),
     /// A body that lacks its last byte.
     Length,
+    /// A whole body.
+    Whole,
     /// A head of some bytes that is not ended.
     Head(usize),
     /// A body and trailers of some bytes that are not ended.
@@ -79,12 +81,8 @@
         let post = head("POST", "/plan/a");
         match self {
             Self::Chunks(size) => chunked(&post, MAX_BODY_BYTES - 1, size),
-            Self::Length => {
-                let mut bytes =
-                    format!("{post}content-length: {MAX_BODY_BYTES}\r\n\r\n").into_bytes();
-                bytes.resize(bytes.len() + MAX_BODY_BYTES - 1, b'x');
-                bytes
-            }
+            Self::Length => with_length(&post, MAX_BODY_BYTES - 1),
+            Self::Whole => with_length(&post, MAX_BODY_BYTES),
             Self::Head(size) => format!("{post}x-long: {}", "y".repeat(size)).into_bytes(),
             Self::Trailers(size) => {
                 let start = format!("{post}transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n");
@@ -119,6 +117,13 @@
     )
 }
 
+/// Returns a request with a body of the largest size, as far as its first `sent` bytes.
+fn with_length(head: &str, sent: usize) -> Vec<u8> {
+    let mut request = format!("{head}content-length: {MAX_BODY_BYTES}\r\n\r\n").into_bytes();
+    request.resize(request.len() + sent, b'x');
+    request
+}
+
 fn chunked(head: &str, bytes: usize, size: usize) -> Vec<u8> {
     let mut request = format!("{head}transfer-encoding: chunked\r\n\r\n").into_bytes();
     let mut left = bytes;
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -4,7 +4,7 @@
 mod crowds;
 mod support;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 
 use crowds::{Crowd, MAX_BODY_BYTES, send_body_in_single_bytes};
 use hyper::StatusCode;
@@ -96,6 +96,24 @@
     check(&[Case::new(Crowd::Chunks(64 << 10), 60), Case::new(Crowd::Length, 60)]);
 }
 
+/// Guards against whole bodies that are held more than once while their upstream does not read them.
+#[test]
+fn bodies_at_an_upstream_that_does_not_read_leave_memory_to_others() {
+    let mut site = start(HOST_DESCRIPTORS);
+    // Its system accepts connections and some bytes of each.
+    let idle = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = idle.local_addr().expect("an address");
+    site.behave(Some("i-1"), "full");
+    let (id, _) = site.add_upstream_behind("llm", address);
+    site.wait_known(&id);
+    let gateway = &mut site.gateways[0];
+    let clients = Crowd::Whole.start(gateway.callers, 60);
+    check_process(gateway, HOST_DESCRIPTORS, "whole bodies");
+    check_ordinary_callers(gateway, "whole bodies");
+    drop(clients);
+    check_ordinary_callers(gateway, "whole bodies");
+}
+
 /// Guards against chunks that take many times their bytes.
 #[test]
 fn bodies_in_single_bytes_leave_memory_to_others() {
