Too many unread answers cost the customer that has most of them, and the bound is a setting

Cause: beyond 250 connections whose callers do not read, the oldest one was ended, whoever its customer was, so that a thousand such callers of one customer cost another one its answers. Read in the code, not shown with processes: the decision alone is tested (gateway_intake).

Change: the oldest answer of the customer that has most of them is cut off; host.unread_answers sets the number, unread_evictions counts, and the line in the log names the customer.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -84,6 +84,7 @@
         };
         let metrics = GatewayMetrics::new();
         let intake = Intake::new(settings.host.intake_limits(), metrics.intake.clone());
+        let unread = UnreadAnswers::new(settings.host.unread_answers, metrics.unread.clone());
         let duties = DutyClient::new(settings.api, settings.id.clone());
         Self {
             settings: RefCell::new(settings),
@@ -100,7 +101,7 @@
             store,
             duties,
             shutdown: Shutdown::default(),
-            unread: UnreadAnswers::new(metrics.unread_answers.clone()),
+            unread,
             intake,
             journal,
             metrics,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -187,6 +187,7 @@
             current.load = settings.load;
             current.host = settings.host;
             gateway.intake.set_limits(settings.host.intake_limits());
+            gateway.unread.set_max(settings.host.unread_answers);
         }
         Err(e) => log::error!("settings not reloaded, the earlier ones stay in force: {e}"),
     }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -41,6 +41,7 @@
 mod stored_windows;
 mod stream_versions;
 mod tunnel_peers;
+mod unread;
 mod upstream_health;
 mod upstream_paths;
 mod upstream_speed;
@@ -120,6 +121,7 @@
     STREAM_LIFETIME, StreamVersions, VersionHistory, VersionKeeper, choose_keepers,
 };
 pub use tunnel_peers::{TunnelPeers, choose_listed_gateways};
+pub use unread::choose_unread;
 pub use upstream_health::{AttemptOutcome, UpstreamHealth};
 pub use upstream_paths::{PathChange, UpstreamPaths};
 pub use upstream_speed::{SampleUse, SpeedSample, SpeedSamples, UpstreamSpeeds};
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -33,5 +33,5 @@
 pub use tunnel::{
     TUNNEL_PATH, TunnelError, TunnelRefusal, open_tunnel, tunnel_response, tunnelled_request,
 };
-pub use unread::{ReadDeadline, UnreadAnswers};
+pub use unread::{DEFAULT_MAX_UNREAD, Reader, UnreadAnswers, UnreadMetrics};
 pub use upstream_body::{BodyEnd, BodyPart, UpstreamBody};
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -30,7 +30,7 @@
 };
 
 use super::{
-    BufferLease, Intake, IntakeConnection, ReadDeadline, RequestGuard, Shutdown, UnreadAnswers,
+    BufferLease, Intake, IntakeConnection, Reader, RequestGuard, Shutdown, UnreadAnswers,
     answer_stream::{AnswerStream, UnfinishedAnswer},
     connect::detect_dead_peer,
 };
@@ -249,7 +249,7 @@
             let version = request.version();
             let guard = connection.begin_request();
             let response = service.answer(request, connection).await;
-            read_time.begin(response.extensions().get::<ReadDeadline>().copied());
+            read_time.begin(response.extensions().get::<Reader>().cloned());
             let response = unfinished.follow(response, version);
             Ok::<_, std::convert::Infallible>(response.map(|body| guarded_body(body, guard)))
         }
--- a/src/gateway/net/unread.rs
+++ b/src/gateway/net/unread.rs
@@ -8,15 +8,17 @@
     time::{Duration, Instant},
 };
 
-use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
 
 use super::window::Output;
-use crate::clock;
+use crate::{
+    clock,
+    gateway::{decide::choose_unread, model::CustomerName},
+};
 
-/// Maximum number of connections whose kernel takes no more. Each holds up to some 200 KiB in the
-/// process; with more, the one that has been so for longest is ended. Fewer would cut callers off that
-/// read, slowly.
-const MAX_UNREAD: usize = 250;
+/// Default of the maximum number of connections whose kernel takes no more. Each holds up to some
+/// 200 KiB in the process. Fewer would cut callers off that read, slowly.
+pub const DEFAULT_MAX_UNREAD: usize = 250;
 /// Time after its deadline at which an unread answer ends its connection. Until then its end, which
 /// says that the time was over, may be on its way.
 const DEADLINE_GRACE: Duration = Duration::from_secs(1);
@@ -24,45 +26,69 @@
 /// lists of upstreams for other gateways have none.
 const MAX_STALL: Duration = Duration::from_secs(15);
 
-/// When the caller of an answer stops waiting; an extension of the answer.
-#[derive(Clone, Copy, Debug)]
-pub struct ReadDeadline(pub Instant);
+/// Who reads an answer, and until when; an extension of the answer.
+#[derive(Clone, Debug)]
+pub struct Reader {
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// The caller's customer; empty for callers without a key.
+    pub customer: CustomerName,
+}
 
 /// The connections of a process that hold parts of answers, since their callers do not read and their
 /// kernel's buffer is full.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct UnreadAnswers {
     shared: Rc<RefCell<Shared>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     /// By the order in which they became so.
     connections: BTreeMap<u64, Weak<ReadTime>>,
     next: u64,
-    gauge: Gauge,
+    max: usize,
+    metrics: UnreadMetrics,
+}
+
+/// Metrics of [`UnreadAnswers`].
+#[derive(Clone, Debug, Default)]
+pub struct UnreadMetrics {
+    /// Number of connections that hold parts of answers which the kernel does not take.
+    pub answers: Gauge,
+    /// Number of connections that were ended since there were too many.
+    pub evictions: Counter,
+}
+
+impl Default for UnreadAnswers {
+    fn default() -> Self {
+        Self::new(DEFAULT_MAX_UNREAD, UnreadMetrics::default())
+    }
 }
 
 impl UnreadAnswers {
-    /// Creates the registry; its size is published as `gauge`.
-    pub fn new(gauge: Gauge) -> Self {
-        Self { shared: Rc::new(RefCell::new(Shared { gauge, ..Shared::default() })) }
+    /// Creates the registry of at most `max` connections.
+    pub fn new(max: usize, metrics: UnreadMetrics) -> Self {
+        let shared = Shared { connections: BTreeMap::new(), next: 0, max, metrics };
+        Self { shared: Rc::new(RefCell::new(shared)) }
+    }
+
+    /// Replaces the maximum number of connections.
+    pub fn set_max(&self, max: usize) {
+        self.shared.borrow_mut().max = max;
     }
 
-    /// Adds a connection until the guard is dropped. If there are too many, the oldest is ended.
+    /// Adds a connection until the guard is dropped. If there are too many, the oldest one of the
+    /// customer that has most of them is ended.
     pub(super) fn add(&self, connection: &Rc<ReadTime>) -> UnreadGuard {
         let mut shared = self.shared.borrow_mut();
         let number = shared.next;
         shared.next += 1;
         shared.connections.insert(number, Rc::downgrade(connection));
-        shared.gauge.set(shared.connections.len() as i64);
-        if shared.connections.len() > MAX_UNREAD
-            && let Some((_, oldest)) = shared.connections.pop_first()
-            && let Some(oldest) = oldest.upgrade()
-        {
-            log::warn!("more than {MAX_UNREAD} callers do not read: the oldest is cut off");
-            oldest.evict();
+        if shared.connections.len() > shared.max {
+            shared.evict();
         }
+        shared.publish();
         UnreadGuard { shared: self.shared.clone(), number }
     }
 
@@ -72,6 +98,34 @@
     }
 }
 
+impl Shared {
+    /// Ends the oldest connection of the customer that has most of them.
+    fn evict(&mut self) {
+        let living: Vec<(u64, Rc<ReadTime>)> =
+            self.connections.iter().filter_map(|(n, c)| Some((*n, c.upgrade()?))).collect();
+        let customers: Vec<_> = living.iter().map(|(n, c)| (*n, c.customer.borrow())).collect();
+        let Some((oldest, count)) = choose_unread(customers.iter().map(|(n, c)| (*n, c.as_str())))
+        else {
+            return;
+        };
+        drop(customers);
+        let Some(connection) = self.connections.remove(&oldest).and_then(|c| c.upgrade()) else {
+            return;
+        };
+        log::warn!(
+            "more than {} callers do not read, {count} of them of customer {:?}: its oldest is cut off",
+            self.max,
+            connection.customer.borrow()
+        );
+        self.metrics.evictions.inc();
+        connection.evict();
+    }
+
+    fn publish(&self) {
+        self.metrics.answers.set(self.connections.len() as i64);
+    }
+}
+
 /// A connection in [`UnreadAnswers`].
 #[derive(Debug)]
 pub(super) struct UnreadGuard {
@@ -83,7 +137,7 @@
     fn drop(&mut self) {
         let mut shared = self.shared.borrow_mut();
         shared.connections.remove(&self.number);
-        shared.gauge.set(shared.connections.len() as i64);
+        shared.publish();
     }
 }
 
@@ -91,6 +145,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ReadTime {
     deadline: Cell<Option<Instant>>,
+    customer: RefCell<CustomerName>,
     is_evicted: Cell<bool>,
     output: Rc<Output>,
 }
@@ -100,9 +155,10 @@
         Self { output, ..Self::default() }
     }
 
-    /// Notes that an answer begins, which has to be read by `deadline` if it has one.
-    pub(super) fn begin(&self, deadline: Option<ReadDeadline>) {
-        self.deadline.set(deadline.map(|d| d.0));
+    /// Notes that an answer begins, which has to be read by its reader's deadline if one is known.
+    pub(super) fn begin(&self, reader: Option<Reader>) {
+        self.deadline.set(reader.as_ref().map(|r| r.deadline));
+        self.customer.replace(reader.map(|r| r.customer).unwrap_or_default());
     }
 
     fn evict(&self) {
--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -22,7 +22,7 @@
         decide::{AttemptOutcome, RouteKey, VersionGroup},
         model::{PartKey, RequestDigest, RequestKind, UpstreamVersion, WatchedData},
         net::{
-            AnswerBody, BodyEnd, BodyLease, ConnectError, Framing, ReadDeadline, buffered_body,
+            AnswerBody, BodyEnd, BodyLease, ConnectError, Framing, Reader, buffered_body,
             frame_until_close,
         },
         telemetry::Event,
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Returns who reads the answer, and until when.
+    pub(super) fn reader(&self) -> Reader {
+        let customer = self.admitted.customer.clone().unwrap_or_default();
+        Reader { deadline: self.deadline, customer }
+    }
+
     /// Sends the request to upstreams until one answers, and returns the answer.
     pub(super) async fn answer(mut self) -> Response<AnswerBody> {
         self.count_request();
@@ -277,7 +283,7 @@
         platform::strip_hop_headers(&mut head.headers);
         head.version = Version::HTTP_11;
         let mut response = Response::from_parts(head, buffered_body(body, buffer));
-        response.extensions_mut().insert(ReadDeadline(self.deadline));
+        response.extensions_mut().insert(self.reader());
         Ok(Some(Reply::Buffered(match framing {
             Framing::Delimited => response,
             Framing::UntilClose => frame_until_close(response),
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -23,8 +23,8 @@
     gateway::{
         decide::AttemptOutcome,
         net::{
-            AnswerBody, BodyEnd, BodyError, BodyPart, Framing, PooledConnection, ReadDeadline,
-            UpstreamBody, channel_body, frame_until_close,
+            AnswerBody, BodyEnd, BodyError, BodyPart, Framing, PooledConnection, UpstreamBody,
+            channel_body, frame_until_close,
         },
     },
     platform,
@@ -52,7 +52,7 @@
         head.headers.remove(CONTENT_LENGTH);
     }
     let status = head.status;
-    let deadline = ReadDeadline(forwarding.deadline);
+    let reader = forwarding.reader();
     let (tx, rx) = channel(QUEUE_FRAMES);
     spawn_local(async move {
         let mut relay = Relay {
@@ -68,7 +68,7 @@
         relay.forwarding.answered(status, outcome, relay.first_data);
     });
     let mut response = Response::from_parts(head, channel_body(rx));
-    response.extensions_mut().insert(deadline);
+    response.extensions_mut().insert(reader);
     match framing {
         Framing::Delimited => response,
         Framing::UntilClose => frame_until_close(response),
--- a/src/gateway/telemetry/metrics.rs
+++ b/src/gateway/telemetry/metrics.rs
@@ -14,7 +14,10 @@
 };
 
 use crate::{
-    gateway::{model::WatchedData, net::IntakeMetrics},
+    gateway::{
+        model::WatchedData,
+        net::{IntakeMetrics, UnreadMetrics},
+    },
     telemetry::Labels,
 };
 
@@ -71,8 +74,8 @@
     pub platform_calls: Family<Labels, Counter>,
     /// Number of upstream rows that could not be decoded, by cause.
     pub rejected_entries: Family<Labels, Counter>,
-    /// Number of connections that hold parts of answers which the kernel does not take.
-    pub unread_answers: Gauge,
+    /// Answers that their callers do not read.
+    pub unread: UnreadMetrics,
     /// What the connections of clients hold.
     pub intake: IntakeMetrics,
     /// Number of engine orders by outcome.
@@ -160,7 +163,7 @@
             failed_attempts: Family::default(),
             platform_calls: Family::default(),
             rejected_entries: Family::default(),
-            unread_answers: Gauge::default(),
+            unread: UnreadMetrics::default(),
             intake: IntakeMetrics::default(),
             orders: Family::default(),
             lease_acquisitions: Family::default(),
@@ -209,8 +212,10 @@
         r.register(
             "unread_answers",
             "Answers held for callers that do not read",
-            self.unread_answers.clone(),
+            self.unread.answers.clone(),
         );
+        let evictions = self.unread.evictions.clone();
+        r.register("unread_evictions", "Answers cut off as too many were unread", evictions);
         r.register("intake_bytes", "Bytes that clients hold", self.intake.bytes.clone());
         let open = self.intake.connections.clone();
         r.register("intake_connections", "Open connections of clients", open);
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -10,8 +10,11 @@
 
 use super::{Section, SettingsError, entry::LOG_LEVELS, load, system};
 use crate::{
-    gateway::decide::{
-        CapacityPolicy, DisabledMechanisms, ExposureTerms, IntakeLimits, Mechanism, QuotaPolicy,
+    gateway::{
+        decide::{
+            CapacityPolicy, DisabledMechanisms, ExposureTerms, IntakeLimits, Mechanism, QuotaPolicy,
+        },
+        net::DEFAULT_MAX_UNREAD,
     },
     ids::DataCentre,
 };
@@ -120,6 +123,8 @@
     pub memory: usize,
     /// Open descriptors.
     pub descriptors: usize,
+    /// Connections that may hold parts of answers which their callers do not read.
+    pub unread_answers: usize,
 }
 
 impl HostSettings {
@@ -247,6 +252,7 @@
     HostSettings {
         memory: memory_mb.map_or_else(system::memory_bytes, |mb| mb as usize * 1_000_000),
         descriptors: descriptors.map_or_else(system::descriptors, |n| n as usize),
+        unread_answers: s.count("unread_answers", DEFAULT_MAX_UNREAD as u32) as usize,
     }
 }
 
--- a/tests/gateway_intake.rs
+++ b/tests/gateway_intake.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use tackhollow::gateway::{
-    decide::{HolderId, IntakeAccount, IntakeLimits},
+    decide::{HolderId, IntakeAccount, IntakeLimits, choose_unread},
     model::EndpointKind,
 };
 
@@ -143,6 +143,24 @@
     assert_eq!(account.choose_by_age(None, later + SECOND), Some(id));
 }
 
+/// Guards against a customer whose callers do not read costing other customers their answers.
+#[test]
+fn the_customer_with_most_unread_answers_is_cut_off_first() {
+    struct Case {
+        answers: &'static [(u64, &'static str)],
+        chosen: Option<(u64, usize)>,
+    }
+    let cases = [
+        Case { answers: &[], chosen: None },
+        Case { answers: &[(7, "a")], chosen: Some((7, 1)) },
+        Case { answers: &[(1, "b"), (2, "a"), (3, "a"), (4, "b"), (5, "a")], chosen: Some((2, 3)) },
+        Case { answers: &[(1, "b"), (2, ""), (3, "")], chosen: Some((2, 2)) },
+    ];
+    for case in cases {
+        assert_eq!(choose_unread(case.answers.iter().copied()), case.chosen, "{:?}", case.answers);
+    }
+}
+
 /// Guards against large bodies that take the room of small requests.
 #[test]
 fn small_bodies_find_room_beside_large_ones() {
