--- a/tests/crowds/mod.rs
+++ b/tests/crowds/mod.rs
@@ -1,5 +1,7 @@
 //! Callers that hold on to a gateway's memory and descriptors.
 
+#![allow(dead_code, reason = "each test file uses only some of the helpers")]
+
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -5,6 +5,7 @@
 //! `scripts/soak-gateway` runs more seeds; seeds that ever failed stay in [`CASES`]
 //! with the cause of the failure.
 
+mod crowds;
 mod support;
 
 #[path = "soak/brittle.rs"]
@@ -15,6 +16,8 @@
 mod cases;
 #[path = "soak/check.rs"]
 mod check;
+#[path = "soak/crowd_sender.rs"]
+mod crowd_sender;
 #[path = "soak/faults.rs"]
 mod faults;
 #[path = "soak/freshness.rs"]
@@ -40,6 +43,7 @@
     CRASHING_PART_PREFIX, CRASHING_PARTS, Callers, CrashingCaller, CrashingKind, Kind, SentRequest,
 };
 use cases::{CASES, Case, Crashing};
+use crowd_sender::CrowdSender;
 use faults::Faults;
 use hyper::{HeaderMap, StatusCode, header::HeaderValue};
 use logs::{crash_lines, runs_with_crashing_parts, signal_lines, upstream_lines};
@@ -63,7 +67,7 @@
 #[test]
 fn promises_hold_under_faults() {
     run_cases(|case| {
-        let others = case.signals || case.crashing_parts || case.brittle;
+        let others = case.signals || case.crashing_parts || case.brittle || case.crowds;
         case.crashing == Crashing::No && !others
     });
 }
@@ -93,6 +97,11 @@
     run_cases(|case| case.brittle);
 }
 
+#[test]
+fn promises_hold_under_faults_and_crowds() {
+    run_cases(|case| case.crowds);
+}
+
 fn run_cases(chosen: impl Fn(&Case) -> bool) {
     for case in CASES.iter().filter(|c| chosen(c)) {
         println!("seed {}: {}", case.seed, case.description);
@@ -133,6 +142,7 @@
             versions: number("SOAK_VERSIONS", 0) > 0,
             crashing_parts: number("SOAK_PARTS", 0) > 0,
             brittle: number("SOAK_BRITTLE", 0) > 0,
+            crowds: number("SOAK_CROWDS", 0) > 0,
         };
         run_soak(&case, seconds);
     }
@@ -319,7 +329,12 @@
 /// it, so it hides that an upstream is down.
 fn start(case: &Case) -> (Site, Vec<Proxy>, Vec<String>) {
     let mut site = Site::bare();
-    site.configure(&support::gateways::configuration(7));
+    let mut configuration = support::gateways::configuration(7);
+    if case.crowds {
+        configuration["limits"]["maxBodyBytes"] = json!(crowds::MAX_BODY_BYTES);
+        site.process_limits = Some(crowd_sender::PROCESS_LIMITS);
+    }
+    site.configure(&configuration);
     let (gateways, engines, plain) = GATEWAYS_ENGINES_PLAIN;
     let mut links = Vec::new();
     for _ in 0..gateways {
@@ -362,6 +377,7 @@
     let gateways = addresses.clone();
     let addresses = Arc::new(Mutex::new(addresses));
     let callers = Callers::start(seed, CALLERS, &addresses);
+    let crowd_sender = case.crowds.then(|| CrowdSender::start(seed, &addresses));
     let mut crashing_callers = Vec::new();
     if crashing != Crashing::No {
         crashing_callers.push(CrashingCaller::start(seed, CrashingKind::Requests, &addresses));
@@ -406,6 +422,9 @@
         false => Vec::new(),
     };
     let sent = callers.finish();
+    if let Some(crowd_sender) = crowd_sender {
+        println!("seed {seed}: {} crowds", crowd_sender.finish());
+    }
     crashing_callers.into_iter().for_each(CrashingCaller::finish);
     assert_gateways_recover(&site, seed);
     let seen = site.seen();
--- a/tests/soak/cases.rs
+++ b/tests/soak/cases.rs
@@ -24,6 +24,8 @@
     pub crashing_parts: bool,
     /// Whether plain upstreams fall over when they reject too many requests.
     pub brittle: bool,
+    /// Whether crowds of clients hold on to memory and connections of the gateways.
+    pub crowds: bool,
 }
 
 impl Case {
@@ -60,9 +62,10 @@
     versions: false,
     crashing_parts: false,
     brittle: false,
+    crowds: false,
 };
 
-pub const CASES: [Case; 22] = [
+pub const CASES: [Case; 24] = [
     Case { seed: 1, description: "a short run", ..UNDISTURBED },
     Case {
         seed: 2002,
@@ -211,4 +214,21 @@
         store_stalls: true,
         ..UNDISTURBED
     },
+    Case {
+        seed: 16,
+        description: "crowds that hold on to memory and connections",
+        crowds: true,
+        restarts: true,
+        ..UNDISTURBED
+    },
+    Case {
+        seed: 17,
+        description: "crowds beside cuts, unframed answers and a store that stops answering",
+        crowds: true,
+        restarts: true,
+        cuts: true,
+        unframed: true,
+        store_stalls: true,
+        ..UNDISTURBED
+    },
 ];
