A lack of own descriptors speaks against no upstream

Callers saw 503, rightly; but the upstreams whose connections this process had no descriptor for counted as out of reach, were avoided, and other gateways were asked for tunnels to them.

Cause: any error of opening a connection was taken for the upstream's. Change: EMFILE, ENFILE, ENOBUFS and ENOMEM are the process's own: nothing is noted of the upstream, an idle connection of a client gives way, and the attempt counts as not sent (no_descriptor). A probe of an upstream's life is unproven then.

--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -19,6 +19,7 @@
     header::{CONTENT_TYPE, HOST, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
+use nix::errno::Errno;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::{
@@ -72,6 +73,16 @@
         matches!(self, Self::Socket(e) if e.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Returns whether this process lacks a descriptor or memory for the connection, which says nothing
+    /// about the peer.
+    pub fn is_own_shortage(&self) -> bool {
+        let shortages = [Errno::EMFILE, Errno::ENFILE, Errno::ENOBUFS, Errno::ENOMEM];
+        let Self::Socket(e) = self else {
+            return false;
+        };
+        e.raw_os_error().is_some_and(|code| shortages.contains(&Errno::from_raw(code)))
+    }
+
     /// Returns the name of the failure in the log.
     pub fn name(&self) -> &'static str {
         match self {
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -137,6 +137,9 @@
     let mut lease = match acquired {
         Ok(lease) => lease,
         Err(PoolError::Full) => return AttemptEnd::Unsent("no_connection_free"),
+        Err(PoolError::Connect(e)) if e.is_own_shortage() => {
+            return AttemptEnd::Unsent("no_descriptor");
+        }
         Err(PoolError::Connect(e)) => return AttemptEnd::Unreachable(e),
     };
     if lease.connection().ready().await.is_err() {
--- a/src/gateway/request/dial.rs
+++ b/src/gateway/request/dial.rs
@@ -88,6 +88,10 @@
                 Ok(connection) => return Ok(self.reached(target, connection)),
                 // Other gateways had time to answer by now.
                 Err(ConnectError::Timeout) => return Err(ConnectError::Timeout),
+                Err(e) if e.is_own_shortage() => {
+                    self.intake.free_descriptor();
+                    return Err(e);
+                }
                 Err(e) => {
                     direct_error = Some(e);
                     direct_failed.notify_one();
--- a/src/gateway/request/upstream_probe.rs
+++ b/src/gateway/request/upstream_probe.rs
@@ -142,6 +142,7 @@
     let mut lease = match gateway.pool.open_new(lifetime, max_connections, dialling).await {
         Ok(lease) => lease,
         Err(PoolError::Connect(e)) if e.is_refused() => return Some(ProbeResult::Ended),
+        Err(PoolError::Connect(e)) if e.is_own_shortage() => return Some(ProbeResult::Unproven),
         Err(PoolError::Connect(_)) => return Some(ProbeResult::Unreachable),
         Err(PoolError::Full) => return Some(ProbeResult::Unproven),
     };
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -4,7 +4,10 @@
 mod crowds;
 mod support;
 
-use std::net::{SocketAddr, TcpListener};
+use std::{
+    net::{SocketAddr, TcpListener},
+    thread,
+};
 
 use crowds::{Crowd, MAX_BODY_BYTES, send_body_in_single_bytes};
 use hyper::StatusCode;
@@ -155,6 +158,31 @@
     check(&[at(|g| g.callers), at(|g| g.directory), at(|g| g.readiness), at(|g| g.peers)]);
 }
 
+/// Guards against upstreams being avoided since this process has no descriptor for a connection.
+#[test]
+fn a_lack_of_descriptors_speaks_against_no_upstream() {
+    /// More than there are descriptors for, with a connection to an upstream each.
+    const STREAMS: usize = 145;
+    let mut site = start(FEW_DESCRIPTORS);
+    (0..2).for_each(|_| drop(site.add_known_upstream("llm")));
+    let to = site.gateways[0].callers;
+    let call = |n: usize| Call::stream("/plan/a", &format!("stream-{n}"), 150);
+    let callers: Vec<_> = (0..STREAMS).map(|n| thread::spawn(move || call(n).send(to))).collect();
+    let answers: Vec<_> = callers.into_iter().map(|c| c.join().expect("a caller")).collect();
+    let gateway = &mut site.gateways[0];
+    assert!(!gateway.has_ended(), "{}", gateway.said());
+    let statuses = answers.iter().flatten().map(|a| a.status);
+    let refused = statuses.clone().filter(|s| *s == StatusCode::SERVICE_UNAVAILABLE).count();
+    let served = statuses.filter(|s| *s == StatusCode::OK).count();
+    println!("{served} served, {refused} refused");
+    assert!(refused > 0, "the descriptors were enough for {served}");
+    assert_eq!(served + refused, STREAMS);
+    let blamed = |l: &&serde_json::Value| l["cause"] == "unreachable" || l["event"] == "paths";
+    let log = gateway.log();
+    assert_eq!(log.iter().find(blamed), None);
+    check_ordinary_callers(gateway, "after streams");
+}
+
 /// Guards against unread answers, empty lines and resets that take memory or the one thread.
 #[test]
 fn requests_that_nobody_waits_for_leave_room_to_others() {
--- a/tests/gateway_slow_callers.rs
+++ b/tests/gateway_slow_callers.rs
@@ -87,6 +87,68 @@
     }
 }
 
+/// Prints what slow callers of each pace get, what they cost, and what ordinary callers get beside
+/// them.
+#[test]
+#[ignore = "run manually: cargo nextest run --test gateway_slow_callers --run-ignored only"]
+fn table_of_paces() {
+    const ORDINARY: usize = 100;
+    let ms = Duration::from_millis;
+    let pace = |receive_buffer, bytes, pause| Pace { receive_buffer, bytes, pause };
+    let paces = [
+        pace(3_000, 100, ms(200)),
+        pace(3_000, 400, ms(250)),
+        pace(4_096, 2_000, ms(1_000)),
+        pace(16_384, 16_000, ms(5_000)),
+        pace(65_536, 10_000, ms(200)),
+    ];
+    println!(
+        "| buffer | bytes/s | pause | callers | whole | cut | MiB | p50 | p99 of first events |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (pace, callers) in paces.into_iter().flat_map(|p| [(p, 0), (p, 100), (p, 1_000)]) {
+        let site = site(1);
+        (0..18).for_each(|_| drop(site.add_known_upstream("llm")));
+        let to = site.gateways[0].callers;
+        let slow: Vec<_> = (0..callers)
+            .map(|n| {
+                let call = stream("plan", &format!("slow-{n}"));
+                thread::spawn(move || slow::call(&call, to, pace))
+            })
+            .collect();
+        thread::sleep(ms(1_000));
+        let ordinary: Vec<_> = (0..ORDINARY)
+            .map(|n| {
+                thread::spawn(move || {
+                    thread::sleep(ms(20) * n as u32);
+                    let began = Instant::now();
+                    let call = stream("plan", &format!("ordinary-{n}"));
+                    let mut stream = slow::send(&call, to, 65_536).expect("sent");
+                    let mut head = [0; 2_048];
+                    let read = stream.read(&mut head).expect("a head");
+                    head[..read].starts_with(b"HTTP/1.1 200").then(|| began.elapsed())
+                })
+            })
+            .collect();
+        let mut times: Vec<_> =
+            ordinary.into_iter().filter_map(|c| c.join().expect("a caller")).collect();
+        times.sort();
+        let got: Vec<_> = slow.into_iter().map(|c| c.join().expect("a caller")).collect();
+        let whole = got.iter().flatten().filter(|g| g.is_whole).count();
+        let memory = peak_memory_kib(site.gateways[0].id()) >> 10;
+        let rate = pace.bytes as u128 * 1_000 / pace.pause.as_millis();
+        let at = |share: usize| times.get((times.len() * share / 100).min(times.len() - 1));
+        println!(
+            "| {} | {rate} | {:?} | {callers} | {whole} | {} | {memory} | {:?} | {:?} |",
+            pace.receive_buffer,
+            pace.pause,
+            callers - whole,
+            at(50),
+            at(99),
+        );
+    }
+}
+
 /// Guards against callers that never read and hold connections, memory and slots without end.
 #[test]
 fn callers_that_never_read_are_cut_off_soon_after_their_time_budget() {
