A connection that has to give way while it has a request closes after its answer

Read in the code, not shown by a run: a request that arrives in the same moment as the order to give way was served, and its connection stayed open without being counted. The connection is now shut down gracefully.

--- a/src/gateway/decide/intake.rs
+++ b/src/gateway/decide/intake.rs
@@ -114,7 +114,7 @@
         now.saturating_duration_since(self.progress_until)
     }
 
-    /// Returns whether its client has yet to send something that it was waited for.
+    /// Returns whether its client lets others wait for what it has yet to send.
     fn may_give_way(&self, now: Instant) -> bool {
         self.stage <= Stage::Body && !self.is_unread && !self.lateness(now).is_zero()
     }
@@ -286,7 +286,7 @@
         open.count() > self.limits.connections(kind)
     }
 
-    /// Returns whether there is no room for the body of a connection, which already holds it.
+    /// Returns whether there is no room for what a connection holds already.
     pub fn over_bytes(&self, id: HolderId) -> bool {
         let is_large = self.holders.get(&id).is_some_and(|h| h.body > SMALL_BODY_BYTES);
         let (part, whole) = if is_large { LARGE_BODY_SHARE } else { (1, 1) };
@@ -307,8 +307,8 @@
     /// Returns the connection that gives way for memory: the one that costs most, other than `id`.
     /// `None` if none can.
     pub fn choose_by_cost(&self, id: HolderId, now: Instant) -> Option<HolderId> {
-        let is_candidate = |other: HolderId, h: &Holder| other != id && h.may_give_way(now);
-        let candidates = self.holders.iter().rev().filter(|(id, h)| is_candidate(**id, h));
+        let others = self.holders.iter().rev().filter(|(other, _)| **other != id);
+        let candidates = others.filter(|(_, h)| h.may_give_way(now));
         let first = candidates.max_by(|(_, a), (_, b)| a.cost(now).total_cmp(&b.cost(now)));
         first.map(|(id, _)| *id)
     }
--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -270,10 +270,11 @@
             }
             () = evicted.as_mut(), if !is_evicted => {
                 is_evicted = true;
-                // A request is refused first, which closes the connection.
                 if !connection.has_request() {
                     break Ok(());
                 }
+                // The request is answered first.
+                serving.as_mut().graceful_shutdown();
             }
             // The next poll of the connection checks its output.
             () = output.check_due() => {}
