--- a/src/gateway/net/server.rs
+++ b/src/gateway/net/server.rs
@@ -30,7 +30,7 @@
 };
 
 use super::{
-    BufferLease, Intake, IntakeConnection, Reader, RequestGuard, Shutdown, UnreadAnswers,
+    BufferLease, Intake, IntakeConnection, Reader, Shutdown, UnreadAnswers,
     answer_stream::{AnswerStream, UnfinishedAnswer},
     connect::detect_dead_peer,
 };
@@ -67,23 +67,23 @@
 /// Creates a body from an answer that was buffered whole. Its memory is accounted for until the body
 /// has been handed on.
 pub fn buffered_body(bytes: Bytes, lease: BufferLease) -> AnswerBody {
-    let body = BufferedBody { body: Full::new(bytes), _lease: lease };
-    Box::pin(body.map_err(|never| match never {}))
+    guarded_body(full_body(bytes), lease)
 }
 
-struct BufferedBody {
-    body: Full<Bytes>,
-    _lease: BufferLease,
+/// A body that keeps a guard until it is dropped, as the library does after its end.
+struct GuardedBody<G> {
+    body: AnswerBody,
+    _guard: G,
 }
 
-impl Body for BufferedBody {
+impl<G: Unpin> Body for GuardedBody<G> {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
@@ -96,6 +96,10 @@
     }
 }
 
+fn guarded_body<G: Unpin + 'static>(body: AnswerBody, guard: G) -> AnswerBody {
+    Box::pin(GuardedBody { body, _guard: guard })
+}
+
 struct ChannelBody {
     rx: Receiver<Result<Bytes, BodyError>>,
 }
@@ -112,36 +116,6 @@
     }
 }
 
-/// A body that keeps a guard until it is dropped, as the library does after its end.
-struct GuardedBody {
-    body: AnswerBody,
-    _guard: RequestGuard,
-}
-
-impl Body for GuardedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-fn guarded_body(body: AnswerBody, guard: RequestGuard) -> AnswerBody {
-    Box::pin(GuardedBody { body, _guard: guard })
-}
-
 /// Returns a body that streams the data received from a channel. An error closes the
 /// connection, so that the caller cannot mistake the answer for a complete one.
 pub fn channel_body(rx: Receiver<Result<Bytes, BodyError>>) -> AnswerBody {
--- a/tests/ended/mod.rs
+++ b/tests/ended/mod.rs
@@ -2,7 +2,7 @@
 //! that was killed.
 
 use std::{
-    io::{BufRead, BufReader, Write},
+    io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
@@ -14,6 +14,8 @@
 
 use socket2::SockRef;
 
+use super::support::http::{ReceivedRequest, read_request};
+
 /// Time for which a connection is left open without an answer; longer than any caller waits.
 const SILENCE: Duration = Duration::from_secs(60);
 /// Time that a slow health check takes.
@@ -87,8 +89,8 @@
             }
         }
         let mut reader = BufReader::new(stream);
-        while let Some((is_check, id)) = read_request(&mut reader) {
-            if is_check {
+        while let Some(ReceivedRequest { first_line, id }) = read_request(&mut reader) {
+            if first_line.starts_with("GET /healthz ") {
                 if !self.answer_check(stream) {
                     return reset(stream);
                 }
@@ -129,25 +131,3 @@
 fn reset(stream: &TcpStream) {
     SockRef::from(stream).set_linger(Some(Duration::ZERO)).expect("an option");
 }
-
-/// Reads a request without a body, or with one that is not looked at. Returns whether it is a health
-/// check, and its id; `None` once the connection has ended.
-fn read_request(reader: &mut impl BufRead) -> Option<(bool, String)> {
-    let (mut id, mut length, mut first) = (String::new(), 0, String::new());
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim_end();
-        match line.split_once(": ") {
-            Some((n, v)) if n.eq_ignore_ascii_case("x-request-id") => id = v.to_owned(),
-            Some((n, v)) if n.eq_ignore_ascii_case("content-length") => length = v.parse().ok()?,
-            _ if line.is_empty() => break,
-            _ if first.is_empty() => first = line.to_owned(),
-            _ => {}
-        }
-    }
-    reader.read_exact(&mut vec![0; length]).ok()?;
-    Some((first.starts_with("GET /healthz "), id))
-}
--- a/tests/endless/mod.rs
+++ b/tests/endless/mod.rs
@@ -1,7 +1,7 @@
 //! A stand-in upstream whose answers never end.
 
 use std::{
-    io::{BufRead, BufReader, Write},
+    io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
@@ -11,6 +11,8 @@
     time::Duration,
 };
 
+use super::support::http::{ReceivedRequest, read_request};
+
 /// What comes without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Endless {
@@ -77,7 +79,7 @@
 
 fn serve(stream: &TcpStream, kind: Endless) {
     let mut reader = BufReader::new(stream);
-    while let Some(id) = read_request(&mut reader) {
+    while let Some(ReceivedRequest { id, .. }) = read_request(&mut reader) {
         let (start, repeated) = answer(kind, &id);
         let mut writer = stream;
         if writer.write_all(start.as_bytes()).is_err() {
@@ -91,26 +93,6 @@
     }
 }
 
-/// Reads a request and returns its id; `None` once the connection has ended.
-fn read_request(reader: &mut impl BufRead) -> Option<String> {
-    let (mut id, mut length) = (String::new(), 0);
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim_end();
-        match line.split_once(": ") {
-            Some((n, v)) if n.eq_ignore_ascii_case("x-request-id") => id = v.to_owned(),
-            Some((n, v)) if n.eq_ignore_ascii_case("content-length") => length = v.parse().ok()?,
-            _ if line.is_empty() => break,
-            _ => {}
-        }
-    }
-    reader.read_exact(&mut vec![0; length]).ok()?;
-    Some(id)
-}
-
 /// Returns the beginning of an answer, and the bytes that follow it again and again.
 fn answer(kind: Endless, id: &str) -> (String, Vec<u8>) {
     let head = |status: &str, framing: &str| {
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -1,6 +1,6 @@
-//! Blocking HTTP calls for tests, each on a new connection.
+//! Blocking HTTP for tests: calls, each on a new connection, and requests that stand-ins receive.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io::BufRead, net::SocketAddr, time::Duration};
 
 use serde_json::Value;
 use tackhollow::edge::http_client::{HttpAnswer, HttpClient};
@@ -23,3 +23,33 @@
 pub fn get_json(addr: SocketAddr, path: &str) -> Value {
     serde_json::from_slice(&call("GET", addr, path, &Value::Null).body).unwrap_or_default()
 }
+
+/// A request that a stand-in received.
+#[derive(Clone, Debug)]
+pub struct ReceivedRequest {
+    pub first_line: String,
+    /// Its `X-Request-Id`; empty if it has none.
+    pub id: String,
+}
+
+/// Reads a request, whose body is dropped; `None` once the connection has ended.
+pub fn read_request(reader: &mut impl BufRead) -> Option<ReceivedRequest> {
+    let mut request = ReceivedRequest { first_line: String::new(), id: String::new() };
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end();
+        match line.split_once(": ") {
+            _ if line.is_empty() => break,
+            _ if request.first_line.is_empty() => line.clone_into(&mut request.first_line),
+            Some((n, v)) if n.eq_ignore_ascii_case("x-request-id") => v.clone_into(&mut request.id),
+            Some((n, v)) if n.eq_ignore_ascii_case("content-length") => length = v.parse().ok()?,
+            _ => {}
+        }
+    }
+    reader.read_exact(&mut vec![0; length]).ok()?;
+    Some(request)
+}
