--- a/tests/gateway_path.rs
+++ b/tests/gateway_path.rs
@@ -439,13 +439,14 @@
     let site = Site::start(1, 0, 1);
     site.behave(None, "lose");
     Call::new("POST", "/confirm/x", "lost").send(site.gateways[0].callers).expect("an answer");
-    wait_until("the log lines are written", || site.gateways[0].story("lost").len() == 3);
+    wait_until("the log lines are written", || site.gateways[0].story("lost").len() == 4);
     let lines = site.gateways[0].story("lost");
     let events: Vec<&str> = lines.iter().filter_map(|l| l["event"].as_str()).collect();
-    assert_eq!(events, ["attempt", "attempt_failed", "answered"]);
-    assert_eq!(lines[1]["may_have_run"], true);
-    assert_eq!(lines[2]["outcome"], "broken");
-    assert_eq!(lines[2]["configuration"], 7);
+    assert_eq!(events, ["attempt", "upstream_probed", "attempt_failed", "answered"]);
+    assert_eq!(lines[1]["result"], "alive");
+    assert_eq!(lines[2]["may_have_run"], true);
+    assert_eq!(lines[3]["outcome"], "broken");
+    assert_eq!(lines[3]["configuration"], 7);
     let metrics = site.gateways[0].metrics();
     assert!(metrics.contains("outcome=\"broken\""), "{metrics}");
 }
