Tests of answers whose head or framing is broken; what held

A stand-in writes such answers byte by byte; a caller that takes nothing for granted reads what the gateway makes of them. Each answer goes to each kind of request (stream, resumable stream, unsafe, safe), directly, through a tunnel, and with a sound upstream beside.

Callers of the stand-in repeat refusals now until it has answered.

--- a/tests/ended/mod.rs
+++ b/tests/ended/mod.rs
@@ -89,7 +89,7 @@
             }
         }
         let mut reader = BufReader::new(stream);
-        while let Some(ReceivedRequest { first_line, id }) = read_request(&mut reader) {
+        while let Some(ReceivedRequest { first_line, id, .. }) = read_request(&mut reader) {
             if first_line.starts_with("GET /healthz ") {
                 if !self.answer_check(stream) {
                     return reset(stream);
--- /dev/null
+++ b/tests/gateway_broken_answers.rs
@@ -0,0 +1,253 @@
+//! Answers of upstreams whose head or framing is broken. None of them may reach a caller as an answer.
+
+mod broken;
+mod support;
+
+use std::time::Duration;
+
+use broken::{
+    Body, Then, WireAnswer,
+    caller::Seen,
+    site::{BrokenSite, Kind, Play, Played, Way},
+};
+
+/// Requests of each kind that are sent while a sound upstream is there too.
+const ROUNDS: usize = 4;
+/// Status of the gateway's answer to a request that may have run and has no valid answer.
+const BAD_GATEWAY: u16 = 502;
+/// Length of a request's body that is still being written when its answer begins.
+const LONG_UPLOAD: usize = 3 << 20;
+
+const OK: &str = "HTTP/1.1 200 OK";
+const LENGTH: &str = "content-length: {length}\r\n";
+const CHUNKED: &str = "transfer-encoding: chunked\r\n";
+
+/// A broken answer.
+struct Case {
+    name: &'static str,
+    answer: WireAnswer,
+}
+
+fn case(name: &'static str, status: &'static str, lines: &'static str, body: Body) -> Case {
+    let answer = WireAnswer { status, lines, body, then: Then::Close, early: false };
+    Case { name, answer }
+}
+
+/// An answer whose body has a length of this spelling.
+fn length(name: &'static str, lines: &'static str) -> Case {
+    case(name, OK, lines, Body::Plain)
+}
+
+/// An answer in chunks with these lines.
+fn chunks(name: &'static str, lines: &'static str) -> Case {
+    case(name, OK, lines, Body::Chunks)
+}
+
+/// An answer with this status.
+fn status(name: &'static str, status: &'static str) -> Case {
+    case(name, status, LENGTH, Body::Plain)
+}
+
+fn malformed_lengths() -> Vec<Case> {
+    vec![
+        length("two lengths", "content-length: {length}\r\ncontent-length: {short}\r\n"),
+        length("list of lengths", "content-length: {short}, {length}\r\n"),
+        length("sign", "content-length: +{length}\r\n"),
+        length("negative", "content-length: -{length}\r\n"),
+        length("letters", "content-length: five\r\n"),
+        length("letter behind", "content-length: {length}x\r\n"),
+        length("two numbers", "content-length: {short} {length}\r\n"),
+        length("hex", "content-length: 0x{length}\r\n"),
+        length("empty", "content-length:\r\n"),
+        length("too large", "content-length: 99999999999999999999999999\r\n"),
+        length("too large by one", "content-length: 18446744073709551615\r\n"),
+    ]
+}
+
+fn lines_that_are_no_fields() -> Vec<Case> {
+    vec![
+        length("no colon", "content-length: {length}\r\nno field\r\n"),
+        length("length without colon", "content-length {length}\r\n"),
+        length("empty name", "content-length: {length}\r\n: x\r\n"),
+        length("blank in a name", "content-length: {length}\r\nna me: x\r\n"),
+        length("tab in a name", "content-length: {length}\r\nna\tme: x\r\n"),
+        length("control byte in a name", "content-length: {length}\r\nna\x01me: x\r\n"),
+        length("NUL in a name", "content-length: {length}\r\nna\0me: x\r\n"),
+        length("DEL in a name", "content-length: {length}\r\nna\x7fme: x\r\n"),
+        length("letter beyond ASCII in a name", "content-length: {length}\r\nn\u{e4}me: x\r\n"),
+        length("blank in the name of the length", "content- length: {length}\r\n"),
+        length("control byte in the name of the length", "content-\x02length: {length}\r\n"),
+        chunks("blank in the name of the coding", "transfer -encoding: chunked\r\n"),
+        chunks("control byte in the name of the coding", "transfer-enc\x02oding: chunked\r\n"),
+        length("blank before the colon", "content-length : {length}\r\n"),
+        length("NUL in a value", "content-length: {length}\r\nx-a: a\0b\r\n"),
+        length("control byte in a value", "content-length: {length}\r\nx-a: a\x01b\r\n"),
+        length("bare CR in a value", "content-length: {length}\r\nx-a: a\rb\r\n"),
+        length("folded line", "x-a: a\r\n b\r\ncontent-length: {length}\r\n"),
+        length("control byte in the length", "content-length: \x01{length}\r\n"),
+        chunks("control byte in the coding", "transfer-encoding: \x0bchunked\r\n"),
+    ]
+}
+
+fn malformed_statuses() -> Vec<Case> {
+    vec![
+        status("000", "HTTP/1.1 000 OK"),
+        status("000 without a reason", "HTTP/1.1 000"),
+        status("099", "HTTP/1.1 099 OK"),
+        status("two digits", "HTTP/1.1 20 OK"),
+        status("four digits", "HTTP/1.1 2000 OK"),
+        status("letter", "HTTP/1.1 2x0 OK"),
+        status("negative", "HTTP/1.1 -20 OK"),
+        status("none", "HTTP/1.1 OK"),
+        status("version 1.2", "HTTP/1.2 200 OK"),
+        status("version 2.0", "HTTP/2.0 200 OK"),
+        status("no version", "200 OK"),
+        status("control byte in the reason", "HTTP/1.1 200 O\x01K"),
+    ]
+}
+
+/// Returns a play of each answer for each kind of request.
+fn plays(cases: &[Case], upload: usize) -> Vec<Play> {
+    let of_case = |case: &Case| {
+        let (name, answer) = (case.name, case.answer);
+        Kind::ALL.map(|kind| Play { name, kind, answer, upload })
+    };
+    cases.iter().flat_map(of_case).collect()
+}
+
+/// Returns what callers should not have got, one line each.
+fn wrong(played: &[Played], is_right: impl Fn(&Played) -> bool) -> Vec<String> {
+    let wrong = played.iter().filter(|p| !is_right(p));
+    wrong.map(|p| format!("{} on {:?}: {:?}", p.play.name, p.play.kind, p.seen)).collect()
+}
+
+fn is_bad_gateway(played: &Played) -> bool {
+    played.answered == 1 && played.seen == Seen::Own(BAD_GATEWAY)
+}
+
+/// Checks that answers with a broken head reach no caller: alone, by a tunnel, and with a sound upstream
+/// beside, which serves what may be repeated.
+fn check_heads(cases: &[Case]) {
+    for way in [Way::Direct, Way::Tunnel] {
+        let site = BrokenSite::start(plays(cases, 0), way);
+        let wrong = wrong(&site.play(0), is_bad_gateway);
+        assert!(wrong.is_empty(), "{way:?}, {} of them:\n{}", wrong.len(), wrong.join("\n"));
+    }
+    let site = BrokenSite::start(plays(cases, 0), Way::Direct);
+    site.add_sound_upstreams();
+    let mut reached = 0;
+    for round in 0..ROUNDS {
+        let played = site.play(round);
+        let runs = |p: &Played| site.site.runs(&p.id).len();
+        let wrong = wrong(&played, |p| match (&p.seen, runs(p)) {
+            (Seen::Complete(_), 1) => true,
+            (Seen::Own(BAD_GATEWAY), 0) => !p.play.kind.is_repeatable(),
+            _ => false,
+        });
+        assert!(wrong.is_empty(), "beside a sound one:\n{}", wrong.join("\n"));
+        reached = played.iter().map(|p| p.answered).sum();
+    }
+    assert!(reached > cases.len(), "the broken upstreams answered {reached} requests");
+}
+
+/// Guards against a length that is no number, or several.
+#[test]
+fn answers_with_a_malformed_length_reach_no_caller() {
+    check_heads(&malformed_lengths());
+}
+
+/// Guards against lines that are passed on, or hide where the answer ends.
+#[test]
+fn answers_with_a_line_that_is_no_field_reach_no_caller() {
+    check_heads(&lines_that_are_no_fields());
+}
+
+/// Guards against a status that is none, such as 000.
+#[test]
+fn answers_with_a_malformed_status_reach_no_caller() {
+    check_heads(&malformed_statuses());
+}
+
+/// Returns whether the caller sees that the answer is not whole: an error, or an answer that breaks off.
+fn is_failure(played: &Played) -> bool {
+    matches!(played.seen, Seen::Own(BAD_GATEWAY) | Seen::BrokenOff)
+}
+
+/// Guards against bodies that are taken for complete although their framing is broken.
+#[test]
+fn answers_whose_framing_breaks_are_not_complete() {
+    let cases = [
+        case("long length", OK, "content-length: {long}\r\n", Body::Plain),
+        case("no last chunk", OK, CHUNKED, Body::ChunkThen("")),
+        case("half a last chunk", OK, CHUNKED, Body::ChunkThen("0\r\n")),
+        case("size that is no number", OK, CHUNKED, Body::ChunkThen("five\r\nwhole\r\n0\r\n\r\n")),
+        case("negative size", OK, CHUNKED, Body::ChunkThen("-5\r\nwhole\r\n0\r\n\r\n")),
+        case("empty size", OK, CHUNKED, Body::ChunkThen("\r\n0\r\n\r\n")),
+        case("size too large", OK, CHUNKED, Body::ChunkThen("fffffffffffffffff\r\n0\r\n\r\n")),
+        case("chunk longer than its size", OK, CHUNKED, Body::ChunkThen("2\r\nwhole\r\n0\r\n\r\n")),
+        case(
+            "chunk shorter than its size",
+            OK,
+            CHUNKED,
+            Body::ChunkThen("9\r\nwhole\r\n0\r\n\r\n"),
+        ),
+        case("trailer that is no field", OK, CHUNKED, Body::ChunkThen("0\r\nno field\r\n\r\n")),
+        case("blank in a trailer's name", OK, CHUNKED, Body::ChunkThen("0\r\na b: c\r\n\r\n")),
+    ];
+    for way in [Way::Direct, Way::Tunnel] {
+        let site = BrokenSite::start(plays(&cases, 0), way);
+        let wrong = wrong(&site.play(0), is_failure);
+        assert!(wrong.is_empty(), "{way:?}:\n{}", wrong.join("\n"));
+    }
+}
+
+/// Guards against checks that reject answers which are whole.
+#[test]
+fn unusual_answers_that_are_whole_are_passed_on() {
+    let cases = [
+        length("a length", LENGTH),
+        length("zeros before the length", "content-length: 000{length}\r\n"),
+        length("blanks around the length", "content-length: \t {length} \t\r\n"),
+        length("no blank before the length", "content-length:{length}\r\n"),
+        length("the length twice", "content-length: {length}\r\ncontent-length: {length}\r\n"),
+        chunks("chunks", CHUNKED),
+        chunks("CHUNKED", "Transfer-Encoding: CHUNKED\r\n"),
+        chunks("blanks around the coding", "transfer-encoding: \t chunked \t\r\n"),
+        case("trailers", OK, CHUNKED, Body::ChunkThen("0\r\na: b\r\n\r\n")),
+        length("unusual names", "content-length: {length}\r\n!#$%&'*+-.^_`|~0aZ: x\r\n"),
+        length("empty value", "content-length: {length}\r\nx-empty:\r\n"),
+        status("no reason", "HTTP/1.1 200 "),
+    ];
+    for way in [Way::Direct, Way::Tunnel] {
+        let site = BrokenSite::start(plays(&cases, 0), way);
+        let whole = |p: &Played| p.seen == Seen::Complete(p.play.kind.body().to_owned());
+        let wrong = wrong(&site.play(0), whole);
+        assert!(wrong.is_empty(), "{way:?}:\n{}", wrong.join("\n"));
+    }
+}
+
+/// Guards against a part of an answer that looks complete, since the error of the connection was spent on
+/// the rest of the upload.
+#[test]
+fn answers_that_are_reset_during_an_upload_are_not_complete() {
+    let framings = [
+        ("no length", "", Body::Half),
+        ("a length", LENGTH, Body::Half),
+        ("chunks", CHUNKED, Body::HalfChunk),
+    ];
+    let mut cases = Vec::new();
+    for (name, lines, body) in framings {
+        for after in [0, 50, 300].map(Duration::from_millis) {
+            for then in [Then::Reset(after), Then::CloseUnread(after)] {
+                let answer = WireAnswer { status: OK, lines, body, then, early: true };
+                cases.push(Case { name, answer });
+            }
+        }
+    }
+    for way in [Way::Direct, Way::Tunnel] {
+        let site = BrokenSite::start(plays(&cases, LONG_UPLOAD), way);
+        let played = site.play(0);
+        let wrong = wrong(&played, is_failure);
+        assert!(wrong.is_empty(), "{way:?}:\n{}", wrong.join("\n"));
+    }
+}
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -30,12 +30,20 @@
     pub first_line: String,
     /// Its `X-Request-Id`; empty if it has none.
     pub id: String,
+    /// Length of its body, in bytes.
+    pub length: usize,
 }
 
 /// Reads a request, whose body is dropped; `None` once the connection has ended.
-pub fn read_request(reader: &mut impl BufRead) -> Option<ReceivedRequest> {
-    let mut request = ReceivedRequest { first_line: String::new(), id: String::new() };
-    let mut length = 0;
+pub fn read_request<R: BufRead>(reader: &mut R) -> Option<ReceivedRequest> {
+    let request = read_request_head(reader)?;
+    reader.read_exact(&mut vec![0; request.length]).ok()?;
+    Some(request)
+}
+
+/// Reads the head of a request; `None` once the connection has ended.
+pub fn read_request_head<R: BufRead>(reader: &mut R) -> Option<ReceivedRequest> {
+    let mut request = ReceivedRequest { first_line: String::new(), id: String::new(), length: 0 };
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line).ok()? == 0 {
@@ -43,13 +51,13 @@
         }
         let line = line.trim_end();
         match line.split_once(": ") {
-            _ if line.is_empty() => break,
+            _ if line.is_empty() => return Some(request),
             _ if request.first_line.is_empty() => line.clone_into(&mut request.first_line),
             Some((n, v)) if n.eq_ignore_ascii_case("x-request-id") => v.clone_into(&mut request.id),
-            Some((n, v)) if n.eq_ignore_ascii_case("content-length") => length = v.parse().ok()?,
+            Some((n, v)) if n.eq_ignore_ascii_case("content-length") => {
+                request.length = v.parse().ok()?;
+            }
             _ => {}
         }
     }
-    reader.read_exact(&mut vec![0; length]).ok()?;
-    Some(request)
 }
