An answer with an unknown transfer coding reaches no caller

Callers saw a 200 whose body was the raw bytes of the coding (`5\r\nwhole\r\n0\r\n\r\n`), ended by the connection, on plain and stream routes: where the coding was misspelt, empty, `identity`, had a parameter, or `chunked` was not the last one. `gzip, chunked`, and `chunked` twice, were passed on as complete.

Cause: for a coding that it does not know the library reads to the end of the connection, and takes any list that ends with `chunked` for chunks. Requests ask for no coding (RFC 9112, section 6.1: the sender must not apply others), and `chunked` may be applied once.

The check of heads takes no coding but one `chunked`, in any case; else the attempt fails with the cause `unknown_coding`.

--- a/src/gateway/net/answer_head.rs
+++ b/src/gateway/net/answer_head.rs
@@ -5,12 +5,17 @@
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
+/// The only transfer coding that every recipient takes. Requests ask for no other one.
+const CHUNKED: &[u8] = b"chunked";
+
 /// Why the head of an answer cannot be believed. Nothing else in it can be either: where the answer
 /// ends, and whether its request has run, is unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadFault {
     /// It states a length beside a transfer coding (RFC 9112, section 6.3).
     LengthBesideCoding,
+    /// Its body has a transfer coding that is unknown, or for which no request asks.
+    UnknownCoding,
 }
 
 impl HeadFault {
@@ -18,6 +23,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::LengthBesideCoding => "length_beside_coding",
+            Self::UnknownCoding => "unknown_coding",
         }
     }
 }
@@ -28,8 +34,11 @@
 ///
 /// Fails with the first fault that is found.
 pub fn check_head(headers: &HeaderMap) -> Result<(), HeadFault> {
-    if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
-        return Err(HeadFault::LengthBesideCoding);
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(()),
+        (Some(_), _) if headers.contains_key(CONTENT_LENGTH) => Err(HeadFault::LengthBesideCoding),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(CHUNKED) => Ok(()),
+        (Some(_), _) => Err(HeadFault::UnknownCoding),
     }
-    Ok(())
 }
--- a/tests/gateway_broken_answers.rs
+++ b/tests/gateway_broken_answers.rs
@@ -61,6 +61,26 @@
         chunks("length, chunked", "content-length: {length}\r\ntransfer-encoding: chunked\r\n"),
         chunks("chunked, long length", "transfer-encoding: chunked\r\ncontent-length: {long}\r\n"),
         chunks("chunked, no number", "transfer-encoding: chunked\r\ncontent-length: five\r\n"),
+        case(
+            "length, identity",
+            OK,
+            "content-length: {length}\r\ntransfer-encoding: identity\r\n",
+            Body::Plain,
+        ),
+    ]
+}
+
+fn unknown_codings() -> Vec<Case> {
+    vec![
+        chunks("coding misspelt", "transfer-encoding: chunkd\r\n"),
+        chunks("coding with a prefix", "transfer-encoding: xchunked\r\n"),
+        chunks("coding empty", "transfer-encoding:\r\n"),
+        chunks("coding identity", "transfer-encoding: identity\r\n"),
+        chunks("chunked, gzip", "transfer-encoding: chunked, gzip\r\n"),
+        chunks("gzip, chunked", "transfer-encoding: gzip, chunked\r\n"),
+        chunks("chunked twice", "transfer-encoding: chunked, chunked\r\n"),
+        chunks("two chunked", "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n"),
+        chunks("coding with a parameter", "transfer-encoding: chunked;q=1\r\n"),
     ]
 }
 
@@ -186,6 +206,12 @@
     check_heads(&lengths_beside_chunks(), "length_beside_coding");
 }
 
+/// Guards against the raw bytes of an unknown coding that reach a caller as the body.
+#[test]
+fn answers_with_an_unknown_transfer_coding_reach_no_caller() {
+    check_heads(&unknown_codings(), "unknown_coding");
+}
+
 /// Guards against a length that is no number, or several.
 #[test]
 fn answers_with_a_malformed_length_reach_no_caller() {
