An answer with a status beyond 599 reaches no caller

Callers saw statuses such as 600 and 999 with a body, as the upstream's answer. Cause: the library takes any three digits from 100 on. RFC 9110, section 15, ends the statuses at 599; what lies beyond shows that the head was spoilt. The check of heads rejects it, with the cause `status_out_of_range`.

The test failed before in 8 of 8 plays (2 statuses, 4 kinds of request), also through a tunnel, and passes. Statuses below 100 were rejected already.

--- a/src/gateway/net/answer_head.rs
+++ b/src/gateway/net/answer_head.rs
@@ -1,17 +1,22 @@
 //! Checks of the heads of received answers, where the library accepts more than RFC 9112 allows.
 
 use hyper::{
-    HeaderMap,
+    HeaderMap, StatusCode,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
 /// The only transfer coding that every recipient takes. Requests ask for no other one.
 const CHUNKED: &[u8] = b"chunked";
 
+/// Largest status of an answer.
+const MAX_STATUS: u16 = 599;
+
 /// Why the head of an answer cannot be believed. Nothing else in it can be either: where the answer
 /// ends, and whether its request has run, is unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadFault {
+    /// Its status is none of HTTP's, which end at 599 (RFC 9110, section 15).
+    StatusOutOfRange,
     /// It states a length beside a transfer coding (RFC 9112, section 6.3).
     LengthBesideCoding,
     /// Its body has a transfer coding that is unknown, or for which no request asks.
@@ -22,6 +27,7 @@
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
+            Self::StatusOutOfRange => "status_out_of_range",
             Self::LengthBesideCoding => "length_beside_coding",
             Self::UnknownCoding => "unknown_coding",
         }
@@ -33,7 +39,10 @@
 /// # Errors
 ///
 /// Fails with the first fault that is found.
-pub fn check_head(headers: &HeaderMap) -> Result<(), HeadFault> {
+pub fn check_head(status: StatusCode, headers: &HeaderMap) -> Result<(), HeadFault> {
+    if status.as_u16() > MAX_STATUS {
+        return Err(HeadFault::StatusOutOfRange);
+    }
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
         (None, _) => Ok(()),
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -210,7 +210,7 @@
             })?,
             () = too_many.notified() => return Err(SendError::InterimAnswers),
         };
-        check_head(response.headers()).map_err(SendError::Head)?;
+        check_head(response.status(), response.headers()).map_err(SendError::Head)?;
         Ok(response)
     }
 
--- a/tests/gateway_broken_answers.rs
+++ b/tests/gateway_broken_answers.rs
@@ -142,6 +142,10 @@
     ]
 }
 
+fn statuses_out_of_range() -> Vec<Case> {
+    vec![status("600", "HTTP/1.1 600 OK"), status("999", "HTTP/1.1 999 OK")]
+}
+
 /// Returns a play of each answer for each kind of request.
 fn plays(cases: &[Case], upload: usize) -> Vec<Play> {
     let of_case = |case: &Case| {
@@ -230,6 +234,12 @@
     check_heads(&malformed_statuses(), "no_answer");
 }
 
+/// Guards against statuses that have three digits and no meaning.
+#[test]
+fn answers_with_a_status_out_of_range_reach_no_caller() {
+    check_heads(&statuses_out_of_range(), "status_out_of_range");
+}
+
 /// Returns whether the caller sees that the answer is not whole: an error, or an answer that breaks off.
 fn is_failure(played: &Played) -> bool {
     matches!(played.seen, Seen::Own(BAD_GATEWAY) | Seen::BrokenOff)
