An answer that changes the protocol unasked reaches no caller

Callers saw a 101, after which their connection speaks another protocol, as the answer to an ordinary request. Cause: the library hands 101 on, as a client may have asked for it; no request of ours does, since `Upgrade` concerns one connection and is taken off. The check of heads rejects it, with the cause `unrequested_upgrade`. Other interim answers are skipped as before.

--- a/src/gateway/net/answer_head.rs
+++ b/src/gateway/net/answer_head.rs
@@ -17,6 +17,8 @@
 pub enum HeadFault {
     /// Its status is none of HTTP's, which end at 599 (RFC 9110, section 15).
     StatusOutOfRange,
+    /// It changes the protocol, which no request asks for.
+    UnrequestedUpgrade,
     /// It states a length beside a transfer coding (RFC 9112, section 6.3).
     LengthBesideCoding,
     /// Its body has a transfer coding that is unknown, or for which no request asks.
@@ -28,6 +30,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::StatusOutOfRange => "status_out_of_range",
+            Self::UnrequestedUpgrade => "unrequested_upgrade",
             Self::LengthBesideCoding => "length_beside_coding",
             Self::UnknownCoding => "unknown_coding",
         }
@@ -43,6 +46,9 @@
     if status.as_u16() > MAX_STATUS {
         return Err(HeadFault::StatusOutOfRange);
     }
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        return Err(HeadFault::UnrequestedUpgrade);
+    }
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
         (None, _) => Ok(()),
--- a/tests/gateway_broken_answers.rs
+++ b/tests/gateway_broken_answers.rs
@@ -146,6 +146,18 @@
     vec![status("600", "HTTP/1.1 600 OK"), status("999", "HTTP/1.1 999 OK")]
 }
 
+fn unrequested_upgrades() -> Vec<Case> {
+    vec![
+        status("101", "HTTP/1.1 101 Switching Protocols"),
+        case(
+            "101 with an upgrade",
+            "HTTP/1.1 101 Switching Protocols",
+            "connection: upgrade\r\nupgrade: x\r\n",
+            Body::Plain,
+        ),
+    ]
+}
+
 /// Returns a play of each answer for each kind of request.
 fn plays(cases: &[Case], upload: usize) -> Vec<Play> {
     let of_case = |case: &Case| {
@@ -240,6 +252,12 @@
     check_heads(&statuses_out_of_range(), "status_out_of_range");
 }
 
+/// Guards against a change of protocol that nobody asked for.
+#[test]
+fn upgrades_that_nobody_asked_for_reach_no_caller() {
+    check_heads(&unrequested_upgrades(), "unrequested_upgrade");
+}
+
 /// Returns whether the caller sees that the answer is not whole: an error, or an answer that breaks off.
 fn is_failure(played: &Played) -> bool {
     matches!(played.seen, Seen::Own(BAD_GATEWAY) | Seen::BrokenOff)
