A length that is stated several times in one line is passed on once

Callers of plain routes got `content-length: 5, 5`, which many readers reject, and callers of streams that may not be resumed no answer at all: their connection ended, since the server takes no such length.

Cause: the library accepts equal lengths in a list and leaves the list in the head, which is passed on. RFC 9110, section 8.6, lets a recipient reject such an answer or state the length once. It is whole, so it is delivered: `HttpConnection::send` states the length once.

The test failed before in 6 of 8 plays (all but the streams that may be resumed, whose length is removed), and passes.

--- a/src/gateway/net/answer_head.rs
+++ b/src/gateway/net/answer_head.rs
@@ -2,7 +2,7 @@
 
 use hyper::{
     HeaderMap, StatusCode,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
 };
 
 /// The only transfer coding that every recipient takes. Requests ask for no other one.
@@ -57,3 +57,21 @@
         (Some(_), _) => Err(HeadFault::UnknownCoding),
     }
 }
+
+/// Replaces a length that is stated several times by a single one (RFC 9110, section 8.6). The library has
+/// checked that all are the same.
+pub fn state_length_once(headers: &mut HeaderMap) {
+    let mut stated = headers.get_all(CONTENT_LENGTH).iter();
+    let (Some(first), more) = (stated.next(), stated.next()) else {
+        return;
+    };
+    let Some(single) = first.as_bytes().split(|b| *b == b',').next() else {
+        return;
+    };
+    if more.is_none() && single.len() == first.len() {
+        return;
+    }
+    if let Ok(single) = HeaderValue::from_bytes(single.trim_ascii()) {
+        headers.insert(CONTENT_LENGTH, single);
+    }
+}
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -30,7 +30,7 @@
     time::timeout,
 };
 
-use super::{HeadFault, check_head, window::RequestStream};
+use super::{HeadFault, check_head, state_length_once, window::RequestStream};
 
 /// Idle time after which the kernel sends TCP keepalive probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -200,7 +200,7 @@
         mut request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
         let too_many = limit_interim_answers(&mut request);
-        let response = tokio::select! {
+        let mut response = tokio::select! {
             biased;
             sent = self.sender.try_send_request(request) => sent.map_err(|mut e| {
                 match e.take_message() {
@@ -211,6 +211,7 @@
             () = too_many.notified() => return Err(SendError::InterimAnswers),
         };
         check_head(response.status(), response.headers()).map_err(SendError::Head)?;
+        state_length_once(response.headers_mut());
         Ok(response)
     }
 
--- a/src/gateway/net/mod.rs
+++ b/src/gateway/net/mod.rs
@@ -16,7 +16,7 @@
 mod upstream_body;
 mod window;
 
-pub use answer_head::{HeadFault, check_head};
+pub use answer_head::{HeadFault, check_head, state_length_once};
 pub use buffer_budget::{BufferBudget, BufferLease};
 pub use connect::{
     Answer, CallError, ConnectError, HttpConnection, Path, RequestBody, SendError, connect,
--- a/tests/gateway_broken_answers.rs
+++ b/tests/gateway_broken_answers.rs
@@ -300,6 +300,11 @@
         length("blanks around the length", "content-length: \t {length} \t\r\n"),
         length("no blank before the length", "content-length:{length}\r\n"),
         length("the length twice", "content-length: {length}\r\ncontent-length: {length}\r\n"),
+        length("the length twice in a line", "content-length: {length}, {length}\r\n"),
+        length(
+            "the length three times",
+            "content-length: {length}, {length}\r\ncontent-length: {length}\r\n",
+        ),
         chunks("chunks", CHUNKED),
         chunks("CHUNKED", "Transfer-Encoding: CHUNKED\r\n"),
         chunks("blanks around the coding", "transfer-encoding: \t chunked \t\r\n"),
