A malformed length of an answer without a body is an error too

An answer to HEAD, or with status 204 or 304, whose length was no number or several numbers counted as an answer, for callers, health checks, and calls of the store, the API and other gateways. Cause: the library reads the length only where a body follows. The check of heads reads it always: cause `malformed_length`.

tests/answer_heads.rs asks the call that all these readers share for eight broken heads.

--- a/src/gateway/net/answer_head.rs
+++ b/src/gateway/net/answer_head.rs
@@ -2,7 +2,7 @@
 
 use hyper::{
     HeaderMap, StatusCode,
-    header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING},
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
 /// The only transfer coding that every recipient takes. Requests ask for no other one.
@@ -21,6 +21,9 @@
     UnrequestedUpgrade,
     /// It states a length beside a transfer coding (RFC 9112, section 6.3).
     LengthBesideCoding,
+    /// It states a length that is no number, or several lengths. The library checks that only where a body
+    /// follows.
+    MalformedLength,
     /// Its body has a transfer coding that is unknown, or for which no request asks.
     UnknownCoding,
 }
@@ -32,6 +35,7 @@
             Self::StatusOutOfRange => "status_out_of_range",
             Self::UnrequestedUpgrade => "unrequested_upgrade",
             Self::LengthBesideCoding => "length_beside_coding",
+            Self::MalformedLength => "malformed_length",
             Self::UnknownCoding => "unknown_coding",
         }
     }
@@ -51,27 +55,37 @@
     }
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
-        (None, _) => Ok(()),
+        (None, _) => stated_length(headers).map(drop),
         (Some(_), _) if headers.contains_key(CONTENT_LENGTH) => Err(HeadFault::LengthBesideCoding),
         (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(CHUNKED) => Ok(()),
         (Some(_), _) => Err(HeadFault::UnknownCoding),
     }
 }
 
-/// Replaces a length that is stated several times by a single one (RFC 9110, section 8.6). The library has
-/// checked that all are the same.
+/// Replaces a length that is stated several times by a single one (RFC 9110, section 8.6), since some
+/// recipients reject a list.
 pub fn state_length_once(headers: &mut HeaderMap) {
-    let mut stated = headers.get_all(CONTENT_LENGTH).iter();
-    let (Some(first), more) = (stated.next(), stated.next()) else {
-        return;
-    };
-    let Some(single) = first.as_bytes().split(|b| *b == b',').next() else {
-        return;
-    };
-    if more.is_none() && single.len() == first.len() {
-        return;
+    if let Ok(Some(length)) = stated_length(headers) {
+        headers.insert(CONTENT_LENGTH, length.into());
     }
-    if let Ok(single) = HeaderValue::from_bytes(single.trim_ascii()) {
-        headers.insert(CONTENT_LENGTH, single);
+}
+
+/// Returns the length of the body; `None` if none is stated. It may be stated several times, also in
+/// one line.
+fn stated_length(headers: &HeaderMap) -> Result<Option<u64>, HeadFault> {
+    let mut stated = None;
+    let values = headers.get_all(CONTENT_LENGTH).iter();
+    for text in values.flat_map(|v| v.as_bytes().split(|b| *b == b',')) {
+        let length = parse_length(text.trim_ascii()).ok_or(HeadFault::MalformedLength)?;
+        if *stated.get_or_insert(length) != length {
+            return Err(HeadFault::MalformedLength);
+        }
     }
+    Ok(stated)
+}
+
+fn parse_length(digits: &[u8]) -> Option<u64> {
+    // The parser of numbers takes a sign too.
+    let is_number = digits.iter().all(u8::is_ascii_digit);
+    str::from_utf8(digits).ok().filter(|_| is_number)?.parse().ok()
 }
