A broken answer opens no tunnel

A tunnel's bytes are an upstream's answer. If the answer of the gateway in between had no framing, the break of the tunnel looked like the end of an answer without a length; a length beside its chunks, or an unknown coding, opened a tunnel too.

Cause: the tunnel's opener reads its answer past the common call, and looked at the status alone. It checks the head as all other readers do, and takes no answer without framing.

--- a/src/gateway/net/tunnel.rs
+++ b/src/gateway/net/tunnel.rs
@@ -36,8 +36,8 @@
 use tokio_util::sync::PollSender;
 
 use super::{
-    AnswerBody, BodyError, ConnectError, HttpConnection, Path, channel_body, connect_stream,
-    full_body,
+    AnswerBody, BodyError, ConnectError, Framing, HeadFault, HttpConnection, Path, channel_body,
+    check_head, connect_stream, full_body,
 };
 
 /// Path of requests for a tunnel, followed by the upstream's address.
@@ -95,6 +95,12 @@
     /// The connection to the other gateway ended.
     #[error("the other gateway broke off: {0}")]
     Http(#[from] hyper::Error),
+    /// The head of the other gateway's answer is broken.
+    #[error("the other gateway's answer is broken: {}", .0.name())]
+    Head(HeadFault),
+    /// The tunnel's bytes would end with its connection, so that its break could not be told from its end.
+    #[error("the other gateway's answer has no framing")]
+    Unframed,
     /// The other gateway refused.
     #[error("the other gateway refused: {}", .0.name())]
     Refused(TunnelRefusal),
@@ -108,7 +114,9 @@
     pub fn refusal(&self) -> Option<TunnelRefusal> {
         match self {
             Self::Refused(refusal) => Some(*refusal),
-            Self::Connect(_) | Self::Http(_) | Self::Timeout => None,
+            Self::Connect(_) | Self::Http(_) | Self::Head(_) | Self::Unframed | Self::Timeout => {
+                None
+            }
         }
     }
 }
@@ -134,9 +142,13 @@
         });
         let (tx, rx) = channel(QUEUE_FRAMES);
         let response = sender.send_request(tunnel_request(peer, upstream, request, rx)).await?;
+        check_head(response.status(), response.headers()).map_err(TunnelError::Head)?;
         if response.status() != StatusCode::OK {
             return Err(TunnelError::Refused(decode_refusal(&response)));
         }
+        if Framing::of(&response) == Framing::UntilClose {
+            return Err(TunnelError::Unframed);
+        }
         let body = response.into_body();
         let stream = TunnelStream { body, unread: Bytes::new(), tx: PollSender::new(tx) };
         Ok(HttpConnection::over(stream, Path::Tunnel).await?)
--- a/tests/answer_heads.rs
+++ b/tests/answer_heads.rs
@@ -9,7 +9,9 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use tackhollow::gateway::net::{CallError, HeadFault, SendError, connect, json_request};
+use tackhollow::gateway::net::{
+    CallError, HeadFault, SendError, TunnelError, connect, json_request, open_tunnel,
+};
 use tokio::{runtime::Builder, task::LocalSet};
 
 /// Time limit of a call, generous enough that only a faulty reader reaches it.
@@ -108,3 +110,25 @@
         assert_eq!(found, Some(fault), "{answer:?}: {called:?}");
     }
 }
+
+/// Guards against a broken answer that is taken for an open tunnel.
+#[test]
+fn tunnels_are_not_opened_by_answers_with_a_broken_head() {
+    for Case { answer, fault, .. } in cases().into_iter().filter(|c| c.method == Method::GET) {
+        let peer = serve(answer);
+        let opened = block_on(open_tunnel(peer, peer, "request", TIMEOUT));
+        let found = match &opened {
+            Err(TunnelError::Head(fault)) => Some(*fault),
+            _ => None,
+        };
+        assert_eq!(found, Some(fault), "{answer:?}: {opened:?}");
+    }
+}
+
+/// Guards against a tunnel whose break looks like the end of an upstream's answer.
+#[test]
+fn a_tunnel_whose_bytes_end_with_its_connection_is_not_opened() {
+    let peer = serve("HTTP/1.1 200 OK\r\n\r\n");
+    let opened = block_on(open_tunnel(peer, peer, "request", TIMEOUT));
+    assert!(matches!(opened, Err(TunnelError::Unframed)), "{opened:?}");
+}
