The blocking client takes no answer with a broken head

Cause: this client has a library of its own, as lenient as the gateways'. It uses the same check of heads now, and a broken one counts as sent without a valid answer. The test failed before and passes.

--- a/src/edge/http_client.rs
+++ b/src/edge/http_client.rs
@@ -25,6 +25,8 @@
     },
 };
 
+use crate::gateway::net::{HeadFault, check_head};
+
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Buffers of a connection, in bytes each.
@@ -134,6 +136,8 @@
         }
         let request = builder.body(body.to_vec()).map_err(|e| HttpError::NotSent(e.to_string()))?;
         let answer = agent.run(request).map_err(|e| failure(&sent, &e))?;
+        let broken = |fault: HeadFault| HttpError::Broken(fault.name().to_owned());
+        check_head(answer.status(), answer.headers()).map_err(broken)?;
         Ok(into_stream(answer))
     }
 }
--- a/tests/answer_heads.rs
+++ b/tests/answer_heads.rs
@@ -9,8 +9,11 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use tackhollow::gateway::net::{
-    CallError, HeadFault, SendError, TunnelError, connect, json_request, open_tunnel,
+use tackhollow::{
+    edge::http_client::HttpClient,
+    gateway::net::{
+        CallError, HeadFault, SendError, TunnelError, connect, json_request, open_tunnel,
+    },
 };
 use tokio::{runtime::Builder, task::LocalSet};
 
@@ -132,3 +135,13 @@
     let opened = block_on(open_tunnel(peer, peer, "request", TIMEOUT));
     assert!(matches!(opened, Err(TunnelError::Unframed)), "{opened:?}");
 }
+
+/// Guards against a broken answer that callers' and operators' tools take for one.
+#[test]
+fn the_blocking_client_rejects_answers_with_a_broken_head() {
+    for Case { method, answer, .. } in cases() {
+        let url = format!("http://{}/", serve(answer));
+        let called = HttpClient::fresh(TIMEOUT).call(method.as_str(), &url, &[], b"");
+        assert!(called.is_err(), "{answer:?}: {called:?}");
+    }
+}
