A request whose body ends late in a planned stop does not run

In a planned stop in calm, callers whose request's head came while the gateway still took requests, and whose body ended late in the grace, had their connection closed without an answer, or their stream cut, when the process ended; their requests had run, among them some that may run once.

Cause: the phase of the shutdown is asked once, when the head arrives. It is asked again once the body is there: the request is refused then (503, not run, which is true: nothing was sent).

--- a/src/gateway/request/arrival.rs
+++ b/src/gateway/request/arrival.rs
@@ -84,6 +84,10 @@
         Ok(read) => read,
         Err(refusal) => return refuse_admitted(gateway, &head, &admitted, refusal, arrived),
     };
+    // The body may have taken until late in the shutdown, whose end would cut the answer off.
+    if gateway.shutdown.phase() > Phase::Leaving {
+        return refuse_admitted(gateway, &head, &admitted, Refusal::Leaving, arrived);
+    }
     let outgoing = OutgoingRequest::new(parts, head, body);
     let parts = part_keys(gateway, &outgoing.head, &admitted.service);
     let accepted = Accepted { outgoing, body: lease, parts, admitted, arrived, deadline };
