--- a/tests/gateway_stream_versions.rs
+++ b/tests/gateway_stream_versions.rs
@@ -241,6 +241,21 @@
     }
 }
 
+/// Guards against streams that are joined from two versions: gateways that come back have only seen the
+/// version that is left.
+#[test]
+fn streams_of_a_version_that_has_left_are_refused_after_a_loss_of_all_gateways() {
+    let mut site = site(3, &["v1", "v2"], &[]);
+    let began = begin_streams(&site, 0, "left");
+    let at_v1 = began.iter().filter(|id| versions(&site, &[id]).contains("v1")).count();
+    assert!((1..STREAMS).contains(&at_v1), "{at_v1} streams began at v1");
+    ["i-1", "i-2"].iter().for_each(|id| drop(site.control("/remove", &json!({ "id": id }))));
+    site.gateways.iter_mut().for_each(GatewayProc::kill);
+    site.gateways.iter_mut().for_each(GatewayProc::restart);
+    site.wait_ready();
+    assert_eq!(take_up_all(&site, 1, &began), (0, 0));
+}
+
 /// The gateway that began the streams is cut off from all engines; the others know their versions.
 #[test]
 fn streams_of_a_gateway_that_is_cut_off_go_on_at_their_version() {
