--- a/tests/gateway_broken_answers.rs
+++ b/tests/gateway_broken_answers.rs
@@ -3,13 +3,18 @@
 mod broken;
 mod support;
 
-use std::time::Duration;
+use std::{thread, time::Duration};
 
 use broken::{
-    Body, Then, WireAnswer,
-    caller::Seen,
+    Body, BrokenUpstream, STREAM_BODY, Then, WireAnswer,
+    caller::{self, Seen},
     site::{BrokenSite, Kind, Play, Played, Way},
 };
+use serde_json::json;
+use support::{
+    gateways::{Call, Site},
+    wait_until,
+};
 
 /// Requests of each kind that are sent while a sound upstream is there too.
 const ROUNDS: usize = 4;
@@ -346,3 +351,26 @@
         assert!(wrong.is_empty(), "{way:?}:\n{}", wrong.join("\n"));
     }
 }
+
+/// Guards against the rest of a stream that is taken from an answer with a broken head.
+#[test]
+fn streams_are_not_resumed_from_answers_with_a_broken_head() {
+    const EVENTS: u64 = 40;
+    let broken = [lengths_beside_chunks(), unknown_codings(), malformed_lengths()];
+    for case in broken.iter().filter_map(|cases| cases.first()) {
+        let site = Site::start(1, 1, 0);
+        let upstream = BrokenUpstream::start(case.answer, STREAM_BODY);
+        let call = Call::stream("/digest/a", "resumed", EVENTS);
+        let to = site.gateways[0].callers;
+        let seen = thread::scope(|s| {
+            let caller = s.spawn(move || caller::send(to, &call));
+            wait_until("the stream runs", || !site.runs("resumed").is_empty());
+            let (id, _) = site.add_upstream_behind("llm", upstream.address);
+            upstream.set_id(&id);
+            site.wait_known(&id);
+            site.control("/crash", &json!({ "id": "i-1" }));
+            caller.join().expect("a caller")
+        });
+        assert_eq!((upstream.answered(), seen), (1, Seen::BrokenOff), "{}", case.name);
+    }
+}
--- a/tests/gateway_endless_answers.rs
+++ b/tests/gateway_endless_answers.rs
@@ -191,6 +191,33 @@
     assert!(sound.iter().all(|(seen, took)| *seen == Seen::Whole && *took < MAX_WAIT), "{sound:?}");
 }
 
+/// Guards against bytes without end that fill the memory of the gateway through which they come.
+#[test]
+fn bytes_without_end_take_little_memory_on_their_way_through_another_gateway() {
+    const TUNNELS: usize = 40;
+    for endless in [Endless::Body, Endless::UnframedBody, Endless::NoAnswer, Endless::Head] {
+        let mut site = Site::start(0, 0, 0);
+        let upstream = EndlessUpstream::start(endless);
+        let (id, _) = site.add_upstream_behind("app", upstream.address);
+        site.add_gateway_without_upstreams();
+        site.add_gateway();
+        site.wait_ready();
+        site.wait_known(&id);
+        let to = site.gateways[0].callers;
+        let ends: Vec<_> = thread::scope(|s| {
+            let send = |n| call("confirm", &format!("tunnel-{n}")).send(to).map(|a| seen(&a));
+            let callers: Vec<_> = (0..TUNNELS).map(|n| s.spawn(move || send(n))).collect();
+            callers.into_iter().map(|c| c.join().expect("a caller")).collect()
+        });
+        let memory: Vec<_> = site.gateways.iter().map(|g| peak_memory_kib(g.id())).collect();
+        let broken = ends.iter().filter(|e| **e == Some(Seen::Broken)).count();
+        println!("{endless:?} through a tunnel: {memory:?} KiB, {broken} broken off");
+        assert!(broken > 0, "{endless:?}: {ends:?}");
+        assert!(ends.iter().all(|e| matches!(e, Some(Seen::Broken | Seen::NotRun))), "{ends:?}");
+        assert!(memory.iter().all(|m| *m < MAX_MEMORY_KIB), "{endless:?}: {memory:?}");
+    }
+}
+
 /// Guards against a store whose answers do not end and fill the memory of a gateway.
 #[test]
 fn answers_of_a_store_without_end_take_little_memory() {
