A request that is rejected late in a planned stop is not sent again

Once idle connections are closed (4 s after the signal), a request that has not run is refused before another attempt (503, not run). Repeats of requests that may have run go on.

--- a/src/gateway/request/forward.rs
+++ b/src/gateway/request/forward.rs
@@ -22,7 +22,7 @@
         decide::{AttemptOutcome, RouteKey, VersionGroup},
         model::{PartKey, RequestDigest, RequestKind, UpstreamVersion, WatchedData},
         net::{
-            AnswerBody, BodyEnd, BodyLease, ConnectError, Framing, Reader, buffered_body,
+            AnswerBody, BodyEnd, BodyLease, ConnectError, Framing, Phase, Reader, buffered_body,
             frame_until_close,
         },
         telemetry::Event,
@@ -167,6 +167,10 @@
         self.pin_version().await?;
         loop {
             let isolated = self.await_send_permission().await?;
+            // Sent now, it could be cut off by the end of the process; it may still go elsewhere.
+            if self.runs == 0 && self.gateway.shutdown.phase() >= Phase::Closing {
+                return Err(Refusal::Leaving);
+            }
             let Some(selected) = self.select(isolated) else {
                 return Err(self.give_up());
             };
--- a/tests/gateway_planned_stop.rs
+++ b/tests/gateway_planned_stop.rs
@@ -4,14 +4,17 @@
 mod support;
 
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    io::{BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
 use nix::sys::signal::Signal;
-use support::gateways::{Call, Site, configuration};
+use support::{
+    gateways::{Call, Site, configuration},
+    http::read_request,
+};
 
 /// Time that a plain request takes.
 const WORK: Duration = Duration::from_millis(900);
@@ -206,3 +209,64 @@
         assert_eq!(site.runs(id).len(), usize::from(*end == End::Served), "{id}: {end:?}");
     }
 }
+
+/// Starts an upstream that rejects each request, which has not run, only after some time.
+fn start_slow_rejecter(after: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut reader = BufReader::new(&stream);
+                while let Some(request) = read_request(&mut reader) {
+                    thread::sleep(after);
+                    let id = request.id;
+                    let head = format!("x-request-id: {id}\r\nx-not-executed: 1\r\n");
+                    // Fails if the gateway is gone.
+                    drop(write!(
+                        &stream,
+                        "HTTP/1.1 503 Service Unavailable\r\n{head}content-length: 0\r\n\r\n"
+                    ));
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against requests that are sent to another upstream late in the grace and cut there.
+#[test]
+fn requests_that_are_rejected_late_in_the_grace_are_not_sent_again() {
+    const REQUESTS: usize = 24;
+    const REJECTED_AFTER: Duration = Duration::from_millis(5_000);
+    const SENT_AT: Duration = Duration::from_millis(2_200);
+    let site = site();
+    let rejecter = start_slow_rejecter(REJECTED_AFTER);
+    let (id, _) = site.add_upstream_behind("app", rejecter);
+    site.wait_known(&id);
+    let to = site.gateways[0].callers;
+    let connections: Vec<_> = (0..REQUESTS).map(|_| open(to)).collect();
+    site.gateways[0].signal(Signal::SIGTERM);
+    thread::sleep(SENT_AT);
+    let ends: Vec<_> = thread::scope(|s| {
+        let callers: Vec<_> = connections
+            .into_iter()
+            .enumerate()
+            .map(|(n, mut stream)| {
+                s.spawn(move || {
+                    let call = Call::new("POST", "/confirm/a", &format!("rejected-{n}"));
+                    stream.write_all(head(&call).as_bytes()).expect("an open connection");
+                    read_end(&mut stream)
+                })
+            })
+            .collect();
+        callers.into_iter().map(|c| c.join().expect("a caller")).collect()
+    });
+    println!("{ends:?}");
+    assert!(ends.contains(&End::Refused), "no request was rejected: {ends:?}");
+    for (n, end) in ends.iter().enumerate() {
+        let runs = site.runs(&format!("rejected-{n}")).len();
+        assert!(matches!(end, End::Served | End::Refused), "{n}: {end:?}, {runs} runs");
+        assert_eq!(runs, usize::from(*end == End::Served), "{n}: {end:?}");
+    }
+}
