A connection ends for fruitless bytes only once its reader has looked at them

The bound of 32 KiB without a part of a body took it that the reader had run after the connection's task had yielded once. The task may be polled again before that, when the check of its output is due, and would have cut off a sound answer (found in reading the diff; no test showed it). The reader is woken now, and what it has looked at is counted; a connection whose reader has not looked reads on, up to the bound of three buffers.

--- a/src/gateway/net/input.rs
+++ b/src/gateway/net/input.rs
@@ -2,11 +2,11 @@
 //! library reads on as long as bytes come, and nobody else is served meanwhile.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io::{self, IoSlice},
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, Waker},
 };
 
 use bytes::Bytes;
@@ -15,11 +15,11 @@
 
 use super::connect::MAX_READ_BUFFER_BYTES;
 
-/// Bytes that may be received while the reader of a body waits for its next part. The library takes 16 KiB
-/// of extensions of chunks, and of trailers; a larger bound costs time for each faulty peer.
+/// Bytes in which the reader of a body may find no part of it. The library takes 16 KiB of extensions of
+/// chunks, and of trailers; a larger bound costs time for each faulty peer.
 const MAX_OVERHEAD_BYTES: usize = 32 << 10;
-/// Bytes that may be received without a part of a body while its reader is busy. Up to two read buffers
-/// hold parts that it has not taken, so a smaller bound would break its answer off.
+/// Bytes that may be received while the reader of a body is busy. Up to two read buffers hold parts that it
+/// has not taken, so a smaller bound would break its answer off.
 const MAX_UNDELIVERED_BYTES: usize = 3 * MAX_READ_BUFFER_BYTES;
 
 /// What was received on a connection since the latest part of a body.
@@ -29,16 +29,16 @@
 #[derive(Debug, Default)]
 struct Input {
     undelivered_bytes: Cell<usize>,
-    /// Whether the reader has taken all parts and waits for the next one.
-    is_awaited: Cell<bool>,
-    /// Whether the reader had a chance to run after it last seemed to wait.
-    has_yielded: Cell<bool>,
+    /// Bytes of those that were received when the reader last found no part.
+    fruitless_bytes: Cell<usize>,
+    /// The reader, while it waits for the next part and was not woken to look again.
+    reader: RefCell<Option<Waker>>,
 }
 
 /// Whether more may be received now.
 enum Admission {
     Now,
-    /// After the reader had a chance to take what was received.
+    /// The reader was woken, and looks first whether it has received a part.
     AfterReader,
     Never,
 }
@@ -47,19 +47,31 @@
     /// Notes that the head or a part of the body of an answer was delivered.
     pub(super) fn note_delivered(&self) {
         self.0.undelivered_bytes.set(0);
-        self.0.is_awaited.set(false);
-        self.0.has_yielded.set(false);
+        self.0.fruitless_bytes.set(0);
+        self.0.reader.take();
+    }
+
+    /// Notes that the reader found no part of the body, and waits.
+    fn note_awaited(&self, cx: &Context<'_>) {
+        self.0.fruitless_bytes.set(self.0.undelivered_bytes.get());
+        self.0.reader.replace(Some(cx.waker().clone()));
     }
 
     fn admission(&self) -> Admission {
-        let input = &self.0;
-        let undelivered = input.undelivered_bytes.get();
-        let is_overhead = input.is_awaited.get() && undelivered > MAX_OVERHEAD_BYTES;
-        match (is_overhead, undelivered > MAX_UNDELIVERED_BYTES) {
-            (_, true) => Admission::Never,
-            (true, false) if input.has_yielded.replace(true) => Admission::Never,
-            (true, false) => Admission::AfterReader,
-            (false, false) => Admission::Now,
+        let undelivered = self.0.undelivered_bytes.get();
+        if undelivered > MAX_UNDELIVERED_BYTES || self.0.fruitless_bytes.get() > MAX_OVERHEAD_BYTES
+        {
+            return Admission::Never;
+        }
+        if undelivered <= MAX_OVERHEAD_BYTES {
+            return Admission::Now;
+        }
+        match self.0.reader.take() {
+            Some(reader) => {
+                reader.wake();
+                Admission::AfterReader
+            }
+            None => Admission::Now,
         }
     }
 
@@ -90,6 +102,7 @@
         match self.meter.admission() {
             Admission::Now => {}
             Admission::AfterReader => {
+                // Behind the reader, which was woken first.
                 cx.waker().wake_by_ref();
                 return Poll::Pending;
             }
@@ -156,7 +169,7 @@
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         match &polled {
             Poll::Ready(_) => self.meter.note_delivered(),
-            Poll::Pending => self.meter.0.is_awaited.set(true),
+            Poll::Pending => self.meter.note_awaited(cx),
         }
         polled
     }
