--- a/tests/gateway_broken_answers.rs
+++ b/tests/gateway_broken_answers.rs
@@ -72,6 +72,12 @@
             "content-length: {length}\r\ntransfer-encoding: identity\r\n",
             Body::Plain,
         ),
+        case(
+            "rejection that is not believed",
+            "HTTP/1.1 503 Service Unavailable",
+            "x-not-executed: 1\r\ncontent-length: {short}\r\ntransfer-encoding: chunked\r\n",
+            Body::Chunks,
+        ),
     ]
 }
 
