A key of the store that another writer chose is escaped in the calls that name it

Cause: the start of the next page was written into the target of the call as it stood (`&from={key}%00`). The store read another key, or no valid call, so that the read began the same page again and again, was refused, or took a part of the list for the whole. A starting gateway has no list until it has read one. Where the target was no valid URI, the call silently went to `/`.

The emulated store decoded nothing and had no page limit of its own, so that no test could fail. It now decodes queries, refuses malformed escapes, and gives pages of at most 500 rows and 1 MiB, or fewer rows if it is told so.

Change: `CallTarget` escapes each value in one place (percent-encoding); a target that is no URI is an error.

--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -51,6 +51,7 @@
             "/down" => self.set_down_time(&body),
             "/crashing-parts" => self.set_crashing_parts(&body),
             "/store" => self.set_store(&body),
+            "/pages" => self.set_pages(&body),
             "/forget" => self.discard_history(),
             "/copy-store" => self.copy_store(),
             "/return-store" => self.return_store(&body),
@@ -245,11 +246,12 @@
         Some(())
     }
 
-    /// Writes any text as the row of an upstream, in place of another writer. Fields: `id`,
-    /// `text`.
+    /// Writes any text as the row of an upstream, in place of another writer, or removes the row if
+    /// `text` is null. Fields: `id`, `text`.
     fn write_raw_row(&self, body: &Value) -> Option<()> {
-        let (id, text) = (body["id"].as_str()?, body["text"].as_str()?);
-        self.platform.put("servers", id, Some(STANDARD.encode(text)));
+        let (id, text) = (body["id"].as_str()?, &body["text"]);
+        let value = if text.is_null() { None } else { Some(STANDARD.encode(text.as_str()?)) };
+        self.platform.put("servers", id, value);
         Some(())
     }
 
@@ -276,6 +278,13 @@
         Some(())
     }
 
+    /// Sets the largest number of rows on a page of the store. Field: `rows`.
+    fn set_pages(&self, body: &Value) -> Option<()> {
+        let rows = body["rows"].as_u64().filter(|rows| *rows > 0)?;
+        self.platform.state.borrow_mut().page_rows = rows as usize;
+        Some(())
+    }
+
     /// Discards the change history of the store, so that feeds from earlier versions fail.
     fn discard_history(&self) -> Option<()> {
         let mut state = self.platform.state.borrow_mut();
--- a/src/bin/tackhollow-emulator/answer.rs
+++ b/src/bin/tackhollow-emulator/answer.rs
@@ -28,8 +28,26 @@
     serde_json::from_slice(&bytes).unwrap_or_default()
 }
 
-/// Returns the query parameters by name, without percent-decoding.
-pub fn query(uri: &Uri) -> HashMap<String, String> {
-    let pairs = uri.query().unwrap_or_default().split('&').filter_map(|p| p.split_once('='));
-    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+/// Returns the query parameters by name; `None` if one has a malformed escape or is not UTF-8.
+pub fn query(uri: &Uri) -> Option<HashMap<String, String>> {
+    let pairs = uri.query().unwrap_or_default().split('&').filter(|pair| !pair.is_empty());
+    let pairs = pairs.map(|pair| pair.split_once('=').unwrap_or((pair, "")));
+    pairs.map(|(name, value)| Some((unescape(name)?, unescape(value)?))).collect()
+}
+
+/// Decodes percent escapes, and a plus sign as a blank.
+fn unescape(text: &str) -> Option<String> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut bytes = text.bytes();
+    while let Some(byte) = bytes.next() {
+        decoded.push(match byte {
+            b'+' => b' ',
+            b'%' => {
+                let mut digit = || char::from(bytes.next()?).to_digit(16);
+                (digit()? * 16 + digit()?) as u8
+            }
+            _ => byte,
+        });
+    }
+    String::from_utf8(decoded).ok()
 }
--- a/src/bin/tackhollow-emulator/platform.rs
+++ b/src/bin/tackhollow-emulator/platform.rs
@@ -202,6 +202,8 @@
 /// Default time for which an upstream stays down after a crash.
 const DEFAULT_DOWN_TIME: Duration = Duration::from_millis(500);
 
+/// Default number of rows on a page of the store.
+const DEFAULT_PAGE_ROWS: usize = 500;
 /// Era in which the store starts.
 const FIRST_ERA: u64 = 1;
 
@@ -222,6 +224,8 @@
     pub rows: Rows,
     /// Last copy of the store.
     pub copy: StoreCopy,
+    /// Largest number of rows on a page.
+    pub page_rows: usize,
     /// Changes for feeds, oldest first.
     pub history: Vec<Change>,
     /// Last version whose changes are no longer in the history.
@@ -269,6 +273,7 @@
             era: FIRST_ERA,
             rows: Rows::new(),
             copy: StoreCopy::default(),
+            page_rows: DEFAULT_PAGE_ROWS,
             history: Vec::new(),
             discarded_up_to: 0,
             upstreams: BTreeMap::new(),
--- a/src/bin/tackhollow-emulator/store.rs
+++ b/src/bin/tackhollow-emulator/store.rs
@@ -12,6 +12,11 @@
     platform::{Platform, StoreMode},
 };
 
+/// Maximum length of a key, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+/// Maximum size of the keys and values on a page.
+const MAX_PAGE_BYTES: usize = 1 << 20;
+
 /// Service that answers calls to the store.
 pub struct Store {
     /// The emulated platform.
@@ -37,7 +42,10 @@
         let path = request.uri().path().to_owned();
         let response = match path.as_str() {
             "/rows-tx" => self.transaction(read_json(request.into_body()).await),
-            "/rows-get" => self.rows(&query(request.uri())),
+            "/rows-get" => match query(request.uri()) {
+                Some(query) => self.rows(&query),
+                None => empty(StatusCode::BAD_REQUEST),
+            },
             "/rows-feed" => self.feed(&request).await,
             _ => empty(StatusCode::NOT_FOUND),
         };
@@ -95,28 +103,34 @@
         answer(StatusCode::OK, &self.with_version(json!({})))
     }
 
-    /// Returns the rows of a table from the key `from` on, at most `limit` of them.
+    /// Returns the rows of a table from the key `from` on, at most `limit` of them and no more than fit
+    /// on a page.
     fn rows(&self, query: &HashMap<String, String>) -> Response<AnswerBody> {
         let text = |name: &str| query.get(name).map_or("", String::as_str);
         let from = (text("table").to_owned(), text("from").to_owned());
-        let limit = text("limit").parse().unwrap_or(usize::MAX - 1);
-        let mut rows: Vec<Value> = {
-            let state = self.platform.state.borrow();
-            let of_table = state.rows.range(&from..).take_while(|((t, _), _)| *t == from.0);
-            of_table
-                .take(limit + 1)
-                .map(|((_, key), row)| {
-                    json!({ "key": key, "value": row.value, "rowVersion": row.version })
-                })
-                .collect()
-        };
-        let more = rows.len() > limit;
-        rows.truncate(limit);
+        if from.1.len() > MAX_KEY_BYTES {
+            return empty(StatusCode::BAD_REQUEST);
+        }
+        let state = self.platform.state.borrow();
+        let limit = text("limit").parse().unwrap_or(usize::MAX).min(state.page_rows);
+        let of_table = state.rows.range(&from..).take_while(|((t, _), _)| *t == from.0);
+        let (mut rows, mut bytes, mut more) = (Vec::new(), 0, false);
+        for ((_, key), row) in of_table {
+            bytes += key.len() + row.value.len();
+            if rows.len() == limit || bytes > MAX_PAGE_BYTES {
+                more = true;
+                break;
+            }
+            rows.push(json!({ "key": key, "value": row.value, "rowVersion": row.version }));
+        }
+        drop(state);
         answer(StatusCode::OK, &self.with_version(json!({ "rows": rows, "morePages": more })))
     }
 
     async fn feed(&self, request: &Request<Incoming>) -> Response<AnswerBody> {
-        let query = query(request.uri());
+        let Some(query) = query(request.uri()) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
         let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
         let (table, after) = (&query["table"], number("afterRevision"));
         let era = self.platform.state.borrow().era;
--- a/src/gateway/controllers/peer_requests.rs
+++ b/src/gateway/controllers/peer_requests.rs
@@ -15,8 +15,9 @@
 /// response with status 200 within [`PEER_REQUEST_TIMEOUT`].
 pub(super) async fn get_from_peer(from: SocketAddr, path: &str) -> Option<Bytes> {
     let exchange = async {
+        let target = path.parse().ok()?;
         let mut connection = connect(from, PEER_REQUEST_TIMEOUT).await.ok()?;
-        let request = json_request(Method::GET, path, &from.to_string(), Bytes::new());
+        let request = json_request(Method::GET, target, &from.to_string(), Bytes::new());
         let response = connection.call(request).await.ok()?;
         (response.status == StatusCode::OK).then_some(response.body)
     };
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode,
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
     client::conn::http1::{Builder, Connection, SendRequest},
     header::{CONTENT_TYPE, HOST, HeaderValue},
 };
@@ -353,10 +353,10 @@
 }
 
 /// Builds a request with a JSON body, which may be empty.
-pub fn json_request(method: Method, path: &str, host: &str, body: Bytes) -> Request<RequestBody> {
+pub fn json_request(method: Method, target: Uri, host: &str, body: Bytes) -> Request<RequestBody> {
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
-    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.uri_mut() = target;
     let headers = request.headers_mut();
     if let Ok(host) = HeaderValue::from_str(host) {
         headers.insert(HOST, host);
--- a/src/platform/duties.rs
+++ b/src/platform/duties.rs
@@ -5,7 +5,7 @@
 use hyper::{Method, Request, header::HeaderValue};
 use serde::Serialize;
 
-use super::PlatformError;
+use super::{CallTarget, PlatformError};
 use crate::{
     gateway::{
         model::{CustomerName, ServiceName},
@@ -86,7 +86,7 @@
     ) -> Result<(), PlatformError> {
         let body = serde_json::to_vec(&WireUsage { window_number: window, counts })
             .map_err(PlatformError::malformed("usage"))?;
-        match self.call("/usage", body, fence).await? {
+        match self.call(CallTarget::new("/usage"), body, fence).await? {
             200..=299 => Ok(()),
             status => Err(PlatformError::Refused(status)),
         }
@@ -109,7 +109,7 @@
             spot: order.reclaimable,
         };
         let body = serde_json::to_vec(&wire).map_err(PlatformError::malformed("order"))?;
-        match self.call("/scale", body, fence).await? {
+        match self.call(CallTarget::new("/scale"), body, fence).await? {
             200..=299 => Ok(OrderOutcome::Accepted),
             409 => Ok(OrderOutcome::NoneAvailable),
             status => Err(PlatformError::Refused(status)),
@@ -118,14 +118,14 @@
 
     async fn call(
         &self,
-        path: &str,
+        target: CallTarget,
         body: Vec<u8>,
         fence: impl Fn() -> Option<u64>,
     ) -> Result<u16, PlatformError> {
         let mut connection = connect(self.address, CONNECT_TIMEOUT).await?;
         let host = self.address.to_string();
         let mut request: Request<RequestBody> =
-            json_request(Method::POST, path, &host, body.into());
+            json_request(Method::POST, target.into_uri()?, &host, body.into());
         let headers = request.headers_mut();
         if let Ok(holder) = HeaderValue::from_str(&self.holder) {
             headers.insert("x-duty-holder", holder);
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -1,5 +1,6 @@
 //! Errors of calls to the platform.
 
+use hyper::http::uri::InvalidUri;
 use thiserror::Error;
 
 use crate::gateway::net::{CallError, ConnectError};
@@ -29,6 +30,9 @@
     /// The store gave out an era or a revision, given here, that is too large.
     #[error("era {0} or revision {1} of the store is too large")]
     RevisionOutOfRange(u64, u64),
+    /// A value in the call is too long; the call was not sent.
+    #[error("no valid target: {0}")]
+    Target(#[from] InvalidUri),
     /// The lease ended before the call was sent; nothing was applied.
     #[error("the lease ended before the call was sent")]
     LeaseLost,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! module. It translates each message once, in either direction; it makes no decisions
 //! and keeps no state between calls.
 
+mod call_target;
 mod configuration;
 mod duties;
 mod error;
@@ -15,6 +16,8 @@
 mod store_wire;
 mod upstreams;
 
+use call_target::CallTarget;
+
 pub use configuration::decode_configuration;
 pub use duties::{DutyClient, EngineOrder, OrderOutcome};
 pub use error::PlatformError;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,7 +10,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 
 use super::{
-    PlatformError,
+    CallTarget, PlatformError,
     store_wire::{decode_row, removal, rows, transaction},
 };
 use crate::{
@@ -37,6 +37,8 @@
 /// has died since then would take [`CALL_TIMEOUT`] to fail; opening a new one is fast.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Path of transactions.
+const TRANSACTION: &str = "/rows-tx";
 /// Header in which the store names its era.
 const ERA_HEADER: &str = "store-era";
 
@@ -177,12 +179,14 @@
         let mut snapshot = Snapshot::default();
         let mut from = String::new();
         loop {
-            let name = table.wire_name();
-            let mut path = format!("/rows-get?table={name}&part=&limit={PAGE_ROWS}");
+            let mut target = CallTarget::new("/rows-get")
+                .with("table", table.wire_name())
+                .with("part", "")
+                .with("limit", PAGE_ROWS);
             if !from.is_empty() {
-                path.push_str(&format!("&from={from}"));
+                target = target.with("from", &from);
             }
-            let answer = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+            let answer = self.call(Method::GET, target, Bytes::new(), CALL_TIMEOUT).await?;
             let era = self.era_of_answer(&answer);
             let page = rows(&answer, era)?;
             // Uses the lowest revision of all pages, so that a feed from there misses no change.
@@ -201,7 +205,7 @@
             match snapshot.rows.last() {
                 // `from` is inclusive: the next page starts at the smallest key after the
                 // last one, which is that key with a zero byte appended.
-                Some(last) if more => from = format!("{}%00", last.key),
+                Some(last) if more => from = format!("{}\0", last.key),
                 _ => return Ok(snapshot),
             }
         }
@@ -213,9 +217,12 @@
     ///
     /// Fails if the store does not answer, refuses the call or returns a malformed answer.
     pub async fn row(&self, table: Table, key: &str) -> Result<Option<StoreRow>, PlatformError> {
-        let name = table.wire_name();
-        let path = format!("/rows-get?table={name}&part=&from={key}&limit=1");
-        let answer = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+        let target = CallTarget::new("/rows-get")
+            .with("table", table.wire_name())
+            .with("part", "")
+            .with("from", key)
+            .with("limit", 1);
+        let answer = self.call(Method::GET, target, Bytes::new(), CALL_TIMEOUT).await?;
         let page = rows(&answer, self.era_of_answer(&answer))?;
         let first = page.rows.into_iter().next().map(decode_row);
         Ok(first.filter(|row| row.key == key))
@@ -238,11 +245,13 @@
         if self.era_is_over(after) {
             return Err(PlatformError::EraChanged);
         }
-        let (name, ms, number) = (table.wire_name(), wait.as_millis(), number_in_era(after));
-        let path = format!("/rows-feed?table={name}&afterRevision={number}&waitMs={ms}");
+        let target = CallTarget::new("/rows-feed")
+            .with("table", table.wire_name())
+            .with("afterRevision", number_in_era(after))
+            .with("waitMs", wait.as_millis());
         let connection = connect(self.address, CONNECT_TIMEOUT).await?;
         let limit = wait + FEED_GRACE;
-        let answer = self.call_on(connection, Method::GET, &path, Bytes::new(), limit).await?;
+        let answer = self.call_on(connection, Method::GET, target, Bytes::new(), limit).await?;
         let era = self.era_of_answer(&answer);
         // The number of `after` may have been given out again.
         if era != era_of(after) {
@@ -275,7 +284,8 @@
             return Err(PlatformError::EraChanged);
         }
         let body = transaction(writes)?;
-        let answer = self.call(Method::POST, "/rows-tx", body, CALL_TIMEOUT).await?;
+        let answer =
+            self.call(Method::POST, CallTarget::new(TRANSACTION), body, CALL_TIMEOUT).await?;
         let era = self.era_of_answer(&answer);
         if newest.is_some_and(|revision| era != era_of(revision)) {
             return Err(PlatformError::EraChanged);
@@ -295,7 +305,7 @@
     /// Fails if the store did not confirm it; the rows may be gone all the same.
     pub async fn remove(&self, table: Table, keys: &[String]) -> Result<(), PlatformError> {
         let body = removal(table, keys)?;
-        self.call(Method::POST, "/rows-tx", body, CALL_TIMEOUT).await.map(drop)
+        self.call(Method::POST, CallTarget::new(TRANSACTION), body, CALL_TIMEOUT).await.map(drop)
     }
 
     /// Returns whether the store has answered in a later era than that of `revision`.
@@ -314,7 +324,7 @@
     async fn call(
         &self,
         method: Method,
-        path: &str,
+        target: CallTarget,
         body: Bytes,
         limit: Duration,
     ) -> Result<Answer, PlatformError> {
@@ -322,18 +332,18 @@
             Some(connection) => connection,
             None => connect(self.address, CONNECT_TIMEOUT).await?,
         };
-        self.call_on(connection, method, path, body, limit).await
+        self.call_on(connection, method, target, body, limit).await
     }
 
     async fn call_on(
         &self,
         mut connection: HttpConnection,
         method: Method,
-        path: &str,
+        target: CallTarget,
         body: Bytes,
         limit: Duration,
     ) -> Result<Answer, PlatformError> {
-        let request = json_request(method, path, &self.address.to_string(), body);
+        let request = json_request(method, target.into_uri()?, &self.address.to_string(), body);
         let called = tokio::time::timeout(limit, connection.call(request)).await;
         let answer = called.map_err(|_elapsed| PlatformError::Timeout)??;
         self.put_idle(connection);
--- a/tests/answer_heads.rs
+++ b/tests/answer_heads.rs
@@ -8,7 +8,7 @@
 };
 
 use bytes::Bytes;
-use hyper::Method;
+use hyper::{Method, Uri};
 use tackhollow::{
     edge::http_client::HttpClient,
     gateway::net::{
@@ -104,7 +104,9 @@
         let address = serve(answer);
         let called = block_on(async {
             let mut connection = connect(address, TIMEOUT).await.expect("a connection");
-            connection.call(json_request(method, "/rows-get", "store", Bytes::new())).await
+            connection
+                .call(json_request(method, Uri::from_static("/rows-get"), "store", Bytes::new()))
+                .await
         });
         let found = match &called {
             Err(CallError::Send(SendError::Head(fault))) => Some(*fault),
--- /dev/null
+++ b/tests/gateway_odd_entries.rs
@@ -0,0 +1,173 @@
+//! Entries of other writers in the store's list of upstreams. One that names no upstream costs itself
+//! only, whatever its name and wherever in the list it stands.
+
+mod support;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use hyper::StatusCode;
+use serde_json::json;
+use support::{
+    gateways::{Call, GatewayProc, Site, configuration},
+    wait_until_for,
+};
+use tackhollow::platform::{StoreClient, Table};
+use tokio::{runtime::Builder, task::LocalSet, time::timeout};
+
+/// Time after a restart of all gateways within which callers must be served.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// Time in which a list of a few pages must have been read.
+const READ_TIME: Duration = Duration::from_secs(2);
+/// Value of an entry that describes no upstream.
+const FOREIGN_VALUE: &str = r#"{"owner":"inventory"}"#;
+
+/// Names of odd entries. The sound ones are `i-1`, `i-2` and so on.
+#[rustfmt::skip]
+const NAMES: &[&str] = &[
+    // Characters with a meaning in a query, and those that no target may hold.
+    "i-1&x", "i-1+x", "i-1#x", "i-1 x", "i-1\"x", "i-1<x>", "i-1\tx", "i-1\rx", "i-1\nx", "i-1\0x",
+    "i-1\u{7f}x", "&", "+", "#", "%", " ", "&table=op", "zz&", "zz%",
+    // Escapes, whole and malformed.
+    "i-1%00", "i-1%", "i-1%4", "i-1%zz", "i%0004", "i%41", "i%2D2",
+    // Others.
+    "i-1?x", "i-1=x", "i-1/x", "i-1;x", "i-1\\x", "i-1{x", "i-1|x", "i-1^x", ".", "..", "", "~",
+    "i-\u{e4}", "i-1\u{1f980}",
+];
+
+/// Page sizes with which the entry at `index` is the last one of a page, the first one of the next page
+/// and neither, where the list allows it.
+fn page_sizes(index: usize) -> Vec<usize> {
+    let sizes = BTreeSet::from([index + 1, index, index + 2]);
+    sizes.into_iter().filter(|rows| *rows > 0).collect()
+}
+
+fn write_foreign(site: &Site, name: &str) {
+    site.write_entry(name, FOREIGN_VALUE);
+}
+
+fn remove_entry(site: &Site, name: &str) {
+    site.control("/entry", &json!({ "id": name, "text": null }));
+}
+
+/// Reads the keys of the list of upstreams as a gateway does; fails with what went wrong.
+fn read_keys(site: &Site) -> Result<Vec<String>, String> {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let client = StoreClient::new(site.emulator_address("store"));
+    let reading = async { timeout(READ_TIME, client.snapshot(Table::Upstreams)).await };
+    let read = LocalSet::new().block_on(&runtime, reading);
+    let list = read.map_err(|_elapsed| "no end".to_owned())?.map_err(|e| e.to_string())?;
+    Ok(list.rows.into_iter().map(|row| row.key).collect())
+}
+
+/// Guards against a part of the list that is taken for the whole, and against a read without end.
+#[test]
+fn a_list_is_read_whole_whatever_names_its_entries_have() {
+    let site = Site::bare();
+    let sound: BTreeSet<String> = (1..=10).map(|n| format!("i-{n}")).collect();
+    sound.iter().for_each(|id| site.write_entry(id, "{}"));
+    let mut wrong = Vec::new();
+    for name in NAMES {
+        write_foreign(&site, name);
+        let keys: BTreeSet<String> = sound.iter().cloned().chain([(*name).to_owned()]).collect();
+        let keys = Vec::from_iter(keys);
+        let index = keys.iter().position(|key| key == name).expect("it is among them");
+        for rows in page_sizes(index) {
+            site.control("/pages", &json!({ "rows": rows }));
+            let read = read_keys(&site);
+            if read.as_ref() != Ok(&keys) {
+                let found = read.map_or_else(|e| e, |read| format!("{} rows", read.len()));
+                wrong.push(format!("{name:?}, pages of {rows}: {found} of {}", keys.len()));
+            }
+        }
+        remove_entry(&site, name);
+    }
+    assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
+}
+
+/// Guards against rows of other tables and keys that are taken for the one that was asked for.
+#[test]
+fn a_row_is_found_under_any_name() {
+    let site = Site::bare();
+    let store = site.emulator_address("store");
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    for name in NAMES {
+        write_foreign(&site, name);
+        let client = StoreClient::new(store);
+        let row = LocalSet::new().block_on(&runtime, client.row(Table::Upstreams, name));
+        let row = row.unwrap_or_else(|e| panic!("{name:?}: {e}"));
+        assert_eq!(row.map(|row| row.key).as_deref(), Some(*name));
+        remove_entry(&site, name);
+    }
+}
+
+/// Starts gateways before upstreams of both kinds.
+fn site() -> Site {
+    let mut site = Site::bare();
+    site.configure(&configuration(7));
+    (0..6).for_each(|_| drop(site.add_upstream("app")));
+    (0..3).for_each(|_| drop(site.add_upstream("llm")));
+    (0..3).for_each(|_| site.add_gateway());
+    site.wait_ready();
+    site
+}
+
+const UPSTREAMS: usize = 9;
+
+fn restart_all(site: &mut Site) {
+    site.gateways.iter_mut().for_each(GatewayProc::kill);
+    site.gateways.iter_mut().for_each(GatewayProc::restart);
+}
+
+/// Calls of each kind at each gateway, with ids that begin with `name`.
+fn calls(site: &Site, name: &str) -> Vec<(String, Call, std::net::SocketAddr)> {
+    let mut calls = Vec::new();
+    for (n, gateway) in site.gateways.iter().enumerate() {
+        let id = |kind: &str| format!("{name}-{kind}-{n}");
+        let (check, confirm, digest) = (id("check"), id("confirm"), id("digest"));
+        calls.push((check.clone(), Call::new("GET", "/check/x", &check), gateway.callers));
+        calls.push((confirm.clone(), Call::new("POST", "/confirm/x", &confirm), gateway.callers));
+        calls.push((digest.clone(), Call::stream("/digest/x", &digest, 2), gateway.callers));
+    }
+    calls
+}
+
+/// Returns the calls at each gateway that were not served, one line each.
+fn unserved(site: &Site, name: &str) -> Vec<String> {
+    let calls = calls(site, name).into_iter();
+    let answers = calls.map(|(id, call, to)| (id, call.send(to)));
+    let failed = answers.filter(|(_, answer)| {
+        answer.as_ref().is_none_or(|a| a.status != StatusCode::OK || !a.complete)
+    });
+    failed.map(|(id, answer)| format!("{id}: {answer:?}")).collect()
+}
+
+fn knows_all_upstreams(gateway: &GatewayProc) -> bool {
+    gateway
+        .metrics()
+        .lines()
+        .any(|line| line == format!("tackhollow_gateway_upstreams {UPSTREAMS}"))
+}
+
+/// The list is longer than a page, an entry with an odd name stands in it, and all gateways start anew.
+#[test]
+fn callers_are_served_after_a_restart_of_all_gateways_beside_an_odd_name() {
+    let odd =
+        ["i-1&x", "i-1+x", "i-1#x", "i-1 x", "i-1%00", "i-1%", "i%0004", "i%41", "i-1\nx", "zz&"];
+    let mut site = site();
+    for (n, name) in odd.into_iter().enumerate() {
+        write_foreign(&site, name);
+        let ids = (1..=UPSTREAMS).map(|n| format!("i-{n}")).chain([name.to_owned()]);
+        let index = BTreeSet::from_iter(ids).into_iter().position(|id| id == name);
+        for rows in page_sizes(index.expect("it is among them")) {
+            site.control("/pages", &json!({ "rows": rows }));
+            restart_all(&mut site);
+            let what = format!("{name:?}, pages of {rows}: all gateways serve");
+            wait_until_for(&what, RECOVERY, || {
+                site.gateways.iter().all(|g| g.is_ready() && knows_all_upstreams(g))
+            });
+            let failed = unserved(&site, &format!("odd-{n}-{rows}"));
+            assert!(failed.is_empty(), "{name:?}, pages of {rows}:\n{}", failed.join("\n"));
+        }
+        remove_entry(&site, name);
+    }
+}
