Pages of the store that do not go forward end the read with an error

A gateway that starts before such a store never has a list, and one call after the other is sent, each of them priced.

Cause: the read of a table went on for as long as the store announced more, whatever the page held, and took an empty page for the end. Rows that a page repeated were listed twice.

Change: `PagedRows` takes rows beyond the last key only, a page without any of them that announces more is an error of its own, and a table has a bound in pages and in received bytes.

The pages read until such an error are not used: the read is repeated, and the list of a gateway in service stays.

--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -30,6 +30,20 @@
     /// The store gave out an era or a revision, given here, that is too large.
     #[error("era {0} or revision {1} of the store is too large")]
     RevisionOutOfRange(u64, u64),
+    /// The store announced more rows after this key, but returned none beyond it.
+    #[error("the pages after key {after:?} repeat")]
+    PagesRepeat {
+        /// Greatest key of the pages before; empty if there were none.
+        after: String,
+    },
+    /// A table is larger than what was read of it, which is as much as this system reads.
+    #[error("the table is too large: {bytes} bytes on {pages} pages, and more")]
+    TableTooLarge {
+        /// Number of pages that were read.
+        pages: usize,
+        /// Size of these pages.
+        bytes: usize,
+    },
     /// A value in the call is too long; the call was not sent.
     #[error("no valid target: {0}")]
     Target(#[from] InvalidUri),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod error;
 mod headers;
 mod lookup;
+mod paged_rows;
 mod rollouts;
 mod signals;
 mod store;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,6 +11,7 @@
 
 use super::{
     CallTarget, PlatformError,
+    paged_rows::PagedRows,
     store_wire::{decode_row, removal, rows, transaction},
 };
 use crate::{
@@ -174,39 +175,24 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store does not answer, refuses the call or returns a malformed answer.
+    /// Fails if the store does not answer, refuses a call or returns a malformed answer, if its pages
+    /// repeat, and if the table is too large.
     pub async fn snapshot(&self, table: Table) -> Result<Snapshot, PlatformError> {
-        let mut snapshot = Snapshot::default();
-        let mut from = String::new();
+        let mut pages = PagedRows::default();
+        let mut from = None;
         loop {
             let mut target = CallTarget::new("/rows-get")
                 .with("table", table.wire_name())
                 .with("part", "")
                 .with("limit", PAGE_ROWS);
-            if !from.is_empty() {
-                target = target.with("from", &from);
+            if let Some(from) = from {
+                target = target.with("from", from);
             }
             let answer = self.call(Method::GET, target, Bytes::new(), CALL_TIMEOUT).await?;
-            let era = self.era_of_answer(&answer);
-            let page = rows(&answer, era)?;
-            // Uses the lowest revision of all pages, so that a feed from there misses no change.
-            let first = snapshot.rows.is_empty();
-            if !first && era != era_of(snapshot.revision) {
-                return Err(PlatformError::EraChanged);
-            }
-            if first {
-                (snapshot.revision, snapshot.as_of) = (page.row_version, page.now_ms);
-            }
-            snapshot.revision = snapshot.revision.min(page.row_version);
-            let more = page.more_pages;
-            for row in page.rows {
-                snapshot.rows.push(decode_row(row));
-            }
-            match snapshot.rows.last() {
-                // `from` is inclusive: the next page starts at the smallest key after the
-                // last one, which is that key with a zero byte appended.
-                Some(last) if more => from = format!("{}\0", last.key),
-                _ => return Ok(snapshot),
+            let page = rows(&answer, self.era_of_answer(&answer))?;
+            from = pages.add(page, answer.body.len())?;
+            if from.is_none() {
+                return Ok(pages.into_snapshot());
             }
         }
     }
--- /dev/null
+++ b/tests/store_pages.rs
@@ -0,0 +1,147 @@
+//! Reads of the store's lists where its pages are malformed, repeat or do not end.
+
+mod support;
+
+use std::{
+    io::{BufReader, Write},
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use support::http::read_request;
+use tackhollow::platform::{PlatformError, Snapshot, StoreClient, Table};
+use tokio::{runtime::Builder, task::LocalSet, time::timeout};
+
+/// Time in which a read must have ended.
+const READ_TIME: Duration = Duration::from_secs(10);
+/// Calls that a read which cannot end well may take.
+const MAX_CALLS: usize = 64;
+
+/// Returns the body of the answer to the `n`th call.
+type Script = fn(n: usize) -> String;
+
+/// A store that answers each call by its number.
+struct ScriptedStore {
+    address: SocketAddr,
+    calls: Arc<AtomicUsize>,
+}
+
+impl ScriptedStore {
+    fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let calls = Arc::new(AtomicUsize::new(0));
+        let counter = calls.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let counter = counter.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(&stream);
+                    while read_request(&mut reader).is_some() {
+                        let body = script(counter.fetch_add(1, Ordering::Relaxed));
+                        let length = body.len();
+                        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+                        if (&stream).write_all((head + &body).as_bytes()).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, calls }
+    }
+
+    fn calls(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Reads a list; `None` if that does not end.
+    fn list(&self) -> Option<Result<Snapshot, PlatformError>> {
+        let client = StoreClient::new(self.address);
+        run(async { timeout(READ_TIME, client.snapshot(Table::Upstreams)).await.ok() })
+    }
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+fn page(rows: &[Value], more: bool) -> String {
+    json!({ "rows": rows, "morePages": more, "rowVersion": 9, "nowMs": 7 }).to_string()
+}
+
+fn row(key: &str) -> Value {
+    json!({ "key": key, "value": "e30=", "rowVersion": 3 })
+}
+
+fn keys(list: &Snapshot) -> Vec<&str> {
+    list.rows.iter().map(|row| row.key.as_str()).collect()
+}
+
+/// Guards against a read that goes on for as long as the store announces more.
+#[test]
+fn pages_that_do_not_go_forward_end_the_read_with_an_error() {
+    struct Case {
+        name: &'static str,
+        script: Script,
+        error: fn(&PlatformError) -> bool,
+    }
+    let repeats = |e: &PlatformError| matches!(e, PlatformError::PagesRepeat { .. });
+    let cases = [
+        Case {
+            name: "one page again and again",
+            script: |_| page(&[row("a"), row("b")], true),
+            error: repeats,
+        },
+        Case {
+            name: "two pages in turn",
+            script: |n| if n % 2 == 0 { page(&[row("a")], true) } else { page(&[row("b")], true) },
+            error: repeats,
+        },
+        Case { name: "more, and no rows", script: |_| page(&[], true), error: repeats },
+        Case {
+            name: "a page without rows in the middle",
+            script: |n| if n == 0 { page(&[row("a")], true) } else { page(&[], true) },
+            error: repeats,
+        },
+        Case {
+            name: "always a further page of one row",
+            script: |n| page(&[row(&format!("{n:09}"))], true),
+            error: |e| matches!(e, PlatformError::TableTooLarge { .. }),
+        },
+        Case {
+            name: "always a further large page",
+            script: |n| {
+                let value = "e30=".repeat(250_000);
+                page(&[json!({ "key": format!("{n:09}"), "value": value, "rowVersion": 3 })], true)
+            },
+            error: |e| matches!(e, PlatformError::TableTooLarge { .. }),
+        },
+    ];
+    for case in cases {
+        let store = ScriptedStore::start(case.script);
+        let read = store.list().unwrap_or_else(|| panic!("{}: no end", case.name));
+        let calls = store.calls();
+        assert!(read.as_ref().is_err_and(case.error), "{}: {read:?}", case.name);
+        assert!(calls <= MAX_CALLS, "{}: {calls} calls", case.name);
+    }
+}
+
+/// A store may begin a page earlier than it was asked to, and rows may be removed meanwhile.
+#[test]
+fn rows_that_two_pages_have_are_listed_once() {
+    let store = ScriptedStore::start(|n| match n {
+        0 => page(&[row("a"), row("b"), row("c")], true),
+        1 => page(&[row("b"), row("c"), row("d")], true),
+        _ => page(&[row("e")], false),
+    });
+    let read = store.list().expect("an end").expect("a list");
+    assert_eq!(keys(&read), ["a", "b", "c", "d", "e"]);
+}
