The page after the longest key begins at that key

A key may have 200 bytes, and `from` is a key: a store that holds to this refuses one of 201, as the emulated one does now, and then no gateway gets a list after a restart.

Cause: the next page was asked for from the last key with a zero byte behind it, whatever its length.

Change: after a key of 200 bytes the next page begins at the key itself, whose row is listed once.

Failed before: a_list_is_read_whole, with the two names of 200 bytes (refused with status 400 where such a name ends a page). After: passes.

--- a/src/platform/paged_rows.rs
+++ b/src/platform/paged_rows.rs
@@ -6,6 +6,8 @@
 };
 use crate::gateway::model::era_of;
 
+/// Maximum length of a key, in bytes.
+const MAX_KEY_BYTES: usize = 200;
 /// Maximum number of pages of a table. With fewer, the list of a large fleet cannot be read.
 const MAX_PAGES: usize = 64;
 /// Maximum size of all pages of a table, as received. A larger one does not fit into the smallest hosts.
@@ -37,7 +39,7 @@
         page: WireRows,
         bytes: usize,
     ) -> Result<Option<String>, PlatformError> {
-        // A store that reads the start otherwise may repeat rows.
+        // A page may begin at the last key again.
         let last = self.last_key.take();
         let is_new = |key: &str| last.as_deref().is_none_or(|last| key > last);
         let rows: Vec<_> = page.rows.into_iter().filter(|row| is_new(&row.key)).collect();
@@ -71,7 +73,9 @@
     }
 }
 
-/// Returns where a page begins that follows a key: at the smallest greater key.
+/// Returns where a page begins that follows a key: at the smallest greater key, or at the key itself if
+/// it is as long as a key may be.
 fn start_after(key: &str) -> String {
-    format!("{key}\0")
+    let end = if key.len() < MAX_KEY_BYTES { "\0" } else { "" };
+    format!("{key}{end}")
 }
