A row of the store that cannot be read costs itself only

One row without a readable key, value or version failed each read of the list and each feed that held it: a gateway that starts has no list, one in service follows the table no more.

Cause: a page was decoded as a whole.

Change: rows are decoded one by one (raw values). One without a readable key or version is left out with a line in the log that quotes it escaped; a value that is no text counts as empty, as one that is no base64 did, so that its upstream is dropped. A conditional write that meets such a row still fails: it has a version in the store.

Failed before: a_row_that_cannot_be_read_costs_itself_only at its first case of 17 ("invalid type: integer `7`, expected a string"). After: passes, for the list and the feed.

--- a/src/platform/paged_rows.rs
+++ b/src/platform/paged_rows.rs
@@ -2,7 +2,7 @@
 
 use super::{
     PlatformError, Snapshot,
-    store_wire::{WireRows, decode_row},
+    store_wire::{RowPage, decode_row},
 };
 use crate::gateway::model::era_of;
 
@@ -36,7 +36,7 @@
     /// this one does not go beyond the ones before, or if the table is too large.
     pub(super) fn add(
         &mut self,
-        page: WireRows,
+        page: RowPage,
         bytes: usize,
     ) -> Result<Option<String>, PlatformError> {
         // A page may begin at the last key again.
@@ -50,14 +50,14 @@
         self.last_key = newest.or(last);
         let snapshot = self.snapshot.get_or_insert(Snapshot {
             rows: Vec::new(),
-            revision: page.row_version,
-            as_of: page.now_ms,
+            revision: page.revision,
+            as_of: page.now,
         });
-        if era_of(page.row_version) != era_of(snapshot.revision) {
+        if era_of(page.revision) != era_of(snapshot.revision) {
             return Err(PlatformError::EraChanged);
         }
         // The lowest revision of all pages, so that a feed from there misses no change.
-        snapshot.revision = snapshot.revision.min(page.row_version);
+        snapshot.revision = snapshot.revision.min(page.revision);
         snapshot.rows.extend(rows.into_iter().map(decode_row));
         self.pages += 1;
         self.bytes += bytes;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -244,10 +244,10 @@
             return Err(PlatformError::EraChanged);
         }
         let page = rows(&answer, era)?;
-        let revision = page.row_version.max(after);
-        let mut feed = Feed { changes: Vec::new(), revision, as_of: page.now_ms };
+        let revision = page.revision.max(after);
+        let mut feed = Feed { changes: Vec::new(), revision, as_of: page.now };
         for row in page.rows {
-            let change = match row.tombstone {
+            let change = match row.is_removed() {
                 true => Change::Removed(row.key, row.row_version),
                 false => Change::Written(decode_row(row)),
             };
@@ -278,9 +278,9 @@
         }
         let page = rows(&answer, era)?;
         if answer.status != StatusCode::PRECONDITION_FAILED {
-            return Ok(WriteOutcome::Done(page.row_version));
+            return Ok(WriteOutcome::Done(page.revision));
         }
-        let current = page.rows.into_iter().filter(|r| !r.tombstone).map(decode_row);
+        let current = page.rows.into_iter().filter(|r| !r.is_removed()).map(decode_row);
         Ok(WriteOutcome::Conflict(current.collect()))
     }
 
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -1,8 +1,10 @@
 //! Wire format of the platform's metadata store.
 
-use base64::{Engine, engine::general_purpose::STANDARD};
+use base64::{DecodeError, Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use thiserror::Error;
 
 use super::{PlatformError, RowWrite, StoreRow, Table};
 use crate::gateway::{
@@ -11,29 +13,63 @@
     net::Answer,
 };
 
+/// Maximum number of characters of an unreadable row that the log quotes.
+const MAX_QUOTED_CHARS: usize = 200;
+
 /// A row, or the tombstone of a removed one.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct WireRow {
     pub(super) key: String,
+    /// The value as it stands: text in base64, unless another writer found a way to store something else.
     #[serde(default)]
-    value: Option<String>,
+    value: Option<Box<RawValue>>,
     pub(super) row_version: Revision,
     #[serde(default)]
-    pub(super) tombstone: bool,
+    tombstone: Option<bool>,
 }
 
-/// A page of rows with the newest revision of the store and the time of its clock.
+impl WireRow {
+    /// Returns whether this is the tombstone of a removed row.
+    pub(super) fn is_removed(&self) -> bool {
+        self.tombstone.unwrap_or_default()
+    }
+}
+
+/// Why the value of a row cannot be decoded.
+#[derive(Debug, Error)]
+enum ValueError {
+    /// It is not text.
+    #[error("{0}")]
+    Text(#[from] serde_json::Error),
+    /// It is not base64.
+    #[error("{0}")]
+    Base64(#[from] DecodeError),
+}
+
+/// A page with its rows as they stand, so that one that cannot be read costs itself only.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub(super) struct WireRows {
+struct WirePage {
     #[serde(default)]
-    pub(super) rows: Vec<WireRow>,
+    rows: Vec<Box<RawValue>>,
     #[serde(default)]
-    pub(super) more_pages: bool,
+    more_pages: bool,
     #[serde(default)]
-    pub(super) row_version: Revision,
-    pub(super) now_ms: StoreMillis,
+    row_version: Revision,
+    now_ms: StoreMillis,
+}
+
+/// A page of rows with the newest revision of the store and the time of its clock.
+pub(super) struct RowPage {
+    /// Rows that could be read.
+    pub(super) rows: Vec<WireRow>,
+    /// Whether more rows follow.
+    pub(super) more_pages: bool,
+    /// Newest revision of the store.
+    pub(super) revision: Revision,
+    /// Time of the store's clock.
+    pub(super) now: StoreMillis,
 }
 
 #[derive(Serialize)]
@@ -100,24 +136,50 @@
     WireWrite { table: write.table.wire_name(), part: "", key: &write.key, value }
 }
 
-/// Decodes an answer that carries rows. The wire names revisions by their numbers in `era`.
-pub(super) fn rows(answer: &Answer, era: Era) -> Result<WireRows, PlatformError> {
-    let mut page: WireRows =
+/// Decodes an answer that carries rows, and leaves out rows that cannot be read. The wire names
+/// revisions by their numbers in `era`.
+pub(super) fn rows(answer: &Answer, era: Era) -> Result<RowPage, PlatformError> {
+    let page: WirePage =
         serde_json::from_slice(&answer.body).map_err(PlatformError::malformed("rows"))?;
-    let revisions = page.rows.iter_mut().map(|row| &mut row.row_version);
-    for revision in revisions.chain([&mut page.row_version]) {
-        let out_of_range = PlatformError::RevisionOutOfRange(era, *revision);
-        *revision = revision_in_era(era, *revision).ok_or(out_of_range)?;
+    Ok(RowPage {
+        rows: page.rows.iter().filter_map(|row| readable_row(row, era)).collect(),
+        more_pages: page.more_pages,
+        revision: revision(era, page.row_version)?,
+        now: page.now_ms,
+    })
+}
+
+fn revision(era: Era, number: Revision) -> Result<Revision, PlatformError> {
+    revision_in_era(era, number).ok_or(PlatformError::RevisionOutOfRange(era, number))
+}
+
+/// Decodes a row; logs one that cannot be read.
+fn readable_row(row: &RawValue, era: Era) -> Option<WireRow> {
+    let decoded = decode_wire_row(row, era);
+    if let Err(e) = &decoded {
+        let quoted: String = row.get().chars().take(MAX_QUOTED_CHARS).collect();
+        log::warn!("a row of the store is left out, {e}: {quoted:?}");
     }
-    Ok(page)
+    decoded.ok()
+}
+
+fn decode_wire_row(row: &RawValue, era: Era) -> Result<WireRow, PlatformError> {
+    let row: WireRow = serde_json::from_str(row.get()).map_err(PlatformError::malformed("row"))?;
+    Ok(WireRow { row_version: revision(era, row.row_version)?, ..row })
 }
 
 /// Decodes a row. If its value is not base64, the row gets an empty value, which every
 /// decoder rejects: one malformed row must not make the other rows of the page unusable.
 pub(super) fn decode_row(row: WireRow) -> StoreRow {
-    let value = STANDARD.decode(row.value.unwrap_or_default()).unwrap_or_else(|e| {
-        log::warn!("the value of row {} is not base64: {e}", row.key);
+    let value = decode_value(row.value.as_deref()).unwrap_or_else(|e| {
+        log::warn!("the value of row {:?} cannot be decoded: {e}", row.key);
         Vec::new()
     });
     StoreRow { key: row.key, value, revision: row.row_version }
 }
+
+fn decode_value(value: Option<&RawValue>) -> Result<Vec<u8>, ValueError> {
+    let text: String =
+        value.map_or(Ok(String::new()), |value| serde_json::from_str(value.get()))?;
+    Ok(STANDARD.decode(text)?)
+}
--- a/tests/store_pages.rs
+++ b/tests/store_pages.rs
@@ -15,7 +15,7 @@
 
 use serde_json::{Value, json};
 use support::http::read_request;
-use tackhollow::platform::{PlatformError, Snapshot, StoreClient, Table};
+use tackhollow::platform::{Change, PlatformError, Snapshot, StoreClient, Table};
 use tokio::{runtime::Builder, task::LocalSet, time::timeout};
 
 /// Time in which a read must have ended.
@@ -33,14 +33,20 @@
 }
 
 impl ScriptedStore {
-    fn start(script: Script) -> Self {
+    /// Starts a store that gives the same answer to each call.
+    fn answering(body: String) -> Self {
+        Self::start(move |_| body.clone())
+    }
+
+    fn start(script: impl Fn(usize) -> String + Send + Sync + 'static) -> Self {
+        let script = Arc::new(script);
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let calls = Arc::new(AtomicUsize::new(0));
         let counter = calls.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let counter = counter.clone();
+                let (counter, script) = (counter.clone(), script.clone());
                 thread::spawn(move || {
                     let mut reader = BufReader::new(&stream);
                     while read_request(&mut reader).is_some() {
@@ -61,6 +67,13 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Reads the changes since the start.
+    fn changes(&self) -> Result<Vec<Change>, PlatformError> {
+        let client = StoreClient::new(self.address);
+        let fed = run(client.feed(Table::Upstreams, 0, Duration::ZERO));
+        fed.map(|feed| feed.changes)
+    }
+
     /// Reads a list; `None` if that does not end.
     fn list(&self) -> Option<Result<Snapshot, PlatformError>> {
         let client = StoreClient::new(self.address);
@@ -145,3 +158,71 @@
     let read = store.list().expect("an end").expect("a list");
     assert_eq!(keys(&read), ["a", "b", "c", "d", "e"]);
 }
+
+/// Row between two sound ones, as the store writes it. `key` is its key if that can be read.
+struct OddRow {
+    name: &'static str,
+    row: String,
+    key: Option<&'static str>,
+}
+
+fn odd_rows() -> Vec<OddRow> {
+    let odd = |name, row: &str, key| OddRow { name, row: row.to_owned(), key };
+    let nested = format!(
+        r#"{{"key":"odd","value":"e30=","rowVersion":3,"new":{}{}}}"#,
+        "[".repeat(40_000),
+        "]".repeat(40_000)
+    );
+    vec![
+        odd("value as a number", r#"{"key":"odd","value":7,"rowVersion":3}"#, Some("odd")),
+        odd("value as an object", r#"{"key":"odd","value":{"a":1},"rowVersion":3}"#, Some("odd")),
+        odd("value null", r#"{"key":"odd","value":null,"rowVersion":3}"#, Some("odd")),
+        odd(
+            "value with a lone surrogate",
+            r#"{"key":"odd","value":"\ud800","rowVersion":3}"#,
+            Some("odd"),
+        ),
+        odd(
+            "mark of a removed row null",
+            r#"{"key":"odd","rowVersion":3,"tombstone":null}"#,
+            Some("odd"),
+        ),
+        odd("deeply nested field", &nested, Some("odd")),
+        odd("no key", r#"{"value":"e30=","rowVersion":3}"#, None),
+        odd("key as a number", r#"{"key":7,"value":"e30=","rowVersion":3}"#, None),
+        odd("lone surrogate in the key", r#"{"key":"\ud800","value":"e30=","rowVersion":3}"#, None),
+        odd("no version", r#"{"key":"odd","value":"e30="}"#, None),
+        odd("negative version", r#"{"key":"odd","value":"e30=","rowVersion":-3}"#, None),
+        odd("version with a fraction", r#"{"key":"odd","value":"e30=","rowVersion":3.5}"#, None),
+        odd(
+            "largest version",
+            r#"{"key":"odd","value":"e30=","rowVersion":18446744073709551615}"#,
+            None,
+        ),
+        odd("version beyond all", r#"{"key":"odd","value":"e30=","rowVersion":1e999}"#, None),
+        odd("null", "null", None),
+        odd("a number", "7", None),
+        odd("an array", "[]", None),
+    ]
+}
+
+/// Guards against one row that keeps all others from being read.
+#[test]
+fn a_row_that_cannot_be_read_costs_itself_only() {
+    for odd in odd_rows() {
+        let [first, last] = [row("a"), row("z")];
+        let rows = [first.to_string(), odd.row, last.to_string()].join(",");
+        let body = format!(r#"{{"rows":[{rows}],"morePages":false,"rowVersion":9,"nowMs":7}}"#);
+        let store = ScriptedStore::answering(body);
+        let expected: Vec<&str> = ["a"].into_iter().chain(odd.key).chain(["z"]).collect();
+        let read = store.list().expect("an end");
+        let read = read.unwrap_or_else(|e| panic!("{}: {e}", odd.name));
+        assert_eq!(keys(&read), expected, "{}", odd.name);
+        let changes = store.changes().unwrap_or_else(|e| panic!("{}: {e}", odd.name));
+        let changed = changes.iter().map(|change| match change {
+            Change::Written(row) => row.key.as_str(),
+            Change::Removed(key, _) => panic!("{}: {key} counts as removed", odd.name),
+        });
+        assert_eq!(changed.collect::<Vec<_>>(), expected, "{}", odd.name);
+    }
+}
