An entry whose name no header can carry names no upstream

A request for one service ran at an upstream of another, and its answer was passed on with 200 (the users' ROUTE).

Cause: requests name their upstream in a header, and any other upstream then rejects them. With a line end, NUL or DEL in the name the header was left out, and an upstream runs a request without it; a blank around the name is dropped by receivers, so that the upstream of the bare name takes it for its own.

Change: a row is rejected with cause `id` if its key is empty or has other than visible ASCII characters.

--- a/src/bin/tackhollow-emulator/upstream.rs
+++ b/src/bin/tackhollow-emulator/upstream.rs
@@ -52,7 +52,8 @@
 }
 
 fn header(headers: &HeaderMap, name: &str) -> String {
-    headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+    let value = headers.get(name).map(|v| String::from_utf8_lossy(v.as_bytes()));
+    value.unwrap_or_default().into_owned()
 }
 
 /// Returns the parts of a prompt without the last one, which is the request's own.
@@ -72,7 +73,9 @@
         if parts.uri.path() == HEALTH_PATH {
             return self.health();
         }
-        if header(&headers, "x-expect-instance") != self.id {
+        // Without this header, a request runs wherever it arrives.
+        let expected = headers.get("x-expect-instance");
+        if expected.is_some_and(|id| id.as_bytes() != self.id.as_bytes()) {
             return empty(StatusCode::MISDIRECTED_REQUEST);
         }
         // Read together: an early end set for answers without framing must not meet framing that is
--- a/src/platform/upstreams.rs
+++ b/src/platform/upstreams.rs
@@ -48,6 +48,10 @@
     /// The bytes are not JSON.
     #[error("not readable: {0}")]
     Unreadable(serde_json::Error),
+    /// The identifier is empty or has a blank, a control character or one beyond ASCII. Requests name
+    /// their upstream in a header, without which any upstream runs them.
+    #[error("no identifier of an upstream: {0:?}")]
+    Id(UpstreamId),
     /// A field is missing or has the wrong type.
     #[error("a field is missing or of another type: {0}")]
     Field(serde_json::Error),
@@ -64,6 +68,7 @@
     pub fn cause(&self) -> &'static str {
         match self {
             Self::Unreadable(_) => "unreadable",
+            Self::Id(_) => "id",
             Self::Field(_) => "field",
             Self::State(_) => "state",
             Self::Time(_) => "time",
@@ -84,9 +89,12 @@
 ///
 /// # Errors
 ///
-/// Fails if the row does not match the published schema. The caller then treats the
+/// Fails if the row does not match the published schema, or no header can carry the identifier. The caller then treats the
 /// upstream as removed, even if an earlier value of the row was valid.
 pub fn decode_upstream(id: UpstreamId, bytes: &[u8]) -> Result<Upstream, EntryError> {
+    if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(EntryError::Id(id));
+    }
     let wire: WireUpstream = serde_json::from_slice(bytes)?;
     let phase = match wire.state.as_str() {
         "ready" => UpstreamPhase::Ready,
--- a/tests/gateway_odd_entries.rs
+++ b/tests/gateway_odd_entries.rs
@@ -6,10 +6,10 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use hyper::StatusCode;
-use serde_json::json;
+use serde_json::{Value, json};
 use support::{
     gateways::{Call, GatewayProc, Site, configuration},
-    wait_until_for,
+    wait_until, wait_until_for,
 };
 use tackhollow::platform::{StoreClient, Table};
 use tokio::{runtime::Builder, task::LocalSet, time::timeout};
@@ -184,3 +184,58 @@
         remove_entry(&site, name);
     }
 }
+
+/// Returns an entry that describes a plain upstream at this address.
+fn plain_entry(address: &str) -> String {
+    json!({
+        "service": "app", "address": address, "zone": "bkk-nont", "version": "v1", "slots": 64,
+        "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+    })
+    .to_string()
+}
+
+/// Upstreams run a request that does not name the one it is for, and receivers of a header drop blanks
+/// around its value. Guards against requests that run at an upstream of another service.
+#[test]
+fn an_entry_whose_name_no_header_carries_gets_no_requests() {
+    let names = [
+        "i-2\n",
+        "i-2\r",
+        "i-2\0",
+        "i-2\u{7f}",
+        "\0",
+        "",
+        " ",
+        "\t",
+        " i-2",
+        "i-2 ",
+        "\ti-2",
+        "i-\u{e4}",
+        "i-2\u{a0}",
+    ];
+    let mut site = Site::bare();
+    site.configure(&configuration(7));
+    site.add_upstream("app");
+    let engine = site.control("/engine", &json!({ "service": "llm", "zone": "bkk-nont" }));
+    let address = engine["address"].as_str().expect("an address");
+    site.add_gateway();
+    site.wait_ready();
+    // Leaves the entry as the only one with room.
+    site.behave(Some("i-1"), "full");
+    let mut ran = Vec::new();
+    for (n, name) in names.into_iter().enumerate() {
+        site.write_entry(name, &plain_entry(address));
+        let is_about = |l: &Value| l["entry"] == name || l["upstream"] == name;
+        wait_until("the gateway has read it", || site.gateways[0].log().iter().any(is_about));
+        let calls = calls(&site, &format!("unnamed-{n}"));
+        for (id, call, to) in calls.into_iter().filter(|(id, ..)| !id.contains("digest")) {
+            let status = call.send(to).map(|a| a.status);
+            let runs = site.runs(&id).into_iter();
+            ran.extend(
+                runs.map(|run| format!("{name:?}, {id}: {status:?}, at {}", run["upstream"])),
+            );
+        }
+        remove_entry(&site, name);
+    }
+    assert!(ran.is_empty(), "{} ran:\n{}", ran.len(), ran.join("\n"));
+}
--- a/tests/platform_entries.rs
+++ b/tests/platform_entries.rs
@@ -80,6 +80,34 @@
     }
 }
 
+/// The id of an upstream is sent in a header, and receivers drop blanks around its value.
+#[test]
+fn entries_whose_id_no_header_carries_are_rejected() {
+    struct Case {
+        id: &'static str,
+        cause: Option<&'static str>,
+    }
+    let case = |id, cause| Case { id, cause };
+    let cases = [
+        case("i-7f3a91c2", None),
+        case("i-1&x", None),
+        case("i-1%41", None),
+        case("~", None),
+        case("", Some("id")),
+        case(" ", Some("id")),
+        case("i-1 ", Some("id")),
+        case("i 1", Some("id")),
+        case("i-1\n", Some("id")),
+        case("i-1\0", Some("id")),
+        case("i-1\u{7f}", Some("id")),
+        case("i-\u{e4}", Some("id")),
+    ];
+    for case in cases {
+        let decoded = decode_upstream(case.id.to_owned(), valid_entry().to_string().as_bytes());
+        assert_eq!(decoded.err().map(|e| e.cause()), case.cause, "{:?}", case.id);
+    }
+}
+
 #[test]
 fn malformed_entry_removes_only_its_own_upstream() {
     let site = Site::start(2, 0, 2);
