A stream does not go on after an event whose id no header can carry

A stream that may be resumed and broke off was answered as complete with its first events twice, from two upstreams (the users' ORDER).

Cause: the id of the last event is sent as `Last-Event-Id`. An id with a control character, or none, left the header out, and the next upstream began the stream again; its events were joined to those that the caller had. An event that is not UTF-8 left an earlier id in force, with the same result for the events since.

Change: `EventSplitter` knows whether data was passed on that no usable id marks; such a stream is broken off, as where the route allows no resuming. Comments need no id.

Failed before: streams_do_not_begin_again_after_an_event_without_an_id_that_a_header_carries at its first of five bodies (200, complete, "one" and then events 1 to 4 of the other run). After: passes; a table of events with line ends of all three kinds.

--- a/src/gateway/request/events.rs
+++ b/src/gateway/request/events.rs
@@ -2,9 +2,12 @@
 //! upstream after the last event that was relayed.
 
 use bytes::{Bytes, BytesMut};
+use hyper::header::HeaderValue;
 
 /// Prefix of the line that holds the id of an event.
-const ID: &str = "id:";
+const ID: &[u8] = b"id:";
+/// Start of a line that holds data.
+const DATA: &[u8] = b"data";
 /// Maximum size of an event. All bytes of an incomplete event are held, for each stream; a smaller
 /// limit breaks off streams with large events.
 const MAX_EVENT_BYTES: usize = 64 << 10;
@@ -64,6 +67,8 @@
     scanner: EventScanner,
     buf: BytesMut,
     last_id: Option<String>,
+    /// Whether data was returned that has no id which a next run can go on after.
+    has_unmarked_data: bool,
 }
 
 impl EventSplitter {
@@ -76,12 +81,24 @@
             return Bytes::new();
         }
         let whole = self.buf.split_to(earlier + complete).freeze();
-        if let Some(id) = last_id(&whole) {
-            self.last_id = Some(id);
+        let mut mark = EventMark::default();
+        for line in lines(&whole) {
+            if line.is_empty() {
+                self.note_event(std::mem::take(&mut mark));
+            } else {
+                mark.note_line(line);
+            }
         }
         whole
     }
 
+    fn note_event(&mut self, mark: EventMark) {
+        match mark.id {
+            Some(id) => (self.last_id, self.has_unmarked_data) = (Some(id), false),
+            None => self.has_unmarked_data |= mark.has_data,
+        }
+    }
+
     /// Returns the number of events that have become complete since the start of this run.
     pub fn completed(&self) -> u32 {
         self.scanner.completed
@@ -103,14 +120,46 @@
         self.scanner = EventScanner::default();
     }
 
-    /// Returns the id of the last complete event that had one.
+    /// Returns the id of the last complete event that had one that a header can carry.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
+
+    /// Returns whether a next run can go on where the returned events end: no data came after the event
+    /// of [`Self::last_id`].
+    pub fn is_resumable(&self) -> bool {
+        !self.has_unmarked_data
+    }
+}
+
+/// Returns the lines of whole events, and an empty one at the end of each event.
+fn lines(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = events.split(|byte| *byte == b'\n');
+    let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    lines.flat_map(|line| line.split(|byte| *byte == b'\r'))
+}
+
+/// What marks the place of an event in its stream.
+#[derive(Debug, Default)]
+struct EventMark {
+    /// Its id, if it has one that a header can carry.
+    id: Option<String>,
+    /// Whether it has data; others are comments.
+    has_data: bool,
+}
+
+impl EventMark {
+    fn note_line(&mut self, line: &[u8]) {
+        match line.strip_prefix(ID) {
+            Some(id) => self.id = sendable_id(id),
+            None => self.has_data |= line.starts_with(DATA),
+        }
+    }
 }
 
-fn last_id(events: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(events).ok()?;
-    let mut ids = text.split(['\n', '\r']).rev().filter_map(|line| line.strip_prefix(ID));
-    ids.next().map(|id| id.trim().to_owned())
+/// Returns an id as text if a header can carry it.
+fn sendable_id(id: &[u8]) -> Option<String> {
+    let id = id.trim_ascii();
+    HeaderValue::from_bytes(id).ok().filter(|_| !id.is_empty())?;
+    String::from_utf8(id.to_vec()).ok()
 }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -294,7 +294,7 @@
     /// Resumes the stream at another upstream after the last complete event; `None` if that is not
     /// allowed or fails.
     async fn resume(&mut self, broken: &str, cause: &'static str) -> Option<Run> {
-        let may_resume = self.forwarding.admitted.route.resumable;
+        let may_resume = self.forwarding.admitted.route.resumable && self.events.is_resumable();
         self.events.restart();
         if !may_resume {
             self.forwarding.log_failed(broken, cause, true, false);
--- a/tests/gateway_broken_answers.rs
+++ b/tests/gateway_broken_answers.rs
@@ -380,3 +380,39 @@
         assert_eq!((upstream.answered(), seen), (1, Seen::BrokenOff), "{}", case.name);
     }
 }
+
+/// An upstream that is not told after which event it goes on begins again. Guards against events that come
+/// twice, since the last one has no id, or none that a header can carry.
+#[test]
+fn streams_do_not_begin_again_after_an_event_without_an_id_that_a_header_carries() {
+    const CALLS: usize = 24;
+    const EVENTS: u64 = 4;
+    let bodies = [
+        "id: 1\u{1}\ndata: one\n\nid: 2\ndata: never sent whole\n\n",
+        "id: 1\0\ndata: one\n\nid: 2\ndata: never sent whole\n\n",
+        "id: 1\u{7f}\ndata: one\n\nid: 2\ndata: never sent whole\n\n",
+        "id:\ndata: one\n\nid: 2\ndata: never sent whole\n\n",
+        "data: one\n\nid: 2\ndata: never sent whole\n\n",
+    ];
+    for body in bodies {
+        let site = Site::start(1, 1, 0);
+        let upstream = BrokenUpstream::start(case("", OK, CHUNKED, Body::HalfChunk).answer, body);
+        let (id, _) = site.add_upstream_behind("llm", upstream.address);
+        upstream.set_id(&id);
+        site.wait_known(&id);
+        let mut broken = 0;
+        for n in 0..CALLS {
+            let id = format!("again-{n}");
+            let before = upstream.answered();
+            let call = Call::stream("/digest/a", &id, EVENTS)
+                .header("x-prompt-prefix", &format!("{id}:500,aa01:100"));
+            let seen = caller::send(site.gateways[0].callers, &call);
+            if upstream.answered() > before {
+                broken += 1;
+                assert_eq!(seen, Seen::BrokenOff, "{body:?}");
+                assert!(site.runs(&id).is_empty(), "{body:?} ran again from its start");
+            }
+        }
+        assert!(broken > 0, "{body:?} was never sent");
+    }
+}
--- a/tests/gateway_decisions.rs
+++ b/tests/gateway_decisions.rs
@@ -289,12 +289,46 @@
             let last = passed.matches("id:").count();
             let id = splitter.last_id().map(|id| id.parse::<usize>().expect("a number"));
             prop_assert_eq!(id.unwrap_or(0), last);
+            prop_assert!(splitter.is_resumable());
         }
         prop_assert!(!splitter.is_inside_event());
         prop_assert_eq!(passed, text);
     }
 }
 
+#[test]
+fn a_stream_goes_on_only_after_events_with_an_id_that_a_header_carries() {
+    struct Case {
+        events: &'static [u8],
+        last_id: Option<&'static str>,
+        is_resumable: bool,
+    }
+    let case = |events, last_id, is_resumable| Case { events, last_id, is_resumable };
+    let cases = [
+        case(b"", None, true),
+        case(b": comment\n\n", None, true),
+        case(b"id: 1\ndata: a\n\n", Some("1"), true),
+        case(b"data: a\nid: 1\n\n", Some("1"), true),
+        case(b"id: 1\r\ndata: a\r\n\r\n: comment\r\n\r\n", Some("1"), true),
+        case(b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r", Some("2"), true),
+        case(b"data: a\n\n", None, false),
+        case(b"id:\ndata: a\n\n", None, false),
+        case(b"id: 1\0\ndata: a\n\n", None, false),
+        case(b"id: 1\x01\r\ndata: a\r\n\r\n", None, false),
+        case(b"id: 1\xff\ndata: a\n\n", None, false),
+        case(b"id: 1\ndata: a\n\ndata: b\n\n", Some("1"), false),
+        case(b"id: 1\ndata: a\n\nid: 2\x7f\ndata: b\n\n", Some("1"), false),
+        case(b"data: a\n\nid: 2\ndata: b\n\n", Some("2"), true),
+    ];
+    for case in cases {
+        let text = String::from_utf8_lossy(case.events);
+        let mut splitter = EventSplitter::default();
+        assert_eq!(&splitter.push(case.events)[..], case.events, "{text:?}");
+        let found = (splitter.last_id(), splitter.is_resumable());
+        assert_eq!(found, (case.last_id, case.is_resumable), "{text:?}");
+    }
+}
+
 #[test]
 fn an_incomplete_event_is_dropped_before_a_resume() {
     let mut splitter = EventSplitter::default();
