A request whose customer's name no header can carry is refused

Cause: a name with a control character left `X-Tenant` out without a word, and receivers drop blanks around a value, so that "small " was "small". Names beyond ASCII and with &, +, #, % or quotes held.

Change: such a request is refused at once (503, cause `unfit_customer`); a header that is left out all the same is an error in the log.

Failed before: requests_of_a_customer_whose_name_no_header_carries_do_not_run_without_it at its third name (200 where 503 is due; the first two held). After: passes.

--- a/src/gateway/request/admit.rs
+++ b/src/gateway/request/admit.rs
@@ -11,7 +11,7 @@
         model::{Configuration, Customer, CustomerName, Route, ServiceName, WatchedData},
         telemetry::Event,
     },
-    platform::RequestHead,
+    platform::{RequestHead, fits_header},
 };
 
 /// Part of the time that a caller has left within which it is asked to return: callers honour a
@@ -59,6 +59,9 @@
     let route = configuration.route(&head.host, &head.path);
     let route = route.ok_or_else(|| final_refusal(Refusal::NoRoute))?.clone();
     let customer = customer(&configuration, &route, head.key.as_deref()).map_err(final_refusal)?;
+    if customer.is_some_and(|c| !fits_header(&c.name)) {
+        return Err(Refusal::UnfitCustomer);
+    }
     let tokens = customer.map_or(0, |c| tokens(c, head));
     if let Some(customer) = customer {
         let rank = uses_ranks.then_some(route.priority);
--- a/src/gateway/request/events.rs
+++ b/src/gateway/request/events.rs
@@ -2,7 +2,8 @@
 //! upstream after the last event that was relayed.
 
 use bytes::{Bytes, BytesMut};
-use hyper::header::HeaderValue;
+
+use crate::platform::fits_header;
 
 /// Prefix of the line that holds the id of an event.
 const ID: &[u8] = b"id:";
@@ -159,7 +160,6 @@
 
 /// Returns an id as text if a header can carry it.
 fn sendable_id(id: &[u8]) -> Option<String> {
-    let id = id.trim_ascii();
-    HeaderValue::from_bytes(id).ok().filter(|_| !id.is_empty())?;
-    String::from_utf8(id.to_vec()).ok()
+    let id = std::str::from_utf8(id.trim_ascii()).ok()?;
+    fits_header(id).then(|| id.to_owned())
 }
--- a/src/gateway/request/refusal.rs
+++ b/src/gateway/request/refusal.rs
@@ -35,6 +35,10 @@
     /// The API key is missing or belongs to no customer.
     #[error("unknown key")]
     UnknownKey,
+    /// The name of the key's customer fits into no header, and upstreams must not run requests without
+    /// it. There is no retry delay, since a retry would be refused too.
+    #[error("upstreams cannot be told the name of the customer; it has not run")]
+    UnfitCustomer,
     /// The body exceeds the configured maximum.
     #[error("body too large")]
     BodyTooLarge,
@@ -110,6 +114,7 @@
         match self {
             Self::NoConfiguration
             | Self::ConfigurationOld
+            | Self::UnfitCustomer
             | Self::CrashesUpstreams
             | Self::CopyRuns(_)
             | Self::StreamVersionUnknown
@@ -139,6 +144,7 @@
             Self::ConfigurationOld => "configuration_old",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::UnfitCustomer => "unfit_customer",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_incomplete",
             Self::NoMemory => "no_memory",
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -216,14 +216,22 @@
     }
 }
 
+/// Sets a header to a value that [fits](fits_header), or removes it.
 fn set(headers: &mut HeaderMap, name: HeaderName, value: Option<&str>) {
-    let value = value.and_then(|v| HeaderValue::from_str(v).ok());
-    match value {
-        Some(value) => drop(headers.insert(name, value)),
-        None => drop(headers.remove(name)),
+    headers.remove(&name);
+    match value.map(HeaderValue::from_str) {
+        Some(Ok(value)) => drop(headers.insert(name, value)),
+        Some(Err(_)) => log::error!("the header {name} is left out, it cannot carry {value:?}"),
+        None => {}
     }
 }
 
+/// Returns whether a header can carry a text so that its receiver gets the same text: one without control
+/// characters, and without blanks around it, which receivers drop.
+pub fn fits_header(text: &str) -> bool {
+    !text.is_empty() && text.trim_ascii() == text && HeaderValue::from_str(text).is_ok()
+}
+
 /// Returns whether the upstream reports that it did not run the request.
 pub fn is_not_executed(status: StatusCode, headers: &HeaderMap) -> bool {
     headers.contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,8 +23,9 @@
 pub use duties::{DutyClient, EngineOrder, OrderOutcome};
 pub use error::PlatformError;
 pub use headers::{
-    Attempt, Prompt, RequestHead, answering_instance, closes, decode_head, is_not_executed,
-    is_signed, is_unsigned_success, keep_alive, same_request, stamp_attempt, strip_hop_headers,
+    Attempt, Prompt, RequestHead, answering_instance, closes, decode_head, fits_header,
+    is_not_executed, is_signed, is_unsigned_success, keep_alive, same_request, stamp_attempt,
+    strip_hop_headers,
 };
 pub use lookup::{Lookup, decode_lookup, encode_addresses, is_ready_probe};
 pub use rollouts::{
--- a/tests/gateway_odd_entries.rs
+++ b/tests/gateway_odd_entries.rs
@@ -3,7 +3,10 @@
 
 mod support;
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use hyper::StatusCode;
 use serde_json::{Value, json};
@@ -18,6 +21,8 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Time in which a list of a few pages must have been read.
 const READ_TIME: Duration = Duration::from_secs(2);
+/// Time in which a request that cannot be served must be refused.
+const AT_ONCE: Duration = Duration::from_millis(400);
 /// Value of an entry that describes no upstream.
 const FOREIGN_VALUE: &str = r#"{"owner":"inventory"}"#;
 
@@ -239,3 +244,43 @@
     }
     assert!(ran.is_empty(), "{} ran:\n{}", ran.len(), ran.join("\n"));
 }
+
+/// Upstreams take the customer from a header. Guards against requests that reach them without it.
+#[test]
+fn requests_of_a_customer_whose_name_no_header_carries_do_not_run_without_it() {
+    struct Case {
+        name: &'static str,
+        status: StatusCode,
+    }
+    let served = |name| Case { name, status: StatusCode::OK };
+    let refused = |name| Case { name, status: StatusCode::SERVICE_UNAVAILABLE };
+    let cases = [
+        served("h\u{e4}meen kunta"),
+        served("a&b+c#d%e\"f"),
+        refused("temple\nx"),
+        refused("temple\0"),
+        refused("\u{7f}"),
+        refused("small "),
+        refused("\tsmall"),
+    ];
+    let site = Site::start(1, 0, 2);
+    let to = site.gateways[0].callers;
+    for (version, case) in (8..).zip(cases) {
+        let mut renamed = configuration(version);
+        renamed["tenants"][0]["name"] = case.name.into();
+        site.configure(&renamed);
+        wait_until("it is in force", || site.configuration_versions() == [version]);
+        for kind in ["check", "confirm"] {
+            let id = format!("{kind}-{version}");
+            let method = if kind == "check" { "GET" } else { "POST" };
+            let sent = Instant::now();
+            let answer = Call::new(method, &format!("/{kind}/x"), &id).send(to).expect("an answer");
+            assert_eq!(answer.status, case.status, "{id}, {:?}", case.name);
+            let runs = site.runs(&id);
+            let named = runs.iter().filter(|run| run["customer"] == case.name).count();
+            let expected = usize::from(case.status == StatusCode::OK);
+            assert_eq!((runs.len(), named), (expected, expected), "{id}, {:?}", case.name);
+            assert!(sent.elapsed() < AT_ONCE, "{id}, {:?}: after {:?}", case.name, sent.elapsed());
+        }
+    }
+}
