A health check whose path no request can have is left out

A probe of a service whose path held a blank or a control character went to `/` instead, without a word.

Cause: the path was parsed where it was used, and an invalid one became the default.

Change: it is parsed once, with the configuration; an invalid one is an error in the log and counts as missing, so that the probe proves nothing instead of asking for something else.

Failed before: health_checks_go_to_the_path_that_the_operator_wrote_or_are_left_out ("/a b" kept). After: passes.

--- a/src/gateway/model/configuration.rs
+++ b/src/gateway/model/configuration.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use hyper::http::uri::PathAndQuery;
+
 use super::{CustomerName, ServiceName};
 use crate::ids::DataCentre;
 
@@ -79,7 +81,7 @@
     /// Maximum number of connections that one upstream accepts from all its clients together.
     pub max_connections: u32,
     /// Path of an upstream's health check; `None` if there is none.
-    pub health_path: Option<String>,
+    pub health_path: Option<PathAndQuery>,
     /// Properties of its model engines; `None` if the service does not run model engines.
     pub engine: Option<EngineKind>,
     /// Bounds for ordering engines; `None` if their number is fixed.
--- a/src/gateway/net/connect.rs
+++ b/src/gateway/net/connect.rs
@@ -16,6 +16,7 @@
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     client::conn::http1::{Builder, Connection, SendRequest},
     header::{CONTENT_TYPE, HOST, HeaderValue},
+    http::uri::PathAndQuery,
 };
 use hyper_util::rt::TokioIo;
 use nix::errno::Errno;
@@ -343,9 +344,9 @@
 }
 
 /// Builds a GET request without a body.
-pub fn get_request(path: &str, host: &str) -> Request<RequestBody> {
+pub fn get_request(path: PathAndQuery, host: &str) -> Request<RequestBody> {
     let mut request = Request::new(Full::default());
-    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.uri_mut() = path.into();
     if let Ok(host) = HeaderValue::from_str(host) {
         request.headers_mut().insert(HOST, host);
     }
--- a/src/gateway/request/crash.rs
+++ b/src/gateway/request/crash.rs
@@ -152,7 +152,7 @@
     async fn probe(&self, selected: &Selected) -> ProbeResult {
         let configuration = &self.admitted.configuration;
         let service = configuration.services.get(&self.admitted.service);
-        let health_path = service.and_then(|service| service.health_path.as_deref());
+        let health_path = service.and_then(|service| service.health_path.as_ref());
         let target = ProbeTarget::new(selected, health_path);
         let result = self.gateway.upstream_probes.probe(&self.gateway, target).await;
         self.gateway.log(&Event::UpstreamProbed {
--- a/src/gateway/request/health_check.rs
+++ b/src/gateway/request/health_check.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use hyper::StatusCode;
+use hyper::{StatusCode, http::uri::PathAndQuery};
 use tokio::time::timeout;
 
 use super::DialTarget;
@@ -29,7 +29,7 @@
     /// The lifetime to be checked.
     pub lifetime: Lifetime,
     address: SocketAddr,
-    path: String,
+    path: PathAndQuery,
     max_connections: usize,
 }
 
@@ -62,7 +62,7 @@
             return result_of_failure(&e);
         }
     };
-    let request = get_request(&target.path, &target.address.to_string());
+    let request = get_request(target.path.clone(), &target.address.to_string());
     let answer = match connection.connection().call(request).await {
         Ok(answer) => answer,
         Err(e) => {
--- a/src/gateway/request/upstream_probe.rs
+++ b/src/gateway/request/upstream_probe.rs
@@ -6,6 +6,7 @@
 
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
+use hyper::http::uri::PathAndQuery;
 use tokio::{
     sync::OnceCell,
     time::{sleep, timeout},
@@ -68,12 +69,12 @@
     address: SocketAddr,
     max_connections: usize,
     /// Path of its health check; `None` if its service has none.
-    health_path: Option<&'a str>,
+    health_path: Option<&'a PathAndQuery>,
 }
 
 impl<'a> ProbeTarget<'a> {
     /// Creates the target for the upstream of a run.
-    pub(super) fn new(selected: &'a Selected, health_path: Option<&'a str>) -> Self {
+    pub(super) fn new(selected: &'a Selected, health_path: Option<&'a PathAndQuery>) -> Self {
         let Selected { id, lifetime, address, max_connections, .. } = selected;
         Self {
             id,
@@ -153,7 +154,7 @@
         Path::Direct => ProbeResult::Alive,
         Path::Tunnel => ProbeResult::OwnPathLost,
     };
-    let request = get_request(health_path, &address.to_string());
+    let request = get_request(health_path.clone(), &address.to_string());
     let answered = timeout(ANSWER_TIMEOUT, lease.connection().call(request)).await;
     let answer = answered.ok()?.ok()?;
     match answering_instance(&answer.headers) {
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use hyper::http::uri::PathAndQuery;
 use serde::Deserialize;
 
 use super::PlatformError;
@@ -184,7 +185,17 @@
     }
 }
 
+/// Decodes the path of a health check; one that no request can have counts as missing.
+fn health_path(service: &str, path: &str) -> Option<PathAndQuery> {
+    let decoded = PathAndQuery::try_from(path).ok().filter(|_| path.starts_with('/'));
+    if decoded.is_none() {
+        log::error!("service {service:?} is not checked, {path:?} is no path of a request");
+    }
+    decoded
+}
+
 fn service(wire: WireService) -> Service {
+    let health_path = wire.health_path.and_then(|path| health_path(&wire.name, &path));
     let engine = wire.engine.map(|e| EngineKind {
         slots: e.slots,
         cache_tokens: e.kv_capacity_tokens,
@@ -197,13 +208,7 @@
         reclaimable_price: s.spot_price,
         prices: s.zone_prices,
     });
-    Service {
-        name: wire.name,
-        max_connections: wire.max_connections,
-        health_path: wire.health_path,
-        engine,
-        scaling,
-    }
+    Service { name: wire.name, max_connections: wire.max_connections, health_path, engine, scaling }
 }
 
 fn customer(wire: WireTenant) -> Customer {
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::{HeaderMap, Request, StatusCode, header::HeaderValue};
+use serde_json::Value;
 use tackhollow::{
     gateway::model::{RequestKind, UpstreamPhase},
     platform::{
@@ -245,6 +246,34 @@
     assert_eq!(sent, expected);
 }
 
+/// Guards against a health check that is sent to another path, where it may be taken for a request.
+#[test]
+fn health_checks_go_to_the_path_that_the_operator_wrote_or_are_left_out() {
+    struct Case {
+        written: &'static str,
+        path: Option<&'static str>,
+    }
+    let case = |written, path| Case { written, path };
+    let cases = [
+        case("/healthz", Some("/healthz")),
+        case("/healthz?deep=1", Some("/healthz?deep=1")),
+        case("/a%20b", Some("/a%20b")),
+        case("/a b", None),
+        case("/a\nb", None),
+        case("/a\0", None),
+        case("healthz", None),
+        case("", None),
+    ];
+    for case in cases {
+        let mut cfg: Value = serde_json::from_str(CONFIGURATION).expect("a document");
+        cfg["services"][0]["healthPath"] = case.written.into();
+        let name = cfg["services"][0]["name"].as_str().expect("a name").to_owned();
+        let cfg = decode_configuration(cfg.to_string().as_bytes()).expect("a configuration");
+        let path = cfg.services[&name].health_path.as_ref().map(|path| path.as_str());
+        assert_eq!(path, case.path, "{:?}", case.written);
+    }
+}
+
 #[test]
 fn classifies_answers_by_status_and_headers() {
     let ok = StatusCode::OK;
