A gateway that was out of step does not name the only version of a stream

Cause: "only one version has served" was judged by the list as it stood, however old, and one such answer outvoted all that knew nothing. Gateways that knew of two versions answered like those that know nothing. After a standstill nobody has been heard lately, so that nobody was asked. A version that came and went meanwhile was never noted: other gateways report the removal of an upstream without its version.

Change: "several" is an answer of its own, which outvotes "only this one". The latter is said only with a list that counts as current, and used only once the list as of the question does not contradict it; the store is read for that, once for all questions that wait, at most every 100 ms, awaited for 150 ms. The history starts anew where versions may have come and gone unseen: after a removal of an upstream that was never known, and after a whole list that follows an old one. Refused streams may be taken up elsewhere.

--- a/src/gateway/board/departures.rs
+++ b/src/gateway/board/departures.rs
@@ -32,6 +32,11 @@
         self.left.insert(id.clone(), (lifetime, now));
     }
 
+    /// Returns whether an upstream is known to have left lately.
+    pub fn is_known(&self, id: &UpstreamId) -> bool {
+        self.left.contains_key(id)
+    }
+
     /// Forgets an upstream's departure: its row was written or removed since.
     pub fn forget(&mut self, id: &UpstreamId) {
         self.left.remove(id);
--- a/src/gateway/controllers/directory.rs
+++ b/src/gateway/controllers/directory.rs
@@ -98,7 +98,7 @@
             return;
         }
         self.apply_listed(&snapshot, now);
-        snapshot.gone.iter().for_each(|id| self.remove(id, position, now));
+        snapshot.gone.iter().for_each(|id| self.remove_reported(id, position, now));
         // The set may hold more changes than heartbeats pass on, and it is not in order of
         // revision.
         self.gateway.board.borrow_mut().recent_changes.reset(snapshot.knowledge);
@@ -124,7 +124,7 @@
             match change {
                 UpstreamChange::Written(upstream) => self.update(upstream, revision, now),
                 UpstreamChange::Missing(id, removal) => self.handle_peer_removal(&id, removal, now),
-                UpstreamChange::Gone(id) => self.remove(&id, revision, now),
+                UpstreamChange::Gone(id) => self.remove_reported(&id, revision, now),
             }
         }
         self.advance(recent.knowledge, last_change);
@@ -153,6 +153,7 @@
         if position < known {
             return false;
         }
+        self.gateway.board.borrow_mut().note_unseen_versions(snapshot.knowledge.as_of, now);
         if era_of(known) < era_of(position) {
             self.enter_era(&snapshot, now);
         }
@@ -318,6 +319,17 @@
         self.log(&view.upstream, "gone", revision);
     }
 
+    /// Removes an upstream that another gateway reports as gone. One that was never known here may have
+    /// had any version.
+    fn remove_reported(&self, id: &UpstreamId, revision: Revision, now: Instant) {
+        let mut board = self.gateway.board.borrow_mut();
+        if !board.upstreams.contains_key(id) && !board.departures.is_known(id) {
+            board.version_history.note_gap(now);
+        }
+        drop(board);
+        self.remove(id, revision, now);
+    }
+
     pub(super) fn log(&self, upstream: &Upstream, state: &str, revision: Revision) {
         self.gateway.log(&Event::Upstream {
             upstream: &upstream.id,
--- a/src/gateway/controllers/mod.rs
+++ b/src/gateway/controllers/mod.rs
@@ -42,7 +42,7 @@
 pub use row_checks::RowChecks;
 pub use source::Source;
 pub use startup::{register_member, restore_state};
-pub use table_reader::follow_table;
+pub use table_reader::{follow_table, read_once};
 pub use verdict_rows::VerdictKind;
 
 /// Owning handles of all controllers, through which they are sent messages.
--- a/src/gateway/controllers/table_reader.rs
+++ b/src/gateway/controllers/table_reader.rs
@@ -213,8 +213,8 @@
     }
 }
 
-/// Reads the changes of a table once, without waiting.
-pub(super) async fn read_once(gateway: Rc<Gateway>, followed: WatchedData) {
+/// Reads the changes of a table once, without waiting for some, and sends them to the controllers.
+pub async fn read_once(gateway: Rc<Gateway>, followed: WatchedData) {
     let reader = Rc::new(TableReader { gateway, followed, known: Cell::default() });
     reader.read(Duration::ZERO).await;
 }
--- a/src/gateway/decide/mod.rs
+++ b/src/gateway/decide/mod.rs
@@ -118,7 +118,7 @@
 pub use store_stability::StoreStability;
 pub use stored_windows::StoredWindows;
 pub use stream_versions::{
-    STREAM_LIFETIME, StreamVersions, VersionHistory, VersionKeeper, choose_keepers,
+    STREAM_LIFETIME, ServedVersions, StreamVersions, VersionHistory, VersionKeeper, choose_keepers,
 };
 pub use tunnel_peers::{TunnelPeers, choose_listed_gateways};
 pub use unread::choose_unread;
--- a/src/gateway/decide/stream_versions.rs
+++ b/src/gateway/decide/stream_versions.rs
@@ -55,9 +55,21 @@
     }
 }
 
+/// The versions of a service at which a stream that goes on may have begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServedVersions<'a> {
+    /// Only this one.
+    Sole(&'a UpstreamVersion),
+    /// One of several.
+    Several,
+    /// The history is too short to know.
+    Unknown,
+}
+
 /// When each version of each service was last listed.
 #[derive(Debug)]
 pub struct VersionHistory {
+    /// Start of the time in which no version can have been missed.
     since: Instant,
     last_listed: BTreeMap<ServiceName, BTreeMap<UpstreamVersion, Instant>>,
 }
@@ -75,22 +87,29 @@
         of_service.insert(version.clone(), now);
     }
 
-    /// Returns the only version of a service at which a stream that goes on may have begun; `None`
-    /// if there are several, or the history is too short to know. `listed` are those listed now.
-    pub fn sole<'a>(
+    /// Notes that versions may have come and gone unseen until now.
+    pub fn note_gap(&mut self, now: Instant) {
+        self.since = now;
+    }
+
+    /// Returns the versions of a service at which a stream that goes on may have begun. `listed` are
+    /// those listed now.
+    pub fn served<'a>(
         &'a self,
         service: &ServiceName,
         listed: impl Iterator<Item = &'a UpstreamVersion>,
         now: Instant,
-    ) -> Option<&'a UpstreamVersion> {
-        if now.saturating_duration_since(self.since) < STREAM_LIFETIME {
-            return None;
-        }
+    ) -> ServedVersions<'a> {
         let recent = |at: Instant| now.saturating_duration_since(at) < STREAM_LIFETIME;
         let earlier = self.last_listed.get(service).into_iter().flatten();
         let earlier = earlier.filter(|(_, at)| recent(**at)).map(|(version, _)| version);
-        let versions: BTreeSet<_> = listed.chain(earlier).collect();
-        if versions.len() == 1 { versions.into_iter().next() } else { None }
+        let mut versions: BTreeSet<_> = listed.chain(earlier).collect();
+        let is_long_enough = now.saturating_duration_since(self.since) >= STREAM_LIFETIME;
+        match (versions.pop_first(), versions.is_empty()) {
+            (Some(_), false) => ServedVersions::Several,
+            (Some(version), true) if is_long_enough => ServedVersions::Sole(version),
+            _ => ServedVersions::Unknown,
+        }
     }
 }
 
--- a/src/gateway/peering/stream_version.rs
+++ b/src/gateway/peering/stream_version.rs
@@ -19,20 +19,26 @@
     Sole(UpstreamVersion),
     /// Neither.
     Unknown,
+    /// It was not told, and the service has had several versions within the time that a stream lasts.
+    Several,
 }
 
 impl KnownVersion {
-    /// Returns the most certain of several gateways' answers. Gateways that disagree about the only
-    /// version know nothing.
+    /// Returns the most certain of several gateways' answers. One that has seen several versions knows
+    /// more than those that have seen one. Gateways that disagree about the only version know nothing.
     pub fn most_certain(answers: Vec<Self>) -> Self {
-        let mut soles = BTreeSet::new();
+        let (mut soles, mut several) = (BTreeSet::new(), false);
         for known in answers {
             match known {
                 Self::Recorded(version) => return Self::Recorded(version),
                 Self::Sole(version) => drop(soles.insert(version)),
+                Self::Several => several = true,
                 Self::Unknown => {}
             }
         }
+        if several {
+            return Self::Several;
+        }
         match (soles.pop_first(), soles.is_empty()) {
             (Some(version), true) => Self::Sole(version),
             _ => Self::Unknown,
--- a/src/gateway/request/stream_versions.rs
+++ b/src/gateway/request/stream_versions.rs
@@ -5,13 +5,17 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
     net::UdpSocket,
-    sync::mpsc::{UnboundedSender, unbounded_channel},
-    time::timeout,
+    sync::{
+        Mutex,
+        mpsc::{UnboundedSender, unbounded_channel},
+    },
+    task::spawn_local,
+    time::{sleep, timeout},
 };
 
 use super::{Refusal, forward::Forwarding, select::Selected};
@@ -19,8 +23,9 @@
     clock,
     gateway::{
         context::Gateway,
-        decide::Mechanism,
-        model::{RequestDigest, ServiceName, UpstreamVersion},
+        controllers::read_once,
+        decide::{Mechanism, StoreMillis},
+        model::{RequestDigest, ServiceName, UpstreamVersion, WatchedData},
         peering::{KnownVersion, StreamVersionMessage},
     },
 };
@@ -34,6 +39,13 @@
 /// Time for which answers of other gateways are awaited. A shorter one refuses streams whose
 /// keepers are far away; a longer one delays the refusal of those that nobody knows.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a list of upstreams as of the question is awaited. A shorter one refuses streams while
+/// the store is slow; a longer one delays the refusal.
+const LIST_TIMEOUT: Duration = Duration::from_millis(150);
+/// Shortest interval between reads of the list for questions. Each read is billed.
+const LIST_READ_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between checks of whether a list that was read has been applied.
+const APPLY_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Questions to other gateways that await answers.
 #[derive(Debug, Default)]
@@ -41,6 +53,8 @@
     socket: OnceCell<Rc<UdpSocket>>,
     pending: RefCell<HashMap<u64, UnboundedSender<KnownVersion>>>,
     last_number: Cell<u64>,
+    /// When the list of upstreams was last read for a question; held during such a read.
+    list_read: Mutex<Option<Instant>>,
 }
 
 /// Removes a question when it is dropped.
@@ -128,7 +142,7 @@
 
     /// Returns the version at which a stream of a service began, if this gateway or others know it.
     pub(super) async fn find_stream_version(
-        &self,
+        self: &Rc<Self>,
         stream: RequestDigest,
         service: &ServiceName,
     ) -> Option<UpstreamVersion> {
@@ -142,8 +156,50 @@
             board.version_keepers(stream, &settings, KEEPERS_TO_ASK, now)
         };
         match self.stream_version_questions.ask(stream, service, &keepers, own).await {
-            KnownVersion::Recorded(version) | KnownVersion::Sole(version) => Some(version),
-            KnownVersion::Unknown => None,
+            KnownVersion::Recorded(version) => Some(version),
+            KnownVersion::Sole(version) => self.confirm_sole(stream, service, version).await,
+            KnownVersion::Several | KnownVersion::Unknown => None,
+        }
+    }
+
+    /// Returns the version of a stream if the list of upstreams, as of now, does not contradict that
+    /// `sole` is the only one. This gateway or the one that named it may have missed another one: it was
+    /// cut off, or stood still.
+    async fn confirm_sole(
+        self: &Rc<Self>,
+        stream: RequestDigest,
+        service: &ServiceName,
+        sole: UpstreamVersion,
+    ) -> Option<UpstreamVersion> {
+        let asked = self.board.borrow().store_clock.now(clock::now())?;
+        timeout(LIST_TIMEOUT, self.read_upstreams_as_of(asked)).await.ok()?;
+        match self.board.borrow().known_version(stream, service, clock::now()) {
+            KnownVersion::Recorded(version) => Some(version),
+            KnownVersion::Sole(version) => (version == sole).then_some(sole),
+            // The history here may be too short.
+            KnownVersion::Unknown => Some(sole),
+            KnownVersion::Several => None,
+        }
+    }
+
+    /// Waits until the list of upstreams is known as of a time of the store, and reads it if necessary.
+    async fn read_upstreams_as_of(self: &Rc<Self>, at: StoreMillis) {
+        if self.board.borrow().lists_upstreams_as_of(at) {
+            return;
+        }
+        let mut last_read = self.stream_version_questions.list_read.lock().await;
+        // A read that began while this one waited for its turn serves both.
+        if self.board.borrow().lists_upstreams_as_of(at) {
+            return;
+        }
+        if let Some(last) = *last_read {
+            clock::sleep_until(last + LIST_READ_INTERVAL).await;
+        }
+        *last_read = Some(clock::now());
+        // Goes on if this question is given up, so that the next one finds its result.
+        drop(spawn_local(read_once(self.clone(), WatchedData::Upstreams)));
+        while !self.board.borrow().lists_upstreams_as_of(at) {
+            sleep(APPLY_POLL_INTERVAL).await;
         }
     }
 
--- a/tests/gateway_stream_version_model.rs
+++ b/tests/gateway_stream_version_model.rs
@@ -8,7 +8,8 @@
 
 use tackhollow::gateway::{
     decide::{
-        STREAM_LIFETIME, ShareHolder, StreamVersions, VersionHistory, VersionKeeper, choose_keepers,
+        STREAM_LIFETIME, ServedVersions, ShareHolder, StreamVersions, VersionHistory,
+        VersionKeeper, choose_keepers,
     },
     model::RequestDigest,
     peering::KnownVersion,
@@ -228,11 +229,14 @@
     let sole = |version: &str| KnownVersion::Sole(version.to_owned());
     let recorded = || KnownVersion::Recorded("v3".to_owned());
     let unknown = || KnownVersion::Unknown;
+    let several = || KnownVersion::Several;
     let cases = [
         Case { answers: vec![], sum: unknown() },
         Case { answers: vec![unknown(), sole("v1"), sole("v1")], sum: sole("v1") },
         Case { answers: vec![sole("v1"), sole("v2"), sole("v1")], sum: unknown() },
         Case { answers: vec![sole("v1"), sole("v2"), recorded()], sum: recorded() },
+        Case { answers: vec![sole("v1"), several(), sole("v1"), unknown()], sum: several() },
+        Case { answers: vec![several(), sole("v1"), recorded()], sum: recorded() },
     ];
     for case in cases {
         assert_eq!(
@@ -246,24 +250,30 @@
 
 #[test]
 fn only_a_long_enough_history_names_a_sole_version() {
-    struct Case {
+    struct Case<'a> {
         name: &'static str,
         /// Versions, and how long after the start each was last listed.
         listed: &'static [(&'static str, u64)],
+        /// When others may have come and gone unseen, after the start.
+        gap_s: Option<u64>,
         now_s: u64,
-        sole: Option<&'static str>,
+        served: ServedVersions<'a>,
     }
+    let v1 = "v1".to_owned();
+    let sole = ServedVersions::Sole(&v1);
+    let (several, unknown) = (ServedVersions::Several, ServedVersions::Unknown);
+    let case = |name, listed, gap_s, now_s, served| Case { name, listed, gap_s, now_s, served };
     let cases = [
-        Case { name: "just started", listed: &[("v1", 0)], now_s: 29, sole: None },
-        Case { name: "long enough", listed: &[("v1", 30)], now_s: 30, sole: Some("v1") },
-        Case { name: "two", listed: &[("v1", 60), ("v2", 60)], now_s: 60, sole: None },
-        Case { name: "one just gone", listed: &[("v2", 35), ("v1", 60)], now_s: 60, sole: None },
-        Case {
-            name: "gone long ago",
-            listed: &[("v2", 29), ("v1", 60)],
-            now_s: 60,
-            sole: Some("v1"),
-        },
+        case("none", &[], None, 60, unknown),
+        case("just started", &[("v1", 0)], None, 29, unknown),
+        case("long enough", &[("v1", 30)], None, 30, sole),
+        case("two", &[("v1", 60), ("v2", 60)], None, 60, several),
+        case("two, just started", &[("v1", 1), ("v2", 1)], None, 1, several),
+        case("one just gone", &[("v2", 35), ("v1", 60)], None, 60, several),
+        case("gone long ago", &[("v2", 29), ("v1", 60)], None, 60, sole),
+        case("a gap", &[("v1", 60)], Some(31), 60, unknown),
+        case("a gap long ago", &[("v1", 60)], Some(30), 60, sole),
+        case("a gap beside two", &[("v1", 60), ("v2", 60)], Some(59), 60, several),
     ];
     let service = "llm".to_owned();
     for case in cases {
@@ -273,8 +283,11 @@
             let at = start + Duration::from_secs(*at);
             history.note(&service, &(*version).to_owned(), at);
         }
+        if let Some(at) = case.gap_s {
+            history.note_gap(start + Duration::from_secs(at));
+        }
         let now = start + Duration::from_secs(case.now_s);
-        let sole = history.sole(&service, std::iter::empty(), now);
-        assert_eq!(sole.map(String::as_str), case.sole, "{}", case.name);
+        let served = history.served(&service, std::iter::empty(), now);
+        assert_eq!(served, case.served, "{}", case.name);
     }
 }
