An answer whose store time no clock reaches is rejected

A time near 2^64 ms was taken for the store's clock, and sums with it overflowed at three places (debug builds end there; release builds count on from zero).

Cause: the number was believed whatever its size. Guarding each sum would leave the next one open.

Change: a time beyond 2^53 ms makes the answer malformed, with an error of its own.

Failed before: a_list_whose_time_no_clock_reaches_is_rejected ( was read); a trial with the largest time in the board panicked at knowledge.rs:53, then at removal.rs:67.

--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -3,7 +3,10 @@
 use hyper::http::uri::InvalidUri;
 use thiserror::Error;
 
-use crate::gateway::net::{CallError, ConnectError};
+use crate::gateway::{
+    decide::StoreMillis,
+    net::{CallError, ConnectError},
+};
 
 /// Why a call to the platform failed.
 #[derive(Debug, Error)]
@@ -47,6 +50,9 @@
     /// A value in the call is too long; the call was not sent.
     #[error("no valid target: {0}")]
     Target(#[from] InvalidUri),
+    /// The store's clock shows this time, which no clock reaches.
+    #[error("the time of the store is too large: {0} ms")]
+    TimeOutOfRange(StoreMillis),
     /// The lease ended before the call was sent; nothing was applied.
     #[error("the lease ended before the call was sent")]
     LeaseLost,
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -16,6 +16,9 @@
 /// Maximum number of characters of an unreadable row that the log quotes.
 const MAX_QUOTED_CHARS: usize = 200;
 
+/// Largest time of the store's clock. Durations can be added to it without overflow.
+const MAX_TIME: StoreMillis = 1 << 53;
+
 /// A row, or the tombstone of a removed one.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -141,6 +144,9 @@
 pub(super) fn rows(answer: &Answer, era: Era) -> Result<RowPage, PlatformError> {
     let page: WirePage =
         serde_json::from_slice(&answer.body).map_err(PlatformError::malformed("rows"))?;
+    if page.now_ms > MAX_TIME {
+        return Err(PlatformError::TimeOutOfRange(page.now_ms));
+    }
     Ok(RowPage {
         rows: page.rows.iter().filter_map(|row| readable_row(row, era)).collect(),
         more_pages: page.more_pages,
--- a/tests/gateway_odd_values.rs
+++ b/tests/gateway_odd_values.rs
@@ -3,19 +3,26 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use serde_json::json;
 use support::{
+    directory::{DirectoryHarness, row},
     gateways::{Call, GatewayProc, Site, configuration},
     wait_until, wait_until_for,
 };
+use tackhollow::{
+    gateway::{decide::StoreMillis, model::UpstreamPhase},
+    platform::{Change, Feed, Snapshot},
+};
 
 /// Time after a restart of all gateways within which callers must be served.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Name of the entry with the odd value.
 const NAME: &str = "i-odd";
+/// Largest time of the store that is believed.
+const MAX_TIME: StoreMillis = 1 << 53;
 /// Depth of nested values.
 const DEPTH: usize = 40_000;
 /// Length of long texts.
@@ -170,3 +177,22 @@
 fn odd_values_among_model_engines_end_no_gateway_and_cost_no_request() {
     check("llm");
 }
+
+/// The store's clock is a number of the store too. Guards against times whose sums overflow.
+#[test]
+fn the_largest_time_of_the_store_does_not_overflow() {
+    let start = Instant::now();
+    let mut directory = DirectoryHarness::new();
+    let rows = || vec![row("i-1", UpstreamPhase::Ready, 1), row("i-2", UpstreamPhase::Ready, 2)];
+    directory.snapshot(Snapshot { rows: rows(), revision: 2, as_of: 7 });
+    directory.gateway.board.borrow_mut().store_clock.note(MAX_TIME, start);
+    directory.snapshot(Snapshot { rows: rows(), revision: 3, as_of: MAX_TIME });
+    for (revision, as_of) in [(4, 8), (5, MAX_TIME)] {
+        let changes = vec![Change::Removed(format!("i-{}", revision - 3), revision)];
+        directory.feed(Feed { changes, revision, as_of });
+    }
+    assert_eq!(directory.position(), 5);
+    let gateways = &mut [directory];
+    DirectoryHarness::pass_time(gateways, start + Duration::from_secs(100));
+    assert_eq!(gateways[0].as_of(), MAX_TIME);
+}
--- a/tests/store_pages.rs
+++ b/tests/store_pages.rs
@@ -226,3 +226,31 @@
         assert_eq!(changed.collect::<Vec<_>>(), expected, "{}", odd.name);
     }
 }
+
+/// Guards against a time of the store with which nothing can be reckoned.
+#[test]
+fn a_list_whose_time_no_clock_reaches_is_rejected() {
+    struct Case {
+        time: &'static str,
+        is_read: bool,
+    }
+    let case = |time, is_read| Case { time, is_read };
+    let cases = [
+        case("0", true),
+        case("9007199254740992", true),
+        case("9007199254740993", false),
+        case("18446744073709551615", false),
+        case("18446744073709551616", false),
+        case("1e999", false),
+        case("-1", false),
+        case("null", false),
+    ];
+    for case in cases {
+        let body =
+            format!(r#"{{"rows":[],"morePages":false,"rowVersion":9,"nowMs":{}}}"#, case.time);
+        let store = ScriptedStore::answering(body);
+        let read = store.list().expect("an end");
+        assert_eq!(read.is_ok(), case.is_read, "{}: {read:?}", case.time);
+        assert_eq!(store.changes().is_ok(), case.is_read, "{}", case.time);
+    }
+}
