An empty signature is none

Cause: the header's presence counted as a signature.

Change: an empty value counts as missing (502, `answer_without_signature`).

A head that is cut and ended well behind the signature is, byte by byte, a whole answer without a length; it is no part of the tests.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -248,9 +248,10 @@
     headers.get(INSTANCE).and_then(|v| v.to_str().ok())
 }
 
-/// Returns whether an answer carries the signature of its upstream.
+/// Returns whether an answer carries the signature of its upstream. An empty one is what is left if the
+/// head was cut.
 pub fn is_signed(headers: &HeaderMap) -> bool {
-    headers.contains_key(RESPONSE_SEAL)
+    headers.get(RESPONSE_SEAL).is_some_and(|seal| !seal.is_empty())
 }
 
 /// Returns whether an answer has a success status but no signature of its upstream.
--- a/tests/broken/mod.rs
+++ b/tests/broken/mod.rs
@@ -36,6 +36,7 @@
 
 /// How the body of an answer is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "each test file uses only some of them")]
 pub enum Body {
     /// As it is.
     Plain,
@@ -47,10 +48,13 @@
     Half,
     /// Half of it as a chunk.
     HalfChunk,
+    /// Not at all: this many bytes of the head are written, followed by these.
+    CutHead(usize, &'static str),
 }
 
 /// What becomes of the connection after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(dead_code, reason = "each test file uses only some of them")]
 pub enum Then {
     /// It is closed.
     Close,
@@ -90,6 +94,10 @@
             Body::ChunkThen(rest) => chunk(body) + rest,
             Body::Half => half.to_owned(),
             Body::HalfChunk => chunk(half),
+            Body::CutHead(length, end) => {
+                let length = length.min(head.len());
+                return [&head.as_bytes()[..length], end.as_bytes()].concat();
+            }
         };
         (head + &body).into_bytes()
     }
