Names from the store are escaped in the text log

Callers saw: nothing. The key of a row with line ends wrote lines of its own to standard error.

Cause: keys of rows of the members and roll-outs stood in messages as they are. The event log (JSON), the metrics (their labels are escaped by the library) and the messages of the store's client held.

Failed before: names_of_entries_forge_no_lines_in_logs_and_metrics ("forged 1" as a line). After: passes.

--- a/src/bin/tackhollow-emulator/admin.rs
+++ b/src/bin/tackhollow-emulator/admin.rs
@@ -246,12 +246,12 @@
         Some(())
     }
 
-    /// Writes any text as the row of an upstream, in place of another writer, or removes the row if
-    /// `text` is null. Fields: `id`, `text`.
+    /// Writes any text as the row of an upstream, or of another `table`, in place of another writer, or
+    /// removes the row if `text` is null. Fields: `id`, `text`, `table`.
     fn write_raw_row(&self, body: &Value) -> Option<()> {
         let (id, text) = (body["id"].as_str()?, &body["text"]);
         let value = if text.is_null() { None } else { Some(STANDARD.encode(text.as_str()?)) };
-        self.platform.put("servers", id, value);
+        self.platform.put(body["table"].as_str().unwrap_or("servers"), id, value);
         Some(())
     }
 
--- a/src/gateway/controllers/rollout_rows.rs
+++ b/src/gateway/controllers/rollout_rows.rs
@@ -55,7 +55,7 @@
             Some((service, StatusRow { revision: row.revision, state, destination }))
         }
         Err(e) => {
-            log::error!("status row of the roll-out of service {service} cannot be decoded: {e}");
+            log::error!("status row of the roll-out of service {service:?} cannot be decoded: {e}");
             None
         }
     }
@@ -68,7 +68,9 @@
     match serde_json::from_slice(&row.value) {
         Ok(start) => Some((service, start)),
         Err(e) => {
-            log::error!("stored start of the roll-out of service {service} cannot be decoded: {e}");
+            log::error!(
+                "stored start of the roll-out of service {service:?} cannot be decoded: {e}"
+            );
             None
         }
     }
--- a/src/gateway/controllers/startup.rs
+++ b/src/gateway/controllers/startup.rs
@@ -65,7 +65,7 @@
 fn member_address(row: &StoreRow) -> Option<SocketAddr> {
     let member: Result<MemberRow, _> = serde_json::from_slice(&row.value);
     if let Err(e) = &member {
-        log::warn!("the member row of gateway {} cannot be decoded: {e}", row.key);
+        log::warn!("the member row of gateway {:?} cannot be decoded: {e}", row.key);
     }
     member.ok().map(|m| m.heartbeats)
 }
--- a/tests/gateway_odd_entries.rs
+++ b/tests/gateway_odd_entries.rs
@@ -284,3 +284,33 @@
         }
     }
 }
+
+/// Guards against names that write lines of their own into a log, or labels into the metrics.
+#[test]
+fn names_of_entries_forge_no_lines_in_logs_and_metrics() {
+    const FORGED: &str = "forged";
+    let name = format!("i-1\n{FORGED} 1\r{FORGED}\"}} 2\n");
+    let mut site = Site::bare();
+    site.configure(&configuration(7));
+    site.add_upstream("app");
+    for table in ["servers", "members", "duties", "op", "status"] {
+        let rollout = format!("rollout/{name}");
+        for id in [&name, &rollout] {
+            site.control("/entry", &json!({ "table": table, "id": id, "text": "no JSON" }));
+        }
+    }
+    site.add_gateway();
+    site.wait_ready();
+    let gateway = &site.gateways[0];
+    wait_until("the row of the members is read", || gateway.said().contains(FORGED));
+    let call = Call::new("GET", "/check/x", "served");
+    assert_eq!(call.send(gateway.callers).map(|a| a.status), Some(StatusCode::OK));
+    let texts = [gateway.said(), gateway.metrics()];
+    for line in texts.iter().flat_map(|text| text.split(['\n', '\r'])) {
+        assert!(!line.starts_with(FORGED), "{line:?}");
+    }
+    let events = std::fs::read_to_string(&site.logs()[0]).expect("a log");
+    for line in events.lines() {
+        assert!(serde_json::from_str::<Value>(line).is_ok(), "{line:?}");
+    }
+}
