--- a/review/rig-2/engine.rs
+++ b/review/rig-2/engine.rs
@@ -59,6 +59,7 @@
 #[derive(Debug)]
 struct Engine {
     id: String,
+    version: String,
     is_model: bool,
     all: Arc<Engines>,
     /// Requests that are processed or wait.
@@ -89,12 +90,12 @@
         seconds.clone_into(&mut self.idle_timeout.lock().expect("the timeout"));
     }
 
-    /// Starts an engine of a service on a free port of `ip`, and registers it.
+    /// Starts an engine of a service on a free port of `ip`, and registers it with its version.
     pub fn start(
         self: &Arc<Self>,
         store: &Store,
         ip: &str,
-        service: &str,
+        (service, version): (&str, &str),
         zone: &str,
         number: usize,
     ) -> io::Result<SocketAddr> {
@@ -107,7 +108,7 @@
             "servers",
             &id,
             &format!(
-                "{{\"service\":{},\"address\":\"{address}\",\"zone\":{},\"version\":\"v1\",\
+                "{{\"service\":{},\"address\":\"{address}\",\"zone\":{},\"version\":\"{version}\",\
                  \"slots\":{slots},\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":0}}",
                 quote(service),
                 quote(zone)
@@ -115,6 +116,7 @@
         );
         let engine = Engine {
             id,
+            version: version.to_owned(),
             is_model,
             all: self.clone(),
             taken: Mutex::default(),
@@ -226,6 +228,7 @@
 
     fn stream(&self, request: &Request, mut stream: &TcpStream) -> io::Result<bool> {
         let id = request.header("x-request-id");
+        let begun: u64 = request.header("last-event-id").parse().unwrap_or(0);
         let usage = request.header("x-token-usage").split_once(',');
         let output = usage.and_then(|(_, n)| n.trim().parse().ok()).unwrap_or(EVENT_TOKENS);
         if !self.read_prompt(request, stream)? {
@@ -242,8 +245,8 @@
                 )
                 .as_bytes(),
             )?;
-            for number in 1..=output.div_ceil(EVENT_TOKENS) {
-                let event = format!("id: {number}\ndata: event {number} of {id}\n\n");
+            for number in begun + 1..=output.div_ceil(EVENT_TOKENS) {
+                let event = format!("id: {number}\ndata: event {number} of {}\n\n", self.version);
                 stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
                 thread::sleep(EVENT_TIME);
             }
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -11,6 +11,7 @@
 mod platform;
 mod reborn;
 mod site;
+mod takeup;
 mod target;
 mod timeout;
 
@@ -32,6 +33,7 @@
     let played = match case.as_str() {
         "parts" => parts::play(record, trouble),
         "reborn" => reborn::play(record, trouble),
+        "takeup" => takeup::play(record, trouble),
         "target" => target::play(record, trouble),
         "timeout" => timeout::play(record, trouble),
         _ => Err(format!("no case {case:?}").into()),
--- a/review/rig-2/site.rs
+++ b/review/rig-2/site.rs
@@ -83,10 +83,11 @@
         store.put("op", "config", &configuration());
         let engines = Engines::new();
         for number in 0..models {
-            engines.start(&store, &ip(2), "llm", ZONES[number % ZONES.len()], number)?;
+            let of = ("llm", "v1");
+            engines.start(&store, &ip(2), of, ZONES[number % ZONES.len()], number)?;
         }
         for number in 0..plain {
-            engines.start(&store, &ip(3), "app", ZONES[number % ZONES.len()], number)?;
+            engines.start(&store, &ip(3), ("app", "v1"), ZONES[number % ZONES.len()], number)?;
         }
         let start = |n: usize| {
             let at = (&*ip(10 + n), ZONES[n % ZONES.len()]);
@@ -113,19 +114,21 @@
     }
 }
 
-/// Returns the operator's configuration: a public streaming route, one of each plain kind, and a plain
-/// one whose requests go to the model engines.
+/// Returns the operator's configuration: two public streaming routes, one of them for streams that may be
+/// taken up, one route of each plain kind, and a plain one whose requests go to the model engines.
 fn configuration() -> String {
     let route = |name: &str, kind: &str, service: &str, timeout: u32, public: bool| {
         format!(
             "{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
              \"timeoutMs\":{timeout},\"targetLatencyMs\":1000,\"priority\":1,\"service\":\"{service}\",\
-             \"maxAttempts\":1,\"public\":{public},\"stickySessions\":{},\"streamResume\":false}}",
-            kind == "streaming"
+             \"maxAttempts\":1,\"public\":{public},\"stickySessions\":{},\"streamResume\":{}}}",
+            kind == "streaming",
+            name == "digest"
         )
     };
     let routes = [
         route("plan", "streaming", "llm", 15_000, true),
+        route("digest", "streaming", "llm", 15_000, true),
         route("confirm", "unsafe", "app", 3_000, false),
         route("status", "safe", "app", 3_000, false),
         route("note", "unsafe", "llm", 15_000, true),
