--- a/review/rig-2/platform.rs
+++ b/review/rig-2/platform.rs
@@ -44,11 +44,8 @@
     pub fn start(ip: &str) -> io::Result<(Arc<Self>, SocketAddr)> {
         let listener = TcpListener::bind((ip, 0))?;
         let address = listener.local_addr()?;
-        let store = Self {
-            started: Instant::now(),
-            rows: Mutex::default(),
-            changed: Condvar::new(),
-        };
+        let store =
+            Self { started: Instant::now(), rows: Mutex::default(), changed: Condvar::new() };
         let store = Arc::new(store);
         let serving = store.clone();
         http::serve(listener, move |request, stream| serving.answer(&request, stream));
--- a/review/rig-2/reborn.rs
+++ b/review/rig-2/reborn.rs
@@ -98,8 +98,7 @@
         link.set_cut(true);
         record.line("the link to the engine is cut");
         thread::sleep(CRASH_AFTER);
-        engine.kill()?;
-        engine.wait()?;
+        drop(engine);
         record.line("the engine crashes (SIGKILL)");
         thread::sleep(DOWN);
         engine = start_engine(port)?;
@@ -131,8 +130,7 @@
             if is_early { ": ENDS EARLY AND LOOKS WHOLE" } else { "" }
         ));
     }
-    engine.kill()?;
-    engine.wait()?;
+    drop(engine);
     record.line(format!("{at_engine} answers without a length, which {ID} gives alone"));
     if at_engine == 0 {
         return Err("no request was answered by the engine".into());
@@ -154,19 +152,29 @@
     store.put("servers", ID, &entry);
 }
 
+/// The engine's process, which is killed when this is dropped.
+struct EngineProcess(Child);
+
+impl Drop for EngineProcess {
+    fn drop(&mut self) {
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
 /// Starts the engine's process, and waits until it listens.
-fn start_engine(at: SocketAddr) -> io::Result<Child> {
+fn start_engine(at: SocketAddr) -> io::Result<EngineProcess> {
     let program = env::current_exe()?;
-    let mut child = Command::new(program)
-        .args(["engine", &at.to_string()])
-        .stdout(Stdio::piped())
-        .spawn()?;
+    let mut child =
+        Command::new(program).args(["engine", &at.to_string()]).stdout(Stdio::piped()).spawn()?;
+    let output = child.stdout.take();
+    let engine = EngineProcess(child);
     let mut line = String::new();
-    if let Some(output) = child.stdout.take() {
+    if let Some(output) = output {
         BufReader::new(output).read_line(&mut line)?;
     }
     match line.trim() {
-        "listens" => Ok(child),
+        "listens" => Ok(engine),
         _ => Err(io::Error::other("the engine does not listen")),
     }
 }
--- a/review/rig-2/takeup.rs
+++ b/review/rig-2/takeup.rs
@@ -72,7 +72,8 @@
     let mut gone_on = 0;
     for (stream, before) in taken_up.iter().zip(&broken) {
         let last = before.events.last().copied().unwrap_or(0);
-        let goes_on = stream.events.first() == Some(&(last + 1)) && stream.version == before.version;
+        let goes_on =
+            stream.events.first() == Some(&(last + 1)) && stream.version == before.version;
         gone_on += usize::from(goes_on);
         record.line(format!(
             "{}: {} events of {} until {}; taken up as {}: status {}, next event {:?} of {:?}",
@@ -137,7 +138,8 @@
     let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
     let ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
     stream.events = ids.filter_map(|id| id.parse().ok()).collect();
-    let version = whole.lines().find_map(|line| line.strip_prefix("data: ")?.split(' ').next_back());
+    let version =
+        whole.lines().find_map(|line| line.strip_prefix("data: ")?.split(' ').next_back());
     stream.version = version.unwrap_or_default().to_owned();
     stream
 }
--- a/review/rig-2/target.rs
+++ b/review/rig-2/target.rs
@@ -13,8 +13,11 @@
 const PLAIN: usize = 4;
 const MEMORY_MB: u64 = 260;
 /// Targets that clients send, with the sign that each leaves as it is.
-const TARGETS: [&str; 3] =
-    ["/confirm/shift#7/kitchen", "/confirm/shift?name=kitchen#7&volunteer=12", "/confirm/#/shift/7"];
+const TARGETS: [&str; 3] = [
+    "/confirm/shift#7/kitchen",
+    "/confirm/shift?name=kitchen#7&volunteer=12",
+    "/confirm/#/shift/7",
+];
 
 /// Plays the case.
 pub fn play(record: &str, trouble: bool) -> Played {
