--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -2,6 +2,7 @@
 //! gateways. Usage: `rig CASE RECORD`, at the repository's root. Exits with 1 if the rule was broken, with
 //! 0 if it held, and with 2 if the case could not run. With `TROUBLE=0` it leaves out the disruption.
 
+mod draft;
 mod engine;
 mod gateway;
 mod http;
@@ -31,6 +32,7 @@
     }
     let trouble = env::var("TROUBLE").map_or(true, |v| v != "0");
     let played = match case.as_str() {
+        "draft" => draft::play(record, trouble),
         "parts" => parts::play(record, trouble),
         "reborn" => reborn::play(record, trouble),
         "takeup" => takeup::play(record, trouble),
--- a/review/rig-2/platform.rs
+++ b/review/rig-2/platform.rs
@@ -52,9 +52,14 @@
         Ok((store, address))
     }
 
-    /// Writes a row in place of the operator or of an engine.
+    /// Writes a row with an empty part in place of the operator or of an engine.
     pub fn put(&self, table: &str, key: &str, value: &str) {
-        let place = (table.to_owned(), String::new(), key.to_owned());
+        self.put_in(table, "", key, value);
+    }
+
+    /// Writes a row of a part in place of the operator.
+    pub fn put_in(&self, table: &str, part: &str, key: &str, value: &str) {
+        let place = (table.to_owned(), part.to_owned(), key.to_owned());
         self.apply(vec![(place, Some(base64(value.as_bytes())))]);
     }
 
--- a/review/rig-2/site.rs
+++ b/review/rig-2/site.rs
@@ -23,6 +23,10 @@
 pub const HOST: &str = "ficu95.example";
 /// API key of the only tenant.
 pub const KEY: &str = "i9n73hh2b9wu3fexd9dn";
+/// Version of the operator's configuration.
+pub const CONFIGURATION_VERSION: u32 = 7;
+/// Service that no route of the operator's configuration names.
+pub const NEXT_SERVICE: &str = "app-next";
 /// Zones of the deployment.
 const ZONES: [&str; 4] = ["bkk-bangna", "bkk-lakr", "bkk-nont", "bkk-samut"];
 
@@ -70,8 +74,14 @@
 impl Site {
     /// Starts a deployment with model engines, plain engines and gateways, each gateway on a machine of
     /// `memory_mb`, and waits until the gateways are ready.
-    pub fn start(
+    pub fn start(counts: (usize, usize, usize), memory_mb: u64) -> Result<Self, Box<dyn Error>> {
+        Self::start_with_next(counts, 0, memory_mb)
+    }
+
+    /// Starts a deployment like [`Self::start`], with engines of [`NEXT_SERVICE`] besides.
+    pub fn start_with_next(
         (models, plain, gateways): (usize, usize, usize),
+        next: usize,
         memory_mb: u64,
     ) -> Result<Self, Box<dyn Error>> {
         let dir = env::temp_dir().join(format!("review-{}", process::id()));
@@ -80,12 +90,16 @@
         let ip = |last: usize| format!("127.{}.{low}.{last}", 100 + high % 100);
         let (store, store_address) = Store::start(&ip(1))?;
         let api = start_api(&ip(1))?;
-        store.put("op", "config", &configuration());
+        store.put("op", "config", &configuration(CONFIGURATION_VERSION, "app"));
         let engines = Engines::new();
         for number in 0..models {
             let of = ("llm", "v1");
             engines.start(&store, &ip(2), of, ZONES[number % ZONES.len()], number)?;
         }
+        for number in 0..next {
+            let of = (NEXT_SERVICE, "v1");
+            engines.start(&store, &ip(4), of, ZONES[number % ZONES.len()], number)?;
+        }
         for number in 0..plain {
             engines.start(&store, &ip(3), ("app", "v1"), ZONES[number % ZONES.len()], number)?;
         }
@@ -116,7 +130,8 @@
 
 /// Returns the operator's configuration: two public streaming routes, one of them for streams that may be
 /// taken up, one route of each plain kind, and a plain one whose requests go to the model engines.
-fn configuration() -> String {
+/// `confirm` is the service of unsafe plain requests.
+pub fn configuration(version: u32, confirm: &str) -> String {
     let route = |name: &str, kind: &str, service: &str, timeout: u32, public: bool| {
         format!(
             "{{\"name\":\"r-{name}\",\"host\":\"{HOST}\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
@@ -129,15 +144,16 @@
     let routes = [
         route("plan", "streaming", "llm", 15_000, true),
         route("digest", "streaming", "llm", 15_000, true),
-        route("confirm", "unsafe", "app", 3_000, false),
+        route("confirm", "unsafe", confirm, 3_000, false),
         route("status", "safe", "app", 3_000, false),
         route("note", "unsafe", "llm", 15_000, true),
     ];
     format!(
-        "{{\"version\":7,\"routes\":[{}],\"services\":[\
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
          {{\"name\":\"llm\",\"healthPath\":\"/healthz\",\"maxConnections\":370,\
          \"engine\":{{\"slots\":64,\"kvCapacityTokens\":583597,\"stride\":3}}}},\
-         {{\"name\":\"app\",\"healthPath\":\"/healthz\",\"maxConnections\":110}}],\
+         {{\"name\":\"app\",\"healthPath\":\"/healthz\",\"maxConnections\":110}},\
+         {{\"name\":\"{NEXT_SERVICE}\",\"healthPath\":\"/healthz\",\"maxConnections\":110}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
          \"idleTimeoutMs\":15000}},\
          \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{KEY}\"],\"priority\":1,\
